Add build, base and platform packages, and the design page

Cause: an empty repository. The page fixes packages, owners of state, messages and targets before code is written, so that packages can be built side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# make demo: builds everything and serves two requests end to end by separate processes.
+# make check: builds everything and runs all tests and model checks.
+BUILD ?= build
+SOURCES = $(shell git ls-files --cached --others --exclude-standard 'packages/*.h' 'packages/*.cpp' 'testing/*.h' 'testing/*.cpp')
+
+.PHONY: all install-deps configure check demo format format-check lint proto spec
+
+all: configure
+	cmake --build $(BUILD)
+
+install-deps:
+	.ci/run --install-only
+
+configure: install-deps
+	cmake -S . -B $(BUILD) -G Ninja
+
+check: all
+	ctest --test-dir $(BUILD) --output-on-failure --no-tests=error -j 4
+
+demo: all
+	BUILD=$(BUILD) tools/demo.sh
+
+format:
+	clang-format -i $(SOURCES)
+
+format-check:
+	clang-format --dry-run --Werror $(SOURCES)
+
+lint: configure
+	tools/lint.sh $(BUILD) $(SOURCES)
+
+# Regenerates the committed protobuf and gRPC code.
+proto:
+	tools/generate-proto.sh
--- /dev/null
+++ b/cmake/foxtailturnConfig.cmake
@@ -0,0 +1,2 @@
+include(CMakeFindDependencyMacro)
+include(${CMAKE_CURRENT_LIST_DIR}/foxtailturnTargets.cmake)
--- /dev/null
+++ b/packages/platform/memory_platform_test.cpp
@@ -0,0 +1,47 @@
+#include "platform/memory_platform.h"
+
+#include <doctest/doctest.h>
+
+namespace foxtailturn {
+namespace {
+
+const TimePoint kNoDeadline = TimePoint::max();
+
+// Guards against a fake that is kinder than the real service: tests built on it would prove
+// nothing.
+TEST_CASE("MemoryTable writes only on the expected version")
+{
+    MemoryTable table;
+    const Result<RowVersion> first = table.write("k", "a", kAbsent, kNoDeadline);
+    REQUIRE(first);
+    CHECK(table.write("k", "b", kAbsent, kNoDeadline).error().code_ == ErrorCode::StoreConflict);
+    CHECK(table.write("k", "b", *first, kNoDeadline));
+    CHECK((*table.read("k", kNoDeadline))->value_ == "b");
+}
+
+TEST_CASE("MemoryTable faults")
+{
+    struct Case
+    {
+        TableFault fault_;
+        Execution execution_;
+        bool effect_;
+    };
+    const Case cases[] = {
+        {TableFault::Down, Execution::NotRun, false},
+        {TableFault::LoseWriteAnswer, Execution::OutcomeUnknown, true},
+        {TableFault::DropWrite, Execution::OutcomeUnknown, false},
+    };
+    for (const Case &c : cases) {
+        MemoryTable table;
+        table.setFault(c.fault_);
+        const Result<RowVersion> written = table.write("k", "a", kAbsent, kNoDeadline);
+        REQUIRE(!written);
+        CHECK(written.error().execution_ == c.execution_);
+        table.setFault(TableFault::None);
+        CHECK((*table.read("k", kNoDeadline)).has_value() == c.effect_);
+    }
+}
+
+} // namespace
+} // namespace foxtailturn
