--- /dev/null
+++ b/packages/agent/agent_server.h
@@ -0,0 +1,64 @@
+#pragma once
+
+// The agent's gRPC service: executions and heartbeats.
+//
+//     AgentServer server(identity, clock, scheduler, executor, 256);
+//     builder.RegisterService(server.service());
+//     ...
+//     server.drain();   // refuses new work; running executions finish
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "adapters/agent_scheduler.h"
+#include "agent/execution_table.h"
+#include "agent/executor.h"
+#include "base/clock.h"
+
+namespace grpc {
+class Service;
+} // namespace grpc
+
+namespace foxtailturn {
+
+struct AgentIdentity
+{
+    std::string target_; // name of the target beside the agent
+    std::string group_; // target group, for example "engines"
+    std::string incarnation_;
+
+    bool operator==(const AgentIdentity &) const = default;
+};
+
+// Thread-safe.
+class AgentServer
+{
+public:
+    // All references must outlive the server. maxExecutions bounds the threads that run or wait
+    // with a request; revision returns the configuration revision in force.
+    AgentServer(AgentIdentity identity, const Clock &clock, AgentScheduler &scheduler,
+                Executor &executor, std::size_t maxExecutions,
+                std::function<std::uint64_t()> revision);
+    ~AgentServer();
+
+    // Returns the service for grpc::ServerBuilder.
+    [[nodiscard]] grpc::Service *service();
+
+    // Refuses new work; running executions finish. Thread-safe.
+    void drain();
+
+    // Returns the number of executions that run, and the readers of their answers. Thread-safe.
+    [[nodiscard]] std::size_t runningCount() const;
+    [[nodiscard]] std::size_t readerCount() const;
+
+    // Forgets old executions and cancels those that nobody reads; called by a controller.
+    void sweep();
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/agent/answer_buffer.cpp
@@ -0,0 +1,113 @@
+#include "agent/answer_buffer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace foxtailturn {
+
+namespace {
+
+// Bounds the memory of one execution; the longest reports stay well under 1 MiB.
+constexpr std::size_t kMaxAnswerBytes = 16 * 1024 * 1024;
+
+} // namespace
+
+AnswerBuffer::AnswerBuffer(const Clock &clock)
+    : clock_(&clock)
+    , lastReadAt_(clock.now())
+{
+}
+
+void AnswerBuffer::setHead(AnswerHead head)
+{
+    const std::lock_guard lock(mutex_);
+    head_ = std::move(head);
+    changed_.notify_all();
+}
+
+bool AnswerBuffer::append(std::string_view data)
+{
+    const std::lock_guard lock(mutex_);
+    if (cancelled_ || finished_ || failure_)
+        return false;
+    if (data_.size() + data.size() > kMaxAnswerBytes)
+        return false;
+    data_.append(data);
+    changed_.notify_all();
+    return true;
+}
+
+void AnswerBuffer::finish(std::uint64_t usedTokens)
+{
+    const std::lock_guard lock(mutex_);
+    if (finished_ || failure_)
+        return;
+    finished_ = true;
+    usedTokens_ = usedTokens;
+    changed_.notify_all();
+}
+
+void AnswerBuffer::fail(Error error)
+{
+    const std::lock_guard lock(mutex_);
+    if (finished_ || failure_)
+        return;
+    failure_ = std::move(error);
+    changed_.notify_all();
+}
+
+void AnswerBuffer::cancel()
+{
+    const std::lock_guard lock(mutex_);
+    cancelled_ = true;
+}
+
+bool AnswerBuffer::isCancelled() const
+{
+    const std::lock_guard lock(mutex_);
+    return cancelled_;
+}
+
+bool AnswerBuffer::isEnded() const
+{
+    const std::lock_guard lock(mutex_);
+    return finished_ || failure_.has_value();
+}
+
+bool AnswerBuffer::hasNews(std::uint64_t offset, bool headSeen) const
+{
+    return (head_ && !headSeen) || data_.size() > offset || finished_ || failure_;
+}
+
+AnswerPart AnswerBuffer::next(std::uint64_t offset, bool headSeen, TimePoint until)
+{
+    std::unique_lock lock(mutex_);
+    ++waitingReaders_;
+    changed_.wait_for(lock, until - clock_->now(), [&] { return hasNews(offset, headSeen); });
+    --waitingReaders_;
+    lastReadAt_ = clock_->now();
+    AnswerPart part;
+    part.offset_ = offset;
+    if (!headSeen)
+        part.head_ = head_;
+    if (data_.size() > offset)
+        part.data_ = data_.substr(offset);
+    part.finished_ = finished_;
+    part.usedTokens_ = usedTokens_;
+    part.failure_ = failure_;
+    return part;
+}
+
+TimePoint AnswerBuffer::lastReadAt() const
+{
+    const std::lock_guard lock(mutex_);
+    return waitingReaders_ > 0 ? clock_->now() : lastReadAt_;
+}
+
+std::uint64_t AnswerBuffer::size() const
+{
+    const std::lock_guard lock(mutex_);
+    return data_.size();
+}
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/agent/executor.cpp
@@ -0,0 +1,206 @@
+#include "agent/executor.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "agent/http_engine_orders.h"
+#include "agent/model_answer.h"
+#include "base/hash.h"
+#include "base/json.h"
+#include "base/log.h"
+
+namespace foxtailturn {
+
+namespace {
+
+const Logger kLog("executor");
+
+// Bytes of prompt per token, for fair shares only.
+constexpr double kBytesPerToken = 4;
+
+AdapterId adapterOf(const wire::ExecuteRequest &request)
+{
+    if (!request.has_adapter())
+        return {};
+    return {request.adapter().id(), std::to_string(request.adapter().version())};
+}
+
+WorkRequest toWork(const wire::ExecuteRequest &request, TimePoint deadline)
+{
+    WorkRequest work;
+    work.id_ = concat(request.request_id(), "/", request.attempt());
+    work.workspace_ = request.workspace();
+    work.adapter_ = adapterOf(request);
+    work.priority_ = request.batch() ? Priority::Batch : Priority::Chat;
+    work.cost_ = std::max(1.0, static_cast<double>(request.body().size()) / kBytesPerToken);
+    work.deadline_ = deadline;
+    work.exclusive_ = request.solo();
+    return work;
+}
+
+TargetRequest toTarget(const wire::ExecuteRequest &request, TimePoint deadline)
+{
+    TargetRequest target;
+    target.method_ = request.method();
+    target.path_ = request.path();
+    target.contentType_ = request.content_type();
+    target.body_ = request.body();
+    target.idempotencyKey_ = request.idempotency_key();
+    target.workspace_ = request.workspace();
+    target.deadline_ = deadline;
+    return target;
+}
+
+bool isStreaming(const std::string &body)
+{
+    const Json json = Json::parse(body, nullptr, false);
+    return json.is_object() && json.value("stream", false);
+}
+
+// Everything that a resend with the same idempotency key must repeat.
+std::string requestDigest(const wire::ExecuteRequest &request)
+{
+    return sha256Hex(concat(request.method(), "\n", request.path(), "\n", request.content_type(),
+                            "\n", request.body()));
+}
+
+// Collects the whole answer of a call that may run only once.
+class CollectingSink final : public TargetSink
+{
+public:
+    bool onHead(int status, const std::string &contentType) override
+    {
+        answer_.status_ = status;
+        answer_.contentType_ = contentType;
+        return true;
+    }
+
+    bool onData(std::string_view data) override
+    {
+        answer_.body_.append(data);
+        return true;
+    }
+
+    [[nodiscard]] const RecordedAnswer &answer() const { return answer_; }
+
+private:
+    RecordedAnswer answer_;
+};
+
+class ClientOnceTarget final : public OnceTarget
+{
+public:
+    ClientOnceTarget(const Clock &clock, TargetClient &client, TargetRequest request)
+        : clock_(&clock)
+        , client_(&client)
+        , request_(std::move(request))
+    {
+    }
+
+    Result<RecordedAnswer> call(TimePoint dispatchDeadline, TimePoint answerDeadline) override
+    {
+        if (clock_->now() >= dispatchDeadline)
+            return notRun(ErrorCode::DeadlineExceeded, "dispatch deadline has passed");
+        request_.deadline_ = answerDeadline;
+        CollectingSink sink;
+        const Result<void> called = client_->call(request_, sink);
+        if (!called)
+            return tl::unexpected(called.error());
+        return sink.answer();
+    }
+
+private:
+    const Clock *clock_;
+    TargetClient *client_;
+    TargetRequest request_;
+};
+
+} // namespace
+
+Executor::Executor(const Clock &clock, TargetClient &client, AgentScheduler &scheduler,
+                   OnceExecutor &once)
+    : clock_(&clock)
+    , client_(&client)
+    , scheduler_(&scheduler)
+    , once_(&once)
+{
+}
+
+Executor::Run Executor::runOf(const wire::ExecuteRequest &request)
+{
+    if (request.has_adapter())
+        return &Executor::runModel;
+    return request.repeatable() ? &Executor::runService : &Executor::runOnce;
+}
+
+void Executor::run(const wire::ExecuteRequest &request, TimePoint deadline, AnswerBuffer &answer)
+{
+    scheduler_->setWeight(request.workspace(), std::max(1U, request.weight()));
+    Result<RunPermit> permit = scheduler_->acquire(toWork(request, deadline));
+    if (!permit) {
+        answer.fail(permit.error());
+        return;
+    }
+    if (answer.isCancelled()) {
+        answer.fail({ErrorCode::Cancelled, Execution::NotRun, "request was cancelled"});
+        return;
+    }
+    const Result<std::uint64_t> usedTokens = (this->*runOf(request))(request, deadline, answer);
+    permit->release();
+    if (usedTokens) {
+        answer.finish(*usedTokens);
+        return;
+    }
+    const Error &error = usedTokens.error();
+    kLog.warn(concat("execution failed, request=", request.request_id(),
+                     " attempt=", request.attempt(), " code=", errorName(error.code_),
+                     " execution=", executionName(error.execution_)));
+    answer.fail(error);
+}
+
+Result<std::uint64_t> Executor::runModel(const wire::ExecuteRequest &request, TimePoint deadline,
+                                         AnswerBuffer &answer)
+{
+    ModelAnswerSink sink(engineName(adapterOf(request)), isStreaming(request.body()), answer);
+    const Result<void> called = client_->call(toTarget(request, deadline), sink);
+    if (called) {
+        Result<std::uint64_t> ended = sink.end();
+        if (!ended)
+            scheduler_->engineChanged();
+        return ended;
+    }
+    if (sink.isWrongAdapter())
+        return sink.end();
+    scheduler_->engineChanged();
+    return tl::unexpected(called.error());
+}
+
+Result<std::uint64_t> Executor::runService(const wire::ExecuteRequest &request, TimePoint deadline,
+                                           AnswerBuffer &answer)
+{
+    ServiceAnswerSink sink(answer);
+    const Result<void> called = client_->call(toTarget(request, deadline), sink);
+    if (!called)
+        return tl::unexpected(called.error());
+    return 0;
+}
+
+Result<std::uint64_t> Executor::runOnce(const wire::ExecuteRequest &request, TimePoint deadline,
+                                        AnswerBuffer &answer)
+{
+    OnceCall call;
+    call.key_ = {request.workspace(), request.route(), request.idempotency_key()};
+    call.bodyDigest_ = requestDigest(request);
+    call.dispatchDeadline_ = deadline;
+    call.answerDeadline_ = deadline;
+    ClientOnceTarget target(*clock_, *client_, toTarget(request, deadline));
+    const Result<OnceAnswer> done = once_->execute(call, target);
+    if (!done)
+        return tl::unexpected(done.error());
+    answer.setHead({done->answer_.status_, done->answer_.contentType_, "", done->isReplay_});
+    if (!answer.append(done->answer_.body_))
+        return outcomeUnknown(ErrorCode::Cancelled, "answer was cancelled or is too large");
+    return 0;
+}
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/agent/http_engine_orders.cpp
@@ -0,0 +1,132 @@
+#include "agent/http_engine_orders.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <httplib.h>
+
+#include "base/json.h"
+#include "base/log.h"
+
+namespace foxtailturn {
+
+namespace {
+
+constexpr char kVersionMark = '@';
+constexpr auto kConnectTimeout = std::chrono::milliseconds(500);
+
+void setTimeouts(httplib::Client &client, Duration remaining)
+{
+    const Duration timeout = std::max<Duration>(remaining, std::chrono::milliseconds(1));
+    client.set_connection_timeout(std::min<Duration>(timeout, kConnectTimeout));
+    client.set_read_timeout(timeout);
+    client.set_write_timeout(timeout);
+}
+
+bool isNotSent(httplib::Error error)
+{
+    return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout;
+}
+
+// Returns the running requests of an adapter. An engine that reports only a total could be running
+// any of its adapters, so then each one counts as running.
+int runningCount(const Json &report, const std::string &name)
+{
+    const auto byAdapter = report.find("running_by_adapter");
+    if (byAdapter != report.end() && byAdapter->is_object())
+        return byAdapter->value(name, 0);
+    return report.value("running", 0);
+}
+
+} // namespace
+
+std::string engineName(const AdapterId &id)
+{
+    return id.adapter_ + kVersionMark + id.version_;
+}
+
+AdapterId adapterOfEngineName(const std::string &name)
+{
+    const std::size_t mark = name.rfind(kVersionMark);
+    if (mark == std::string::npos)
+        return {};
+    return {name.substr(0, mark), name.substr(mark + 1)};
+}
+
+HttpEngineOrders::HttpEngineOrders(std::string host, int port, const Clock &clock,
+                                   ObjectName objectName)
+    : host_(std::move(host))
+    , port_(port)
+    , clock_(&clock)
+    , objectName_(std::move(objectName))
+{
+}
+
+Result<void> HttpEngineOrders::load(const AdapterId &adapter, FencingNumber fencing,
+                                    TimePoint deadline)
+{
+    const Json body = {{"lora_name", engineName(adapter)}, {"lora_path", objectName_(adapter)}};
+    return order("/v1/load_lora_adapter", body.dump(), fencing, deadline);
+}
+
+Result<void> HttpEngineOrders::unload(const AdapterId &adapter, FencingNumber fencing,
+                                      TimePoint deadline)
+{
+    const Json body = {{"lora_name", engineName(adapter)}};
+    return order("/v1/unload_lora_adapter", body.dump(), fencing, deadline);
+}
+
+Result<void> HttpEngineOrders::order(const std::string &path, const std::string &body,
+                                     FencingNumber fencing, TimePoint deadline)
+{
+    httplib::Client client(host_, port_);
+    setTimeouts(client, deadline - clock_->now());
+    const httplib::Headers headers = {{"x-fencing-number", std::to_string(fencing)}};
+    const httplib::Result result = client.Post(path, headers, body, "application/json");
+    if (!result && isNotSent(result.error()))
+        return notRun(ErrorCode::TargetFailed, "engine refused the connection");
+    if (!result)
+        return outcomeUnknown(ErrorCode::TargetFailed, "engine did not answer the order");
+    if (result->status == 200)
+        return {};
+    if (result->status == 409 || result->status == 412)
+        return notRun(ErrorCode::StaleFencingNumber, "engine follows a larger fencing number");
+    return notRun(ErrorCode::AdapterLoadFailed,
+                  concat("engine refused the order with status ", result->status));
+}
+
+Result<std::string> HttpEngineOrders::get(const std::string &path, TimePoint deadline)
+{
+    httplib::Client client(host_, port_);
+    setTimeouts(client, deadline - clock_->now());
+    const httplib::Result result = client.Get(path);
+    if (!result || result->status != 200)
+        return notRun(ErrorCode::TargetFailed, "engine did not answer");
+    return result->body;
+}
+
+Result<std::vector<EngineAdapter>> HttpEngineOrders::list(TimePoint deadline)
+{
+    const Result<std::string> models = get("/v1/models", deadline);
+    if (!models)
+        return tl::unexpected(models.error());
+    const Json json = Json::parse(*models, nullptr, false);
+    if (!json.is_object() || !json.contains("data") || !json["data"].is_array())
+        return notRun(ErrorCode::TargetFailed, "engine's model list can not be read");
+    const Result<std::string> load = get("/load", deadline);
+    if (!load)
+        return tl::unexpected(load.error());
+    const Json report = Json::parse(*load, nullptr, false);
+    if (!report.is_object())
+        return notRun(ErrorCode::TargetFailed, "engine's load report can not be read");
+    std::vector<EngineAdapter> adapters;
+    for (const Json &model : json["data"]) {
+        const std::string name = model.is_object() ? model.value("id", "") : "";
+        const AdapterId id = adapterOfEngineName(name);
+        if (!id.empty())
+            adapters.push_back({id, runningCount(report, name)});
+    }
+    return adapters;
+}
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/agent/model_answer.cpp
@@ -0,0 +1,104 @@
+#include "agent/model_answer.h"
+
+#include <utility>
+
+#include "base/log.h"
+
+namespace foxtailturn {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kTooManyRequests = 429;
+constexpr int kServerErrors = 500;
+constexpr int kUnavailable = 503;
+constexpr std::size_t kMaxRefusalBytes = 64 * 1024;
+
+bool isNotRunStatus(int status)
+{
+    return status == kNotFound || status == kTooManyRequests || status == kUnavailable;
+}
+
+} // namespace
+
+ModelAnswerSink::ModelAnswerSink(std::string engineName, bool streaming, AnswerBuffer &buffer)
+    : engineName_(std::move(engineName))
+    , buffer_(&buffer)
+    , check_(engineName_, streaming)
+{
+}
+
+bool ModelAnswerSink::onHead(int status, const std::string &contentType)
+{
+    status_ = status;
+    contentType_ = contentType;
+    return !buffer_->isCancelled();
+}
+
+bool ModelAnswerSink::onData(std::string_view data)
+{
+    if (buffer_->isCancelled())
+        return false;
+    if (status_ != kOk) {
+        refusal_.append(data.substr(0, kMaxRefusalBytes - std::min(kMaxRefusalBytes, refusal_.size())));
+        return true;
+    }
+    const std::string passed = check_.feed(data);
+    if (check_.verdict() == AdapterVerdict::Wrong)
+        return false;
+    return passed.empty() || pass(passed);
+}
+
+bool ModelAnswerSink::pass(const std::string &data)
+{
+    if (!headSet_) {
+        headSet_ = true;
+        buffer_->setHead({status_, contentType_, engineName_});
+    }
+    return buffer_->append(data);
+}
+
+Result<std::uint64_t> ModelAnswerSink::end()
+{
+    if (status_ != kOk)
+        return endRefused();
+    const std::string rest = check_.end();
+    if (isWrongAdapter())
+        return outcomeUnknown(ErrorCode::WrongAdapter, "engine did not name the adapter asked for");
+    if (!check_.isComplete())
+        return outcomeUnknown(ErrorCode::TargetFailed, "engine ended the answer early");
+    if (!rest.empty() && !pass(rest))
+        return outcomeUnknown(ErrorCode::Cancelled, "answer was cancelled or is too large");
+    return check_.usedTokens();
+}
+
+Result<std::uint64_t> ModelAnswerSink::endRefused()
+{
+    if (isNotRunStatus(status_))
+        return notRun(ErrorCode::TargetFailed,
+                      concat("engine refused the request with status ", status_));
+    if (status_ >= kServerErrors)
+        return outcomeUnknown(ErrorCode::TargetFailed, concat("engine failed with status ", status_));
+    if (!pass(refusal_))
+        return outcomeUnknown(ErrorCode::Cancelled, "request was cancelled");
+    return 0;
+}
+
+ServiceAnswerSink::ServiceAnswerSink(AnswerBuffer &buffer)
+    : buffer_(&buffer)
+{
+}
+
+bool ServiceAnswerSink::onHead(int status, const std::string &contentType)
+{
+    buffer_->setHead({status, contentType, ""});
+    return !buffer_->isCancelled();
+}
+
+bool ServiceAnswerSink::onData(std::string_view data)
+{
+    return buffer_->append(data);
+}
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/entry/caller_key_test.cpp
@@ -0,0 +1,56 @@
+#include "entry/caller_key.h"
+
+#include <doctest/doctest.h>
+
+namespace foxtailturn {
+namespace {
+
+TEST_CASE("callerKeyOf reads both header forms")
+{
+    struct Case
+    {
+        HeaderMap headers_;
+        const char *secret_;
+    };
+    const Case cases[] = {
+        {{{"authorization", "Bearer s3cret"}}, "s3cret"},
+        {{{"authorization", "bearer s3cret"}}, "s3cret"},
+        {{{"x-api-key", "s3cret"}}, "s3cret"},
+        {{{"authorization", "Basic abc"}}, ""},
+        {{}, ""},
+    };
+    for (const Case &c : cases)
+        CHECK(callerKeyOf(c.headers_).secret_ == c.secret_);
+}
+
+// Guards against a key that reaches a target inside the query.
+TEST_CASE("queryWithoutKey drops parameters that carry a key")
+{
+    struct Case
+    {
+        const char *query_;
+        const char *kept_;
+    };
+    const Case cases[] = {
+        {"slot=3&api_key=s3cret", "slot=3"},
+        {"API%5Fkey=other&slot=3", "slot=3"},
+        {"a=xs3cretx&b=2&c=s3%63ret", "b=2"},
+        {"", ""},
+        {"a=1&&b=2", "a=1&b=2"},
+    };
+    for (const Case &c : cases) {
+        CAPTURE(c.query_);
+        CHECK(queryWithoutKey(c.query_, "s3cret") == c.kept_);
+    }
+}
+
+TEST_CASE("containsSecret")
+{
+    CHECK(containsSecret("{\"k\":\"s3cret\"}", "s3cret"));
+    CHECK(containsSecret("%73%33cret", "s3cret"));
+    CHECK(!containsSecret("nothing", "s3cret"));
+    CHECK(!containsSecret("nothing", ""));
+}
+
+} // namespace
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/entry/frame_stream.cpp
@@ -0,0 +1,205 @@
+#include "entry/frame_stream.h"
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+#include <grpcpp/grpcpp.h>
+
+#include "wire/convert.h"
+
+namespace foxtailturn {
+
+namespace {
+
+// Agents send a frame at least each 0.5 s, so two missing ones mean a silent connection. With a
+// reconnect this keeps detection and resumption within 2 s.
+constexpr auto kSilenceLimit = std::chrono::milliseconds(1'200);
+constexpr auto kConnectLimit = std::chrono::milliseconds(500);
+constexpr auto kResumeWindow = std::chrono::seconds(4);
+constexpr auto kResumePause = std::chrono::milliseconds(50);
+constexpr auto kCancelTimeout = std::chrono::milliseconds(500);
+
+} // namespace
+
+FrameStream::FrameStream(AgentLink &link, StreamWatchdog &watchdog, const Clock &clock,
+                         wire::ExecuteRequest request, TimePoint deadline)
+    : link_(&link)
+    , watchdog_(&watchdog)
+    , clock_(&clock)
+    , request_(std::move(request))
+    , deadline_(deadline)
+{
+}
+
+FrameStream::~FrameStream()
+{
+    closeReader();
+    if (sent_ && !ended_)
+        (void)cancelExecution();
+}
+
+StreamEvent FrameStream::next()
+{
+    for (;;) {
+        const TimePoint now = clock_->now();
+        if (now >= deadline_)
+            return fail({ErrorCode::DeadlineExceeded,
+                         sent_ ? Execution::OutcomeUnknown : Execution::NotRun,
+                         "request did not finish by its deadline"});
+        if (!reader_) {
+            if (!link_->waitUntilConnected(kConnectLimit)) {
+                if (auto event = connectionBroke())
+                    return *event;
+                continue;
+            }
+            open();
+        }
+        watch_->setDeadline(std::min(clock_->now() + Duration(kSilenceLimit), deadline_));
+        wire::Frame frame;
+        const bool received = reader_->Read(&frame);
+        watch_->setDeadline(TimePoint::max());
+        std::optional<StreamEvent> event = received ? accept(frame) : connectionBroke();
+        if (event)
+            return *std::move(event);
+    }
+}
+
+void FrameStream::open()
+{
+    channel_ = link_->channel();
+    context_ = std::make_unique<grpc::ClientContext>();
+    watch_ = watchdog_->watch([context = context_.get()] { context->TryCancel(); });
+    const auto stub = wire::AgentService::NewStub(channel_);
+    if (!sent_) {
+        sent_ = true;
+        request_.set_remaining_micros(remainingMicros(deadline_, clock_->now()));
+        reader_ = stub->Execute(context_.get(), request_);
+        request_.clear_body();
+        return;
+    }
+    ++resumes_;
+    wire::ResumeRequest resume;
+    resume.set_request_id(request_.request_id());
+    resume.set_attempt(request_.attempt());
+    resume.set_incarnation(request_.incarnation());
+    resume.set_offset(offset_);
+    resume.set_head_seen(headSeen_);
+    reader_ = stub->Resume(context_.get(), resume);
+}
+
+void FrameStream::closeReader()
+{
+    if (!reader_)
+        return;
+    context_->TryCancel();
+    watch_->close();
+    wire::Frame ignored;
+    while (reader_->Read(&ignored)) { }
+    reader_->Finish();
+    reader_.reset();
+    watch_.reset();
+    context_.reset();
+}
+
+std::optional<StreamEvent> FrameStream::accept(wire::Frame &frame)
+{
+    if (frame.request_id() != request_.request_id() || frame.attempt() != request_.attempt()) {
+        ++droppedFrames_;
+        return std::nullopt;
+    }
+    giveUpAt_.reset();
+    StreamEvent event;
+    switch (frame.kind_case()) {
+    case wire::Frame::kHead:
+        if (headSeen_)
+            return std::nullopt;
+        headSeen_ = true;
+        event.kind_ = StreamEvent::Kind::Head;
+        event.head_ = {static_cast<int>(frame.head().status()), frame.head().content_type(),
+                       frame.head().served_by(), frame.head().replayed()};
+        return event;
+    case wire::Frame::kData:
+        return acceptData(frame);
+    case wire::Frame::kEnd:
+        if (frame.end().total_bytes() != offset_)
+            return connectionBroke();
+        ended_ = true;
+        event.kind_ = StreamEvent::Kind::End;
+        event.usedTokens_ = frame.end().used_tokens();
+        return event;
+    case wire::Frame::kFailure:
+        return fail(fromWire(frame.failure(), clock_->now()));
+    default:
+        return event;
+    }
+}
+
+std::optional<StreamEvent> FrameStream::acceptData(wire::Frame &frame)
+{
+    const std::uint64_t end = frame.offset() + frame.data().size();
+    if (frame.offset() > offset_)
+        return connectionBroke();
+    if (end <= offset_) {
+        ++droppedFrames_;
+        return std::nullopt;
+    }
+    StreamEvent event;
+    event.kind_ = StreamEvent::Kind::Data;
+    event.data_ = std::move(*frame.mutable_data());
+    event.data_.erase(0, offset_ - frame.offset());
+    offset_ = end;
+    return event;
+}
+
+std::optional<StreamEvent> FrameStream::connectionBroke()
+{
+    const TimePoint now = clock_->now();
+    if (!giveUpAt_)
+        giveUpAt_ = now + kResumeWindow;
+    closeReader();
+    if (channel_)
+        link_->replace(channel_);
+    if (!sent_)
+        return fail({ErrorCode::ConnectionLost, Execution::NotRun, "agent can not be reached"});
+    if (now >= *giveUpAt_)
+        return giveUp();
+    std::this_thread::sleep_for(kResumePause);
+    return std::nullopt;
+}
+
+StreamEvent FrameStream::giveUp()
+{
+    // When the agent answers that the execution never started it refuses it from then on, which
+    // makes "not run" certain.
+    const bool neverStarted = cancelExecution();
+    return fail({ErrorCode::ConnectionLost,
+                 neverStarted ? Execution::NotRun : Execution::OutcomeUnknown,
+                 "connection to the agent was lost"});
+}
+
+StreamEvent FrameStream::fail(Error error)
+{
+    if (error.code_ != ErrorCode::DeadlineExceeded)
+        ended_ = true;
+    StreamEvent event;
+    event.kind_ = StreamEvent::Kind::Failure;
+    event.failure_ = std::move(error);
+    return event;
+}
+
+bool FrameStream::cancelExecution()
+{
+    ended_ = true;
+    grpc::ClientContext context;
+    context.set_deadline(std::chrono::system_clock::now() + kCancelTimeout);
+    wire::CancelRequest request;
+    request.set_request_id(request_.request_id());
+    request.set_attempt(request_.attempt());
+    wire::CancelReply reply;
+    const auto stub = wire::AgentService::NewStub(link_->channel());
+    const grpc::Status status = stub->Cancel(&context, request, &reply);
+    return status.ok() && reply.never_started() && reply.incarnation() == request_.incarnation();
+}
+
+} // namespace foxtailturn
