Add HTTP clients of the platform and a stand-in for it

Cause: until now only in-memory fakes implemented the platform's interfaces, so no process could share a table, objects or members.

HttpTable, HttpObjects and HttpMembership use conditional requests of RFC 9110. One transport sends each request once over a small pool of connections and classifies failures: NotRun before a connection exists, past the deadline, with `x-effect: none` and for reads; OutcomeUnknown for any other failed write.

Conclusion: processes can use the platform over HTTP.

--- /dev/null
+++ b/packages/platform/http_platform_test.cpp
@@ -0,0 +1,217 @@
+#include "platform/http_platform.h"
+
+#include <doctest/doctest.h>
+
+#include "platform/http_transport.h"
+#include "stub_lib/platform_stub.h"
+
+namespace foxtailturn {
+namespace {
+
+constexpr const char *kHost = "127.0.0.1";
+constexpr int kTestWorkers = 16;
+
+// A running stand-in with one client of each service.
+struct Fixture
+{
+    Fixture()
+        : port_(stub_.server().start(kHost, 0, kTestWorkers))
+        , table_(kHost, port_, clock_)
+        , objects_(kHost, port_, clock_)
+        , membership_(kHost, port_, clock_)
+    { }
+
+    TimePoint soon() const { return clock_.now() + std::chrono::seconds(5); }
+
+    void setFaults(const StubFaults &faults)
+    {
+        for (std::size_t i = 0; i < kStubServices; ++i)
+            stub_.setFaults(static_cast<StubService>(i), faults);
+    }
+
+    SystemClock clock_;
+    PlatformStub stub_;
+    int port_;
+    HttpTable table_;
+    HttpObjects objects_;
+    HttpMembership membership_;
+};
+
+// Guards against keys that end a path or a query early, and so name another row.
+TEST_CASE_FIXTURE(Fixture, "rows keep any key and value")
+{
+    const std::string keys[] = {"config/current", "a?b=c&d", "a%2Fb", "ä ö+#", "..", "line\nend"};
+    for (const std::string &key : keys) {
+        CAPTURE(key);
+        const Result<RowVersion> version = table_.write(key, key + "{\"v\": 1}", kAbsent, soon());
+        REQUIRE(version);
+        CHECK(*table_.read(key, soon()) == Row{key, key + "{\"v\": 1}", *version});
+        CHECK(table_.scan(key, soon())->size() == 1);
+    }
+    CHECK(table_.scan("", soon())->size() == std::size(keys));
+    CHECK(*table_.read("other", soon()) == std::nullopt);
+}
+
+// Guards against a lost update: a write or removal on another version must not take effect.
+TEST_CASE_FIXTURE(Fixture, "rows change only on the expected version")
+{
+    const RowVersion first = table_.write("k", "a", kAbsent, soon()).value();
+    const RowVersion second = table_.write("k", "b", first, soon()).value();
+    CHECK(second > first);
+    const Error kConflict{ErrorCode::StoreConflict, Execution::NotRun, "row has another version"};
+    CHECK(table_.write("k", "c", kAbsent, soon()).error() == kConflict);
+    CHECK(table_.write("k", "c", first, soon()).error() == kConflict);
+    CHECK(table_.write("absent", "c", first, soon()).error() == kConflict);
+    CHECK(table_.remove("k", first, soon()).error() == kConflict);
+    CHECK(table_.remove("k", kAbsent, soon()).error() == kConflict);
+    CHECK(table_.remove("absent", first, soon()).error() == kConflict);
+    CHECK((*table_.read("k", soon()))->value_ == "b");
+    CHECK(table_.remove("k", second, soon()));
+    CHECK(table_.remove("k", kAbsent, soon()));
+    CHECK(*table_.read("k", soon()) == std::nullopt);
+}
+
+// Guards against content changed on the way and against overwriting an immutable object.
+TEST_CASE_FIXTURE(Fixture, "objects are binary and immutable")
+{
+    const std::string content(100'000, '\0');
+    CHECK(*objects_.get("o/1", soon()) == std::nullopt);
+    CHECK(objects_.put("o/1", content, soon()));
+    CHECK(objects_.put("o/1", content, soon()));
+    CHECK(objects_.put("o/1", "other", soon()).error().code_ == ErrorCode::StoreConflict);
+    CHECK(*objects_.get("o/1", soon()) == content);
+}
+
+TEST_CASE_FIXTURE(Fixture, "members are listed with their state")
+{
+    const Member live{"entry-1", "entry", "127.0.0.1:1", "a", VmState::Live};
+    const Member leaving{"agent/2", "agent", "127.0.0.1:2", "b", VmState::Leaving};
+    CHECK(membership_.put(live, soon()));
+    CHECK(membership_.put(leaving, soon()));
+    CHECK(*membership_.members(soon()) == std::vector{leaving, live});
+}
+
+// Guards against a failure reported as NotRun whose write took effect or may still do so, and
+// against OutcomeUnknown where a caller could safely go on.
+TEST_CASE_FIXTURE(Fixture, "each fault is classified exactly")
+{
+    struct Case
+    {
+        const char *name_;
+        StubFaults faults_;
+        int deadlineMs_;
+        Execution write_;
+        bool hasEffect_;
+        bool readFails_;
+    };
+    const Case cases[] = {
+        {"down", {.down_ = true}, 5000, Execution::NotRun, false, true},
+        {"slow", {.slowMs_ = 400}, 100, Execution::OutcomeUnknown, true, true},
+        {"lost answer", {.loseAnswers_ = true}, 5000, Execution::OutcomeUnknown, true, false},
+        {"dropped", {.dropRequests_ = true}, 5000, Execution::OutcomeUnknown, false, false},
+        {"past deadline", {}, 0, Execution::NotRun, false, true},
+    };
+    for (const Case &c : cases) {
+        CAPTURE(c.name_);
+        const RowVersion version = table_.write(c.name_, "old", kAbsent, soon()).value();
+        setFaults(c.faults_);
+        const auto deadline = [&] {
+            return clock_.now() + std::chrono::milliseconds(c.deadlineMs_);
+        };
+        const Error writes[] = {
+            table_.write(c.name_, "new", version, deadline()).error(),
+            objects_.put(c.name_, "new", deadline()).error(),
+            membership_.put(Member{c.name_, "entry", "a", "b", VmState::Live}, deadline()).error(),
+        };
+        for (const Error &error : writes) {
+            CHECK(error.code_ == ErrorCode::StoreUnavailable);
+            CHECK(error.execution_ == c.write_);
+        }
+        const auto read = table_.read(c.name_, deadline());
+        CHECK(read.has_value() != c.readFails_);
+        CHECK((read || read.error().execution_ == Execution::NotRun));
+        CHECK(table_.scan(c.name_, deadline()).has_value() != c.readFails_);
+        CHECK(objects_.get(c.name_, deadline()).has_value() != c.readFails_);
+        CHECK(membership_.members(deadline()).has_value() != c.readFails_);
+        setFaults({});
+        std::this_thread::sleep_for(std::chrono::milliseconds(c.faults_.slowMs_));
+        CHECK(((*table_.read(c.name_, soon()))->value_ == "new") == c.hasEffect_);
+        CHECK((*objects_.get(c.name_, soon())).has_value() == c.hasEffect_);
+    }
+}
+
+// Guards against removals classified unlike writes.
+TEST_CASE_FIXTURE(Fixture, "a removal whose answer is lost has an unknown outcome")
+{
+    const RowVersion version = table_.write("k", "a", kAbsent, soon()).value();
+    setFaults({.down_ = true});
+    CHECK(table_.remove("k", version, soon()).error().execution_ == Execution::NotRun);
+    setFaults({.loseAnswers_ = true});
+    CHECK(table_.remove("k", version, soon()).error().execution_ == Execution::OutcomeUnknown);
+    setFaults({});
+    CHECK(*table_.read("k", soon()) == std::nullopt);
+}
+
+// Guards against a wait past the deadline, and against kept connections that outlive the service.
+TEST_CASE_FIXTURE(Fixture, "a stopped service is refused at once and found again")
+{
+    REQUIRE(table_.write("k", "a", kAbsent, soon()));
+    stub_.server().finish();
+    const Error error = table_.write("k", "b", kAbsent, soon()).error();
+    CHECK(error.code_ == ErrorCode::StoreUnavailable);
+    CHECK(error.execution_ == Execution::NotRun);
+    PlatformStub next;
+    REQUIRE(next.server().start(kHost, port_, kTestWorkers) == port_);
+    CHECK(table_.write("k", "b", kAbsent, soon()));
+}
+
+// Guards against trust in an answer that is not the protocol's: statuses and ETags of a proxy.
+TEST_CASE("answers outside the protocol")
+{
+    struct Case
+    {
+        int status_;
+        const char *etag_;
+        const char *effect_;
+        Execution write_;
+    };
+    const Case cases[] = {
+        {500, "", "", Execution::OutcomeUnknown},
+        {503, "", "", Execution::OutcomeUnknown},
+        {503, "", "none", Execution::NotRun},
+        {404, "", "", Execution::OutcomeUnknown},
+        {200, "", "", Execution::OutcomeUnknown},
+        {200, "W/\"5\"", "", Execution::OutcomeUnknown},
+        {200, "\"5x\"", "", Execution::OutcomeUnknown},
+        {200, "\"\"", "", Execution::OutcomeUnknown},
+    };
+    for (const Case &c : cases) {
+        CAPTURE(c.status_);
+        CAPTURE(c.etag_);
+        StubServer server;
+        const auto answer = [&](const httplib::Request &, httplib::Response &response) {
+            response.status = c.status_;
+            response.set_header("ETag", c.etag_);
+            response.set_header("x-effect", c.effect_);
+        };
+        server.Put("/rows/k", answer);
+        const SystemClock clock;
+        HttpTable table(kHost, server.start(kHost, 0, 2), clock);
+        const TimePoint deadline = clock.now() + std::chrono::seconds(5);
+        const Error error = table.write("k", "v", kAbsent, deadline).error();
+        CHECK(error.code_ == ErrorCode::StoreUnavailable);
+        CHECK(error.execution_ == c.write_);
+    }
+}
+
+// Guards against a silent service that holds a caller: the wait ends with the deadline.
+TEST_CASE_FIXTURE(Fixture, "the deadline bounds a silent service")
+{
+    setFaults({.slowMs_ = 2000});
+    const TimePoint start = clock_.now();
+    CHECK(!table_.read("k", start + std::chrono::milliseconds(200)));
+    CHECK(clock_.now() - start < std::chrono::milliseconds(1000));
+}
+
+} // namespace
+} // namespace foxtailturn
