--- /dev/null
+++ b/packages/entry/entry_server.cpp
@@ -0,0 +1,323 @@
+#include "entry/entry_server.h"
+
+#include <algorithm>
+#include <atomic>
+#include <cctype>
+#include <thread>
+#include <utility>
+
+#include <httplib.h>
+
+#include "base/hash.h"
+#include "base/json.h"
+#include "base/log.h"
+#include "entry/error_response.h"
+#include "entry/live_request.h"
+
+namespace foxtailturn {
+
+namespace {
+
+const Logger kLog("entry");
+
+constexpr auto kReadTimeout = std::chrono::seconds(10);
+constexpr auto kWriteTimeout = std::chrono::seconds(10);
+constexpr auto kIdleTimeout = std::chrono::seconds(5);
+constexpr std::size_t kMaxRequestsPerConnection = 1'000;
+constexpr auto kStopPollInterval = std::chrono::milliseconds(20);
+constexpr const char *kJsonType = "application/json";
+constexpr const char *kAnyPath = ".*";
+constexpr std::string_view kModelsPath = "/v1/models";
+
+HeaderMap toHeaders(const httplib::Headers &headers)
+{
+    HeaderMap map;
+    for (const auto &[name, value] : headers) {
+        std::string lower = name;
+        std::transform(lower.begin(), lower.end(), lower.begin(),
+                       [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+        map.emplace(std::move(lower), value);
+    }
+    return map;
+}
+
+CallerRequest toCaller(const httplib::Request &request)
+{
+    CallerRequest caller;
+    caller.id_ = randomId();
+    caller.method_ = request.method;
+    const std::size_t query = request.target.find('?');
+    caller.path_ = request.target.substr(0, query);
+    if (query != std::string::npos)
+        caller.query_ = request.target.substr(query + 1);
+    caller.headers_ = toHeaders(request.headers);
+    caller.body_ = request.body;
+    return caller;
+}
+
+void writeError(const Error &error, const std::string &requestId, TimePoint now,
+                httplib::Response &response)
+{
+    const HttpError http = toHttpError(error, requestId, now);
+    response.status = http.status_;
+    response.set_content(http.body_, kJsonType);
+    if (http.retryAfterSeconds_)
+        response.set_header("Retry-After", std::to_string(*http.retryAfterSeconds_));
+}
+
+} // namespace
+
+class EntryServer::Impl
+{
+public:
+    Impl(EntryServerSettings settings, const Clock &clock, const FilterChain &chain,
+         Forwarder &forwarder, RetryGuard &retries, RequestObserver &observer,
+         std::function<std::shared_ptr<const Configuration>()> configuration)
+        : settings_(std::move(settings))
+        , clock_(&clock)
+        , chain_(&chain)
+        , forwarder_(&forwarder)
+        , observer_(&observer)
+        , retries_(&retries)
+        , configuration_(std::move(configuration))
+    {
+        const std::size_t threads = settings_.maxConnections_;
+        server_.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
+        server_.set_tcp_nodelay(true);
+        server_.set_read_timeout(kReadTimeout);
+        server_.set_write_timeout(kWriteTimeout);
+        server_.set_keep_alive_timeout(kIdleTimeout.count());
+        server_.set_keep_alive_max_count(kMaxRequestsPerConnection);
+        server_.set_payload_max_length(settings_.maxBodyBytes_);
+        const auto handler = [this](const httplib::Request &request, httplib::Response &response) {
+            handle(request, response);
+        };
+        server_.Get(kAnyPath, handler);
+        server_.Post(kAnyPath, handler);
+        server_.Put(kAnyPath, handler);
+        server_.Delete(kAnyPath, handler);
+        server_.set_error_handler([this](const httplib::Request &, httplib::Response &response) {
+            nameServerError(response);
+        });
+    }
+
+    ~Impl() { stop(clock_->now()); }
+
+    Result<void> start()
+    {
+        if (!server_.bind_to_port(settings_.host_, settings_.port_))
+            return notRun(ErrorCode::InvalidSettings,
+                          concat("can not listen on ", settings_.host_, ":", settings_.port_));
+        listener_ = std::thread([this] { server_.listen_after_bind(); });
+        while (!server_.is_running())
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        kLog.info(concat("listening on ", settings_.host_, ":", settings_.port_));
+        return {};
+    }
+
+    void drain() { draining_ = true; }
+
+    void stop(TimePoint deadline)
+    {
+        drain();
+        while (open_ > 0 && clock_->now() < deadline)
+            std::this_thread::sleep_for(kStopPollInterval);
+        server_.stop();
+        if (listener_.joinable())
+            listener_.join();
+    }
+
+    [[nodiscard]] EntryCounts counts() const { return {requests_, refused_, failed_, open_}; }
+
+private:
+    using Live = std::shared_ptr<LiveRequest>;
+
+    void handle(const httplib::Request &request, httplib::Response &response)
+    {
+        ++requests_;
+        auto live = std::make_shared<LiveRequest>(*clock_, *observer_, configuration_, open_);
+        RequestContext &context = live->context();
+        context.request_ = toCaller(request);
+        context.configuration_ = configuration_();
+        response.set_header("X-Request-Id", context.request_.id_);
+        const Result<void> admitted = admit(context);
+        if (!admitted)
+            return refuse(live, admitted.error(), response);
+        if (context.request_.path_ == kModelsPath && context.request_.method_ == "GET")
+            return listModels(live, response);
+        const Result<void> passed = chain_->apply(context);
+        if (!passed)
+            return refuse(live, passed.error(), response);
+        if (context.streaming_)
+            openStream(live, response);
+        else
+            fetchWhole(live, response);
+    }
+
+    Result<void> admit(const RequestContext &context) const
+    {
+        if (draining_)
+            return notRun(ErrorCode::ShuttingDown, "entry is shutting down");
+        if (!context.configuration_)
+            return notRun(ErrorCode::StaleConfiguration, "entry has no configuration yet");
+        return {};
+    }
+
+    void refuse(const Live &live, const Error &error, httplib::Response &response)
+    {
+        ++(error.execution_ == Execution::NotRun ? refused_ : failed_);
+        if (error.code_ == ErrorCode::ShuttingDown)
+            response.set_header("Connection", "close");
+        writeError(error, live->context().request_.id_, clock_->now(), response);
+        live->fail(error);
+    }
+
+    void listModels(const Live &live, httplib::Response &response)
+    {
+        const RequestContext &context = live->context();
+        const Result<KeyMatch> match
+            = context.configuration_->findKey(callerKeyOf(context.request_.headers_).secret_);
+        if (!match)
+            return refuse(live, match.error(), response);
+        Json data = Json::array();
+        for (const AdapterVersion *adapter : context.configuration_->modelsOf(match->workspace_->id_))
+            data.push_back({{"id", concat(adapter->adapter_, "@", adapter->version_)},
+                            {"object", "model"},
+                            {"root", adapter->baseModel_}});
+        response.set_content(Json {{"object", "list"}, {"data", data}}.dump(), kJsonType);
+        live->end(0);
+    }
+
+    void fetchWhole(const Live &live, httplib::Response &response)
+    {
+        const Result<WholeAnswer> whole
+            = forwarder_->fetch(live->context(), [&live] { return live->check(); });
+        if (!whole)
+            return refuse(live, whole.error(), response);
+        live->firstByte();
+        response.status = whole->head_.status_;
+        setServedBy(whole->head_, response);
+        response.set_content(whole->body_, whole->head_.contentType_.c_str());
+        live->end(whole->usedTokens_);
+    }
+
+    void openStream(const Live &live, httplib::Response &response)
+    {
+        Result<OpenAnswer> opened
+            = forwarder_->open(live->context(), [&live] { return live->check(); });
+        if (!opened)
+            return refuse(live, opened.error(), response);
+        auto answer = std::make_shared<OpenAnswer>(*std::move(opened));
+        response.status = answer->head_.status_;
+        setServedBy(answer->head_, response);
+        response.set_chunked_content_provider(
+            answer->head_.contentType_,
+            [this, live, answer](std::size_t, httplib::DataSink &sink) {
+                return relay(live, *answer, sink);
+            },
+            // Ends the stream and the request also when the caller went away.
+            [live](bool) { live->fail(LiveRequest::callerGone()); });
+    }
+
+    // Passes on one event. Returns false to close the connection without the final chunk, so that
+    // a truncated answer never looks complete.
+    bool relay(const Live &live, OpenAnswer &answer, httplib::DataSink &sink)
+    {
+        const StreamEvent event = answer.stream_->next();
+        if (event.kind_ == StreamEvent::Kind::End) {
+            retries_->succeeded(live->context());
+            live->end(event.usedTokens_);
+            sink.done();
+            return true;
+        }
+        if (event.kind_ == StreamEvent::Kind::Failure)
+            return breakStream(live, *event.failure_, sink);
+        const Result<void> allowed = live->check();
+        if (!allowed)
+            return breakStream(live, allowed.error(), sink);
+        if (event.kind_ == StreamEvent::Kind::Data) {
+            live->firstByte();
+            return sink.write(event.data_.data(), event.data_.size());
+        }
+        return sink.is_writable();
+    }
+
+    bool breakStream(const Live &live, const Error &error, httplib::DataSink &sink)
+    {
+        ++failed_;
+        const HttpError http = toHttpError(error, live->context().request_.id_, clock_->now());
+        const std::string event = concat("event: error\ndata: ", http.body_, "\n\n");
+        sink.write(event.data(), event.size());
+        live->fail(error);
+        return false;
+    }
+
+    static void setServedBy(const StreamHead &head, httplib::Response &response)
+    {
+        if (!head.servedBy_.empty())
+            response.set_header("X-Served-By", head.servedBy_);
+        if (head.replayed_)
+            response.set_header("X-Idempotent-Replay", "true");
+    }
+
+    // Gives failures that httplib found itself the form of all others.
+    void nameServerError(httplib::Response &response)
+    {
+        if (!response.body.empty())
+            return;
+        const bool isTooLarge = response.status == 413;
+        const int status = response.status;
+        const Error error {isTooLarge ? ErrorCode::PayloadTooLarge : ErrorCode::BadRequest,
+                           Execution::NotRun,
+                           isTooLarge ? "body is too large" : "request can not be read"};
+        writeError(error, randomId(), clock_->now(), response);
+        response.status = status;
+    }
+
+    EntryServerSettings settings_;
+    const Clock *clock_;
+    const FilterChain *chain_;
+    Forwarder *forwarder_;
+    RequestObserver *observer_;
+    RetryGuard *retries_;
+    std::function<std::shared_ptr<const Configuration>()> configuration_;
+    httplib::Server server_;
+    std::thread listener_;
+    std::atomic<bool> draining_ = false;
+    std::atomic<std::uint64_t> requests_ = 0;
+    std::atomic<std::uint64_t> refused_ = 0;
+    std::atomic<std::uint64_t> failed_ = 0;
+    std::atomic<std::uint64_t> open_ = 0;
+};
+
+EntryServer::EntryServer(EntryServerSettings settings, const Clock &clock, const FilterChain &chain,
+                         Forwarder &forwarder, RetryGuard &retries, RequestObserver &observer,
+                         std::function<std::shared_ptr<const Configuration>()> configuration)
+    : impl_(std::make_unique<Impl>(std::move(settings), clock, chain, forwarder, retries, observer,
+                                   std::move(configuration)))
+{
+}
+
+EntryServer::~EntryServer() = default;
+
+Result<void> EntryServer::start()
+{
+    return impl_->start();
+}
+
+void EntryServer::drain()
+{
+    impl_->drain();
+}
+
+void EntryServer::stop(TimePoint deadline)
+{
+    impl_->stop(deadline);
+}
+
+EntryCounts EntryServer::counts() const
+{
+    return impl_->counts();
+}
+
+} // namespace foxtailturn
