--- /dev/null
+++ b/packages/entry/heartbeats.cpp
@@ -0,0 +1,203 @@
+#include "entry/heartbeats.h"
+
+#include <condition_variable>
+#include <utility>
+
+#include <grpcpp/grpcpp.h>
+
+#include "foxtailturn.grpc.pb.h"
+
+namespace foxtailturn {
+
+namespace {
+
+constexpr auto kTimeout = std::chrono::milliseconds(1'000);
+// Missing answers after which the connection is opened anew, in case it is silent.
+constexpr int kMaxMisses = 2;
+
+std::vector<AdapterId> adaptersOf(const google::protobuf::RepeatedPtrField<wire::Adapter> &items)
+{
+    std::vector<AdapterId> adapters;
+    adapters.reserve(static_cast<std::size_t>(items.size()));
+    for (const wire::Adapter &item : items)
+        adapters.push_back({item.id(), std::to_string(item.version())});
+    return adapters;
+}
+
+TargetReport reportOf(const wire::HeartbeatReply &reply)
+{
+    TargetReport report;
+    report.name_ = reply.target();
+    report.incarnation_ = reply.incarnation();
+    report.sequence_ = reply.sequence();
+    report.running_ = reply.running();
+    report.waiting_ = reply.waiting();
+    report.maxRunning_ = reply.capacity();
+    report.loadsInFlight_ = reply.loads_in_flight();
+    report.draining_ = reply.draining();
+    report.resident_ = adaptersOf(reply.resident());
+    report.loading_ = adaptersOf(reply.loading());
+    return report;
+}
+
+struct Call
+{
+    std::unique_ptr<wire::AgentService::Stub> stub_;
+    std::shared_ptr<AgentLink> link_;
+    std::shared_ptr<grpc::Channel> channel_;
+    grpc::ClientContext context_;
+    wire::HeartbeatRequest request_;
+    wire::HeartbeatReply reply_;
+};
+
+} // namespace
+
+struct Heartbeats::State
+{
+    struct Agent
+    {
+        Member member_;
+        TargetInfo target_; // empty name until the first answer
+        std::string incarnation_;
+        bool isAsked_ = false;
+        int misses_ = 0;
+    };
+
+    State(std::string self, TargetDirectory &directory, AgentLinks &links)
+        : self_(std::move(self))
+        , directory_(&directory)
+        , links_(&links)
+    {
+    }
+
+    void setAgents(const std::vector<Member> &members);
+    void publishTargets();
+    void answered(const Member &member, const wire::HeartbeatReply &reply);
+    void missed(const Member &member, Call &call);
+
+    std::string self_;
+    TargetDirectory *directory_;
+    AgentLinks *links_;
+    std::mutex mutex_;
+    std::condition_variable idle_;
+    std::map<std::string, Agent> agents_; // by process name
+    int pending_ = 0;
+};
+
+void Heartbeats::State::setAgents(const std::vector<Member> &members)
+{
+    std::map<std::string, Agent> agents;
+    for (const Member &member : members) {
+        const auto known = agents_.find(member.name_);
+        if (known != agents_.end() && known->second.member_.address_ == member.address_)
+            agents[member.name_] = known->second;
+        agents[member.name_].member_ = member;
+    }
+    agents_ = std::move(agents);
+}
+
+// Called with mutex_ held; the directory has a lock of its own and does no I/O.
+void Heartbeats::State::publishTargets()
+{
+    std::vector<TargetInfo> targets;
+    for (auto &[name, agent] : agents_) {
+        if (agent.target_.name_.empty())
+            continue;
+        agent.target_.leaving_ = agent.member_.state_ == VmState::Leaving;
+        targets.push_back(agent.target_);
+    }
+    directory_->setTargets(targets);
+}
+
+void Heartbeats::State::answered(const Member &member, const wire::HeartbeatReply &reply)
+{
+    const std::lock_guard lock(mutex_);
+    const auto it = agents_.find(member.name_);
+    if (it == agents_.end())
+        return;
+    Agent &agent = it->second;
+    agent.isAsked_ = false;
+    agent.misses_ = 0;
+    const bool isNew = agent.target_.name_.empty();
+    agent.incarnation_ = reply.incarnation();
+    agent.target_
+        = {reply.target(), reply.group(), member.dataCentre_, member.address_, false};
+    if (isNew)
+        publishTargets();
+    directory_->heartbeat(reportOf(reply));
+}
+
+void Heartbeats::State::missed(const Member &member, Call &call)
+{
+    bool replace = false;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto it = agents_.find(member.name_);
+        if (it == agents_.end())
+            return;
+        it->second.isAsked_ = false;
+        replace = ++it->second.misses_ % kMaxMisses == 0;
+    }
+    if (replace)
+        call.link_->replace(call.channel_);
+}
+
+Heartbeats::Heartbeats(std::string self, TargetDirectory &directory,
+                       AgentLinks &links)
+    : state_(std::make_shared<State>(std::move(self), directory, links))
+{
+}
+
+void Heartbeats::tick(const std::vector<Member> &agents, std::uint64_t revision)
+{
+    std::vector<Member> due;
+    {
+        const std::lock_guard lock(state_->mutex_);
+        state_->setAgents(agents);
+        state_->publishTargets();
+        for (auto &[name, agent] : state_->agents_) {
+            if (std::exchange(agent.isAsked_, true))
+                continue;
+            due.push_back(agent.member_);
+            ++state_->pending_;
+        }
+    }
+    for (const Member &member : due) {
+        auto call = std::make_shared<Call>();
+        call->link_ = state_->links_->get(member.address_);
+        call->channel_ = call->link_->channel();
+        call->stub_ = wire::AgentService::NewStub(call->channel_);
+        call->context_.set_deadline(std::chrono::system_clock::now() + kTimeout);
+        call->request_.set_sender(state_->self_);
+        call->request_.set_revision(revision);
+        call->stub_->async()->Heartbeat(
+            &call->context_, &call->request_, &call->reply_,
+            [state = state_, call, member](const grpc::Status &status) {
+                if (status.ok())
+                    state->answered(member, call->reply_);
+                else
+                    state->missed(member, *call);
+                const std::lock_guard lock(state->mutex_);
+                --state->pending_;
+                state->idle_.notify_all();
+            });
+    }
+}
+
+std::string Heartbeats::incarnationOf(const std::string &target) const
+{
+    const std::lock_guard lock(state_->mutex_);
+    for (const auto &[name, agent] : state_->agents_) {
+        if (agent.target_.name_ == target)
+            return agent.incarnation_;
+    }
+    return {};
+}
+
+void Heartbeats::finish()
+{
+    std::unique_lock lock(state_->mutex_);
+    state_->idle_.wait(lock, [this] { return state_->pending_ == 0; });
+}
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/peer/lease_controller.cpp
@@ -0,0 +1,111 @@
+#include "peer/lease_controller.h"
+
+#include <algorithm>
+#include <map>
+
+#include "base/log.h"
+#include "peer/async_call.h"
+#include "peer/incarnation.h"
+
+namespace foxtailturn {
+
+namespace {
+
+const Logger kLog("lease");
+
+constexpr auto kTableTimeout = std::chrono::milliseconds(500);
+constexpr auto kContactTimeout = std::chrono::milliseconds(500);
+
+} // namespace
+
+std::vector<std::string> chooseWitnesses(const std::vector<Peer> &livePeers,
+                                         const std::vector<std::string> &current)
+{
+    std::vector<std::string> chosen;
+    std::map<std::string, int> perDataCentre;
+    std::vector<const Peer *> others;
+    for (const Peer &peer : livePeers) {
+        const bool isCurrent
+            = std::find(current.begin(), current.end(), peer.incarnation_) != current.end();
+        if (!isCurrent || chosen.size() >= kMaxWitnesses) {
+            others.push_back(&peer);
+            continue;
+        }
+        chosen.push_back(peer.incarnation_);
+        ++perDataCentre[peer.member_.dataCentre_];
+    }
+    while (chosen.size() < kMaxWitnesses && !others.empty()) {
+        const auto least = std::min_element(
+            others.begin(), others.end(), [&perDataCentre](const Peer *a, const Peer *b) {
+                return perDataCentre[a->member_.dataCentre_] < perDataCentre[b->member_.dataCentre_];
+            });
+        chosen.push_back((*least)->incarnation_);
+        ++perDataCentre[(*least)->member_.dataCentre_];
+        others.erase(least);
+    }
+    std::sort(chosen.begin(), chosen.end());
+    return chosen;
+}
+
+LeaseController::LeaseController(const Clock &clock, LeaseHolder &lease, PeerDirectory &peers)
+    : clock_(&clock)
+    , lease_(&lease)
+    , peers_(&peers)
+{
+}
+
+void LeaseController::tick()
+{
+    sendContacts();
+    updateWitnesses();
+    const TimePoint deadline = clock_->now() + kTableTimeout;
+    const Result<void> renewed
+        = acquired_ ? lease_->renew(deadline) : lease_->acquire(witnesses_, deadline);
+    acquired_ = acquired_ || renewed.has_value();
+    const bool failed = !renewed.has_value();
+    if (failed != storeFailed_)
+        kLog.warn(failed ? concat("table renewal fails, code=", errorName(renewed.error().code_))
+                         : std::string("table renewal works again"));
+    storeFailed_ = failed;
+}
+
+void LeaseController::sendContacts()
+{
+    for (const WitnessContact &contact : lease_->startContacts()) {
+        wire::WitnessContactRequest request;
+        request.set_holder(contact.holder_);
+        request.set_witness(contact.witness_);
+        request.set_round(contact.round_);
+        callPeer<wire::WitnessContactReply>(
+            peers_->channelOf(processNameOf(contact.witness_)), kContactTimeout, request,
+            [](auto &async, auto... args) { async.WitnessContact(args...); },
+            [lease = lease_, contact](const wire::WitnessContactReply &reply) {
+                lease->onAnswer(
+                    {contact.holder_, contact.witness_, contact.round_, reply.accepted()});
+            });
+    }
+}
+
+void LeaseController::updateWitnesses()
+{
+    std::vector<Peer> live = peers_->livePeers(clock_->now());
+    const std::set<std::string> refusing = lease_->refusingWitnesses();
+    std::erase_if(live, [&](const Peer &peer) { return refusing.contains(peer.incarnation_); });
+    std::vector<std::string> chosen = chooseWitnesses(live, witnesses_);
+    // While peers are unreachable the old witnesses stay: with fewer of them a minority would
+    // decide.
+    if (chosen == witnesses_ || chosen.size() < witnesses_.size())
+        return;
+    witnesses_ = std::move(chosen);
+    if (acquired_)
+        lease_->setWitnesses(witnesses_);
+}
+
+void LeaseController::release()
+{
+    const Result<void> released = lease_->release(clock_->now() + kTableTimeout);
+    if (!released)
+        kLog.warn(concat("lease was not released, code=", errorName(released.error().code_)));
+}
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/peer/peer_server.h
@@ -0,0 +1,65 @@
+#pragma once
+
+// The gRPC service that each process offers to the others.
+//
+//     PeerServer server(handlers);
+//     builder.RegisterService(server.service());
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "lease/witness_log.h"
+#include "limiter/limiter.h"
+
+namespace grpc {
+class Service;
+} // namespace grpc
+
+namespace foxtailturn {
+
+namespace wire {
+class Announcement;
+class AnnouncementReply;
+} // namespace wire
+
+// A configuration as one process hands it to another.
+struct ConfigContent
+{
+    std::uint64_t revision_ = 0;
+    std::string text_; // canonical JSON
+
+    bool operator==(const ConfigContent &) const = default;
+};
+
+// What the service asks the process for. All functions are thread-safe.
+struct PeerHandlers
+{
+    WitnessLog *witness_ = nullptr;
+    Limiter *limiter_ = nullptr; // null in agents
+    std::function<void()> onShareArrived_; // called after a transfer was accepted
+    std::function<std::uint64_t()> revision_;
+    std::function<void(const wire::Announcement &, wire::AnnouncementReply &)> onAnnouncement_;
+    std::function<std::optional<ConfigContent>(std::uint64_t revision)> config_;
+};
+
+// Thread-safe.
+class PeerServer
+{
+public:
+    // Everything in handlers must outlive the server.
+    explicit PeerServer(PeerHandlers handlers);
+    ~PeerServer();
+
+    // Returns the service for grpc::ServerBuilder.
+    [[nodiscard]] grpc::Service *service();
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/peer/share_controller.cpp
@@ -0,0 +1,269 @@
+#include "peer/share_controller.h"
+
+#include <thread>
+#include <utility>
+
+#include "base/log.h"
+#include "peer/async_call.h"
+#include "peer/incarnation.h"
+#include "peer/share_messages.h"
+
+namespace foxtailturn {
+
+namespace {
+
+const Logger kLog("limiter");
+
+constexpr auto kTableTimeout = std::chrono::milliseconds(500);
+constexpr auto kShareTimeout = std::chrono::milliseconds(200);
+constexpr auto kNetTimeout = std::chrono::milliseconds(500);
+constexpr auto kLeavePause = std::chrono::milliseconds(20);
+constexpr const char *kEntryRole = "entry";
+
+// Answers of several calls, collected until all have come or until a deadline.
+template <typename T>
+class Collector
+{
+public:
+    void add(T value)
+    {
+        const std::lock_guard lock(mutex_);
+        values_.push_back(std::move(value));
+        changed_.notify_all();
+    }
+
+    std::vector<T> waitFor(std::size_t count, Duration timeout)
+    {
+        std::unique_lock lock(mutex_);
+        changed_.wait_for(lock, timeout, [&] { return values_.size() >= count; });
+        return values_;
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::vector<T> values_;
+};
+
+} // namespace
+
+PeerWitnessClient::PeerWitnessClient(const Clock &clock, PeerDirectory &peers)
+    : clock_(&clock)
+    , peers_(&peers)
+{
+}
+
+std::vector<FenceAnswer> PeerWitnessClient::fence(const std::vector<FenceRequest> &requests,
+                                                  TimePoint deadline)
+{
+    const Duration timeout = deadline - clock_->now();
+    auto answers = std::make_shared<Collector<FenceAnswer>>();
+    for (const FenceRequest &fence : requests) {
+        wire::FenceRequest request;
+        request.set_holder(fence.holder_);
+        request.set_witness(fence.witness_);
+        request.set_quiet_micros(fence.quietMicros_);
+        callPeer<wire::FenceReply>(
+            peers_->channelOf(processNameOf(fence.witness_)), timeout, request,
+            [](auto &async, auto... args) { async.Fence(args...); },
+            [answers, fence](const wire::FenceReply &reply) {
+                answers->add({fence.holder_, fence.witness_, reply.fenced()});
+            });
+    }
+    return answers->waitFor(requests.size(), timeout);
+}
+
+ShareController::ShareController(std::string self, const Clock &clock, const LeaseStatus &lease,
+                                 Limiter &limiter, ShareLedger &ledger, LeaseReclaimer &reclaimer,
+                                 PeerDirectory &peers)
+    : self_(std::move(self))
+    , clock_(&clock)
+    , lease_(&lease)
+    , limiter_(&limiter)
+    , ledger_(&ledger)
+    , reclaimer_(&reclaimer)
+    , peers_(&peers)
+{
+}
+
+void ShareController::setWorkspaces(std::vector<std::string> workspaces)
+{
+    const std::lock_guard lock(mutex_);
+    workspaces_ = std::move(workspaces);
+}
+
+std::vector<std::string> ShareController::workspaces() const
+{
+    const std::lock_guard lock(mutex_);
+    return workspaces_;
+}
+
+TimePoint ShareController::callDeadline() const
+{
+    return clock_->now() + kTableTimeout;
+}
+
+void ShareController::exchange()
+{
+    std::vector<std::string> entries;
+    for (const Peer &peer : peers_->livePeers(clock_->now())) {
+        if (peer.member_.role_ == kEntryRole)
+            entries.push_back(peer.incarnation_);
+    }
+    limiter_->setPeers(std::move(entries));
+    send(limiter_->pollAll());
+}
+
+void ShareController::send(const OutgoingShares &shares)
+{
+    for (const ShareRequest &request : shares.requests_)
+        sendRequest(request);
+    for (const ShareTransfer &transfer : shares.transfers_)
+        sendTransfer(transfer);
+}
+
+void ShareController::sendTransfer(const ShareTransfer &transfer)
+{
+    callPeer<wire::ShareAck>(
+        peers_->channelOf(processNameOf(transfer.receiver_)), kShareTimeout, toWire(transfer),
+        [](auto &async, auto... args) { async.TransferShare(args...); },
+        [this](const wire::ShareAck &ack) {
+            if (ack.accepted())
+                limiter_->onAck(fromWire(ack));
+        });
+}
+
+void ShareController::sendRequest(const ShareRequest &request)
+{
+    const std::string peer = processNameOf(request.receiver_);
+    callPeer<wire::ShareReply>(
+        peers_->channelOf(peer), kShareTimeout, toWire(request),
+        [](auto &async, auto... args) { async.RequestShare(args...); },
+        [this, peer](const wire::ShareReply &reply) {
+            if (reply.has_transfer())
+                acceptReply(peer, fromWire(reply.transfer()));
+        });
+}
+
+void ShareController::acceptReply(const std::string &peer, const ShareTransfer &transfer)
+{
+    const std::optional<ShareAck> ack = limiter_->onTransfer(transfer);
+    shareArrived();
+    if (!ack)
+        return;
+    callPeer<wire::Empty>(
+        peers_->channelOf(peer), kShareTimeout, toWire(*ack),
+        [](auto &async, auto... args) { async.AcknowledgeShare(args...); },
+        [](const wire::Empty &) {});
+}
+
+void ShareController::shareArrived()
+{
+    const std::lock_guard lock(mutex_);
+    ++arrivals_;
+    arrived_.notify_all();
+}
+
+void ShareController::waitForShare(TimePoint until)
+{
+    std::unique_lock lock(mutex_);
+    const std::uint64_t seen = arrivals_;
+    arrived_.wait_for(lock, until - clock_->now(), [&] { return arrivals_ != seen; });
+}
+
+void ShareController::reconcile()
+{
+    const Result<LeaseSurvey> survey = reclaimer_->run(callDeadline());
+    if (!survey)
+        return;
+    if (!survey->ended_.empty())
+        settleEnded(survey->ended_);
+    join();
+}
+
+void ShareController::join()
+{
+    for (const std::string &workspace : workspaces()) {
+        // An ended holder must not enter the ledger again: nobody would reclaim its units.
+        if (!lease_->isHeld())
+            return;
+        const Result<LedgerGrant> grant = ledger_->take(workspace, self_, callDeadline());
+        if (grant)
+            limiter_->onGrant(workspace, *grant);
+    }
+}
+
+void ShareController::settleEnded(const std::vector<std::string> &ended)
+{
+    const std::set<std::string> endedSet(ended.begin(), ended.end());
+    // An ended holder was never this incarnation: its own lease controller would know first.
+    if (endedSet.contains(self_))
+        return;
+    bool isSettled = true;
+    for (const std::string &workspace : workspaces())
+        isSettled = settleWorkspace(workspace, endedSet) && isSettled;
+    if (!isSettled)
+        return;
+    for (const std::string &holder : ended) {
+        kLog.info(concat("holder is settled, holder=", holder));
+        (void)reclaimer_->forget(holder, callDeadline());
+    }
+}
+
+bool ShareController::settleWorkspace(const std::string &workspace,
+                                      const std::set<std::string> &ended)
+{
+    const Result<LedgerRow> row = ledger_->read(workspace, callDeadline());
+    if (!row)
+        return false;
+    NetRequest request {workspace, {}};
+    for (const std::string &holder : ended) {
+        if (row->holders_.contains(holder))
+            request.fenced_.push_back(holder);
+    }
+    if (request.fenced_.empty())
+        return true;
+    const std::vector<NetReport> reports = collectNets(*row, request);
+    const Result<Settlement> settled
+        = ledger_->settle(workspace, {request.fenced_.begin(), request.fenced_.end()}, reports,
+                          callDeadline());
+    if (!settled || !settled->missing_.empty())
+        return false;
+    kLog.info(concat("shares are reclaimed, workspace=", workspace,
+                     " units=", settled->reclaimedUnits_));
+    return true;
+}
+
+std::vector<NetReport> ShareController::collectNets(const LedgerRow &row, const NetRequest &request)
+{
+    auto reports = std::make_shared<Collector<NetReport>>();
+    std::size_t asked = 0;
+    const std::set<std::string> ended(request.fenced_.begin(), request.fenced_.end());
+    for (const auto &[holder, grant] : row.holders_) {
+        if (holder == self_ || ended.contains(holder))
+            continue;
+        ++asked;
+        callPeer<wire::NetReply>(
+            peers_->channelOf(processNameOf(holder)), kNetTimeout, toWire(request),
+            [](auto &async, auto... args) { async.ReportNet(args...); },
+            [reports, workspace = request.workspace_](const wire::NetReply &reply) {
+                reports->add(fromWire(reply, workspace));
+            });
+    }
+    std::vector<NetReport> collected = reports->waitFor(asked, kNetTimeout);
+    const std::optional<NetReport> own = limiter_->onNetRequest(request);
+    if (own)
+        collected.push_back(*own);
+    return collected;
+}
+
+void ShareController::leave(TimePoint deadline)
+{
+    while (!limiter_->isDrained() && clock_->now() < deadline) {
+        send(limiter_->leaveAll());
+        send(limiter_->pollAll());
+        std::this_thread::sleep_for(kLeavePause);
+    }
+}
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/peer/share_controller.h
@@ -0,0 +1,93 @@
+#pragma once
+
+// Moves token shares between entries and returns those of ended entries to the ledger.
+//
+//     ShareController shares(self, clock, lease, limiter, ledger, reclaimer, peers);
+//     loop.every(kPollInterval, [&] { shares.exchange(); });
+//     loop.every(1 s, [&] { shares.reconcile(); });
+
+#include <condition_variable>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "lease/lease_reclaimer.h"
+#include "limiter/limiter.h"
+#include "limiter/share_ledger.h"
+#include "peer/peer_directory.h"
+
+namespace foxtailturn {
+
+// Asks witnesses over the network to fence holders.
+class PeerWitnessClient final : public WitnessClient
+{
+public:
+    // Both must outlive the client.
+    PeerWitnessClient(const Clock &clock, PeerDirectory &peers);
+
+    std::vector<FenceAnswer> fence(const std::vector<FenceRequest> &requests,
+                                   TimePoint deadline) override;
+
+private:
+    const Clock *clock_;
+    PeerDirectory *peers_;
+};
+
+// exchange() and reconcile() are called by one controller thread each; the rest is thread-safe.
+class ShareController
+{
+public:
+    // All references must outlive the controller.
+    ShareController(std::string self, const Clock &clock, const LeaseStatus &lease, Limiter &limiter,
+                    ShareLedger &ledger, LeaseReclaimer &reclaimer, PeerDirectory &peers);
+
+    // Sets the workspaces that have a limit. Thread-safe.
+    void setWorkspaces(std::vector<std::string> workspaces);
+
+    // Sends what is due to peers, and tells the limiter which entries are live.
+    void exchange();
+
+    // Takes spare units and settles ended holders; blocks for table calls.
+    void reconcile();
+
+    // Sends what is due for one workspace. Thread-safe.
+    void send(const OutgoingShares &shares);
+
+    // Called when a share has arrived; wakes waitForShare(). Thread-safe.
+    void shareArrived();
+
+    // Waits until a share arrives or until the time. Thread-safe.
+    void waitForShare(TimePoint until);
+
+    // Gives all shares to peers at a graceful shutdown; returns at the deadline at the latest.
+    void leave(TimePoint deadline);
+
+private:
+    void sendTransfer(const ShareTransfer &transfer);
+    void sendRequest(const ShareRequest &request);
+    void acceptReply(const std::string &peer, const ShareTransfer &transfer);
+    void join();
+    void settleEnded(const std::vector<std::string> &ended);
+    [[nodiscard]] bool settleWorkspace(const std::string &workspace,
+                                       const std::set<std::string> &ended);
+    [[nodiscard]] std::vector<NetReport> collectNets(const LedgerRow &row,
+                                                     const NetRequest &request);
+    [[nodiscard]] std::vector<std::string> workspaces() const;
+    [[nodiscard]] TimePoint callDeadline() const;
+
+    std::string self_;
+    const Clock *clock_;
+    const LeaseStatus *lease_;
+    Limiter *limiter_;
+    ShareLedger *ledger_;
+    LeaseReclaimer *reclaimer_;
+    PeerDirectory *peers_;
+    mutable std::mutex mutex_; // guards workspaces_ and arrivals_
+    std::condition_variable arrived_;
+    std::vector<std::string> workspaces_;
+    std::uint64_t arrivals_ = 0;
+};
+
+} // namespace foxtailturn
