--- a/packages/base/error.cpp
+++ b/packages/base/error.cpp
@@ -22,6 +22,7 @@
     CodeName{ErrorCode::ModelNotFound, "model_not_found"},
     CodeName{ErrorCode::PayloadTooLarge, "payload_too_large"},
     CodeName{ErrorCode::RateLimited, "rate_limited"},
+    CodeName{ErrorCode::BurstExceeded, "burst_exceeded"},
     CodeName{ErrorCode::NoTarget, "no_target"},
     CodeName{ErrorCode::TargetDraining, "target_draining"},
     CodeName{ErrorCode::TargetFailed, "target_failed"},
--- a/packages/base/error.h
+++ b/packages/base/error.h
@@ -33,6 +33,7 @@
     ModelNotFound,
     PayloadTooLarge,
     RateLimited,
+    BurstExceeded,
     NoTarget,
     TargetDraining,
     TargetFailed,
--- /dev/null
+++ b/packages/lease/lease_holder.h
@@ -0,0 +1,119 @@
+#pragma once
+
+// Holds the lease of one incarnation, renewed in the table or by a majority of witnesses.
+//
+//     LeaseHolder lease(incarnation, kLeaseLength, clock, table);
+//     lease.acquire(witnesses, callDeadline);
+//     // every kLeaseRenewal, on one controller thread:
+//     for (const WitnessContact &contact : lease.startContacts())
+//         send(contact);                       // answers go to lease.onAnswer(), on any thread
+//     lease.renew(callDeadline);               // may fail for hours while witnesses answer
+//     // immediately before each act:
+//     if (!lease.isHeld()) ...
+//     // at a graceful shutdown:
+//     lease.release(callDeadline);
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "lease/lease_row.h"
+#include "lease/lease_status.h"
+#include "lease/messages.h"
+
+namespace foxtailturn {
+
+// A killed holder's shares are idle for the lease length, the margin and one pass of a reclaimer.
+constexpr Duration kLeaseLength = std::chrono::seconds(3);
+// Allows for three lost renewals in a row.
+constexpr Duration kLeaseRenewal = std::chrono::milliseconds(750);
+
+class LeaseHolder final : public LeaseStatus
+{
+public:
+    // holder is this incarnation's id. clock and table must outlive the holder.
+    LeaseHolder(std::string holder, Duration length, const Clock &clock, TableService &table);
+
+    // Creates the row. Until this succeeds once, the lease is not held and witnesses are not asked.
+    // Errors: StoreUnavailable (try again), LeaseExpired. Precondition: at most kMaxWitnesses
+    // witnesses. Call this, renew(), setWitnesses() and release() from one thread only.
+    Result<void> acquire(std::vector<std::string> witnesses, TimePoint callDeadline);
+
+    // Names other witnesses with the next renew(). Same precondition as acquire().
+    void setWitnesses(std::vector<std::string> witnesses);
+
+    // Writes the row and extends the deadline to (send time + length). After a lost answer the row
+    // is read back. Errors: StoreUnavailable, StoreConflict (deadline unchanged, try again);
+    // LeaseExpired when fenced or released, which is final.
+    Result<void> renew(TimePoint callDeadline);
+
+    // Gives up the lease at once and marks the row released. Errors: StoreUnavailable (may be
+    // repeated), LeaseExpired when fenced.
+    Result<void> release(TimePoint callDeadline);
+
+    // Starts a round of renewal by witnesses; returns one message for each. Thread-safe.
+    [[nodiscard]] std::vector<WitnessContact> startContacts();
+
+    // Counts an answer. A majority in one round extends the deadline to (start of the round +
+    // length). Thread-safe.
+    void onAnswer(const WitnessAnswer &answer);
+
+    [[nodiscard]] bool isHeld() const override;
+
+    // Returns the deadline, or the epoch when the lease is given up or lost. Thread-safe.
+    [[nodiscard]] TimePoint deadline() const;
+
+    // Returns whether the row was found fenced; the incarnation must end. Thread-safe.
+    [[nodiscard]] bool isFenced() const;
+
+    // Returns witnesses that refused a contact and should be replaced. Thread-safe.
+    [[nodiscard]] std::set<std::string> refusingWitnesses() const;
+
+private:
+    enum class Phase { Idle, Live, Released, Fenced };
+
+    // A write of the row that has or may have been applied, or may still be.
+    struct Write
+    {
+        LeaseRow row_;
+        TimePoint sentAt_;
+    };
+
+    struct Round
+    {
+        TimePoint startedAt_;
+        std::vector<std::vector<std::string>> witnessSets_; // a majority of each is needed
+        std::set<std::string> accepted_;
+    };
+
+    Result<void> write(LeaseState state, TimePoint callDeadline);
+    Result<void> readBack(const Error &cause, TimePoint callDeadline);
+    Result<void> adopt(const Row &row, const Error &cause);
+    void confirm(const Write &write, RowVersion version);
+    void extend(TimePoint deadline);
+    tl::unexpected<Error> lose();
+    [[nodiscard]] static bool isComplete(const Round &round);
+
+    std::string holder_;
+    Duration length_;
+    const Clock &clock_;
+    TableService &table_;
+
+    mutable std::mutex mutex_; // not held across calls of the table
+    Phase phase_ = Phase::Idle;
+    std::vector<std::string> nextWitnesses_;
+    std::vector<std::string> witnesses_; // of the last confirmed row
+    RowVersion version_ = kAbsent; // of the last confirmed row
+    std::uint64_t lastSequence_ = 0;
+    // Writes without an answer: a delayed one may still change the row's witnesses.
+    std::vector<Write> unresolved_;
+    std::uint64_t lastRound_ = 0;
+    std::map<std::uint64_t, Round> rounds_;
+    std::set<std::string> refusing_;
+    std::atomic<Duration::rep> deadline_ = 0; // read by isHeld() without the lock
+};
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/lease/lease_reclaimer.cpp
@@ -0,0 +1,115 @@
+#include "lease/lease_reclaimer.h"
+
+#include <set>
+#include <utility>
+
+#include "base/log.h"
+
+namespace foxtailturn {
+
+namespace {
+
+const Logger kLog("lease");
+
+} // namespace
+
+LeaseReclaimer::LeaseReclaimer(Duration margin, const Clock &clock, TableService &table,
+                               WitnessClient &witnesses)
+    : margin_(margin)
+    , clock_(clock)
+    , table_(table)
+    , witnesses_(witnesses)
+{ }
+
+Result<LeaseSurvey> LeaseReclaimer::run(TimePoint callDeadline)
+{
+    const Result<std::vector<Row>> rows = table_.scan(kLeasePrefix, callDeadline);
+    if (!rows)
+        return tl::unexpected(rows.error());
+    observe(*rows);
+    LeaseSurvey survey;
+    for (const Row &row : *rows) {
+        Result<LeaseRow> lease = parseLeaseRow(row);
+        if (!lease) {
+            kLog.error(lease.error().message_);
+            continue;
+        }
+        if (lease->state_ != LeaseState::Live || fence(row, *lease, callDeadline))
+            survey.ended_.push_back(lease->holder_);
+        else
+            survey.live_.push_back(std::move(*lease));
+    }
+    return survey;
+}
+
+// The time is read after the scan: the row was written before it, so the holder's lease began
+// before the time noted here.
+void LeaseReclaimer::observe(const std::vector<Row> &rows)
+{
+    const TimePoint now = clock_.now();
+    std::map<std::string, Observation> seen;
+    for (const Row &row : rows) {
+        const auto it = observations_.find(row.key_);
+        const bool isUnchanged = it != observations_.end() && it->second.version_ == row.version_;
+        seen[row.key_] = isUnchanged ? it->second : Observation{row.version_, now};
+    }
+    observations_ = std::move(seen);
+}
+
+Duration LeaseReclaimer::quietTime(const LeaseRow &lease) const
+{
+    return Duration(lease.lengthMicros_) + margin_;
+}
+
+bool LeaseReclaimer::isDue(const Row &row, const LeaseRow &lease) const
+{
+    return clock_.now() >= observations_.at(row.key_).since_ + quietTime(lease);
+}
+
+bool LeaseReclaimer::fenceAtWitnesses(const LeaseRow &lease, TimePoint callDeadline)
+{
+    if (lease.witnesses_.empty()) // renewed by row writes only
+        return true;
+    std::vector<FenceRequest> requests;
+    for (const std::string &witness : lease.witnesses_)
+        requests.push_back({lease.holder_, witness, quietTime(lease).count()});
+    std::set<std::string> fenced;
+    for (const FenceAnswer &answer : witnesses_.fence(requests, callDeadline)) {
+        if (answer.fenced_ && answer.holder_ == lease.holder_)
+            fenced.insert(answer.witness_);
+    }
+    std::size_t count = 0;
+    for (const std::string &witness : lease.witnesses_)
+        count += fenced.count(witness);
+    return count >= majorityOf(lease.witnesses_.size());
+}
+
+bool LeaseReclaimer::fence(const Row &row, const LeaseRow &lease, TimePoint callDeadline)
+{
+    if (!isDue(row, lease) || !fenceAtWitnesses(lease, callDeadline))
+        return false;
+    LeaseRow fenced = lease;
+    fenced.state_ = LeaseState::Fenced;
+    const Result<RowVersion> written =
+        table_.write(row.key_, encodeLeaseRow(fenced), row.version_, callDeadline);
+    if (written)
+        kLog.info(concat("holder fenced, holder=", lease.holder_));
+    return written.has_value();
+}
+
+Result<void> LeaseReclaimer::forget(const std::string &holder, TimePoint callDeadline)
+{
+    const Result<std::optional<Row>> row = table_.read(leaseKey(holder), callDeadline);
+    if (!row)
+        return tl::unexpected(row.error());
+    if (!*row)
+        return {};
+    const Result<LeaseRow> lease = parseLeaseRow(**row);
+    if (!lease)
+        return tl::unexpected(lease.error());
+    if (lease->state_ == LeaseState::Live)
+        return notRun(ErrorCode::StoreConflict, concat("lease has not ended, holder=", holder));
+    return table_.remove(leaseKey(holder), (*row)->version_, callDeadline);
+}
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/lease/lease_row.h
@@ -0,0 +1,52 @@
+#pragma once
+
+// The table row of a lease, "leases/<holder>", as JSON.
+//
+//     Result<LeaseRow> lease = parseLeaseRow(row);
+//     table.write(leaseKey(lease->holder_), encodeLeaseRow(*lease), row.version_, deadline);
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "platform/platform.h"
+
+namespace foxtailturn {
+
+inline constexpr const char *kLeasePrefix = "leases/";
+constexpr std::size_t kMaxWitnesses = 5;
+
+enum class LeaseState {
+    Live,
+    Released, // by the holder; final
+    Fenced, // by a reclaimer; final
+};
+
+struct LeaseRow
+{
+    std::string holder_;
+    LeaseState state_ = LeaseState::Live;
+    std::uint64_t sequence_ = 0; // of the holder's write, to recognise it when read back
+    std::int64_t lengthMicros_ = 0; // lease length that the holder uses
+    std::vector<std::string> witnesses_; // incarnations, at most kMaxWitnesses
+
+    bool operator==(const LeaseRow &) const = default;
+};
+
+// Returns the key of a holder's row. Thread-safe.
+[[nodiscard]] std::string leaseKey(const std::string &holder);
+
+// Returns the row's value. Thread-safe.
+[[nodiscard]] std::string encodeLeaseRow(const LeaseRow &lease);
+
+// Reads a row. Error: InvalidConfiguration, naming row and field. Thread-safe.
+[[nodiscard]] Result<LeaseRow> parseLeaseRow(const Row &row);
+
+// Returns how many of count witnesses are a majority; any two majorities share a witness.
+[[nodiscard]] constexpr std::size_t majorityOf(std::size_t count)
+{
+    return count / 2 + 1;
+}
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/limiter/limiter.cpp
@@ -0,0 +1,167 @@
+#include "limiter/limiter.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/log.h"
+
+namespace foxtailturn {
+
+Limiter::Limiter(std::string self, const Clock &clock, const LeaseStatus &lease)
+    : self_(std::move(self))
+    , clock_(clock)
+    , lease_(lease)
+    , peers_(std::make_shared<const std::vector<std::string>>())
+{ }
+
+Limiter::Shard &Limiter::shardOf(const std::string &workspace) const
+{
+    return shards_[hash64(workspace) % kShards];
+}
+
+Limiter::Peers Limiter::peers() const
+{
+    const std::lock_guard lock(peersMutex_);
+    return peers_;
+}
+
+// The clock is read under the lock, so that a share never sees time go backwards.
+template <typename T, typename Action>
+T Limiter::withShare(const std::string &workspace, T fallback, Action action) const
+{
+    Shard &shard = shardOf(workspace);
+    const std::lock_guard lock(shard.mutex_);
+    const auto it = shard.shares_.find(workspace);
+    return it == shard.shares_.end() ? std::move(fallback) : action(it->second, clock_.now());
+}
+
+template <typename Action>
+void Limiter::forEachShare(Action action) const
+{
+    for (Shard &shard : shards_) {
+        const std::lock_guard lock(shard.mutex_);
+        for (auto &[workspace, share] : shard.shares_)
+            action(share, clock_.now());
+    }
+}
+
+void Limiter::setLimit(const std::string &workspace, WorkspaceLimit limit)
+{
+    Shard &shard = shardOf(workspace);
+    const std::lock_guard lock(shard.mutex_);
+    const TimePoint now = clock_.now();
+    const auto [it, isNew] =
+        shard.shares_.try_emplace(workspace, workspace, self_, lease_, limit, now);
+    if (!isNew)
+        it->second.setLimit(limit, now);
+}
+
+void Limiter::onGrant(const std::string &workspace, const LedgerGrant &grant)
+{
+    withShare(workspace, false, [&](TokenShare &share, TimePoint now) {
+        share.onGrant(grant, now);
+        return true;
+    });
+}
+
+void Limiter::setPeers(std::vector<std::string> peers)
+{
+    peers.erase(std::remove(peers.begin(), peers.end(), self_), peers.end());
+    auto shared = std::make_shared<const std::vector<std::string>>(std::move(peers));
+    const std::lock_guard lock(peersMutex_);
+    peers_ = std::move(shared);
+}
+
+Result<Reservation> Limiter::reserve(const std::string &workspace, std::int64_t tokens,
+                                     Attempt attempt)
+{
+    Result<Reservation> unknown =
+        notRun(ErrorCode::RouteNotFound, concat("no limit for workspace ", workspace));
+    return withShare(workspace, std::move(unknown), [&](TokenShare &share, TimePoint now) {
+        return share.reserve(tokens, attempt, now);
+    });
+}
+
+void Limiter::settle(const Reservation &reservation, std::int64_t used)
+{
+    withShare(reservation.workspace_, false, [&](TokenShare &share, TimePoint now) {
+        share.settle(reservation, used, now);
+        return true;
+    });
+}
+
+std::optional<ShareTransfer> Limiter::onRequest(const ShareRequest &request)
+{
+    if (request.receiver_ != self_)
+        return std::nullopt;
+    return withShare(
+        request.workspace_, std::optional<ShareTransfer>(),
+        [&](TokenShare &share, TimePoint now) { return share.onRequest(request, now); });
+}
+
+std::optional<ShareAck> Limiter::onTransfer(const ShareTransfer &transfer)
+{
+    return withShare(
+        transfer.workspace_, std::optional<ShareAck>(),
+        [&](TokenShare &share, TimePoint now) { return share.onTransfer(transfer, now); });
+}
+
+void Limiter::onAck(const ShareAck &ack)
+{
+    withShare(ack.workspace_, false, [&](TokenShare &share, TimePoint) {
+        share.onAck(ack);
+        return true;
+    });
+}
+
+std::optional<NetReport> Limiter::onNetRequest(const NetRequest &request)
+{
+    return withShare(request.workspace_, std::optional<NetReport>(),
+                     [&](TokenShare &share, TimePoint) { return share.onNetRequest(request); });
+}
+
+OutgoingShares Limiter::poll(const std::string &workspace)
+{
+    const Peers peers = this->peers();
+    return withShare(workspace, OutgoingShares(), [&](TokenShare &share, TimePoint now) {
+        OutgoingShares out;
+        share.poll(*peers, now, out);
+        return out;
+    });
+}
+
+OutgoingShares Limiter::pollAll()
+{
+    const Peers peers = this->peers();
+    OutgoingShares out;
+    forEachShare([&](TokenShare &share, TimePoint now) { share.poll(*peers, now, out); });
+    return out;
+}
+
+OutgoingShares Limiter::leaveAll()
+{
+    OutgoingShares out;
+    forEachShare([&](TokenShare &share, TimePoint now) { share.leave(now, out); });
+    return out;
+}
+
+bool Limiter::isDrained() const
+{
+    bool drained = true;
+    forEachShare([&](const TokenShare &share, TimePoint) {
+        drained = drained && share.units() == 0 && share.unitsInFlight() == 0;
+    });
+    return drained;
+}
+
+std::vector<ShareState> Limiter::state() const
+{
+    std::vector<ShareState> states;
+    forEachShare([&](TokenShare &share, TimePoint now) { states.push_back(share.state(now)); });
+    std::sort(states.begin(), states.end(),
+              [](const auto &a, const auto &b) { return a.workspace_ < b.workspace_; });
+    return states;
+}
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/limiter/token_share.cpp
@@ -0,0 +1,236 @@
+#include "limiter/token_share.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+
+namespace foxtailturn {
+
+namespace {
+
+const Logger kLog("limiter");
+
+constexpr Duration kShortestAsk = std::chrono::milliseconds(10);
+// A workspace over its rate is short everywhere; its requests to peers back off to this.
+constexpr Duration kLongestAsk = std::chrono::milliseconds(160);
+// Bounds the messages per workspace and process in a fleet of some hundred entries.
+constexpr std::size_t kPeersAsked = 5;
+constexpr Duration kWaitingLifetime = std::chrono::milliseconds(300);
+constexpr Duration kShortestRetry = std::chrono::milliseconds(1);
+constexpr Duration kUnjoinedRetry = std::chrono::seconds(1);
+// A level below the demand of this time is filled up before requests have to wait.
+constexpr std::int64_t kLowLevelMicros = 200'000;
+
+} // namespace
+
+TokenShare::TokenShare(std::string workspace, std::string self, const LeaseStatus &lease,
+                       WorkspaceLimit limit, TimePoint now)
+    : workspace_(std::move(workspace))
+    , self_(std::move(self))
+    , lease_(&lease)
+    , bucket_(limit, now)
+    , askDelay_(kShortestAsk)
+{ }
+
+void TokenShare::onGrant(const LedgerGrant &grant, TimePoint now)
+{
+    joined_ = true;
+    const std::int64_t added = grant.takenUnits_ - takenUnits_;
+    if (added <= 0)
+        return;
+    takenUnits_ = grant.takenUnits_;
+    const MicroTokens level = grant.created_ ? bucket_.limit().burst_ * added : 0;
+    bucket_.addUnits(added, level, now);
+}
+
+Result<Reservation> TokenShare::reserve(std::int64_t tokens, Attempt attempt, TimePoint now)
+{
+    if (tokens < 0)
+        return notRun(ErrorCode::BadRequest, "negative number of tokens");
+    if (tokens > bucket_.limit().burst_)
+        return notRun(
+            ErrorCode::BurstExceeded,
+            concat("request of ", tokens, " tokens exceeds the burst of ", bucket_.limit().burst_));
+    if (attempt == Attempt::First)
+        demand_.add(tokens, now);
+    if (!joined_)
+        return notRun(ErrorCode::StoreUnavailable, "no share of the workspace yet",
+                      now + kUnjoinedRetry);
+    const MicroTokens amount = tokens * kMicroPerToken;
+    if (!lease_->isHeld())
+        return notRun(ErrorCode::LeaseExpired, "lease is not held", now + kUnjoinedRetry);
+    if (!bucket_.take(++lastReservation_, amount, now))
+        return refuse(amount, now);
+    if (waiting_ && amount >= waiting_->amount_)
+        waiting_.reset();
+    return Reservation{workspace_, lastReservation_, tokens};
+}
+
+tl::unexpected<Error> TokenShare::refuse(MicroTokens amount, TimePoint now)
+{
+    if (!isWaiting(now))
+        waiting_ = WaitingRequest{amount, now, now};
+    waiting_->amount_ = std::max(waiting_->amount_, amount);
+    waiting_->until_ = now + kWaitingLifetime;
+    TimePoint retryAt = bucket_.availableAt(amount, now);
+    if (retryAt == TimePoint::max()) // only together with peers; the whole rate refills it
+        retryAt = now + Duration((amount - bucket_.level(now)) / bucket_.limit().rate_);
+    return notRun(ErrorCode::RateLimited, "workspace is over its rate",
+                  std::max(retryAt, now + kShortestRetry));
+}
+
+void TokenShare::settle(const Reservation &reservation, std::int64_t used, TimePoint now)
+{
+    const std::int64_t unused = reservation.tokens_ - std::min(used, reservation.tokens_);
+    bucket_.settle(reservation.id_, unused * kMicroPerToken, now);
+}
+
+bool TokenShare::isWaiting(TimePoint now) const
+{
+    return waiting_ && now < waiting_->until_;
+}
+
+bool TokenShare::isShort(TimePoint now)
+{
+    return isWaiting(now) || bucket_.level(now) < demand_.perSecond(now) * kLowLevelMicros;
+}
+
+OwnShare TokenShare::ownShare(TimePoint now)
+{
+    OwnShare own{bucket_.units(), bucket_.level(now), demand_.perSecond(now)};
+    if (isWaiting(now)) {
+        own.reserved_ = waiting_->amount_;
+        own.waitedMicros_ = (now - waiting_->since_).count();
+    }
+    return own;
+}
+
+std::optional<ShareTransfer> TokenShare::onRequest(const ShareRequest &request, TimePoint now)
+{
+    const std::string &peer = request.requester_;
+    if (!joined_ || blocked_.count(peer) != 0 || !lease_->isHeld() || channels_[peer].isBusy())
+        return std::nullopt;
+    return give(peer, decideOffer(ownShare(now), request, bucket_.limit().burst_), now);
+}
+
+std::optional<ShareTransfer> TokenShare::give(const std::string &peer, ShareOffer offer,
+                                              TimePoint now)
+{
+    if (offer.units_ <= 0)
+        return std::nullopt;
+    bucket_.removeUnits(offer.units_, offer.level_, now);
+    return channels_[peer].open({workspace_, self_, peer, 0, offer.units_, offer.level_}, now);
+}
+
+std::optional<ShareAck> TokenShare::onTransfer(const ShareTransfer &transfer, TimePoint now)
+{
+    const bool isSane = transfer.units_ > 0 && transfer.units_ <= kTotalUnits
+        && transfer.level_ >= 0 && transfer.receiver_ == self_;
+    if (!isSane || !joined_ || blocked_.count(transfer.sender_) != 0)
+        return std::nullopt;
+    const Arrival arrival = channels_[transfer.sender_].accept(transfer);
+    if (arrival == Arrival::Invalid) {
+        kLog.error(concat("transfer out of sequence refused, workspace=", workspace_,
+                          " sender=", transfer.sender_, " sequence=", transfer.sequence_));
+        return std::nullopt;
+    }
+    if (arrival == Arrival::First) {
+        bucket_.addUnits(transfer.units_, transfer.level_, now);
+        askDelay_ = kShortestAsk;
+        askAt_ = now;
+    }
+    return ShareAck{workspace_, transfer.sender_, self_, transfer.sequence_};
+}
+
+void TokenShare::onAck(const ShareAck &ack)
+{
+    const auto it = channels_.find(ack.receiver_);
+    if (it != channels_.end() && ack.sender_ == self_)
+        it->second.onAck(ack.sequence_);
+}
+
+std::optional<NetReport> TokenShare::onNetRequest(const NetRequest &request)
+{
+    NetReport report{workspace_, self_, {}};
+    for (const std::string &holder : request.fenced_) {
+        if (holder == self_)
+            return std::nullopt;
+        const auto [entry, isNew] = blocked_.try_emplace(holder, 0);
+        if (isNew)
+            entry->second = channels_[holder].net();
+        channels_.erase(holder);
+        report.nets_[holder] = entry->second;
+    }
+    return report;
+}
+
+std::int64_t TokenShare::unitsInFlight() const
+{
+    std::int64_t units = 0;
+    for (const auto &[peer, channel] : channels_)
+        units += channel.openUnits();
+    return units;
+}
+
+ShareState TokenShare::state(TimePoint now)
+{
+    return {workspace_,         joined_,
+            bucket_.units(),    unitsInFlight(),
+            bucket_.level(now), demand_.perSecond(now)};
+}
+
+ShareRequest TokenShare::requestTo(const std::string &peer, TimePoint now)
+{
+    const OwnShare own = ownShare(now);
+    const std::int64_t burst = bucket_.limit().burst_;
+    const std::int64_t holding = (own.reserved_ + burst - 1) / burst;
+    return {workspace_,
+            self_,
+            peer,
+            std::max<MicroTokens>(0, own.reserved_ - own.level_),
+            std::max<std::int64_t>(0, holding - own.units_),
+            own.waitedMicros_,
+            own.units_,
+            own.level_,
+            own.demand_};
+}
+
+void TokenShare::ask(const std::vector<std::string> &peers, TimePoint now, OutgoingShares &out)
+{
+    if (!joined_ || now < askAt_ || !isShort(now))
+        return;
+    const std::size_t count = std::min(peers.size(), kPeersAsked);
+    for (std::size_t i = 0; i < count; ++i) {
+        const std::string &peer = peers[nextPeer_++ % peers.size()];
+        if (blocked_.count(peer) == 0)
+            out.requests_.push_back(requestTo(peer, now));
+    }
+    askAt_ = now + askDelay_;
+    askDelay_ = std::min(askDelay_ * 2, kLongestAsk);
+}
+
+void TokenShare::poll(const std::vector<std::string> &peers, TimePoint now, OutgoingShares &out)
+{
+    for (auto &[peer, channel] : channels_) {
+        if (std::optional<ShareTransfer> transfer = channel.due(now))
+            out.transfers_.push_back(std::move(*transfer));
+    }
+    ask(peers, now, out);
+}
+
+void TokenShare::leave(TimePoint now, OutgoingShares &out)
+{
+    if (bucket_.units() == 0 || !lease_->isHeld())
+        return;
+    for (auto &[peer, channel] : channels_) {
+        if (channel.isBusy())
+            continue;
+        const ShareOffer all{bucket_.units(), bucket_.level(now)};
+        if (std::optional<ShareTransfer> transfer = give(peer, all, now))
+            out.transfers_.push_back(std::move(*transfer));
+        return;
+    }
+}
+
+} // namespace foxtailturn
