--- a/packages/claims/once_executor_test.cpp
+++ b/packages/claims/once_executor_test.cpp
@@ -1,7 +1,10 @@
 #include "claims/once_executor.h"
 
+#include <array>
 #include <functional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <doctest/doctest.h>
@@ -25,61 +28,80 @@
     "none",           "crash",          "pause", "store down", "lost answers",
     "dropped writes", "delayed writes", "race",  "refused",    "cut"};
 
-struct Cell
+// A fault and the step at which it begins.
+struct Event
 {
     Step step_ = Step::BeforeInsert;
     Fault fault_ = Fault::None;
-    int writes_ = 1; // how many writes the fault affects
+};
+
+struct Cell
+{
+    std::array<Event, 2> events_;
+    int writes_ = 1; // how many writes a write fault affects
     Landing landing_ = Landing::BeforeRepair; // when delayed writes take effect
     bool resendEarly_ = false; // another agent gets a resend before the repair
+    bool startsReleased_ = false; // an earlier attempt left a released row
 };
 
 struct Crashed
 { };
 
-// Fires the cell's fault when the attempt under test reaches the cell's step.
+// Fires the cell's faults when the attempt under test reaches their steps.
 class Injector
 {
 public:
     Injector(const Cell &cell, ManualClock &clock)
-        : cell_(cell)
+        : events_(cell.events_)
+        , writesLeft_(cell.writes_)
         , clock_(clock)
     { }
 
-    // writes: whether the step is a write, in which a crash comes after the effect.
-    void reach(Step step, bool writes = false)
+    // inWrite: whether the step is a write, in which a crash comes after the effect.
+    void reach(Step step, bool inWrite = false)
     {
-        if (!armed_ || step != cell_.step_)
-            return;
-        armed_ = false;
-        if (cell_.fault_ == Fault::Crash && !writes)
-            throw Crashed();
-        crashAfterWrite_ = cell_.fault_ == Fault::Crash;
-        if (cell_.fault_ == Fault::Pause)
-            clock_.advance(std::chrono::hours(1));
-        if (cell_.fault_ == Fault::Race)
-            race_();
-        active_ = cell_.fault_;
-        writesLeft_ = cell_.writes_;
+        for (Event &event : events_) {
+            if (event.step_ == step)
+                fire(std::exchange(event.fault_, Fault::None), inWrite);
+        }
     }
 
-    bool takeWrite() { return writesLeft_-- > 0; }
+    [[nodiscard]] bool isActive(Fault fault) const { return active_.count(fault) != 0; }
+
+    // Returns the fault of the next write.
+    Fault takeWriteFault()
+    {
+        for (const Fault fault : {Fault::Lose, Fault::Drop, Fault::Delay}) {
+            if (isActive(fault))
+                return writesLeft_-- > 0 ? fault : Fault::None;
+        }
+        return Fault::None;
+    }
 
     void heal()
     {
-        armed_ = false;
-        active_ = Fault::None;
+        events_ = {};
+        active_.clear();
     }
 
-    Fault active_ = Fault::None;
-    bool crashAfterWrite_ = false;
     std::function<void()> race_;
 
 private:
-    Cell cell_;
+    void fire(Fault fault, bool inWrite)
+    {
+        active_.insert(fault);
+        if (fault == Fault::Crash && !inWrite)
+            throw Crashed();
+        if (fault == Fault::Pause)
+            clock_.advance(std::chrono::hours(1));
+        if (fault == Fault::Race)
+            race_();
+    }
+
+    std::array<Event, 2> events_;
+    std::set<Fault> active_;
+    int writesLeft_;
     ManualClock &clock_;
-    bool armed_ = true;
-    int writesLeft_ = 0;
 };
 
 // The table as the agent under test sees it.
@@ -93,7 +115,7 @@
 
     Result<std::optional<Row>> read(const std::string &key, TimePoint deadline) override
     {
-        if (injector_.active_ == Fault::Down)
+        if (injector_.isActive(Fault::Down))
             return notRun(ErrorCode::StoreUnavailable, "down");
         return table_.read(key, deadline);
     }
@@ -106,7 +128,7 @@
         if (isInsert || isRecord)
             injector_.reach(isInsert ? Step::Insert : Step::Record, true);
         const Result<RowVersion> written = faultyWrite(key, value, expected, deadline);
-        if (injector_.crashAfterWrite_)
+        if (injector_.isActive(Fault::Crash))
             throw Crashed();
         if (isInsert)
             injector_.reach(Step::AfterInsert);
@@ -134,12 +156,10 @@
     Result<RowVersion> faultyWrite(const std::string &key, const std::string &value,
                                    RowVersion expected, TimePoint deadline)
     {
-        const Fault fault = injector_.active_;
-        if (fault == Fault::Down)
+        if (injector_.isActive(Fault::Down))
             return notRun(ErrorCode::StoreUnavailable, "down");
-        if (fault != Fault::Lose && fault != Fault::Drop && fault != Fault::Delay)
-            return table_.write(key, value, expected, deadline);
-        if (!injector_.takeWrite())
+        const Fault fault = injector_.takeWriteFault();
+        if (fault == Fault::None)
             return table_.write(key, value, expected, deadline);
         const auto apply = [this, key, value, expected, deadline] {
             (void)table_.write(key, value, expected, deadline);
@@ -169,15 +189,16 @@
 
     Result<RecordedAnswer> call(TimePoint dispatchDeadline, TimePoint) override
     {
+        CHECK(clock_.now() < dispatchDeadline);
         reach(Step::BeforeDispatch);
-        if (injector_ != nullptr && injector_->active_ == Fault::Refuse)
+        if (injector_ != nullptr && injector_->isActive(Fault::Refuse))
             return notRun(ErrorCode::TargetFailed, "connection refused");
         if (clock_.now() >= dispatchDeadline)
             return notRun(ErrorCode::DeadlineExceeded, "too late");
         ++calls_;
         ++total_;
         reach(Step::InCall);
-        if (injector_ != nullptr && injector_->active_ == Fault::Cut)
+        if (injector_ != nullptr && injector_->isActive(Fault::Cut))
             return outcomeUnknown(ErrorCode::ConnectionLost, "connection lost");
         reach(Step::AfterAnswer);
         return RecordedAnswer{200, "text/plain", "booked"};
@@ -206,6 +227,11 @@
         , injector_(cell, world_.clock_)
     {
         injector_.race_ = [this] { resend(other_, false); };
+        if (!cell.startsReleased_)
+            return;
+        const auto start =
+            otherStore_.begin(call_.key_, call_.bodyDigest_, "earlier", call_.dispatchDeadline_);
+        otherStore_.release(std::get<ClaimHold>(*start));
     }
 
     void run()
@@ -273,31 +299,54 @@
     std::optional<Result<OnceAnswer>> first_;
 };
 
-// Guards against a second run of a call, an untrue not_run and an answer that a resend can't get,
-// whatever fails at whatever step.
-TEST_CASE("fault matrix of a claimed call")
+void runVariants(const Event &first, const Event &second)
 {
-    for (int step = 0; step <= static_cast<int>(Step::Record); ++step) {
-        for (int fault = 0; fault <= static_cast<int>(Fault::Cut); ++fault) {
-            for (const int writes : {1, 2, kManyWrites}) {
-                for (const Landing landing :
-                     {Landing::BeforeRepair, Landing::AfterRepair, Landing::AfterResend}) {
-                    for (const bool resendEarly : {false, true}) {
-                        CAPTURE(kStepNames[step]);
-                        CAPTURE(kFaultNames[fault]);
-                        CAPTURE(writes);
-                        CAPTURE(static_cast<int>(landing));
-                        CAPTURE(resendEarly);
-                        Trial({static_cast<Step>(step), static_cast<Fault>(fault), writes, landing,
-                               resendEarly})
-                            .run();
-                    }
+    const bool hasDelay = first.fault_ == Fault::Delay || second.fault_ == Fault::Delay;
+    for (const int writes : {1, kManyWrites}) {
+        for (const Landing landing :
+             {Landing::BeforeRepair, Landing::AfterRepair, Landing::AfterResend}) {
+            if (landing != Landing::BeforeRepair && !hasDelay)
+                continue;
+            for (const bool resendEarly : {false, true}) {
+                for (const bool startsReleased : {false, true}) {
+                    CAPTURE(writes);
+                    CAPTURE(static_cast<int>(landing));
+                    CAPTURE(resendEarly);
+                    CAPTURE(startsReleased);
+                    Trial({{first, second}, writes, landing, resendEarly, startsReleased}).run();
                 }
             }
         }
     }
 }
 
+std::vector<Event> allEvents()
+{
+    std::vector<Event> events;
+    for (int step = 0; step <= static_cast<int>(Step::Record); ++step) {
+        for (int fault = 0; fault <= static_cast<int>(Fault::Cut); ++fault)
+            events.push_back({static_cast<Step>(step), static_cast<Fault>(fault)});
+    }
+    return events;
+}
+
+// Guards against a second run of a call, an untrue not_run and an answer that a resend can't get,
+// whatever fails at whatever step, alone (the other fault is none) or in pairs.
+TEST_CASE("fault matrix of a claimed call")
+{
+    for (const Event &first : allEvents()) {
+        for (const Event &second : allEvents()) {
+            if (second.step_ < first.step_)
+                continue;
+            CAPTURE(kStepNames[static_cast<int>(first.step_)]);
+            CAPTURE(kFaultNames[static_cast<int>(first.fault_)]);
+            CAPTURE(kStepNames[static_cast<int>(second.step_)]);
+            CAPTURE(kFaultNames[static_cast<int>(second.fault_)]);
+            runVariants(first, second);
+        }
+    }
+}
+
 struct ExecutorWorld : ClaimWorld
 {
     ClaimStore store_{services(), kLimits};
