--- /dev/null
+++ b/packages/agent/target_lease.cpp
@@ -0,0 +1,117 @@
+#include "agent/target_lease.h"
+
+#include <utility>
+
+#include "base/json.h"
+#include "base/log.h"
+#include "lease/lease_row.h"
+
+namespace foxtailturn {
+
+namespace {
+
+const Logger kLog("target");
+
+constexpr auto kTableTimeout = std::chrono::milliseconds(500);
+constexpr const char *kTargetPrefix = "targets/";
+
+struct TargetRow
+{
+    FencingNumber number_ = 0;
+    std::string holder_;
+
+    bool operator==(const TargetRow &) const = default;
+};
+
+Result<TargetRow> parseTargetRow(const std::optional<Row> &row)
+{
+    if (!row)
+        return TargetRow {};
+    const Result<Json> json = parseJson(row->value_, row->key_);
+    if (!json)
+        return tl::unexpected(json.error());
+    JsonObject object(*json, row->key_);
+    TargetRow target;
+    target.number_ = static_cast<FencingNumber>(object.integer("number", {}));
+    target.holder_ = object.string("holder");
+    if (object.error())
+        return tl::unexpected(*object.error());
+    return target;
+}
+
+} // namespace
+
+TargetLease::TargetLease(std::string target, std::string self, const Clock &clock,
+                         TableService &table, const LeaseHolder &lease)
+    : target_(std::move(target))
+    , self_(std::move(self))
+    , clock_(&clock)
+    , table_(&table)
+    , lease_(&lease)
+{
+}
+
+bool TargetLease::isHeld() const
+{
+    return number_ != 0 && lease_->isHeld();
+}
+
+void TargetLease::tick()
+{
+    if (number_ != 0 || !lease_->isHeld())
+        return;
+    const Result<void> taken = take();
+    if (taken)
+        kLog.info(concat("fencing number taken, target=", target_, " number=", number_.load()));
+    else
+        kLog.info(concat("no fencing number yet, target=", target_, " code=",
+                         errorName(taken.error().code_), ": ", taken.error().message_));
+}
+
+Result<void> TargetLease::take()
+{
+    const std::string key = kTargetPrefix + target_;
+    const Result<std::optional<Row>> row = table_->read(key, clock_->now() + kTableTimeout);
+    if (!row)
+        return tl::unexpected(row.error());
+    const Result<TargetRow> current = parseTargetRow(*row);
+    if (!current)
+        return tl::unexpected(current.error());
+    // The answer to an earlier write was lost: the row shows that it took effect.
+    if (current->holder_ == self_) {
+        number_ = current->number_;
+        return {};
+    }
+    const Result<bool> ended = hasEnded(current->holder_);
+    if (!ended)
+        return tl::unexpected(ended.error());
+    if (!*ended)
+        return notRun(ErrorCode::StoreConflict, "the lease of the agent before has not ended");
+    const Json next = {{"number", current->number_ + 1}, {"holder", self_}};
+    const RowVersion expected = *row ? (*row)->version_ : kAbsent;
+    const Result<RowVersion> written
+        = table_->write(key, next.dump(), expected, clock_->now() + kTableTimeout);
+    if (!written)
+        return tl::unexpected(written.error());
+    number_ = current->number_ + 1;
+    return {};
+}
+
+Result<bool> TargetLease::hasEnded(const std::string &incarnation)
+{
+    if (incarnation.empty())
+        return true;
+    const Result<std::optional<Row>> row
+        = table_->read(leaseKey(incarnation), clock_->now() + kTableTimeout);
+    if (!row)
+        return tl::unexpected(row.error());
+    // A holder creates its lease row before it takes a number, and only ended rows are removed.
+    if (!*row)
+        return true;
+    const Result<LeaseRow> lease = parseLeaseRow(**row);
+    if (!lease)
+        return tl::unexpected(lease.error());
+    return lease->state_ != LeaseState::Live;
+}
+
+} // namespace foxtailturn
--- a/packages/peer/share_controller.h
+++ b/packages/peer/share_controller.h
@@ -40,7 +40,8 @@
 {
 public:
     // All references must outlive the controller.
-    ShareController(std::string self, const Clock &clock, const LeaseStatus &lease, Limiter &limiter,
+    ShareController(std::string self, const Clock &clock, const LeaseStatus &lease,
+                    Limiter &limiter,
                     ShareLedger &ledger, LeaseReclaimer &reclaimer, PeerDirectory &peers);
 
     // Sets the workspaces that have a limit. Thread-safe.
