--- /dev/null
+++ b/packages/adapters/agent_core.h
@@ -0,0 +1,195 @@
+#pragma once
+
+// The decisions of AgentScheduler without threads: events go in, decisions come out. Benches and
+// tests drive it in virtual time.
+//
+//     AgentCore core(settings);
+//     core.submit(request, now);
+//     AgentDecisions decisions = core.decide(now, fencing); // nullopt: lease not held
+//     // run decisions.admitted_, answer decisions.refused_, give decisions.orders_ to the engine
+//     core.orderDone(order, result, now); core.finish(requestId);
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "adapters/adapter_cache.h"
+#include "adapters/fair_queue.h"
+#include "adapters/load_scheduler.h"
+#include "adapters/work_request.h"
+
+namespace foxtailturn {
+
+struct AgentSettings
+{
+    std::size_t slots_ = 32; // adapters that the engine holds at most
+    std::size_t maxRunning_ = 16; // requests that the engine runs at most
+    std::size_t maxBatchRunning_ = 12; // of these batch, so that chat finds a place
+    std::size_t maxWaiting_ = 512; // beyond, the workspace with most waiting is refused
+    std::size_t maxLoads_ = 2; // loads in flight
+    // Tokens by which a request may pass others when its adapter is in the engine's batch already.
+    double groupingSlack_ = 2000;
+    Duration popularityHalfLife_ = std::chrono::minutes(5);
+    Duration orderTimeout_ = std::chrono::seconds(10);
+    Duration listInterval_ = std::chrono::seconds(5);
+    Duration listRetry_ = std::chrono::milliseconds(500); // while an outcome is unsettled
+
+    bool operator==(const AgentSettings &) const = default;
+};
+
+// State for heartbeats and state dumps.
+struct AgentSnapshot
+{
+    std::vector<AdapterId> resident_;
+    std::vector<AdapterId> loading_;
+    std::size_t running_ = 0;
+    std::size_t waiting_ = 0;
+    std::size_t maxRunning_ = 0;
+    std::size_t loadsInFlight_ = 0;
+    bool draining_ = false;
+    bool recovered_ = false; // the engine's list was read
+    std::map<std::string, std::size_t> waitingByWorkspace_;
+
+    bool operator==(const AgentSnapshot &) const = default;
+};
+
+// An order to be given to the engine.
+struct EngineOrder
+{
+    enum class Kind { Load, Unload, List };
+
+    Kind kind_ = Kind::List;
+    AdapterId adapter_; // empty for List
+    FencingNumber fencing_ = 0;
+    std::uint64_t mark_ = 0; // for List: AdapterCache::changeMark()
+
+    bool operator==(const EngineOrder &) const = default;
+};
+
+struct AdmittedRequest
+{
+    std::string id_;
+    bool stalled_ = false; // waited for its adapter to be loaded
+
+    bool operator==(const AdmittedRequest &) const = default;
+};
+
+struct RefusedRequest
+{
+    std::string id_;
+    Error error_; // always NotRun
+
+    bool operator==(const RefusedRequest &) const = default;
+};
+
+struct AgentDecisions
+{
+    std::vector<AdmittedRequest> admitted_;
+    std::vector<RefusedRequest> refused_;
+    std::vector<EngineOrder> orders_;
+};
+
+// Not thread-safe. Results of submit() and of the other events appear in the next decide().
+class AgentCore
+{
+public:
+    explicit AgentCore(const AgentSettings &settings, KeepValue keepValue = leastExpectedUse());
+
+    // Adds a request; its admission or refusal follows from decide(). Precondition: its id neither
+    // waits nor runs.
+    void submit(const WorkRequest &request, TimePoint now);
+
+    // Ends the wait of a request; returns false if it does not wait.
+    bool cancel(const std::string &requestId);
+
+    // A running request ended: releases its pin and place.
+    void finish(const std::string &requestId);
+
+    // Applies the engine's answer to a Load or Unload order. StaleFencingNumber ends all orders and
+    // admission until decide() gets a larger fencing number.
+    void orderDone(const EngineOrder &order, const Result<void> &result, TimePoint now);
+
+    // Applies the engine's answer to a List order.
+    void listDone(const EngineOrder &order, const Result<std::vector<EngineAdapter>> &result,
+                  TimePoint now);
+
+    // Refuses waiting and later requests; running ones finish.
+    void drain() { draining_ = true; }
+
+    // Asks for the engine's list at the next decide().
+    void requestList() { listAt_ = TimePoint::min(); }
+
+    // Sets a workspace's weight in fair shares, more than 0.
+    void setWeight(const std::string &workspace, double weight);
+
+    // Returns all decisions that the events so far allow. Admitted requests run from now on.
+    // fencing: the agent's fencing number while its lease is held, else nullopt, in which case
+    // waiting requests are refused and no order is given.
+    [[nodiscard]] AgentDecisions decide(TimePoint now, std::optional<FencingNumber> fencing);
+
+    // Returns the time at which decide() must be called even without an event: the earliest
+    // deadline of a waiting request or the next list.
+    [[nodiscard]] TimePoint nextWake() const;
+
+    // Returns whether a request with this id waits or runs.
+    [[nodiscard]] bool knows(const std::string &requestId) const;
+
+    // Returns whether nothing runs or waits.
+    [[nodiscard]] bool isIdle() const { return running_.empty() && queue_.size() == 0; }
+
+    [[nodiscard]] AgentSnapshot snapshot() const;
+    [[nodiscard]] const AdapterCache &cache() const { return cache_; }
+
+private:
+    struct Running
+    {
+        WorkRequest request_;
+        std::optional<Pin> pin_;
+    };
+
+    // Why nothing may be admitted or ordered now; nullopt if it may.
+    [[nodiscard]] std::optional<Error> closedBecause(std::optional<FencingNumber> fencing) const;
+    void refuse(const WorkRequest &request, Error error);
+    void refuseAllWaiting(const Error &error);
+    void refuseWaitersOf(const AdapterId &adapter, TimePoint now);
+    void refuseOverflow(TimePoint now);
+    void shedLate(TimePoint now);
+    void admit(TimePoint now);
+    [[nodiscard]] RunRank rankOf(const WorkRequest &request, bool exclusiveNext) const;
+    [[nodiscard]] bool isRunnable(const AdapterId &adapter) const;
+    [[nodiscard]] bool exclusiveIsNext() const;
+    void start(const WorkRequest &request, TimePoint now);
+    void orderLoads(TimePoint now);
+    bool orderEviction(const AdapterId &forAdapter, TimePoint now);
+    void vacateFor(const AdapterId &forAdapter, TimePoint now);
+    void orderRetries();
+    void orderList(TimePoint now);
+    void giveOrder(EngineOrder::Kind kind, const AdapterId &adapter);
+
+    AgentSettings settings_;
+    AdapterCache cache_; // outlives the pins in running_
+    FairQueue queue_;
+    LoadScheduler loads_;
+    std::unordered_map<std::string, Running> running_; // by request id
+    std::unordered_map<AdapterId, int, AdapterIdHash> runningByAdapter_;
+    std::unordered_map<std::string, AdapterId> exclusiveWaiting_; // by request id
+    std::unordered_set<std::string> stalled_; // ids of waiting requests that met an absent adapter
+    std::size_t batchRunning_ = 0;
+    bool exclusiveRunning_ = false;
+    std::size_t loadsInFlight_ = 0;
+    std::size_t unloadsInFlight_ = 0;
+    AdapterId vacating_; // gets no new work, so that its slot becomes free for the first in order
+    bool listing_ = false;
+    bool listRead_ = false;
+    bool draining_ = false;
+    FencingNumber fencing_ = 0; // of the orders being decided
+    FencingNumber refusedFencing_ = 0; // the engine refused this one as stale
+    TimePoint listAt_ = TimePoint::min();
+    AgentDecisions decisions_;
+};
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/adapters/agent_scheduler.cpp
@@ -0,0 +1,334 @@
+#include "adapters/agent_scheduler.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+
+#include "base/log.h"
+
+namespace foxtailturn {
+
+namespace {
+
+const Logger kLog("adapters");
+
+// The control thread looks at the clock at least this often: condition variables follow another
+// clock than CLOCK_BOOTTIME, which goes on while the VM is suspended.
+constexpr Duration kLongestSleep = std::chrono::milliseconds(20);
+constexpr Duration kShortestSleep = std::chrono::milliseconds(1);
+
+} // namespace
+
+// Shared by the scheduler, its threads and the permits. All members but the references are under
+// mutex_.
+class AgentSchedulerState
+{
+public:
+    AgentSchedulerState(const AgentSettings &settings, const Clock &clock, EngineOrders &orders,
+                        const LeaseView &lease)
+        : settings_(settings)
+        , clock_(clock)
+        , engine_(orders)
+        , lease_(lease)
+        , core_(settings)
+    { }
+
+    void startThreads();
+    void stop();
+    Result<bool> acquire(const WorkRequest &request);
+    void finish(const std::string &requestId);
+
+    // Calls change on the core under the lock and carries out what follows from it.
+    template <typename Change>
+    auto apply(const Change &change)
+    {
+        const std::lock_guard lock(mutex_);
+        const auto result = change(core_);
+        pump();
+        return result;
+    }
+
+    template <typename Read>
+    auto read(const Read &read) const
+    {
+        const std::lock_guard lock(mutex_);
+        return read(core_);
+    }
+
+private:
+    // One blocked acquire().
+    struct Waiter
+    {
+        std::condition_variable decided_;
+        std::optional<Result<bool>> outcome_; // value: whether it stalled
+    };
+
+    [[nodiscard]] std::optional<FencingNumber> heldFencing() const;
+    void pump();
+    void settle(const std::string &requestId, Result<bool> outcome);
+    void runControl();
+    void runOrders();
+    void execute(const EngineOrder &order);
+    [[nodiscard]] Result<void> give(const EngineOrder &order);
+    [[nodiscard]] Result<std::vector<EngineAdapter>> list(const EngineOrder &order);
+    [[nodiscard]] Result<void> checkLease(const EngineOrder &order) const;
+
+    const AgentSettings settings_;
+    const Clock &clock_;
+    EngineOrders &engine_;
+    const LeaseView &lease_;
+    mutable std::mutex mutex_;
+    std::condition_variable controlWake_;
+    std::condition_variable orderReady_;
+    AgentCore core_;
+    std::unordered_map<std::string, Waiter *> waiters_; // by request id
+    std::deque<EngineOrder> orders_;
+    bool stopped_ = false;
+    std::vector<std::thread> threads_;
+};
+
+void AgentSchedulerState::startThreads()
+{
+    threads_.emplace_back([this] { runControl(); });
+    // One more than loads and unloads in flight, so that the list never waits for them.
+    for (std::size_t i = 0; i <= settings_.maxLoads_; ++i)
+        threads_.emplace_back([this] { runOrders(); });
+}
+
+void AgentSchedulerState::stop()
+{
+    {
+        const std::lock_guard lock(mutex_);
+        stopped_ = true;
+        std::vector<std::string> ids;
+        for (const auto &[id, waiter] : waiters_)
+            ids.push_back(id);
+        for (const std::string &id : ids)
+            settle(id, notRun(ErrorCode::ShuttingDown, "agent is shutting down"));
+    }
+    controlWake_.notify_all();
+    orderReady_.notify_all();
+    for (std::thread &thread : threads_)
+        thread.join();
+}
+
+std::optional<FencingNumber> AgentSchedulerState::heldFencing() const
+{
+    const FencingNumber number = lease_.fencingNumber();
+    return lease_.isHeld() ? std::optional(number) : std::nullopt;
+}
+
+void AgentSchedulerState::pump()
+{
+    if (stopped_)
+        return;
+    AgentDecisions decisions = core_.decide(clock_.now(), heldFencing());
+    for (const AdmittedRequest &admitted : decisions.admitted_)
+        settle(admitted.id_, admitted.stalled_);
+    for (RefusedRequest &refused : decisions.refused_)
+        settle(refused.id_, tl::unexpected(std::move(refused.error_)));
+    for (EngineOrder &order : decisions.orders_) {
+        orders_.push_back(std::move(order));
+        orderReady_.notify_one();
+    }
+}
+
+void AgentSchedulerState::settle(const std::string &requestId, Result<bool> outcome)
+{
+    const auto it = waiters_.find(requestId);
+    if (it == waiters_.end())
+        return;
+    it->second->outcome_ = std::move(outcome);
+    it->second->decided_.notify_one();
+    waiters_.erase(it);
+}
+
+Result<bool> AgentSchedulerState::acquire(const WorkRequest &request)
+{
+    std::unique_lock lock(mutex_);
+    if (stopped_)
+        return notRun(ErrorCode::ShuttingDown, "agent is shutting down");
+    if (core_.knows(request.id_))
+        return notRun(ErrorCode::BadRequest, "request id is in use");
+    Waiter waiter;
+    waiters_.emplace(request.id_, &waiter);
+    core_.submit(request, clock_.now());
+    pump();
+    controlWake_.notify_one();
+    waiter.decided_.wait(lock, [&] { return waiter.outcome_.has_value(); });
+    return *waiter.outcome_;
+}
+
+void AgentSchedulerState::finish(const std::string &requestId)
+{
+    const std::lock_guard lock(mutex_);
+    core_.finish(requestId);
+    pump();
+}
+
+void AgentSchedulerState::runControl()
+{
+    std::unique_lock lock(mutex_);
+    while (!stopped_) {
+        pump();
+        const TimePoint now = clock_.now();
+        const TimePoint wake = std::min(core_.nextWake(), now + kLongestSleep);
+        controlWake_.wait_for(lock, std::max(wake - now, kShortestSleep));
+    }
+}
+
+void AgentSchedulerState::runOrders()
+{
+    std::unique_lock lock(mutex_);
+    while (true) {
+        orderReady_.wait(lock, [this] { return stopped_ || !orders_.empty(); });
+        if (stopped_)
+            return;
+        const EngineOrder order = std::move(orders_.front());
+        orders_.pop_front();
+        lock.unlock();
+        execute(order);
+        lock.lock();
+    }
+}
+
+void AgentSchedulerState::execute(const EngineOrder &order)
+{
+    if (order.kind_ == EngineOrder::Kind::List) {
+        const Result<std::vector<EngineAdapter>> listed = list(order);
+        const std::lock_guard lock(mutex_);
+        core_.listDone(order, listed, clock_.now());
+        pump();
+        return;
+    }
+    const Result<void> result = give(order);
+    if (!result)
+        kLog.warn(concat("order failed, adapter=", order.adapter_.adapter_, " version=",
+                         order.adapter_.version_, " error=", errorName(result.error().code_)));
+    const std::lock_guard lock(mutex_);
+    core_.orderDone(order, result, clock_.now());
+    pump();
+}
+
+Result<void> AgentSchedulerState::checkLease(const EngineOrder &order) const
+{
+    if (heldFencing() != order.fencing_)
+        return notRun(ErrorCode::LeaseExpired, "agent's lease is not held");
+    return {};
+}
+
+Result<void> AgentSchedulerState::give(const EngineOrder &order)
+{
+    // Checked immediately before the order: the agent may have been paused since the decision.
+    if (const Result<void> held = checkLease(order); !held)
+        return held;
+    const TimePoint deadline = clock_.now() + settings_.orderTimeout_;
+    if (order.kind_ == EngineOrder::Kind::Load)
+        return engine_.load(order.adapter_, order.fencing_, deadline);
+    return engine_.unload(order.adapter_, order.fencing_, deadline);
+}
+
+Result<std::vector<EngineAdapter>> AgentSchedulerState::list(const EngineOrder &order)
+{
+    if (const Result<void> held = checkLease(order); !held)
+        return tl::unexpected(held.error());
+    return engine_.list(clock_.now() + settings_.orderTimeout_);
+}
+
+RunPermit::RunPermit(std::shared_ptr<AgentSchedulerState> state, std::string requestId,
+                     bool stalled)
+    : state_(std::move(state))
+    , requestId_(std::move(requestId))
+    , stalled_(stalled)
+{ }
+
+RunPermit::RunPermit(RunPermit &&other) noexcept = default;
+
+RunPermit &RunPermit::operator=(RunPermit &&other) noexcept
+{
+    if (this != &other) {
+        release();
+        state_ = std::exchange(other.state_, nullptr);
+        requestId_ = std::move(other.requestId_);
+        stalled_ = other.stalled_;
+    }
+    return *this;
+}
+
+RunPermit::~RunPermit()
+{
+    release();
+}
+
+void RunPermit::release()
+{
+    if (state_)
+        state_->finish(requestId_);
+    state_.reset();
+}
+
+AgentScheduler::AgentScheduler(const AgentSettings &settings, const Clock &clock,
+                               EngineOrders &orders, const LeaseView &lease)
+    : state_(std::make_shared<AgentSchedulerState>(settings, clock, orders, lease))
+{
+    state_->startThreads();
+}
+
+AgentScheduler::~AgentScheduler()
+{
+    state_->stop();
+}
+
+Result<RunPermit> AgentScheduler::acquire(const WorkRequest &request)
+{
+    const Result<bool> stalled = state_->acquire(request);
+    if (!stalled)
+        return tl::unexpected(stalled.error());
+    return RunPermit(state_, request.id_, *stalled);
+}
+
+bool AgentScheduler::cancel(const std::string &requestId)
+{
+    return state_->apply([&](AgentCore &core) { return core.cancel(requestId); });
+}
+
+void AgentScheduler::setWeight(const std::string &workspace, double weight)
+{
+    state_->apply([&](AgentCore &core) {
+        core.setWeight(workspace, weight);
+        return true;
+    });
+}
+
+void AgentScheduler::drain()
+{
+    state_->apply([](AgentCore &core) {
+        core.drain();
+        return true;
+    });
+}
+
+bool AgentScheduler::isIdle() const
+{
+    return state_->read([](const AgentCore &core) { return core.isIdle(); });
+}
+
+void AgentScheduler::engineChanged()
+{
+    state_->apply([](AgentCore &core) {
+        core.requestList();
+        return true;
+    });
+}
+
+AgentSnapshot AgentScheduler::snapshot() const
+{
+    return state_->read([](const AgentCore &core) { return core.snapshot(); });
+}
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/adapters/fair_queue.h
@@ -0,0 +1,110 @@
+#pragma once
+
+// Waiting requests in fair order by workspace, chat before batch.
+//
+//     FairQueue queue;
+//     queue.setWeight("atelier", 2);
+//     queue.push(request);
+//     for (const WorkRequest &late : queue.takeLate(now)) ... // refuse as not_run
+//     std::optional<WorkRequest> next = queue.pop(rank);
+//
+// Order: start-time fair queuing in each class, so each workspace gets its weight's share of the
+// started work, counted in cost_, and a flood delays only its own workspace. Chat goes before
+// batch, but after kMaxChatInRow chat requests in a row the next one is a batch request that may
+// run, if one waits: the first batch request in fair order starts after at most that many chat
+// requests.
+
+#include <array>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "adapters/work_request.h"
+
+namespace foxtailturn {
+
+constexpr int kMaxChatInRow = 8;
+
+// How a request may run now. Runnable requests whose adapter is in the engine's batch already may
+// pass others by a bounded amount of work.
+enum class RunRank { NotNow, Runnable, InBatch };
+
+// Not thread-safe.
+class FairQueue
+{
+public:
+    // groupingSlack: virtual work (cost over weight) by which an InBatch request may pass the
+    // first runnable one.
+    explicit FairQueue(double groupingSlack = 0);
+
+    // Sets the weight of a workspace's later requests, more than 0; 1 unless set.
+    void setWeight(const std::string &workspace, double weight);
+    [[nodiscard]] double weight(const std::string &workspace) const;
+
+    // Adds a request. Precondition: no request with its id waits.
+    void push(const WorkRequest &request);
+
+    // Takes the next request in the order above among those that rank as runnable.
+    [[nodiscard]] std::optional<WorkRequest>
+    pop(const std::function<RunRank(const WorkRequest &)> &rank);
+
+    // Takes a request out of the queue by its id.
+    std::optional<WorkRequest> remove(const std::string &id);
+
+    // Takes all requests whose deadline has come.
+    [[nodiscard]] std::vector<WorkRequest> takeLate(TimePoint now);
+
+    // Returns the id of the request to refuse when too many wait: the last one, batch before chat,
+    // of the workspace with most waiting work over weight. nullopt if the queue is empty.
+    [[nodiscard]] std::optional<std::string> lastOfLongest() const;
+
+    // Calls visit for each waiting request in fair order, chat first.
+    void forEach(const std::function<void(const WorkRequest &)> &visit) const;
+
+    // Returns whether the first request in fair order of a class waits for the adapter.
+    [[nodiscard]] bool isFirst(const AdapterId &adapter) const;
+
+    [[nodiscard]] bool contains(const std::string &id) const { return index_.contains(id); }
+    [[nodiscard]] std::size_t size() const { return index_.size(); }
+    [[nodiscard]] std::size_t waitingFor(const AdapterId &adapter) const;
+    [[nodiscard]] std::map<std::string, std::size_t> waitingByWorkspace() const;
+
+    // Returns the earliest deadline; TimePoint::max() if the queue is empty.
+    [[nodiscard]] TimePoint earliestDeadline() const;
+
+private:
+    using Tagged = std::multimap<double, WorkRequest>; // by start tag; equal tags keep their order
+    struct ClassQueue
+    {
+        Tagged waiting_;
+        double virtualTime_ = 0;
+        std::unordered_map<std::string, double> lastFinish_; // by workspace
+    };
+    struct Place
+    {
+        std::size_t class_;
+        Tagged::iterator at_;
+    };
+    using Rank = std::function<RunRank(const WorkRequest &)>;
+
+    [[nodiscard]] static std::optional<Tagged::iterator>
+    findNext(ClassQueue &queue, const Rank &rank, double groupingSlack);
+    WorkRequest take(Place place);
+    void countStart(std::size_t takenClass);
+
+    double groupingSlack_;
+    std::array<ClassQueue, 2> classes_; // by Priority
+    std::unordered_map<std::string, Place> index_; // by request id
+    std::set<std::pair<TimePoint, std::string>> deadlines_;
+    std::unordered_map<AdapterId, std::size_t, AdapterIdHash> byAdapter_;
+    std::unordered_map<std::string, double> weights_;
+    int chatInRow_ = 0;
+};
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/adapters/popularity.h
@@ -0,0 +1,53 @@
+#pragma once
+
+// Measured use of adapters: an exponentially decayed count, which follows shifts of popularity.
+//
+//     Popularity popularity(std::chrono::minutes(2));
+//     popularity.record(id, clock.now());
+//     const double perSecond = popularity.rate(id, clock.now());
+
+#include <cstddef>
+#include <unordered_map>
+
+#include "adapters/adapter_id.h"
+#include "base/clock.h"
+
+namespace foxtailturn {
+
+// Not thread-safe.
+class Popularity
+{
+public:
+    // A use counts half after each halfLife; halfLife > 0. A short one is close to least recently
+    // used, a long one to least frequently used.
+    explicit Popularity(Duration halfLife);
+
+    // Counts one use.
+    void record(const AdapterId &id, TimePoint now);
+
+    // Returns the expected uses per second; 0 for an adapter never seen or long idle.
+    [[nodiscard]] double rate(const AdapterId &id, TimePoint now) const;
+
+    // Returns the uses per second of all adapters together.
+    [[nodiscard]] double totalRate(TimePoint now) const;
+
+    // Returns the number of adapters remembered.
+    [[nodiscard]] std::size_t size() const { return uses_.size(); }
+
+private:
+    struct Use
+    {
+        double count_ = 0; // as of at_
+        TimePoint at_;
+    };
+
+    [[nodiscard]] double decayed(const Use &use, TimePoint now) const;
+    void forgetIdle(TimePoint now);
+
+    Duration halfLife_;
+    TimePoint forgetAt_ = TimePoint::min();
+    Use total_;
+    std::unordered_map<AdapterId, Use, AdapterIdHash> uses_;
+};
+
+} // namespace foxtailturn
