--- a/testing/stub_lib/stub_server.cpp
+++ b/testing/stub_lib/stub_server.cpp
@@ -32,6 +32,13 @@
     return poll(&entry, 1, timeoutMs) > 0;
 }
 
+bool isOpen(socket_t fd)
+{
+    std::array<char, 1> byte{};
+    const ssize_t peeked = recv(fd, byte.data(), byte.size(), MSG_PEEK | MSG_DONTWAIT);
+    return peeked > 0 || (peeked < 0 && errno == EAGAIN);
+}
+
 // httplib's own stream uses select(), which fails for descriptors over 1023.
 class SocketStream final : public httplib::Stream
 {
@@ -43,10 +50,7 @@
     bool is_readable() const override { return waitFor(fd_, POLLIN, kReadTimeoutMs); }
     bool is_writable() const override
     {
-        std::array<char, 1> byte{};
-        const ssize_t peeked = recv(fd_, byte.data(), byte.size(), MSG_PEEK | MSG_DONTWAIT);
-        const bool isClosed = peeked == 0 || (peeked < 0 && errno != EAGAIN);
-        return !isClosed && waitFor(fd_, POLLOUT, kWriteTimeoutMs);
+        return isOpen(fd_) && waitFor(fd_, POLLOUT, kWriteTimeoutMs);
     }
 
     ssize_t read(char *data, std::size_t size) override
@@ -165,6 +169,11 @@
     shutdown(currentSocket, SHUT_RDWR);
 }
 
+bool StubServer::isConnected()
+{
+    return isOpen(currentSocket);
+}
+
 bool StubServer::process_and_close_socket(socket_t sock)
 {
     const int on = 1;
@@ -200,6 +209,16 @@
     return 0;
 }
 
+HostPort parseUrl(const std::string &url)
+{
+    constexpr std::string_view kScheme = "http://";
+    const std::size_t colon = url.rfind(':');
+    if (url.rfind(kScheme, 0) != 0 || colon == std::string::npos || colon < kScheme.size())
+        return {};
+    const std::string host = url.substr(kScheme.size(), colon - kScheme.size());
+    return {host, std::atoi(url.c_str() + colon + 1)};
+}
+
 void answerJson(httplib::Response &response, int status, const std::string &json)
 {
     response.status = status;
--- a/testing/stub_lib/stub_server.h
+++ b/testing/stub_lib/stub_server.h
@@ -38,6 +38,9 @@
     // Closes the connection that the calling handler serves, so that its answer is never sent.
     static void dropConnection();
 
+    // Returns whether the caller of the calling handler is still connected.
+    static bool isConnected();
+
 private:
     bool process_and_close_socket(socket_t sock) override; // NOLINT: name given by httplib
 
@@ -49,6 +52,17 @@
 int serveUntilSignal(StubServer &server, const std::string &host, int port,
                      int workers = kStubWorkers);
 
+// The address in a URL "http://HOST:PORT"; port 0 when the URL is not of this form.
+struct HostPort
+{
+    std::string host_;
+    int port_ = 0;
+
+    bool operator==(const HostPort &) const = default;
+};
+
+[[nodiscard]] HostPort parseUrl(const std::string &url);
+
 // Answers with JSON text.
 void answerJson(httplib::Response &response, int status, const std::string &json);
 
