--- a/packages/config/content_check.cpp
+++ b/packages/config/content_check.cpp
@@ -28,7 +28,7 @@
 {
     if (index < places.size())
         return places[index];
-    return Place{"", 0, concat(list, "[", index, "]")};
+    return Place{"", 0, concat(list, "[", index, "]"), ""};
 }
 
 // Checks one content; the methods append to problems_.
@@ -52,12 +52,13 @@
     }
 
 private:
-    void report(const Place &item, std::string_view field, std::string text)
+    void report(const Place &item, std::string_view field, std::string text,
+                std::optional<Place> other = std::nullopt)
     {
         Place place = item;
         if (!field.empty())
             place.field_ += concat(".", field);
-        problems_.push_back({std::move(place), std::move(text)});
+        problems_.push_back({std::move(place), std::move(text), std::move(other)});
     }
 
     void reportIf(const Place &item, std::string_view field, std::optional<std::string> text)
@@ -71,7 +72,7 @@
     {
         const auto [it, inserted] = seen.emplace(id, place);
         if (!inserted)
-            report(place, field, concat("'", id, "' is already given at ", placeText(it->second)));
+            report(place, field, concat("'", id, "' is already given"), it->second);
     }
 
     void checkNames(NameTable &table, const std::string &id, const Names &names, const Place &place)
@@ -107,7 +108,7 @@
 {
     std::set<std::string> seen;
     for (std::size_t i = 0; i < kSchemeCount; ++i) {
-        const Place place{"", 0, concat("schemes[", i, "]")};
+        const Place place{"", 0, concat("schemes[", i, "]"), ""};
         reportIf(place, "", idProblem(content_.schemes_[i]));
         if (!seen.insert(content_.schemes_[i]).second)
             report(place, "", concat("'", content_.schemes_[i], "' is given twice"));
@@ -261,13 +262,14 @@
             seen.place_ = place;
         }
         if (!seen.versions_.insert(adapter.version_).second)
-            report(place, "version",
-                   concat(adapter.version_, " of adapter '", adapter.adapter_,
-                          "' is already given at ", placeText(seen.place_)));
+            report(
+                place, "version",
+                concat(adapter.version_, " of adapter '", adapter.adapter_, "' is already given"),
+                seen.place_);
         if (adapter.names_ != seen.first_->names_ || adapter.owners_ != seen.first_->owners_)
             report(place, "",
-                   concat("versions of adapter '", adapter.adapter_,
-                          "' differ in names or owners, see ", placeText(seen.place_)));
+                   concat("versions of adapter '", adapter.adapter_, "' differ in names or owners"),
+                   seen.place_);
         seen.currents_ += adapter.current_ ? 1 : 0;
     }
     for (const auto &[id, seen] : adapters) {
@@ -287,12 +289,14 @@
         text += concat(":", place.line_);
     if (!text.empty() && !place.field_.empty())
         text += ": ";
-    return text + place.field_;
+    text += place.field_;
+    return place.context_.empty() ? text : concat(text, " (", place.context_, ")");
 }
 
 std::string problemText(const Problem &problem)
 {
-    return concat(placeText(problem.place_), " ", problem.text_);
+    const std::string text = concat(placeText(problem.place_), " ", problem.text_);
+    return problem.other_ ? concat(text, "; see ", placeText(*problem.other_)) : text;
 }
 
 Error problemError(const Problem &problem)
--- a/packages/config/content_check.h
+++ b/packages/config/content_check.h
@@ -6,6 +6,7 @@
 //     if (problems.empty())
 //         sortContent(content);
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,7 @@
     std::string file_; // empty when the value doesn't come from a file
     int line_ = 0; // from 1; 0 when unknown
     std::string field_; // for example "templates.large.adapters[2].names.urn"
+    std::string context_; // instance of a template, for example "workspaces[3] n=17"
 
     bool operator==(const Place &) const = default;
 };
@@ -28,6 +30,7 @@
 {
     Place place_;
     std::string text_;
+    std::optional<Place> other_ = std::nullopt; // place that place_ clashes with
 
     bool operator==(const Problem &) const = default;
 };
@@ -43,10 +46,10 @@
     std::vector<Place> adapters_;
 };
 
-// Returns "file:line: field".
+// Returns "file:line: field (context)".
 [[nodiscard]] std::string placeText(const Place &place);
 
-// Returns "file:line: field text".
+// Returns "file:line: field (context) text", followed by the other place.
 [[nodiscard]] std::string problemText(const Problem &problem);
 
 // Returns the InvalidConfiguration error that reports the problem, NotRun.
--- a/packages/config/name_table.cpp
+++ b/packages/config/name_table.cpp
@@ -35,8 +35,8 @@
     if (inserted || it->second.id_ == id)
         return;
     std::string text = concat("'", name, "' of ", kind_, " '", id, "' clashes with ", kind_, " '",
-                              it->second.id_, "' at ", placeText(it->second.place_));
-    problems.push_back({std::move(place), std::move(text)});
+                              it->second.id_, "'");
+    problems.push_back({std::move(place), std::move(text), it->second.place_});
 }
 
 } // namespace foxtailturn
