--- a/packages/agent/http_engine_orders.cpp
+++ b/packages/agent/http_engine_orders.cpp
@@ -89,7 +89,7 @@
         return outcomeUnknown(ErrorCode::TargetFailed, "engine did not answer the order");
     if (result->status == 200)
         return {};
-    if (result->status == 409 || result->status == 412)
+    if (result->status == 412)
         return notRun(ErrorCode::StaleFencingNumber, "engine follows a larger fencing number");
     return notRun(ErrorCode::AdapterLoadFailed,
                   concat("engine refused the order with status ", result->status));
--- a/packages/entry/entry_server.cpp
+++ b/packages/entry/entry_server.cpp
@@ -135,7 +135,8 @@
     void handle(const httplib::Request &request, httplib::Response &response)
     {
         ++requests_;
-        auto live = std::make_shared<LiveRequest>(*clock_, *observer_, configuration_, open_);
+        auto live = std::make_shared<LiveRequest>(*clock_, *observer_, *retries_, configuration_,
+                                                 open_);
         RequestContext &context = live->context();
         context.request_ = toCaller(request);
         context.configuration_ = configuration_();
@@ -225,7 +226,6 @@
     {
         const StreamEvent event = answer.stream_->next();
         if (event.kind_ == StreamEvent::Kind::End) {
-            retries_->succeeded(live->context());
             live->end(event.usedTokens_);
             sink.done();
             return true;
--- a/packages/entry/filters.cpp
+++ b/packages/entry/filters.cpp
@@ -158,6 +158,16 @@
     return {};
 }
 
+SuspectFilter::SuspectFilter(RetryGuard &guard)
+    : guard_(&guard)
+{
+}
+
+Result<void> SuspectFilter::apply(RequestContext &context) const
+{
+    return guard_->admit(context);
+}
+
 LimitFilter::LimitFilter(TokenLimiter &limiter)
     : limiter_(&limiter)
 {
--- a/packages/entry/filters.h
+++ b/packages/entry/filters.h
@@ -5,6 +5,7 @@
 #include <functional>
 
 #include "entry/filter.h"
+#include "entry/retry_guard.h"
 
 namespace foxtailturn {
 
@@ -51,6 +52,18 @@
     Result<void> apply(RequestContext &context) const override;
 };
 
+// Holds back requests that may crash targets. Errors: those of RetryGuard::admit().
+class SuspectFilter final : public Filter
+{
+public:
+    // guard must outlive the filter.
+    explicit SuspectFilter(RetryGuard &guard);
+    Result<void> apply(RequestContext &context) const override;
+
+private:
+    RetryGuard *guard_;
+};
+
 // Reserves tokens from the workspace's share. Errors: those of TokenLimiter::reserve().
 class LimitFilter final : public Filter
 {
--- a/packages/entry/forwarder.cpp
+++ b/packages/entry/forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string_view>
+#include <thread>
 #include <utility>
 
 #include "base/hash.h"
@@ -56,13 +57,13 @@
 {
 }
 
-Result<OpenAnswer> Forwarder::open(const RequestContext &context, const LiveCheck &isLive)
+Result<OpenAnswer> Forwarder::open(RequestContext &context, const LiveCheck &isLive)
 {
     Attempts attempts;
     return openWithRetries(context, attempts, isLive);
 }
 
-Result<WholeAnswer> Forwarder::fetch(const RequestContext &context, const LiveCheck &isLive)
+Result<WholeAnswer> Forwarder::fetch(RequestContext &context, const LiveCheck &isLive)
 {
     Attempts attempts;
     for (;;) {
@@ -70,32 +71,29 @@
         if (!answer)
             return tl::unexpected(answer.error());
         Result<WholeAnswer> whole = collect(*answer, isLive);
-        if (whole) {
-            retries_->succeeded(context);
-            return whole;
-        }
-        noteFailure(context, answer->placement_->target().name_, whole.error());
-        if (!retries_->mayRetry(context, whole.error(), attempts.number_))
+        if (whole)
             return whole;
+        attempts.target_ = answer->placement_->target().name_;
+        const Result<void> prepared = prepareRetry(context, attempts, whole.error());
+        if (!prepared)
+            return tl::unexpected(prepared.error());
     }
 }
 
-Result<OpenAnswer> Forwarder::openWithRetries(const RequestContext &context, Attempts &attempts,
+Result<OpenAnswer> Forwarder::openWithRetries(RequestContext &context, Attempts &attempts,
                                               const LiveCheck &isLive)
 {
     for (;;) {
         Result<OpenAnswer> answer = attempt(context, attempts, isLive);
-        if (answer || answer.error().code_ == ErrorCode::NoTarget)
-            return answer;
-        if (!retries_->mayRetry(context, answer.error(), attempts.number_))
+        if (answer)
             return answer;
-        kLog.info(concat("attempt is repeated, request=", context.request_.id_,
-                         " attempt=", attempts.number_,
-                         " code=", errorName(answer.error().code_)));
+        const Result<void> prepared = prepareRetry(context, attempts, answer.error());
+        if (!prepared)
+            return tl::unexpected(prepared.error());
     }
 }
 
-Result<OpenAnswer> Forwarder::attempt(const RequestContext &context, Attempts &attempts,
+Result<OpenAnswer> Forwarder::attempt(RequestContext &context, Attempts &attempts,
                                       const LiveCheck &isLive)
 {
     Result<OpenAnswer> answer = start(context, attempts);
@@ -107,16 +105,34 @@
             answer->head_ = event.head_;
             return answer;
         }
-        if (event.kind_ == StreamEvent::Kind::Progress) {
-            const Result<void> live = isLive();
-            if (!live)
-                return tl::unexpected(live.error());
-            continue;
-        }
-        const Error error = event.failure_ ? *event.failure_ : unexpectedEnd();
-        noteFailure(context, answer->placement_->target().name_, error);
+        if (event.kind_ != StreamEvent::Kind::Progress)
+            return tl::unexpected(event.failure_ ? *event.failure_ : unexpectedEnd());
+        const Result<void> live = isLive();
+        if (!live)
+            return tl::unexpected(live.error());
+    }
+}
+
+Result<void> Forwarder::prepareRetry(RequestContext &context, Attempts &attempts,
+                                     const Error &failure)
+{
+    // Without a target there was no attempt; what earlier ones left behind decides.
+    if (failure.code_ == ErrorCode::NoTarget) {
+        Error error = failure;
+        error.execution_ = combinedExecution(attempts.execution_, failure.execution_);
         return tl::unexpected(error);
     }
+    const Result<void> mayRunAgain = noteFailure(context, attempts.target_, failure);
+    if (!mayRunAgain)
+        return mayRunAgain;
+    const Result<TimePoint> retryAt = retries_->decide(context, failure, attempts.execution_);
+    if (!retryAt)
+        return tl::unexpected(retryAt.error());
+    attempts.execution_ = combinedExecution(attempts.execution_, failure.execution_);
+    kLog.info(concat("attempt is repeated, request=", context.request_.id_,
+                     " attempt=", attempts.number_, " code=", errorName(failure.code_)));
+    std::this_thread::sleep_for(*retryAt - clock_->now());
+    return {};
 }
 
 Result<OpenAnswer> Forwarder::start(const RequestContext &context, Attempts &attempts)
@@ -125,6 +141,7 @@
     if (!placement)
         return tl::unexpected(placement.error());
     const TargetInfo target = placement->target();
+    attempts.target_ = target.name_;
     attempts.tried_.insert(target.name_);
     ++attempts.number_;
     OpenAnswer answer;
@@ -157,15 +174,16 @@
     }
 }
 
-void Forwarder::noteFailure(const RequestContext &context, const std::string &target,
-                            const Error &error)
+Result<void> Forwarder::noteFailure(RequestContext &context, const std::string &target,
+                                    const Error &error)
 {
     if (error.code_ == ErrorCode::TargetDraining)
         directory_->refusedAsDraining(target);
     if (error.code_ == ErrorCode::ConnectionLost)
         directory_->connectionFailed(target);
     if (error.code_ == ErrorCode::TargetCrashed)
-        retries_->targetCrashed(context, concat(target, "/", clock_->now().time_since_epoch().count()));
+        return retries_->targetCrashed(context, target);
+    return {};
 }
 
 wire::ExecuteRequest Forwarder::toWire(const RequestContext &context, std::uint32_t attempt) const
--- a/packages/entry/forwarder.h
+++ b/packages/entry/forwarder.h
@@ -51,25 +51,31 @@
               std::function<std::string(const std::string &)> incarnationOf);
 
     // Returns an answer whose head has arrived. Errors: those of the last attempt. Thread-safe.
-    [[nodiscard]] Result<OpenAnswer> open(const RequestContext &context, const LiveCheck &isLive);
+    [[nodiscard]] Result<OpenAnswer> open(RequestContext &context, const LiveCheck &isLive);
 
     // Returns a complete answer. Errors: as open(). Thread-safe.
-    [[nodiscard]] Result<WholeAnswer> fetch(const RequestContext &context, const LiveCheck &isLive);
+    [[nodiscard]] Result<WholeAnswer> fetch(RequestContext &context, const LiveCheck &isLive);
 
 private:
     struct Attempts
     {
         std::uint32_t number_ = 0;
+        std::string target_; // of the last attempt
         std::set<std::string> tried_; // names of targets
+        Execution execution_ = Execution::NotRun; // of all attempts so far together
     };
 
     [[nodiscard]] Result<OpenAnswer> start(const RequestContext &context, Attempts &attempts);
-    [[nodiscard]] Result<OpenAnswer> attempt(const RequestContext &context, Attempts &attempts,
+    [[nodiscard]] Result<OpenAnswer> attempt(RequestContext &context, Attempts &attempts,
                                              const LiveCheck &isLive);
-    [[nodiscard]] Result<OpenAnswer> openWithRetries(const RequestContext &context,
-                                                     Attempts &attempts, const LiveCheck &isLive);
+    [[nodiscard]] Result<OpenAnswer> openWithRetries(RequestContext &context, Attempts &attempts,
+                                                     const LiveCheck &isLive);
     [[nodiscard]] Result<WholeAnswer> collect(OpenAnswer &answer, const LiveCheck &isLive);
-    void noteFailure(const RequestContext &context, const std::string &target, const Error &error);
+    // Decides on a failed attempt: returns once the next one may start, or the caller's error.
+    [[nodiscard]] Result<void> prepareRetry(RequestContext &context, Attempts &attempts,
+                                            const Error &failure);
+    [[nodiscard]] Result<void> noteFailure(RequestContext &context, const std::string &target,
+                                           const Error &error);
     [[nodiscard]] wire::ExecuteRequest toWire(const RequestContext &context,
                                               std::uint32_t attempt) const;
 
--- a/packages/entry/live_request.cpp
+++ b/packages/entry/live_request.cpp
@@ -3,14 +3,16 @@
 #include <utility>
 
 #include "entry/entry_server.h"
+#include "entry/retry_guard.h"
 
 namespace foxtailturn {
 
-LiveRequest::LiveRequest(const Clock &clock, RequestObserver &observer,
+LiveRequest::LiveRequest(const Clock &clock, RequestObserver &observer, RetryGuard &guard,
                          std::function<std::shared_ptr<const Configuration>()> configuration,
                          std::atomic<std::uint64_t> &openCount)
     : clock_(&clock)
     , observer_(&observer)
+    , guard_(&guard)
     , configuration_(std::move(configuration))
     , openCount_(&openCount)
     , arrivedAt_(clock.now())
@@ -50,6 +52,7 @@
         return;
     if (context_.reservation_)
         context_.reservation_->settle(usedTokens);
+    guard_->ended(context_, true);
     observer_->onEnd(context_, nullptr, clock_->now() - arrivedAt_);
 }
 
@@ -60,6 +63,7 @@
     // Work that may have run may have used all that was reserved.
     if (context_.reservation_ && error.execution_ == Execution::NotRun)
         context_.reservation_->settle(0);
+    guard_->ended(context_, false);
     observer_->onEnd(context_, &error, clock_->now() - arrivedAt_);
 }
 
--- a/packages/entry/live_request.h
+++ b/packages/entry/live_request.h
@@ -17,13 +17,14 @@
 namespace foxtailturn {
 
 class RequestObserver;
+class RetryGuard;
 
 // Used by one thread at a time.
 class LiveRequest
 {
 public:
     // Counts itself in openCount while it lives. All references must outlive this object.
-    LiveRequest(const Clock &clock, RequestObserver &observer,
+    LiveRequest(const Clock &clock, RequestObserver &observer, RetryGuard &guard,
                 std::function<std::shared_ptr<const Configuration>()> configuration,
                 std::atomic<std::uint64_t> &openCount);
     ~LiveRequest();
@@ -49,6 +50,7 @@
 private:
     const Clock *clock_;
     RequestObserver *observer_;
+    RetryGuard *guard_;
     std::function<std::shared_ptr<const Configuration>()> configuration_;
     std::atomic<std::uint64_t> *openCount_;
     RequestContext context_;
--- /dev/null
+++ b/packages/entry/retry_guard.cpp
@@ -0,0 +1,137 @@
+#include "entry/retry_guard.h"
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/log.h"
+
+namespace foxtailturn {
+
+namespace {
+
+const Logger kLog("quarantine");
+
+constexpr auto kSameCrash = std::chrono::seconds(2);
+// Peers are milliseconds apart; one that does not answer by then does not hold up the caller.
+constexpr auto kExchangeTimeout = std::chrono::milliseconds(300);
+constexpr auto kTurnPause = std::chrono::milliseconds(20);
+
+std::string workspaceOf(const RequestContext &context)
+{
+    return context.workspace_ == nullptr ? "" : context.workspace_->id_;
+}
+
+} // namespace
+
+CrashIds::CrashIds(const Clock &clock)
+    : clock_(&clock)
+{
+}
+
+std::string CrashIds::idOf(const std::string &target)
+{
+    const TimePoint now = clock_->now();
+    const std::lock_guard lock(mutex_);
+    Crash &crash = last_[target];
+    if (crash.id_.empty() || now >= crash.sameUntil_)
+        crash.id_ = concat(target, "#", randomId());
+    crash.sameUntil_ = now + kSameCrash;
+    return crash.id_;
+}
+
+RetryGuard::RetryGuard(const Clock &clock, const WallClock &wallClock, RetryPolicy &policy,
+                       RetryBudget &budget, Quarantine &quarantine, SuspectExchange exchange)
+    : clock_(&clock)
+    , wallClock_(&wallClock)
+    , policy_(&policy)
+    , budget_(&budget)
+    , quarantine_(&quarantine)
+    , exchange_(std::move(exchange))
+    , crashIds_(clock)
+{
+}
+
+TimePoint RetryGuard::exchangeDeadline() const
+{
+    return clock_->now() + kExchangeTimeout;
+}
+
+Result<void> RetryGuard::admit(RequestContext &context)
+{
+    budget_->onRequest(workspaceOf(context));
+    const Result<Standing> standing = quarantine_->admit(context.fingerprint_);
+    if (!standing)
+        return tl::unexpected(standing.error());
+    return *standing == Standing::Suspect ? waitForTurn(context) : Result<void> {};
+}
+
+Result<void> RetryGuard::waitForTurn(RequestContext &context)
+{
+    const Duration remaining = context.deadline_ - clock_->now();
+    const auto wish = quarantine_->requestRun(context.fingerprint_, wallClock_->now() + remaining);
+    if (!wish)
+        return notRun(ErrorCode::Overloaded, "another copy of this request is being tried",
+                      clock_->now() + std::chrono::seconds(1));
+    context.solo_ = true;
+    for (;;) {
+        exchange_(*wish, exchangeDeadline());
+        const Result<bool> mayRun = quarantine_->confirmRun(context.fingerprint_);
+        if (mayRun && *mayRun)
+            return {};
+        const bool isLate = clock_->now() >= context.deadline_;
+        if (!mayRun || isLate) {
+            exchange_(quarantine_->endRun(context.fingerprint_), exchangeDeadline());
+            context.solo_ = false;
+            if (!mayRun)
+                return tl::unexpected(mayRun.error());
+            return notRun(ErrorCode::DeadlineExceeded, "another copy of this request ran too long");
+        }
+        std::this_thread::sleep_for(kTurnPause);
+    }
+}
+
+Result<TimePoint> RetryGuard::decide(const RequestContext &context, const Error &failure,
+                                     Execution earlier)
+{
+    return policy_->decide({failure, earlier, context.route_->repeatable_, context.deadline_,
+                            workspaceOf(context)});
+}
+
+Result<void> RetryGuard::targetCrashed(RequestContext &context, const std::string &target)
+{
+    kLog.warn(concat("target crashed, target=", target, " request=", context.request_.id_));
+    exchange_(quarantine_->crashed(context.fingerprint_, crashIds_.idOf(target)),
+              exchangeDeadline());
+    const Result<Standing> standing = quarantine_->admit(context.fingerprint_);
+    if (!standing) {
+        Error error = standing.error();
+        error.execution_ = Execution::OutcomeUnknown;
+        return tl::unexpected(error);
+    }
+    if (context.solo_)
+        return {};
+    Result<void> turn = waitForTurn(context);
+    if (!turn) {
+        Error error = turn.error();
+        error.execution_ = Execution::OutcomeUnknown;
+        return tl::unexpected(error);
+    }
+    return {};
+}
+
+void RetryGuard::ended(const RequestContext &context, bool completed)
+{
+    if (context.fingerprint_.empty())
+        return;
+    if (completed) {
+        const auto cleared = quarantine_->completed(context.fingerprint_);
+        if (cleared)
+            exchange_(*cleared, exchangeDeadline());
+    }
+    if (context.solo_)
+        exchange_(quarantine_->endRun(context.fingerprint_), exchangeDeadline());
+}
+
+} // namespace foxtailturn
