--- a/packages/claims/once_executor_test.cpp
+++ b/packages/claims/once_executor_test.cpp
@@ -410,6 +410,20 @@
     }
 }
 
+// Guards against a claim left unresolved because one write of the record failed.
+TEST_CASE("recording is tried again while the store is slow")
+{
+    ExecutorWorld world;
+    int records = 0;
+    world.table_.setBeforeWrite([&](const std::string &) {
+        records += world.total_;
+        world.table_.setFault(records == 1 || records == 2 ? TableFault::DropWrite
+                                                           : TableFault::None);
+    });
+    CHECK(world.executor_.execute(bookingCall(world.clock_), world.target_)->isRecorded_);
+    CHECK(records == 3);
+}
+
 // Guards against a caller left without its answer, or a rerun, when the record can't be written.
 TEST_CASE("an answer that can't be recorded is given, and recorded later")
 {
--- /dev/null
+++ b/packages/retry/quarantine.cpp
@@ -0,0 +1,155 @@
+#include "retry/quarantine.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+
+namespace foxtailturn {
+
+Quarantine::Quarantine(std::string holder, const QuarantineClocks &clocks, Duration memory)
+    : holder_(std::move(holder))
+    , clocks_(clocks)
+    , memory_(memory)
+{ }
+
+std::size_t Quarantine::shardOf(const std::string &fingerprint)
+{
+    return hash64(fingerprint) % kShards;
+}
+
+SuspectRecord &Quarantine::recordIn(Shard &shard, const std::string &fingerprint, UtcTime now)
+{
+    SuspectRecord &record = shard.records_[fingerprint];
+    if (record.isForgotten(now))
+        record = SuspectRecord{fingerprint};
+    return record;
+}
+
+Result<Standing> Quarantine::standingOf(const SuspectRecord &record, UtcTime now) const
+{
+    const std::optional<UtcTime> until = record.suspectUntil();
+    if (!until || *until <= now)
+        return Standing::Clear;
+    if (record.standing() != Standing::Quarantined)
+        return record.standing();
+    return notRun(ErrorCode::Quarantined, "the request crashed its targets repeatedly",
+                  clocks_.clock_.now() + (*until - now));
+}
+
+Result<Standing> Quarantine::admit(const std::string &fingerprint) const
+{
+    const Shard &shard = shards_[shardOf(fingerprint)];
+    const std::lock_guard lock(shard.mutex_);
+    const auto it = shard.records_.find(fingerprint);
+    if (it == shard.records_.end())
+        return Standing::Clear;
+    return standingOf(it->second, clocks_.wallClock_.now());
+}
+
+SuspectRecord Quarantine::crashed(const std::string &fingerprint, const std::string &crashId)
+{
+    Shard &shard = shards_[shardOf(fingerprint)];
+    const UtcTime now = clocks_.wallClock_.now();
+    const std::lock_guard lock(shard.mutex_);
+    SuspectRecord &record = recordIn(shard, fingerprint, now);
+    record.crashes_.try_emplace(crashId, CrashMark{now + memory_});
+    return record;
+}
+
+std::optional<SuspectRecord> Quarantine::completed(const std::string &fingerprint)
+{
+    Shard &shard = shards_[shardOf(fingerprint)];
+    const std::lock_guard lock(shard.mutex_);
+    const auto it = shard.records_.find(fingerprint);
+    if (it == shard.records_.end() || it->second.standing() == Standing::Clear)
+        return std::nullopt;
+    for (auto &[id, crash] : it->second.crashes_)
+        crash.isCleared_ = true;
+    return it->second;
+}
+
+std::optional<SuspectRecord> Quarantine::requestRun(const std::string &fingerprint, UtcTime until)
+{
+    Shard &shard = shards_[shardOf(fingerprint)];
+    const UtcTime now = clocks_.wallClock_.now();
+    const std::lock_guard lock(shard.mutex_);
+    SuspectRecord &record = recordIn(shard, fingerprint, now);
+    RunMark &mark =
+        record.runs_.try_emplace(holder_, RunMark{0, RunState::Ended, now}).first->second;
+    if (mark.state_ != RunState::Ended && mark.until_ > now)
+        return std::nullopt;
+    // Numbers begin with the time, so that a mark from before the record was forgotten, which a
+    // peer may still report, never exceeds a new one.
+    const auto micros = static_cast<std::uint64_t>(now.time_since_epoch().count());
+    mark = RunMark{std::max(mark.sequence_ + 1, micros), RunState::Waiting, until};
+    return record;
+}
+
+bool Quarantine::mayRun(const SuspectRecord &record, UtcTime now) const
+{
+    return std::none_of(record.runs_.begin(), record.runs_.end(), [&](const auto &entry) {
+        const auto &[holder, run] = entry;
+        if (holder == holder_ || run.state_ == RunState::Ended || run.until_ <= now)
+            return false;
+        return run.state_ == RunState::Running || holder < holder_;
+    });
+}
+
+Result<bool> Quarantine::confirmRun(const std::string &fingerprint)
+{
+    Shard &shard = shards_[shardOf(fingerprint)];
+    const UtcTime now = clocks_.wallClock_.now();
+    const std::lock_guard lock(shard.mutex_);
+    SuspectRecord &record = recordIn(shard, fingerprint, now);
+    const Result<Standing> standing = standingOf(record, now);
+    if (!standing)
+        return tl::unexpected(standing.error());
+    const auto mark = record.runs_.find(holder_);
+    if (mark == record.runs_.end() || mark->second.state_ == RunState::Ended
+        || mark->second.until_ <= now)
+        return notRun(ErrorCode::DeadlineExceeded, "the time to run the suspect has passed");
+    if (!mayRun(record, now))
+        return false;
+    mark->second.state_ = RunState::Running;
+    return true;
+}
+
+SuspectRecord Quarantine::endRun(const std::string &fingerprint)
+{
+    Shard &shard = shards_[shardOf(fingerprint)];
+    const UtcTime now = clocks_.wallClock_.now();
+    const std::lock_guard lock(shard.mutex_);
+    SuspectRecord &record = recordIn(shard, fingerprint, now);
+    if (const auto mark = record.runs_.find(holder_); mark != record.runs_.end())
+        mark->second.state_ = RunState::Ended;
+    return record;
+}
+
+SuspectRecord Quarantine::merge(const SuspectRecord &report)
+{
+    Shard &shard = shards_[shardOf(report.fingerprint_)];
+    const UtcTime now = clocks_.wallClock_.now();
+    if (report.isForgotten(now))
+        return report;
+    const std::lock_guard lock(shard.mutex_);
+    SuspectRecord &record = recordIn(shard, report.fingerprint_, now);
+    record.merge(report);
+    return record;
+}
+
+std::vector<SuspectRecord> Quarantine::records()
+{
+    const UtcTime now = clocks_.wallClock_.now();
+    std::vector<SuspectRecord> list;
+    for (Shard &shard : shards_) {
+        const std::lock_guard lock(shard.mutex_);
+        std::erase_if(shard.records_,
+                      [now](const auto &entry) { return entry.second.isForgotten(now); });
+        for (const auto &[fingerprint, record] : shard.records_)
+            list.push_back(record);
+    }
+    return list;
+}
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/retry/quarantine_simulation_test.cpp
@@ -0,0 +1,272 @@
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "retry/isolation_gate.h"
+#include "retry/quarantine.h"
+
+namespace foxtailturn {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kTargets = 12;
+constexpr int kEntries = 3;
+constexpr int kInnocents = 400;
+constexpr int kResends = 12;
+constexpr const char *kKiller = "killer";
+
+// What the simulated callers and the protocol do; the mutations show that the test sees faults.
+struct Scenario
+{
+    int copies_ = 1; // copies that the killer's caller sends at once after each answer
+    bool announces_ = true; // whether reports reach the peers before the answer
+};
+
+// 12 targets, 3 entries and their callers in virtual time.
+class Fleet
+{
+public:
+    Fleet(unsigned seed, const Scenario &scenario)
+        : random_(seed)
+        , scenario_(scenario)
+    {
+        for (int i = 0; i < kTargets; ++i)
+            targets_.push_back(std::make_unique<Target>(clock_));
+        for (int i = 0; i < kEntries; ++i)
+            entries_.push_back(std::make_unique<Quarantine>(
+                std::to_string(i), QuarantineClocks{clock_, wallClock_}, std::chrono::hours(1)));
+    }
+
+    void run()
+    {
+        for (int i = 0; i < kInnocents; ++i)
+            after(pick(200),
+                  [this, i] { submit(pick(kEntries), "innocent " + std::to_string(i)); });
+        after(100, [this] { submit(pick(kEntries), kKiller); });
+        for (int steps = 0; !events_.empty() && steps < 1'000'000; ++steps)
+            step();
+    }
+
+    int crashes_ = 0;
+    int succeeded_ = 0;
+    int quarantined_ = 0; // refusals of the killer
+    int hit_ = 0; // innocents that were in flight at a crash
+
+private:
+    struct Flight
+    {
+        int entry_;
+        std::string fingerprint_;
+        bool isAlone_;
+    };
+
+    struct Target
+    {
+        explicit Target(const Clock &clock)
+            : gate_(clock)
+        { }
+
+        IsolationGate gate_;
+        std::map<int, Flight> flights_;
+        int boot_ = 0;
+    };
+
+    int pick(int count) { return static_cast<int>(random_() % static_cast<unsigned>(count)); }
+
+    void after(int delay, std::function<void()> action)
+    {
+        events_.emplace(clock_.now() + milliseconds(delay), std::move(action));
+    }
+
+    void step()
+    {
+        const auto next = events_.begin();
+        const auto action = std::move(next->second);
+        wallClock_.advance(next->first - clock_.now());
+        clock_.advance(next->first - clock_.now());
+        events_.erase(next);
+        action();
+    }
+
+    // Sends the report to the peers, each way with its own delay; calls done after all replies.
+    void exchange(int entry, const SuspectRecord &report, std::function<void()> done)
+    {
+        if (!scenario_.announces_)
+            return done();
+        const auto missing = std::make_shared<int>(kEntries - 1);
+        for (int peer = 0; peer < kEntries; ++peer) {
+            if (peer == entry)
+                continue;
+            after(1 + pick(20), [this, entry, peer, report, missing, done] {
+                const SuspectRecord reply = entries_[peer]->merge(report);
+                after(1 + pick(20), [this, entry, reply, missing, done] {
+                    entries_[entry]->merge(reply);
+                    if (--*missing == 0)
+                        done();
+                });
+            });
+        }
+    }
+
+    void submit(int entry, const std::string &fingerprint)
+    {
+        const Result<Standing> standing = entries_[entry]->admit(fingerprint);
+        if (!standing)
+            return answer(fingerprint, false);
+        if (*standing == Standing::Clear)
+            return runShared(entry, fingerprint);
+        const auto report =
+            entries_[entry]->requestRun(fingerprint, wallClock_.now() + std::chrono::seconds(60));
+        if (!report)
+            return after(5, [this, entry, fingerprint] { submit(entry, fingerprint); });
+        exchange(entry, *report, [this, entry, fingerprint] { confirm(entry, fingerprint); });
+    }
+
+    void runShared(int entry, const std::string &fingerprint)
+    {
+        const int target = pick(kTargets);
+        if (!targets_[target]->gate_.enter())
+            return after(1, [this, entry, fingerprint] { submit(entry, fingerprint); });
+        dispatch(target, {entry, fingerprint, false});
+    }
+
+    void confirm(int entry, const std::string &fingerprint)
+    {
+        const Result<bool> may = entries_[entry]->confirmRun(fingerprint);
+        if (!may)
+            return exchange(entry, entries_[entry]->endRun(fingerprint),
+                            [this, fingerprint] { answer(fingerprint, false); });
+        if (!*may)
+            return after(3, [this, entry, fingerprint] { confirm(entry, fingerprint); });
+        runAlone(entry, fingerprint, pick(kTargets));
+    }
+
+    void runAlone(int entry, const std::string &fingerprint, int target)
+    {
+        const auto alone =
+            targets_[target]->gate_.enterAlone(fingerprint, clock_.now() + std::chrono::seconds(1));
+        if (alone && *alone)
+            return dispatch(target, {entry, fingerprint, true});
+        const int next = alone ? target : pick(kTargets);
+        after(1, [this, entry, fingerprint, next] { runAlone(entry, fingerprint, next); });
+    }
+
+    void dispatch(int target, const Flight &flight)
+    {
+        if (flight.isAlone_)
+            CHECK(targets_[target]->flights_.empty());
+        const int id = nextFlight_++;
+        targets_[target]->flights_.emplace(id, flight);
+        if (flight.fingerprint_ == kKiller)
+            after(1 + pick(10), [this, target, id] { crash(target, id); });
+        else
+            after(5 + pick(50), [this, target, id] { complete(target, id); });
+    }
+
+    void complete(int target, int id)
+    {
+        const auto node = targets_[target]->flights_.extract(id);
+        if (node.empty())
+            return; // the target crashed before
+        const Flight flight = node.mapped();
+        targets_[target]->gate_.leave();
+        std::optional<SuspectRecord> report =
+            entries_[flight.entry_]->completed(flight.fingerprint_);
+        if (flight.isAlone_)
+            report = entries_[flight.entry_]->endRun(flight.fingerprint_);
+        if (!report)
+            return answer(flight.fingerprint_, true);
+        exchange(flight.entry_, *report, [this, flight] { answer(flight.fingerprint_, true); });
+    }
+
+    void crash(int target, int id)
+    {
+        Target &crashed = *targets_[target];
+        if (crashed.flights_.count(id) == 0)
+            return; // another copy crashed the target before
+        ++crashes_;
+        const std::string crashId = std::to_string(target) + "/" + std::to_string(crashed.boot_++);
+        const auto flights = std::exchange(crashed.flights_, {});
+        crashed.gate_.reset();
+        for (const auto &[flightId, flight] : flights)
+            after(pick(4), [this, flight = flight, crashId] { onCrash(flight, crashId); });
+    }
+
+    void onCrash(const Flight &flight, const std::string &crashId)
+    {
+        Quarantine &quarantine = *entries_[flight.entry_];
+        SuspectRecord report = quarantine.crashed(flight.fingerprint_, crashId);
+        if (flight.isAlone_)
+            report = quarantine.endRun(flight.fingerprint_);
+        hit_ += flight.fingerprint_ == kKiller ? 0 : 1;
+        exchange(flight.entry_, report, [this, flight] {
+            const bool retries = flight.fingerprint_ != kKiller || pick(2) == 0;
+            if (retries)
+                submit(flight.entry_, flight.fingerprint_);
+            else
+                answer(flight.fingerprint_, false);
+        });
+    }
+
+    void answer(const std::string &fingerprint, bool succeeded)
+    {
+        if (fingerprint != kKiller) {
+            succeeded_ += succeeded ? 1 : 0;
+            return;
+        }
+        if (!entries_[0]->admit(kKiller))
+            ++quarantined_;
+        if (resends_++ >= kResends)
+            return;
+        for (int i = 0; i < scenario_.copies_; ++i)
+            submit(pick(kEntries), kKiller);
+    }
+
+    ManualClock clock_;
+    ManualWallClock wallClock_;
+    std::mt19937 random_;
+    Scenario scenario_;
+    std::multimap<TimePoint, std::function<void()>> events_;
+    std::vector<std::unique_ptr<Target>> targets_;
+    std::vector<std::unique_ptr<Quarantine>> entries_;
+    int nextFlight_ = 0;
+    int resends_ = 0;
+};
+
+// Guards against a request that crashes target after target, and against innocents that fail
+// because they were in flight with it.
+TEST_CASE("a request that is sent again and again crashes at most 2 of 12 targets")
+{
+    int hit = 0;
+    for (unsigned seed = 0; seed < 300; ++seed) {
+        CAPTURE(seed);
+        Fleet fleet(seed, {.copies_ = 1 + static_cast<int>(seed % 3)});
+        fleet.run();
+        CHECK(fleet.crashes_ == 2);
+        CHECK(fleet.succeeded_ == kInnocents);
+        CHECK(fleet.quarantined_ > 0);
+        hit += fleet.hit_;
+    }
+    CHECK(hit > 300); // otherwise the innocents were never in danger
+}
+
+// Guards against a simulation in which the killer is harmless anyway.
+TEST_CASE("without announcements more targets crash")
+{
+    int crashes = 0;
+    for (unsigned seed = 0; seed < 20; ++seed) {
+        Fleet fleet(seed, {.announces_ = false});
+        fleet.run();
+        crashes += fleet.crashes_;
+    }
+    CHECK(crashes > 2 * 20);
+}
+
+} // namespace
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/retry/retry_budget.h
@@ -0,0 +1,73 @@
+#pragma once
+
+// Limits retries to a fraction of each workspace's recent requests, so that retries can't multiply
+// the load when many requests fail at once.
+//
+//     budget.onRequest(workspace);      // each request once, when it is admitted
+//     if (budget.tryRetry(workspace)) { /* send it again */ }
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+
+#include "base/clock.h"
+
+namespace foxtailturn {
+
+struct RetryBudgetLimits
+{
+    int percent_ = 20; // retries per 100 recent requests
+    int floor_ = 3; // retries that are always allowed in a window, for small workspaces
+    Duration slot_ = std::chrono::seconds(1); // requests are counted by slots of this length
+    Duration window_ = std::chrono::seconds(10); // a slot counts this long after its end
+
+    bool operator==(const RetryBudgetLimits &) const = default;
+};
+
+// The budgets of all workspaces of one process, in shards. Thread-safe.
+class RetryBudget
+{
+public:
+    // The clock must outlive the budget.
+    RetryBudget(const Clock &clock, const RetryBudgetLimits &limits);
+
+    // Counts a request; its retries don't count. Thread-safe.
+    void onRequest(const std::string &workspace);
+
+    // Takes one retry from the budget. Returns false when it is used up. Thread-safe.
+    [[nodiscard]] bool tryRetry(const std::string &workspace);
+
+    // Returns the number of workspaces with requests in the window. Thread-safe.
+    [[nodiscard]] std::size_t workspaceCount() const;
+
+private:
+    static constexpr std::size_t kShards = 16;
+
+    struct Slot
+    {
+        TimePoint endsAt_;
+        TimePoint expiresAt_;
+        std::int64_t requests_ = 0;
+        std::int64_t retries_ = 0;
+    };
+
+    struct Shard
+    {
+        mutable std::mutex mutex_;
+        std::unordered_map<std::string, std::deque<Slot>> windows_;
+        TimePoint pruneAt_;
+    };
+
+    [[nodiscard]] Shard &shardOf(const std::string &workspace);
+    void prune(Shard &shard, TimePoint now) const;
+    std::deque<Slot> &currentWindow(Shard &shard, const std::string &workspace);
+
+    const Clock &clock_;
+    RetryBudgetLimits limits_;
+    std::array<Shard, kShards> shards_;
+};
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/retry/retry_policy_test.cpp
@@ -0,0 +1,107 @@
+#include "retry/retry_policy.h"
+
+#include <doctest/doctest.h>
+
+namespace foxtailturn {
+namespace {
+
+using std::chrono::seconds;
+
+const RetryBudgetLimits kLimits{.percent_ = 10, .floor_ = 2};
+
+int takeAll(RetryBudget &budget, const std::string &workspace)
+{
+    int taken = 0;
+    while (taken < 1'000 && budget.tryRetry(workspace))
+        ++taken;
+    return taken;
+}
+
+// Guards against retries that multiply the load, and against one workspace using another's budget.
+TEST_CASE("the budget is a floor plus a fraction of the recent requests")
+{
+    ManualClock clock;
+    RetryBudget budget(clock, kLimits);
+    CHECK(takeAll(budget, "small") == 2);
+    for (int i = 0; i < 200; ++i)
+        budget.onRequest("large");
+    CHECK(takeAll(budget, "large") == 22);
+    CHECK(takeAll(budget, "small") == 0);
+    clock.advance(seconds(5));
+    for (int i = 0; i < 100; ++i)
+        budget.onRequest("large");
+    CHECK(takeAll(budget, "large") == 10);
+    clock.advance(seconds(6)); // the first slot has left the window, with its retries
+    CHECK(takeAll(budget, "large") == 2);
+    CHECK(takeAll(budget, "small") == 2);
+}
+
+// Guards against memory that grows with every workspace ever seen.
+TEST_CASE("idle workspaces are forgotten")
+{
+    ManualClock clock;
+    RetryBudget budget(clock, kLimits);
+    for (int i = 0; i < 1'000; ++i)
+        budget.onRequest(std::to_string(i));
+    CHECK(budget.workspaceCount() == 1'000);
+    clock.advance(seconds(30));
+    for (int i = 0; i < 1'000; i += 10)
+        budget.onRequest(std::to_string(i));
+    CHECK(budget.workspaceCount() == 100);
+}
+
+// Guards against a second run of work that isn't repeatable, retries after the caller has gone, and
+// not_run told of a request whose earlier attempt may have run.
+TEST_CASE("what is retried, and what the caller is told otherwise")
+{
+    constexpr auto kNotRun = Execution::NotRun;
+    constexpr auto kUnknown = Execution::OutcomeUnknown;
+    struct Case
+    {
+        const char *name_;
+        ErrorCode code_;
+        Execution execution_;
+        Execution earlier_;
+        bool isRepeatable_;
+        int retryAfter_; // seconds, as told by the failure
+        bool isRetried_;
+        Execution told_;
+    };
+    const Case cases[] = {
+        {"not run", ErrorCode::TargetDraining, kNotRun, kNotRun, false, 0, true, kNotRun},
+        {"unknown", ErrorCode::TargetCrashed, kUnknown, kNotRun, false, 0, false, kUnknown},
+        {"repeatable", ErrorCode::TargetCrashed, kUnknown, kNotRun, true, 0, true, kUnknown},
+        {"earlier may have run", ErrorCode::NoTarget, kNotRun, kUnknown, false, 0, false, kUnknown},
+        {"final", ErrorCode::BadRequest, kNotRun, kNotRun, true, 0, false, kNotRun},
+        {"final later", ErrorCode::Quarantined, kNotRun, kUnknown, true, 0, false, kUnknown},
+        {"may wait", ErrorCode::Overloaded, kNotRun, kNotRun, true, 9, true, kNotRun},
+        {"too late", ErrorCode::Overloaded, kNotRun, kNotRun, true, 10, false, kNotRun},
+    };
+    for (const Case &c : cases) {
+        CAPTURE(c.name_);
+        ManualClock clock;
+        RetryBudget budget(clock, kLimits);
+        RetryPolicy policy(clock, budget);
+        const TimePoint now = clock.now();
+        FailedAttempt attempt{Error{c.code_, c.execution_, "failed", now + seconds(c.retryAfter_)},
+                              c.earlier_, c.isRepeatable_, now + seconds(10), "w"};
+        const Result<TimePoint> retry = policy.decide(attempt);
+        REQUIRE(retry.has_value() == c.isRetried_);
+        if (retry) {
+            CHECK(*retry == now + seconds(c.retryAfter_));
+            while (budget.tryRetry("w")) { }
+            const Result<TimePoint> second = policy.decide(attempt);
+            REQUIRE(!second);
+            CHECK(second.error().code_ == ErrorCode::RetryBudgetExhausted);
+            CHECK(second.error().execution_ == c.told_);
+        } else {
+            CHECK(retry.error().code_ == c.code_);
+            CHECK(retry.error().execution_ == c.told_);
+        }
+        clock.advance(seconds(10));
+        CHECK(!policy.decide(attempt));
+    }
+}
+
+} // namespace
+} // namespace foxtailturn
