--- a/packages/entry/entry_server.cpp
+++ b/packages/entry/entry_server.cpp
@@ -231,7 +231,7 @@
             return true;
         }
         if (event.kind_ == StreamEvent::Kind::Failure)
-            return breakStream(live, *event.failure_, sink);
+            return targetFailed(live, answer, *event.failure_, sink);
         const Result<void> allowed = live->check();
         if (!allowed)
             return breakStream(live, allowed.error(), sink);
@@ -242,6 +242,13 @@
         return sink.is_writable();
     }
 
+    bool targetFailed(const Live &live, const OpenAnswer &answer, const Error &error,
+                      httplib::DataSink &sink)
+    {
+        forwarder_->noteFailure(live->context(), answer.placement_->target().name_, error);
+        return breakStream(live, error, sink);
+    }
+
     bool breakStream(const Live &live, const Error &error, httplib::DataSink &sink)
     {
         ++failed_;
--- a/packages/entry/forwarder.cpp
+++ b/packages/entry/forwarder.cpp
@@ -122,9 +122,7 @@
         error.execution_ = combinedExecution(attempts.execution_, failure.execution_);
         return tl::unexpected(error);
     }
-    const Result<void> mayRunAgain = noteFailure(context, attempts.target_, failure);
-    if (!mayRunAgain)
-        return mayRunAgain;
+    noteFailure(context, attempts.target_, failure);
     const Result<TimePoint> retryAt = retries_->decide(context, failure, attempts.execution_);
     if (!retryAt)
         return tl::unexpected(retryAt.error());
@@ -132,7 +130,7 @@
     kLog.info(concat("attempt is repeated, request=", context.request_.id_,
                      " attempt=", attempts.number_, " code=", errorName(failure.code_)));
     std::this_thread::sleep_for(*retryAt - clock_->now());
-    return {};
+    return failure.code_ == ErrorCode::TargetCrashed ? retries_->readmit(context) : Result<void> {};
 }
 
 Result<OpenAnswer> Forwarder::start(const RequestContext &context, Attempts &attempts)
@@ -174,16 +172,15 @@
     }
 }
 
-Result<void> Forwarder::noteFailure(RequestContext &context, const std::string &target,
-                                    const Error &error)
+void Forwarder::noteFailure(const RequestContext &context, const std::string &target,
+                            const Error &error)
 {
     if (error.code_ == ErrorCode::TargetDraining)
         directory_->refusedAsDraining(target);
     if (error.code_ == ErrorCode::ConnectionLost)
         directory_->connectionFailed(target);
     if (error.code_ == ErrorCode::TargetCrashed)
-        return retries_->targetCrashed(context, target);
-    return {};
+        retries_->targetCrashed(context, target);
 }
 
 wire::ExecuteRequest Forwarder::toWire(const RequestContext &context, std::uint32_t attempt) const
--- a/packages/entry/forwarder.h
+++ b/packages/entry/forwarder.h
@@ -56,6 +56,9 @@
     // Returns a complete answer. Errors: as open(). Thread-safe.
     [[nodiscard]] Result<WholeAnswer> fetch(RequestContext &context, const LiveCheck &isLive);
 
+    // Tells the directory and the retry guard about a failed attempt. Thread-safe.
+    void noteFailure(const RequestContext &context, const std::string &target, const Error &error);
+
 private:
     struct Attempts
     {
@@ -74,8 +77,6 @@
     // Decides on a failed attempt: returns once the next one may start, or the caller's error.
     [[nodiscard]] Result<void> prepareRetry(RequestContext &context, Attempts &attempts,
                                             const Error &failure);
-    [[nodiscard]] Result<void> noteFailure(RequestContext &context, const std::string &target,
-                                           const Error &error);
     [[nodiscard]] wire::ExecuteRequest toWire(const RequestContext &context,
                                               std::uint32_t attempt) const;
 
--- a/packages/entry/retry_guard.cpp
+++ b/packages/entry/retry_guard.cpp
@@ -61,6 +61,11 @@
 Result<void> RetryGuard::admit(RequestContext &context)
 {
     budget_->onRequest(workspaceOf(context));
+    return checkSuspect(context);
+}
+
+Result<void> RetryGuard::checkSuspect(RequestContext &context)
+{
     const Result<Standing> standing = quarantine_->admit(context.fingerprint_);
     if (!standing)
         return tl::unexpected(standing.error());
@@ -99,26 +104,25 @@
                             workspaceOf(context)});
 }
 
-Result<void> RetryGuard::targetCrashed(RequestContext &context, const std::string &target)
+void RetryGuard::targetCrashed(const RequestContext &context, const std::string &target)
 {
     kLog.warn(concat("target crashed, target=", target, " request=", context.request_.id_));
     exchange_(quarantine_->crashed(context.fingerprint_, crashIds_.idOf(target)),
               exchangeDeadline());
-    const Result<Standing> standing = quarantine_->admit(context.fingerprint_);
-    if (!standing) {
-        Error error = standing.error();
-        error.execution_ = Execution::OutcomeUnknown;
-        return tl::unexpected(error);
+}
+
+Result<void> RetryGuard::readmit(RequestContext &context)
+{
+    if (context.solo_) {
+        exchange_(quarantine_->endRun(context.fingerprint_), exchangeDeadline());
+        context.solo_ = false;
     }
-    if (context.solo_)
+    const Result<void> admitted = checkSuspect(context);
+    if (admitted)
         return {};
-    Result<void> turn = waitForTurn(context);
-    if (!turn) {
-        Error error = turn.error();
-        error.execution_ = Execution::OutcomeUnknown;
-        return tl::unexpected(error);
-    }
-    return {};
+    Error error = admitted.error();
+    error.execution_ = Execution::OutcomeUnknown;
+    return tl::unexpected(error);
 }
 
 void RetryGuard::ended(const RequestContext &context, bool completed)
--- a/packages/entry/retry_guard.h
+++ b/packages/entry/retry_guard.h
@@ -65,14 +65,19 @@
     [[nodiscard]] Result<TimePoint> decide(const RequestContext &context, const Error &failure,
                                            Execution earlier);
 
-    // Tells that the target crashed while it ran the request; returns once the peers know. Error:
-    // Quarantined (OutcomeUnknown) when the request must not run again. Thread-safe.
-    [[nodiscard]] Result<void> targetCrashed(RequestContext &context, const std::string &target);
+    // Tells that the target crashed while it ran the request; returns once the peers know. Call it
+    // before the caller gets its answer. Thread-safe.
+    void targetCrashed(const RequestContext &context, const std::string &target);
+
+    // Admits the request again after a crash; errors as for admit(), but OutcomeUnknown.
+    // Thread-safe.
+    [[nodiscard]] Result<void> readmit(RequestContext &context);
 
     // Tells that the request ended; completed: its answer was whole. Thread-safe.
     void ended(const RequestContext &context, bool completed);
 
 private:
+    [[nodiscard]] Result<void> checkSuspect(RequestContext &context);
     [[nodiscard]] Result<void> waitForTurn(RequestContext &context);
     [[nodiscard]] TimePoint exchangeDeadline() const;
 
