--- a/packages/agent/agent_server.cpp
+++ b/packages/agent/agent_server.cpp
@@ -48,11 +48,12 @@
 {
 public:
     Impl(AgentIdentity identity, const Clock &clock, AgentScheduler &scheduler, Executor &executor,
-         std::size_t maxExecutions, std::function<std::uint64_t()> revision)
+         AdapterObjects &objects, std::size_t maxExecutions, std::function<std::uint64_t()> revision)
         : identity_(std::move(identity))
         , clock_(&clock)
         , scheduler_(&scheduler)
         , executor_(&executor)
+        , objects_(&objects)
         , maxExecutions_(maxExecutions)
         , revision_(std::move(revision))
         , executions_(clock)
@@ -151,6 +152,9 @@
     void run(const wire::ExecuteRequest &request, const std::shared_ptr<AnswerBuffer> &answer)
     {
         const TimePoint deadline = deadlineOf(request.remaining_micros(), clock_->now());
+        if (request.has_adapter())
+            objects_->note({request.adapter().id(), std::to_string(request.adapter().version())},
+                           request.adapter().object());
         asio::post(pool_, [this, request, answer, deadline] {
             executor_->run(request, deadline, *answer);
         });
@@ -187,6 +191,7 @@
     const Clock *clock_;
     AgentScheduler *scheduler_;
     Executor *executor_;
+    AdapterObjects *objects_;
     std::size_t maxExecutions_;
     std::function<std::uint64_t()> revision_;
     ExecutionTable executions_;
@@ -197,10 +202,10 @@
 };
 
 AgentServer::AgentServer(AgentIdentity identity, const Clock &clock, AgentScheduler &scheduler,
-                         Executor &executor, std::size_t maxExecutions,
+                         Executor &executor, AdapterObjects &objects, std::size_t maxExecutions,
                          std::function<std::uint64_t()> revision)
-    : impl_(std::make_unique<Impl>(std::move(identity), clock, scheduler, executor, maxExecutions,
-                                   std::move(revision)))
+    : impl_(std::make_unique<Impl>(std::move(identity), clock, scheduler, executor, objects,
+                                   maxExecutions, std::move(revision)))
 {
 }
 
--- a/packages/agent/agent_server.h
+++ b/packages/agent/agent_server.h
@@ -2,7 +2,7 @@
 
 // The agent's gRPC service: executions and heartbeats.
 //
-//     AgentServer server(identity, clock, scheduler, executor, 256);
+//     AgentServer server(identity, clock, scheduler, executor, objects, 256, revision);
 //     builder.RegisterService(server.service());
 //     ...
 //     server.drain();   // refuses new work; running executions finish
@@ -13,6 +13,7 @@
 #include <string>
 
 #include "adapters/agent_scheduler.h"
+#include "agent/adapter_objects.h"
 #include "agent/execution_table.h"
 #include "agent/executor.h"
 #include "base/clock.h"
@@ -39,7 +40,7 @@
     // All references must outlive the server. maxExecutions bounds the threads that run or wait
     // with a request; revision returns the configuration revision in force.
     AgentServer(AgentIdentity identity, const Clock &clock, AgentScheduler &scheduler,
-                Executor &executor, std::size_t maxExecutions,
+                Executor &executor, AdapterObjects &objects, std::size_t maxExecutions,
                 std::function<std::uint64_t()> revision);
     ~AgentServer();
 
