--- a/packages/retry/quarantine_simulation_test.cpp
+++ b/packages/retry/quarantine_simulation_test.cpp
@@ -159,8 +159,8 @@
 
     void dispatch(int target, const Flight &flight)
     {
-        if (flight.isAlone_)
-            CHECK(targets_[target]->flights_.empty());
+        for (const auto &[id, other] : targets_[target]->flights_)
+            CHECK(!(flight.isAlone_ || other.isAlone_));
         const int id = nextFlight_++;
         targets_[target]->flights_.emplace(id, flight);
         if (flight.fingerprint_ == kKiller)
--- a/packages/retry/quarantine_test.cpp
+++ b/packages/retry/quarantine_test.cpp
@@ -98,6 +98,23 @@
     CHECK(world.a_.confirmRun("f") == true);
 }
 
+// Guards against an ended run, still known to a peer, that hides a new run of the same process.
+TEST_CASE("a new run counts even if peers remember an earlier one")
+{
+    QuarantineWorld world;
+    world.a_.crashed("f", "crash 1");
+    REQUIRE(world.a_.requestRun("f", world.soon()));
+    world.b_.merge(world.a_.endRun("f"));
+    world.advance(kMemory / 2);
+    world.b_.crashed("f", "crash 2");
+    REQUIRE(world.b_.completed("f"));
+    world.advance(kMemory / 2);
+    CHECK(world.a_.records().empty());
+    world.a_.crashed("f", "crash 3");
+    QuarantineWorld::exchange(world.a_, world.b_, *world.a_.requestRun("f", world.soon()));
+    CHECK(world.a_.confirmRun("f") == true);
+}
+
 // Guards against records that depend on the order or the number of reports.
 TEST_CASE("merging is idempotent and commutative, and survives JSON")
 {
