--- a/packages/config/content.h
+++ b/packages/config/content.h
@@ -106,6 +106,9 @@
     bool operator==(const ConfigurationContent &) const = default;
 };
 
+// Puts all lists in canonical order, so that equal content has an equal serialization.
+void sortContent(ConfigurationContent &content);
+
 // Returns "model" or "service", and "chat" or "batch".
 [[nodiscard]] std::string_view routeKindName(RouteKind kind);
 [[nodiscard]] std::string_view priorityName(PriorityClass priority);
--- a/packages/config/content_check.cpp
+++ b/packages/config/content_check.cpp
@@ -1,10 +1,7 @@
 #include "config/content_check.h"
 
-#include <algorithm>
-#include <functional>
 #include <map>
 #include <set>
-#include <tuple>
 #include <utility>
 
 #include "base/log.h"
@@ -70,7 +67,9 @@
     void refuseRepeated(std::map<std::string, Place> &seen, const std::string &id,
                         const Place &place, std::string_view field)
     {
-        const auto [it, inserted] = seen.emplace(id, place);
+        Place fieldPlace = place;
+        fieldPlace.field_ += concat(".", field);
+        const auto [it, inserted] = seen.emplace(id, std::move(fieldPlace));
         if (!inserted)
             report(place, field, concat("'", id, "' is already given"), it->second);
     }
@@ -282,48 +281,9 @@
 
 } // namespace
 
-std::string placeText(const Place &place)
-{
-    std::string text = place.file_;
-    if (place.line_ > 0)
-        text += concat(":", place.line_);
-    if (!text.empty() && !place.field_.empty())
-        text += ": ";
-    text += place.field_;
-    return place.context_.empty() ? text : concat(text, " (", place.context_, ")");
-}
-
-std::string problemText(const Problem &problem)
-{
-    const std::string text = concat(placeText(problem.place_), " ", problem.text_);
-    return problem.other_ ? concat(text, "; see ", placeText(*problem.other_)) : text;
-}
-
-Error problemError(const Problem &problem)
-{
-    return Error{ErrorCode::InvalidConfiguration, Execution::NotRun, problemText(problem)};
-}
-
 std::vector<Problem> checkContent(const ConfigurationContent &content, const ContentPlaces &places)
 {
     return ContentChecker(content, places).run();
 }
 
-void sortContent(ConfigurationContent &content)
-{
-    for (TargetGroup &group : content.targetGroups_)
-        std::ranges::sort(group.baseModels_);
-    for (Route &route : content.routes_)
-        std::ranges::sort(route.methods_);
-    for (AdapterVersion &adapter : content.adapters_)
-        std::ranges::sort(adapter.owners_);
-    std::ranges::sort(content.targetGroups_, {}, &TargetGroup::name_);
-    std::ranges::sort(content.workspaces_, {}, &Workspace::id_);
-    std::ranges::sort(content.keys_, {}, &Key::id_);
-    std::ranges::sort(content.routes_, {}, &Route::id_);
-    std::ranges::sort(content.adapters_, {}, [](const AdapterVersion &adapter) {
-        return std::tie(adapter.adapter_, adapter.version_);
-    });
-}
-
 } // namespace foxtailturn
--- a/packages/config/name_table.h
+++ b/packages/config/name_table.h
@@ -10,7 +10,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "config/content_check.h"
+#include "config/content.h"
+#include "config/problem.h"
 
 namespace foxtailturn {
 
--- a/packages/config/renderer.cpp
+++ b/packages/config/renderer.cpp
@@ -98,6 +98,10 @@
         root.fail("schemes", concat("must be a list of ", kSchemeCount, " strings"));
         return;
     }
+    for (std::size_t i = 0; i < kSchemeCount; ++i) {
+        if (std::count(schemes.begin(), schemes.end(), schemes[i]) > 1)
+            root.fail(concat("schemes[", i, "]"), concat("'", schemes[i], "' is given twice"));
+    }
     std::move(schemes.begin(), schemes.end(), content_.schemes_.begin());
 }
 
@@ -326,8 +330,8 @@
     const char *begin = error.message_.data() + start;
     const char *end = error.message_.data() + error.message_.size();
     const auto [last, failure] = std::from_chars(begin, end, problem.place_.line_);
-    if (failure == std::errc() && last != end)
-        problem.text_ = std::string(last + 1, end);
+    if (failure == std::errc() && end - last > 2)
+        problem.text_ = std::string(last + 2, end);
     return problem;
 }
 
--- a/packages/config/source_object.h
+++ b/packages/config/source_object.h
@@ -20,7 +20,7 @@
 #include <vector>
 
 #include "base/json.h"
-#include "config/content_check.h"
+#include "config/problem.h"
 
 namespace foxtailturn {
 
