--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
 # make demo: builds everything and serves two requests end to end by separate processes.
 # make check: builds everything and runs all tests and model checks.
 BUILD ?= build
-SOURCES = $(shell git ls-files --cached --others --exclude-standard 'packages/*.h' 'packages/*.cpp' 'testing/*.h' 'testing/*.cpp')
+SOURCES = $(shell git ls-files --cached --others --exclude-standard 'packages/*.h' 'packages/*.cpp' 'testing/*.h' 'testing/*.cpp' \
+	':!packages/wire/generated')
 
 .PHONY: all install-deps configure check demo format format-check lint proto spec
 
--- a/packages/agent/agent_server.cpp
+++ b/packages/agent/agent_server.cpp
@@ -48,7 +48,8 @@
 {
 public:
     Impl(AgentIdentity identity, const Clock &clock, AgentScheduler &scheduler, Executor &executor,
-         AdapterObjects &objects, std::size_t maxExecutions, std::function<std::uint64_t()> revision)
+         AdapterObjects &objects, std::size_t maxExecutions,
+         std::function<std::uint64_t()> revision)
         : identity_(std::move(identity))
         , clock_(&clock)
         , scheduler_(&scheduler)
@@ -58,15 +59,14 @@
         , revision_(std::move(revision))
         , executions_(clock)
         , pool_(maxExecutions)
-    {
-    }
+    { }
 
     ~Impl() override { pool_.join(); }
 
     grpc::Status Execute(grpc::ServerContext *, const wire::ExecuteRequest *request,
                          grpc::ServerWriter<wire::Frame> *writer) override
     {
-        const ExecutionId id {request->request_id(), request->attempt()};
+        const ExecutionId id{request->request_id(), request->attempt()};
         const Result<StartedExecution> started = admit(*request, id);
         if (!started) {
             writer->Write(failureFrame(id, started.error(), clock_->now()));
@@ -81,7 +81,7 @@
     grpc::Status Resume(grpc::ServerContext *, const wire::ResumeRequest *request,
                         grpc::ServerWriter<wire::Frame> *writer) override
     {
-        const ExecutionId id {request->request_id(), request->attempt()};
+        const ExecutionId id{request->request_id(), request->attempt()};
         const std::shared_ptr<AnswerBuffer> answer = executions_.find(id);
         if (!answer || request->offset() > answer->size()) {
             writer->Write(failureFrame(id, unknownExecution(*request, id), clock_->now()));
@@ -173,8 +173,8 @@
     Error unknownExecution(const wire::ResumeRequest &request, const ExecutionId &id)
     {
         // Only this incarnation knows what it has run; an earlier one may have run the request.
-        const bool neverStarted
-            = request.incarnation() == identity_.incarnation_ && executions_.cancel(id);
+        const bool neverStarted =
+            request.incarnation() == identity_.incarnation_ && executions_.cancel(id);
         return {ErrorCode::ConnectionLost,
                 neverStarted ? Execution::NotRun : Execution::OutcomeUnknown,
                 "execution is not known to the agent"};
@@ -206,8 +206,7 @@
                          std::function<std::uint64_t()> revision)
     : impl_(std::make_unique<Impl>(std::move(identity), clock, scheduler, executor, objects,
                                    maxExecutions, std::move(revision)))
-{
-}
+{ }
 
 AgentServer::~AgentServer() = default;
 
--- a/packages/agent/answer_buffer.cpp
+++ b/packages/agent/answer_buffer.cpp
@@ -8,15 +8,14 @@
 namespace {
 
 // Bounds the memory of one execution; the longest reports stay well under 1 MiB.
-constexpr std::size_t kMaxAnswerBytes = 16 * 1024 * 1024;
+constexpr std::size_t kMaxAnswerBytes = 16'777'216;
 
 } // namespace
 
 AnswerBuffer::AnswerBuffer(const Clock &clock)
     : clock_(&clock)
     , lastReadAt_(clock.now())
-{
-}
+{ }
 
 void AnswerBuffer::setHead(AnswerHead head)
 {
--- a/packages/agent/answer_check.cpp
+++ b/packages/agent/answer_check.cpp
@@ -25,8 +25,7 @@
 AnswerCheck::AnswerCheck(std::string expected, bool streaming)
     : expected_(std::move(expected))
     , streaming_(streaming)
-{
-}
+{ }
 
 std::string AnswerCheck::feed(std::string_view bytes)
 {
@@ -89,12 +88,12 @@
         return;
     const auto model = json.find("model");
     if (model != json.end() && model->is_string())
-        verdict_ = model->get<std::string>() == expected_ ? AdapterVerdict::Right
-                                                          : AdapterVerdict::Wrong;
+        verdict_ =
+            model->get<std::string>() == expected_ ? AdapterVerdict::Right : AdapterVerdict::Wrong;
     const auto usage = json.find("usage");
     if (usage != json.end() && usage->is_object())
-        usedTokens_ = usage->value("prompt_tokens", std::uint64_t {0})
-            + usage->value("completion_tokens", std::uint64_t {0});
+        usedTokens_ = usage->value("prompt_tokens", std::uint64_t{0})
+            + usage->value("completion_tokens", std::uint64_t{0});
 }
 
 } // namespace foxtailturn
--- a/packages/agent/execution_table.cpp
+++ b/packages/agent/execution_table.cpp
@@ -16,8 +16,7 @@
 
 ExecutionTable::ExecutionTable(const Clock &clock)
     : clock_(&clock)
-{
-}
+{ }
 
 ExecutionTable::Shard &ExecutionTable::shardOf(const ExecutionId &id)
 {
@@ -32,11 +31,11 @@
     if (it == shard.entries_.end()) {
         auto answer = std::make_shared<AnswerBuffer>(*clock_);
         shard.entries_[id].answer_ = answer;
-        return StartedExecution {std::move(answer), true};
+        return StartedExecution{std::move(answer), true};
     }
     if (!it->second.answer_)
         return notRun(ErrorCode::Cancelled, "request was cancelled before it started");
-    return StartedExecution {it->second.answer_, false};
+    return StartedExecution{it->second.answer_, false};
 }
 
 std::shared_ptr<AnswerBuffer> ExecutionTable::find(const ExecutionId &id)
--- a/packages/agent/execution_table.h
+++ b/packages/agent/execution_table.h
@@ -27,7 +27,7 @@
     std::string requestId_;
     std::uint32_t attempt_ = 0;
 
-    auto operator<=>(const ExecutionId &) const = default;
+    auto operator<=>(const ExecutionId &) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 struct StartedExecution
--- a/packages/agent/executor.cpp
+++ b/packages/agent/executor.cpp
@@ -94,8 +94,7 @@
         : clock_(&clock)
         , client_(&client)
         , request_(std::move(request))
-    {
-    }
+    { }
 
     Result<RecordedAnswer> call(TimePoint dispatchDeadline, TimePoint answerDeadline) override
     {
@@ -123,8 +122,7 @@
     , client_(&client)
     , scheduler_(&scheduler)
     , once_(&once)
-{
-}
+{ }
 
 Executor::Run Executor::runOf(const wire::ExecuteRequest &request)
 {
--- a/packages/agent/frame_sender.cpp
+++ b/packages/agent/frame_sender.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr auto kProgressInterval = std::chrono::milliseconds(500);
-constexpr std::size_t kMaxDataBytes = 64 * 1024;
+constexpr std::size_t kMaxDataBytes = 65'536;
 
 wire::Frame frameOf(const ExecutionId &id)
 {
--- a/packages/agent/frame_sender.h
+++ b/packages/agent/frame_sender.h
@@ -2,7 +2,8 @@
 
 // Sends the answer of an execution to an entry as frames.
 //
-//     sendFrames(buffer, id, 0, false, clock, [&](const wire::Frame &f) { return writer->Write(f); });
+//     sendFrames(buffer, id, 0, false, clock, [&](const wire::Frame &f) { return writer->Write(f);
+//     });
 
 #include <cstdint>
 #include <functional>
--- a/packages/agent/http_engine_orders.cpp
+++ b/packages/agent/http_engine_orders.cpp
@@ -59,8 +59,7 @@
     , port_(port)
     , clock_(&clock)
     , objectName_(std::move(objectName))
-{
-}
+{ }
 
 Result<void> HttpEngineOrders::load(const AdapterId &adapter, FencingNumber fencing,
                                     TimePoint deadline)
--- a/packages/agent/model_answer.cpp
+++ b/packages/agent/model_answer.cpp
@@ -13,7 +13,7 @@
 constexpr int kTooManyRequests = 429;
 constexpr int kServerErrors = 500;
 constexpr int kUnavailable = 503;
-constexpr std::size_t kMaxRefusalBytes = 64 * 1024;
+constexpr std::size_t kMaxRefusalBytes = 65'536;
 
 bool isNotRunStatus(int status)
 {
@@ -26,8 +26,7 @@
     : engineName_(std::move(engineName))
     , buffer_(&buffer)
     , check_(engineName_, streaming)
-{
-}
+{ }
 
 bool ModelAnswerSink::onHead(int status, const std::string &contentType)
 {
@@ -41,7 +40,8 @@
     if (buffer_->isCancelled())
         return false;
     if (status_ != kOk) {
-        refusal_.append(data.substr(0, kMaxRefusalBytes - std::min(kMaxRefusalBytes, refusal_.size())));
+        refusal_.append(
+            data.substr(0, kMaxRefusalBytes - std::min(kMaxRefusalBytes, refusal_.size())));
         return true;
     }
     const std::string passed = check_.feed(data);
@@ -79,7 +79,8 @@
         return notRun(ErrorCode::TargetFailed,
                       concat("engine refused the request with status ", status_));
     if (status_ >= kServerErrors)
-        return outcomeUnknown(ErrorCode::TargetFailed, concat("engine failed with status ", status_));
+        return outcomeUnknown(ErrorCode::TargetFailed,
+                              concat("engine failed with status ", status_));
     if (!pass(refusal_))
         return outcomeUnknown(ErrorCode::Cancelled, "request was cancelled");
     return 0;
@@ -87,8 +88,7 @@
 
 ServiceAnswerSink::ServiceAnswerSink(AnswerBuffer &buffer)
     : buffer_(&buffer)
-{
-}
+{ }
 
 bool ServiceAnswerSink::onHead(int status, const std::string &contentType)
 {
--- a/packages/agent/model_answer.h
+++ b/packages/agent/model_answer.h
@@ -30,10 +30,7 @@
     // when its status says that it did not run the request.
     [[nodiscard]] Result<std::uint64_t> end();
 
-    [[nodiscard]] bool isWrongAdapter() const
-    {
-        return check_.verdict() == AdapterVerdict::Wrong;
-    }
+    [[nodiscard]] bool isWrongAdapter() const { return check_.verdict() == AdapterVerdict::Wrong; }
 
 private:
     [[nodiscard]] bool pass(const std::string &data);
--- a/packages/agent/target_client.cpp
+++ b/packages/agent/target_client.cpp
@@ -43,8 +43,7 @@
     : host_(std::move(host))
     , port_(port)
     , clock_(&clock)
-{
-}
+{ }
 
 Result<void> HttpTargetClient::call(const TargetRequest &request, TargetSink &sink)
 {
--- a/packages/agent/target_lease.cpp
+++ b/packages/agent/target_lease.cpp
@@ -26,7 +26,7 @@
 Result<TargetRow> parseTargetRow(const std::optional<Row> &row)
 {
     if (!row)
-        return TargetRow {};
+        return TargetRow{};
     const Result<Json> json = parseJson(row->value_, row->key_);
     if (!json)
         return tl::unexpected(json.error());
@@ -48,8 +48,7 @@
     , clock_(&clock)
     , table_(&table)
     , lease_(&lease)
-{
-}
+{ }
 
 bool TargetLease::isHeld() const
 {
@@ -64,8 +63,8 @@
     if (taken)
         kLog.info(concat("fencing number taken, target=", target_, " number=", number_.load()));
     else
-        kLog.info(concat("no fencing number yet, target=", target_, " code=",
-                         errorName(taken.error().code_), ": ", taken.error().message_));
+        kLog.info(concat("no fencing number yet, target=", target_,
+                         " code=", errorName(taken.error().code_), ": ", taken.error().message_));
 }
 
 Result<void> TargetLease::take()
@@ -89,8 +88,8 @@
         return notRun(ErrorCode::StoreConflict, "the lease of the agent before has not ended");
     const Json next = {{"number", current->number_ + 1}, {"holder", self_}};
     const RowVersion expected = *row ? (*row)->version_ : kAbsent;
-    const Result<RowVersion> written
-        = table_->write(key, next.dump(), expected, clock_->now() + kTableTimeout);
+    const Result<RowVersion> written =
+        table_->write(key, next.dump(), expected, clock_->now() + kTableTimeout);
     if (!written)
         return tl::unexpected(written.error());
     number_ = current->number_ + 1;
@@ -101,8 +100,8 @@
 {
     if (incarnation.empty())
         return true;
-    const Result<std::optional<Row>> row
-        = table_->read(leaseKey(incarnation), clock_->now() + kTableTimeout);
+    const Result<std::optional<Row>> row =
+        table_->read(leaseKey(incarnation), clock_->now() + kTableTimeout);
     if (!row)
         return tl::unexpected(row.error());
     // A holder creates its lease row before it takes a number, and only ended rows are removed.
--- a/packages/base/controller_loop.cpp
+++ b/packages/base/controller_loop.cpp
@@ -14,8 +14,8 @@
 struct ControllerLoop::State
 {
     asio::io_context context_;
-    asio::executor_work_guard<asio::io_context::executor_type> work_
-        = asio::make_work_guard(context_);
+    asio::executor_work_guard<asio::io_context::executor_type> work_ =
+        asio::make_work_guard(context_);
     std::vector<std::thread> threads_;
 };
 
@@ -29,8 +29,7 @@
         : timer_(context)
         , interval_(interval)
         , tick_(std::move(tick))
-    {
-    }
+    { }
 
     void run()
     {
--- a/packages/daemon/admin_server.cpp
+++ b/packages/daemon/admin_server.cpp
@@ -93,19 +93,19 @@
     void addState()
     {
         server_.Get("/metrics", guarded([this](const auto &, httplib::Response &response) {
-            response.set_content(handlers_.metrics_(), kPrometheusType);
-        }));
+                        response.set_content(handlers_.metrics_(), kPrometheusType);
+                    }));
         server_.Get("/state", guarded([this](const auto &, httplib::Response &response) {
-            response.set_content(handlers_.state_(), kJsonType);
-        }));
+                        response.set_content(handlers_.state_(), kJsonType);
+                    }));
     }
 
     void addOrders()
     {
         server_.Post("/drain", guarded([this](const auto &, httplib::Response &response) {
-            handlers_.drain_();
-            response.set_content("{}", kJsonType);
-        }));
+                         handlers_.drain_();
+                         response.set_content("{}", kJsonType);
+                     }));
         server_.Post("/withdraw",
                      guarded([this](const httplib::Request &request, httplib::Response &response) {
                          withdraw(request, response);
@@ -139,8 +139,7 @@
 
 AdminServer::AdminServer(Endpoint listen, std::string token, AdminHandlers handlers)
     : impl_(std::make_unique<Impl>(std::move(listen), std::move(token), std::move(handlers)))
-{
-}
+{ }
 
 AdminServer::~AdminServer() = default;
 
--- a/packages/daemon/agent_role.cpp
+++ b/packages/daemon/agent_role.cpp
@@ -1,5 +1,6 @@
 #include "daemon/agent_role.h"
 
+#include <algorithm>
 #include <thread>
 #include <utility>
 
@@ -24,7 +25,7 @@
     Result<void> unload(const AdapterId &, FencingNumber, TimePoint) override { return refuse(); }
     Result<std::vector<EngineAdapter>> list(TimePoint) override
     {
-        return std::vector<EngineAdapter> {};
+        return std::vector<EngineAdapter>{};
     }
 
 private:
@@ -54,17 +55,17 @@
              node_.lease())
     , orders_(makeOrders())
     , waiter_(node_.clock())
-    , claims_({node_.table(), node_.clock(), node_.wallClock(), waiter_}, ClaimLimits {})
-    , once_(claims_, node_.clock(), ClaimLimits {})
+    , claims_({node_.table(), node_.clock(), node_.wallClock(), waiter_}, ClaimLimits{})
+    , once_(claims_, node_.clock(), ClaimLimits{})
     , client_(settings.target_.address_.host_, settings.target_.address_.port_, node_.clock())
     , scheduler_(std::make_unique<AgentScheduler>(schedulerSettings(settings.target_),
                                                   node_.clock(), *orders_, lease_))
     , executor_(std::make_unique<Executor>(node_.clock(), client_, *scheduler_, once_))
     , server_(std::make_unique<AgentServer>(
-          AgentIdentity {settings.target_.name_, settings.target_.group_, node_.incarnation()},
+          AgentIdentity{settings.target_.name_, settings.target_.group_, node_.incarnation()},
           node_.clock(), *scheduler_, *executor_, objects_,
           static_cast<std::size_t>(settings.target_.maxRunning_ + settings.target_.maxWaiting_),
-          [this] { return node_.config().revision(); }))
+          [this] { return node_.revision(); }))
 {
     node_.setHooks(nodeHooks());
     node_.addService(server_->service());
@@ -125,8 +126,8 @@
 void AgentRole::stop()
 {
     server_->drain();
-    const TimePoint deadline
-        = node_.clock().now() + std::chrono::milliseconds(settings_.stopTimeoutMs_);
+    const TimePoint deadline =
+        node_.clock().now() + std::chrono::milliseconds(settings_.stopTimeoutMs_);
     const auto isBusy = [this] {
         return !scheduler_->isIdle() || server_->runningCount() > 0 || server_->readerCount() > 0
             || claims_.repairPending() > 0;
--- a/packages/daemon/entry_role.cpp
+++ b/packages/daemon/entry_role.cpp
@@ -41,7 +41,7 @@
     , shares_(node_.incarnation(), node_.clock(), node_.lease(), limiter_, ledger_, reclaimer_,
               node_.peers())
     , fleetLimiter_(node_.clock(), limiter_, shares_)
-    , budget_(node_.clock(), RetryBudgetLimits {})
+    , budget_(node_.clock(), RetryBudgetLimits{})
     , retryPolicy_(node_.clock(), budget_)
     , quarantine_(node_.incarnation(), {node_.clock(), node_.wallClock()}, kQuarantineMemory)
     , quarantineRows_(node_.table(), node_.wallClock())
@@ -50,7 +50,7 @@
                  exchangeSuspect(record, deadline);
              })
     , directory_(node_.clock())
-    , router_(node_.clock(), directory_, adapterAwarePlacement(PlacementSettings {}))
+    , router_(node_.clock(), directory_, adapterAwarePlacement(PlacementSettings{}))
     , links_(settings.security_)
     , heartbeats_(node_.incarnation(), directory_, links_)
     , forwarder_(node_.clock(), router_, directory_, links_, watchdog_, guard_,
@@ -91,7 +91,7 @@
     ControllerLoop &loop = node_.loop();
     loop.every(kWatchdogInterval, [this] { watchdog_.check(node_.clock().now()); });
     loop.every(kHeartbeatInterval,
-               [this] { heartbeats_.tick(node_.membersOf("agent"), node_.config().revision()); });
+               [this] { heartbeats_.tick(node_.membersOf("agent"), node_.revision()); });
     loop.every(kLimitsInterval, [this] { applyLimits(); });
     loop.every(kPollInterval, [this] { shares_.exchange(); });
     loop.every(kReconcileInterval, [this] { shares_.reconcile(); });
--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -43,13 +43,15 @@
     , witness_(incarnation_, clock_)
     , peers_(settings.name_, settings.security_)
     , lease_(incarnation_, std::chrono::milliseconds(settings.leaseMs_), clock_, table_)
-    , leaseController_(clock_, lease_, peers_)
-    , config_(table_, objects_, clock_)
+    , leaseController_(clock_, lease_, peers_,
+                       [this](std::uint64_t revision, TimePoint askedAt) {
+                           config_.confirmByWitnesses(revision, askedAt);
+                       })
+    , config_(table_, objects_, clock_, FollowerSettings{})
     , announcer_(incarnation_, roleName(settings.role_), clock_, peers_, announcerHooks())
     , admin_(settings.adminListen_, settings.adminToken_, adminHandlers())
     , loop_(kControllerThreads)
-{
-}
+{ }
 
 Node::~Node()
 {
@@ -111,7 +113,8 @@
 
 void Node::readMembership()
 {
-    const Result<std::vector<Member>> members = membership_.members(clock_.now() + kPlatformTimeout);
+    const Result<std::vector<Member>> members =
+        membership_.members(clock_.now() + kPlatformTimeout);
     if (members)
         peers_.setMembers(*members);
 }
@@ -128,21 +131,32 @@
 
 void Node::pollConfig()
 {
-    const std::uint64_t before = config_.revision();
-    const Result<void> polled = config_.poll(clock_.now() + kPlatformTimeout);
+    const Result<bool> polled = config_.poll(clock_.now() + kPlatformTimeout);
     if (!polled && polled.error().code_ != ErrorCode::StoreUnavailable)
         kLog.warn(concat("configuration can not be read: ", polled.error().message_));
-    if (config_.revision() != before)
-        kLog.info(concat("configuration is in force, revision=", config_.revision()));
+    if (polled && *polled)
+        kLog.info(concat("configuration is in force, revision=", revision()));
+}
+
+std::uint64_t Node::revision() const
+{
+    const std::shared_ptr<const Configuration> current = config_.snapshot();
+    return current ? current->revision() : 0;
+}
+
+void Node::passOnWithdrawals(const std::set<std::string> &keys)
+{
+    if (!keys.empty() && config_.offerWithdrawals(keys))
+        loop_.post([this] { announcer_.tick(); });
 }
 
 void Node::fetchConfigFrom(const std::string &peer)
 {
-    const std::optional<ConfigContent> content
-        = fetchConfig(peers_.channelOf(peer), config_.revision() + 1, kFetchTimeout);
-    if (!content)
+    const std::optional<ConfigOffer> offer =
+        fetchConfig(peers_.channelOf(peer), revision() + 1, kFetchTimeout);
+    if (!offer)
         return;
-    const Result<void> taken = config_.offerContent(content->revision_, content->text_);
+    const Result<bool> taken = config_.offerContent(*offer);
     if (!taken)
         kLog.warn(concat("configuration of a peer is refused, peer=", peer, ": ",
                          taken.error().message_));
@@ -154,31 +168,25 @@
     handlers.witness_ = &witness_;
     handlers.limiter_ = hooks_.limiter_;
     handlers.onShareArrived_ = hooks_.onShareArrived_;
-    handlers.revision_ = [this] { return config_.revision(); };
-    handlers.onAnnouncement_
-        = [this](const auto &message, auto &reply) { announcer_.onAnnouncement(message, reply); };
-    handlers.config_ = [this](std::uint64_t revision) -> std::optional<ConfigContent> {
-        const std::shared_ptr<const Configuration> current = config_.snapshot();
-        if (!current || current->revision() < revision)
-            return std::nullopt;
-        return ConfigContent {current->revision(), toCanonicalJson(current->content())};
+    handlers.revision_ = [this] { return revision(); };
+    handlers.onAnnouncement_ = [this](const auto &message, auto &reply) {
+        announcer_.onAnnouncement(message, reply);
     };
+    handlers.config_ = [this] { return config_.offer(); };
     return handlers;
 }
 
 AnnouncerHooks Node::announcerHooks()
 {
     AnnouncerHooks hooks;
-    hooks.revision_ = [this] { return config_.revision(); };
-    hooks.withdrawnKeys_ = [this] { return config_.withdrawals(); };
-    hooks.onRevision_ = [this](const std::string &peer, std::uint64_t revision) {
-        if (revision > config_.revision())
+    hooks.revision_ = [this] { return revision(); };
+    hooks.withdrawnKeys_ = [this] { return config_.pendingWithdrawals(); };
+    hooks.onRevision_ = [this](const std::string &peer, std::uint64_t theirs) {
+        config_.offerRevision(theirs);
+        if (theirs > revision())
             loop_.post([this, peer] { fetchConfigFrom(peer); });
     };
-    hooks.onWithdrawnKeys_ = [this](const std::set<std::string> &keys) {
-        if (!keys.empty())
-            config_.offerWithdrawals(keys);
-    };
+    hooks.onWithdrawnKeys_ = [this](const std::set<std::string> &keys) { passOnWithdrawals(keys); };
     hooks.onSuspect_ = [this](const std::string &record) {
         return hooks_.onSuspect_ ? hooks_.onSuspect_(record) : record;
     };
@@ -193,7 +201,7 @@
     handlers.state_ = [this] { return stateDump(); };
     handlers.drain_ = [this] { hooks_.drain_(); };
     handlers.withdraw_ = [this](const std::vector<std::string> &keys) {
-        config_.offerWithdrawals({keys.begin(), keys.end()});
+        passOnWithdrawals({keys.begin(), keys.end()});
     };
     return handlers;
 }
@@ -206,9 +214,9 @@
     state["role"] = roleName(settings_.role_);
     state["data_centre"] = settings_.dataCentre_;
     state["incarnation"] = incarnation_;
-    state["revision"] = config_.revision();
-    state["revision_confirmed"] = config_.confirmedUntil() > now;
-    state["withdrawn_keys"] = config_.withdrawals();
+    state["revision"] = revision();
+    state["revision_confirmed"] = config_.admitsKeyedRequests();
+    state["withdrawn_keys"] = config_.pendingWithdrawals();
     state["lease"] = {{"held", lease_.isHeld()},
                       {"remaining_ms", (lease_.deadline() - now).count() / 1'000}};
     Json peers = Json::array();
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -81,6 +81,9 @@
     [[nodiscard]] ConfigFollower &config() { return config_; }
     [[nodiscard]] ControllerLoop &loop() { return loop_; }
 
+    // Returns the revision in force here; 0 before the first. Thread-safe.
+    [[nodiscard]] std::uint64_t revision() const;
+
     // Returns the members with a role, without this process.
     [[nodiscard]] std::vector<Member> membersOf(const std::string &role) const;
 
@@ -92,6 +95,7 @@
     void readMembership();
     void pollConfig();
     void fetchConfigFrom(const std::string &peer);
+    void passOnWithdrawals(const std::set<std::string> &keys);
     void startControllers();
 
     Settings settings_;
--- a/packages/daemon/settings.cpp
+++ b/packages/daemon/settings.cpp
@@ -33,13 +33,12 @@
 public:
     SettingsReader(const Json &json, const std::string &source)
         : object_(json, source)
-    {
-    }
+    { }
 
     Settings read()
     {
         Settings settings;
-        settings.role_ = choice("role", {{"entry", Role::Entry}, {"agent", Role::Agent}});
+        settings.role_ = choice<Role>("role", {{"entry", Role::Entry}, {"agent", Role::Agent}});
         settings.name_ = name(object_, "name");
         settings.dataCentre_ = name(object_, "data_centre");
         settings.peerListen_ = endpoint(object_, "peer_listen");
@@ -150,8 +149,8 @@
     void readEntry(Settings &settings)
     {
         settings.listen_ = endpoint(object_, "listen");
-        settings.maxConnections_
-            = object_.integer("max_connections", {1, 10'000}, settings.maxConnections_);
+        settings.maxConnections_ =
+            object_.integer("max_connections", {1, 10'000}, settings.maxConnections_);
     }
 
     void readTarget(Settings &settings)
@@ -193,9 +192,11 @@
     asio::ip::make_address(endpoint.host_, notAddress);
     const char *begin = colon == std::string::npos ? nullptr : text.data() + colon + 1;
     const char *end = text.data() + text.size();
-    const bool isNumber = begin != nullptr && std::from_chars(begin, end, endpoint.port_).ptr == end;
+    const bool isNumber =
+        begin != nullptr && std::from_chars(begin, end, endpoint.port_).ptr == end;
     if (notAddress || !isNumber || endpoint.port_ < 1 || endpoint.port_ > kMaxPort)
-        return notRun(ErrorCode::InvalidSettings, "must be an IP address and a port, as 10.0.0.7:8080");
+        return notRun(ErrorCode::InvalidSettings,
+                      "must be an IP address and a port, as 10.0.0.7:8080");
     return endpoint;
 }
 
--- a/packages/daemon/settings_test.cpp
+++ b/packages/daemon/settings_test.cpp
@@ -24,7 +24,7 @@
 {
     const Result<Settings> settings = Settings::parse(entrySettings().dump(), "s");
     REQUIRE(settings);
-    CHECK(settings->listen_ == Endpoint {"127.0.0.1", 8080});
+    CHECK(settings->listen_ == Endpoint{"127.0.0.1", 8080});
 }
 
 // Guards against a process that starts with a setting that it misread.
--- a/packages/entry/agent_links.cpp
+++ b/packages/entry/agent_links.cpp
@@ -6,8 +6,7 @@
 
 AgentLinks::AgentLinks(TransportSecurity security)
     : security_(std::move(security))
-{
-}
+{ }
 
 std::shared_ptr<AgentLink> AgentLinks::get(const std::string &address)
 {
--- a/packages/entry/caller_key.cpp
+++ b/packages/entry/caller_key.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr std::string_view kBearer = "bearer ";
-constexpr std::array<std::string_view, 6> kKeyParameters
-    = {"key", "api_key", "apikey", "api-key", "x-api-key", "access_token"};
+constexpr std::array<std::string_view, 6> kKeyParameters = {"key",     "api_key",   "apikey",
+                                                            "api-key", "x-api-key", "access_token"};
 
 std::string lowerCase(std::string_view text)
 {
@@ -65,7 +65,7 @@
             return {value.substr(kBearer.size())};
     }
     const auto apiKey = headers.find("x-api-key");
-    return apiKey == headers.end() ? CallerKey {} : CallerKey {apiKey->second};
+    return apiKey == headers.end() ? CallerKey{} : CallerKey{apiKey->second};
 }
 
 std::string queryWithoutKey(std::string_view query, std::string_view secret)
--- a/packages/entry/entry_server.cpp
+++ b/packages/entry/entry_server.cpp
@@ -135,8 +135,8 @@
     void handle(const httplib::Request &request, httplib::Response &response)
     {
         ++requests_;
-        auto live = std::make_shared<LiveRequest>(*clock_, *observer_, *retries_, configuration_,
-                                                 open_);
+        auto live =
+            std::make_shared<LiveRequest>(*clock_, *observer_, *retries_, configuration_, open_);
         RequestContext &context = live->context();
         context.request_ = toCaller(request);
         context.configuration_ = configuration_();
@@ -176,36 +176,37 @@
     void listModels(const Live &live, httplib::Response &response)
     {
         const RequestContext &context = live->context();
-        const Result<KeyMatch> match
-            = context.configuration_->findKey(callerKeyOf(context.request_.headers_).secret_);
+        const Result<KeyMatch> match =
+            context.configuration_->findKey(callerKeyOf(context.request_.headers_).secret_);
         if (!match)
             return refuse(live, match.error(), response);
         Json data = Json::array();
-        for (const AdapterVersion *adapter : context.configuration_->modelsOf(match->workspace_->id_))
+        for (const AdapterVersion *adapter :
+             context.configuration_->modelsOf(match->workspace_->id_))
             data.push_back({{"id", concat(adapter->adapter_, "@", adapter->version_)},
                             {"object", "model"},
                             {"root", adapter->baseModel_}});
-        response.set_content(Json {{"object", "list"}, {"data", data}}.dump(), kJsonType);
+        response.set_content(Json{{"object", "list"}, {"data", data}}.dump(), kJsonType);
         live->end(0);
     }
 
     void fetchWhole(const Live &live, httplib::Response &response)
     {
-        const Result<WholeAnswer> whole
-            = forwarder_->fetch(live->context(), [&live] { return live->check(); });
+        const Result<WholeAnswer> whole =
+            forwarder_->fetch(live->context(), [&live] { return live->check(); });
         if (!whole)
             return refuse(live, whole.error(), response);
         live->firstByte();
         response.status = whole->head_.status_;
         setServedBy(whole->head_, response);
-        response.set_content(whole->body_, whole->head_.contentType_.c_str());
+        response.set_content(whole->body_, whole->head_.contentType_);
         live->end(whole->usedTokens_);
     }
 
     void openStream(const Live &live, httplib::Response &response)
     {
-        Result<OpenAnswer> opened
-            = forwarder_->open(live->context(), [&live] { return live->check(); });
+        Result<OpenAnswer> opened =
+            forwarder_->open(live->context(), [&live] { return live->check(); });
         if (!opened)
             return refuse(live, opened.error(), response);
         auto answer = std::make_shared<OpenAnswer>(*std::move(opened));
@@ -274,9 +275,9 @@
             return;
         const bool isTooLarge = response.status == 413;
         const int status = response.status;
-        const Error error {isTooLarge ? ErrorCode::PayloadTooLarge : ErrorCode::BadRequest,
-                           Execution::NotRun,
-                           isTooLarge ? "body is too large" : "request can not be read"};
+        const Error error{isTooLarge ? ErrorCode::PayloadTooLarge : ErrorCode::BadRequest,
+                          Execution::NotRun,
+                          isTooLarge ? "body is too large" : "request can not be read"};
         writeError(error, randomId(), clock_->now(), response);
         response.status = status;
     }
@@ -302,8 +303,7 @@
                          std::function<std::shared_ptr<const Configuration>()> configuration)
     : impl_(std::make_unique<Impl>(std::move(settings), clock, chain, forwarder, retries, observer,
                                    std::move(configuration)))
-{
-}
+{ }
 
 EntryServer::~EntryServer() = default;
 
--- a/packages/entry/entry_server.h
+++ b/packages/entry/entry_server.h
@@ -24,7 +24,7 @@
     std::string host_; // IP address
     int port_ = 0;
     std::size_t maxConnections_ = 600; // each open connection holds a thread
-    std::size_t maxBodyBytes_ = 4 * 1024 * 1024;
+    std::size_t maxBodyBytes_ = std::size_t{4} * 1024 * 1024;
 
     bool operator==(const EntryServerSettings &) const = default;
 };
@@ -50,8 +50,8 @@
     virtual void onFirstByte(const RequestContext &context, Duration sinceArrival) = 0;
 
     // Called once at the end; error is null after a whole answer.
-    virtual void onEnd(const RequestContext &context, const Error *error, Duration sinceArrival)
-        = 0;
+    virtual void onEnd(const RequestContext &context, const Error *error,
+                       Duration sinceArrival) = 0;
 };
 
 // Thread-safe.
--- a/packages/entry/error_response.cpp
+++ b/packages/entry/error_response.cpp
@@ -22,21 +22,21 @@
 
 // Codes that are not listed answer 503 when nothing ran and 502 otherwise.
 constexpr std::array kRules = {
-    StatusRule {ErrorCode::BadRequest, 400, kInvalidRequest},
-    StatusRule {ErrorCode::IdempotencyKeyMissing, 400, kInvalidRequest},
-    StatusRule {ErrorCode::Unauthenticated, 401, "authentication_error"},
-    StatusRule {ErrorCode::KeyWithdrawn, 401, "authentication_error"},
-    StatusRule {ErrorCode::Forbidden, 403, "permission_error"},
-    StatusRule {ErrorCode::RouteNotFound, 404, kInvalidRequest},
-    StatusRule {ErrorCode::ModelNotFound, 404, kInvalidRequest},
-    StatusRule {ErrorCode::ClaimUnresolved, 409, "conflict_error"},
-    StatusRule {ErrorCode::IdempotencyKeyReused, 422, kInvalidRequest},
-    StatusRule {ErrorCode::PayloadTooLarge, 413, kInvalidRequest},
-    StatusRule {ErrorCode::RateLimited, 429, "rate_limit_error"},
-    StatusRule {ErrorCode::Quarantined, 422, kInvalidRequest},
-    StatusRule {ErrorCode::TargetTimeout, 504, "timeout_error"},
-    StatusRule {ErrorCode::DeadlineExceeded, 504, "timeout_error"},
-    StatusRule {ErrorCode::Internal, 500, "internal_error"},
+    StatusRule{ErrorCode::BadRequest, 400, kInvalidRequest},
+    StatusRule{ErrorCode::IdempotencyKeyMissing, 400, kInvalidRequest},
+    StatusRule{ErrorCode::Unauthenticated, 401, "authentication_error"},
+    StatusRule{ErrorCode::KeyWithdrawn, 401, "authentication_error"},
+    StatusRule{ErrorCode::Forbidden, 403, "permission_error"},
+    StatusRule{ErrorCode::RouteNotFound, 404, kInvalidRequest},
+    StatusRule{ErrorCode::ModelNotFound, 404, kInvalidRequest},
+    StatusRule{ErrorCode::ClaimUnresolved, 409, "conflict_error"},
+    StatusRule{ErrorCode::IdempotencyKeyReused, 422, kInvalidRequest},
+    StatusRule{ErrorCode::PayloadTooLarge, 413, kInvalidRequest},
+    StatusRule{ErrorCode::RateLimited, 429, "rate_limit_error"},
+    StatusRule{ErrorCode::Quarantined, 422, kInvalidRequest},
+    StatusRule{ErrorCode::TargetTimeout, 504, "timeout_error"},
+    StatusRule{ErrorCode::DeadlineExceeded, 504, "timeout_error"},
+    StatusRule{ErrorCode::Internal, 500, "internal_error"},
 };
 
 constexpr std::int64_t kMicrosPerSecond = 1'000'000;
@@ -70,7 +70,7 @@
     detail["execution"] = executionName(error.execution_);
     HttpError answer;
     answer.status_ = rule.status_;
-    answer.body_ = Json {{"error", detail}}.dump(-1, ' ', false, Json::error_handler_t::replace);
+    answer.body_ = Json{{"error", detail}}.dump(-1, ' ', false, Json::error_handler_t::replace);
     if (error.retryAt_)
         answer.retryAfterSeconds_ = secondsUntil(*error.retryAt_, now);
     else if (rule.status_ == 429 || rule.status_ == 503)
--- a/packages/entry/error_response.h
+++ b/packages/entry/error_response.h
@@ -22,6 +22,7 @@
 };
 
 // Returns status, JSON body and Retry-After of a failure. Thread-safe.
-[[nodiscard]] HttpError toHttpError(const Error &error, const std::string &requestId, TimePoint now);
+[[nodiscard]] HttpError toHttpError(const Error &error, const std::string &requestId,
+                                    TimePoint now);
 
 } // namespace foxtailturn
--- a/packages/entry/filters.cpp
+++ b/packages/entry/filters.cpp
@@ -44,8 +44,8 @@
 // Returns the most tokens of all answers of the request and writes the bound into the body.
 Result<std::uint64_t> boundAnswer(Json &body, const Route &route)
 {
-    const char *field = body.contains("max_completion_tokens") ? "max_completion_tokens"
-                                                               : "max_tokens";
+    const char *field =
+        body.contains("max_completion_tokens") ? "max_completion_tokens" : "max_tokens";
     const Result<std::int64_t> tokens = countField(body, field, route.maxTokens_, route.maxTokens_);
     const Result<std::int64_t> choices = countField(body, "n", 1, kMaxChoices);
     const Result<std::int64_t> best = countField(body, "best_of", 1, kMaxChoices);
@@ -61,14 +61,13 @@
 
 RouteFilter::RouteFilter(const Clock &clock)
     : clock_(&clock)
-{
-}
+{ }
 
 Result<void> RouteFilter::apply(RequestContext &context) const
 {
     const CallerRequest &request = context.request_;
-    const Result<const Route *> route
-        = context.configuration_->resolveRoute(request.method_, request.path_);
+    const Result<const Route *> route =
+        context.configuration_->resolveRoute(request.method_, request.path_);
     if (!route)
         return tl::unexpected(route.error());
     context.route_ = *route;
@@ -79,8 +78,7 @@
 KeyFilter::KeyFilter(const Clock &clock, std::function<TimePoint()> confirmedUntil)
     : clock_(&clock)
     , confirmedUntil_(std::move(confirmedUntil))
-{
-}
+{ }
 
 Result<void> KeyFilter::apply(RequestContext &context) const
 {
@@ -98,10 +96,10 @@
         context.key_ = match->key_;
         context.workspace_ = match->workspace_;
     }
-    if (containsSecret(request.body_, caller.secret_) || containsSecret(request.path_, caller.secret_))
+    if (containsSecret(request.body_, caller.secret_)
+        || containsSecret(request.path_, caller.secret_))
         return notRun(ErrorCode::BadRequest, "API key must not stand in the path or the body");
-    context.targetPath_
-        = withQuery(request.path_, queryWithoutKey(request.query_, caller.secret_));
+    context.targetPath_ = withQuery(request.path_, queryWithoutKey(request.query_, caller.secret_));
     context.targetBody_ = request.body_;
     return {};
 }
@@ -154,14 +152,14 @@
     if (containsSecret(context.idempotencyKey_, callerKeyOf(headers).secret_))
         return notRun(ErrorCode::BadRequest, "API key must not stand in the Idempotency-Key");
     if (!context.route_->repeatable_ && context.idempotencyKey_.empty())
-        return notRun(ErrorCode::IdempotencyKeyMissing, "this route needs an Idempotency-Key header");
+        return notRun(ErrorCode::IdempotencyKeyMissing,
+                      "this route needs an Idempotency-Key header");
     return {};
 }
 
 SuspectFilter::SuspectFilter(RetryGuard &guard)
     : guard_(&guard)
-{
-}
+{ }
 
 Result<void> SuspectFilter::apply(RequestContext &context) const
 {
@@ -170,15 +168,14 @@
 
 LimitFilter::LimitFilter(TokenLimiter &limiter)
     : limiter_(&limiter)
-{
-}
+{ }
 
 Result<void> LimitFilter::apply(RequestContext &context) const
 {
     if (context.workspace_ == nullptr)
         return {};
-    Result<std::unique_ptr<TokenReservation>> reservation
-        = limiter_->reserve(context.workspace_->id_, context.maxTokens_, context.deadline_);
+    Result<std::unique_ptr<TokenReservation>> reservation =
+        limiter_->reserve(context.workspace_->id_, context.maxTokens_, context.deadline_);
     if (!reservation)
         return tl::unexpected(reservation.error());
     context.reservation_ = *std::move(reservation);
--- a/packages/entry/fleet_limiter.cpp
+++ b/packages/entry/fleet_limiter.cpp
@@ -15,8 +15,7 @@
     ShareReservation(Limiter &limiter, Reservation reservation)
         : limiter_(&limiter)
         , reservation_(std::move(reservation))
-    {
-    }
+    { }
 
     // The limiter counts open reservations, so an unsettled one is settled in full here.
     ~ShareReservation() override { settleOnce(reservation_.tokens_); }
@@ -47,12 +46,10 @@
     : clock_(&clock)
     , limiter_(&limiter)
     , controller_(&controller)
-{
-}
+{ }
 
-Result<std::unique_ptr<TokenReservation>> FleetLimiter::reserve(const std::string &workspace,
-                                                                std::uint64_t tokens,
-                                                                TimePoint deadline)
+Result<std::unique_ptr<TokenReservation>>
+FleetLimiter::reserve(const std::string &workspace, std::uint64_t tokens, TimePoint deadline)
 {
     const TimePoint waitUntil = std::min(clock_->now() + kPeerWait, deadline);
     const auto amount = static_cast<std::int64_t>(tokens);
--- a/packages/entry/fleet_limiter.h
+++ b/packages/entry/fleet_limiter.h
@@ -18,9 +18,8 @@
     // All references must outlive the limiter.
     FleetLimiter(const Clock &clock, Limiter &limiter, ShareController &controller);
 
-    Result<std::unique_ptr<TokenReservation>> reserve(const std::string &workspace,
-                                                      std::uint64_t tokens,
-                                                      TimePoint deadline) override;
+    Result<std::unique_ptr<TokenReservation>>
+    reserve(const std::string &workspace, std::uint64_t tokens, TimePoint deadline) override;
 
 private:
     const Clock *clock_;
--- a/packages/entry/forwarder.cpp
+++ b/packages/entry/forwarder.cpp
@@ -15,8 +15,8 @@
 const Logger kLog("forwarder");
 
 // Prompts shorter than this gain little from an engine's prefix cache.
-constexpr std::size_t kMinAffinityBytes = 4 * 1024;
-constexpr std::size_t kAffinityPrefixBytes = 2 * 1024;
+constexpr std::size_t kMinAffinityBytes = 4'096;
+constexpr std::size_t kAffinityPrefixBytes = 2'048;
 constexpr std::string_view kContentType = "content-type";
 
 PlacementRequest toPlacement(const RequestContext &context, const std::string &dataCentre)
@@ -24,11 +24,10 @@
     PlacementRequest request;
     request.group_ = context.route_->targetGroup_;
     request.dataCentre_ = dataCentre;
-    request.priority_ = context.route_->priority_ == PriorityClass::Batch ? Priority::Batch
-                                                                          : Priority::Chat;
+    request.priority_ =
+        context.route_->priority_ == PriorityClass::Batch ? Priority::Batch : Priority::Chat;
     if (context.adapter_ != nullptr) {
-        request.adapter_
-            = {context.adapter_->adapter_, std::to_string(context.adapter_->version_)};
+        request.adapter_ = {context.adapter_->adapter_, std::to_string(context.adapter_->version_)};
         if (context.targetBody_.size() >= kMinAffinityBytes)
             request.prefixHint_ = hash64(context.targetBody_.substr(0, kAffinityPrefixBytes));
     }
@@ -54,8 +53,7 @@
     , retries_(&retries)
     , dataCentre_(std::move(dataCentre))
     , incarnationOf_(std::move(incarnationOf))
-{
-}
+{ }
 
 Result<OpenAnswer> Forwarder::open(RequestContext &context, const LiveCheck &isLive)
 {
@@ -130,12 +128,13 @@
     kLog.info(concat("attempt is repeated, request=", context.request_.id_,
                      " attempt=", attempts.number_, " code=", errorName(failure.code_)));
     std::this_thread::sleep_for(*retryAt - clock_->now());
-    return failure.code_ == ErrorCode::TargetCrashed ? retries_->readmit(context) : Result<void> {};
+    return failure.code_ == ErrorCode::TargetCrashed ? retries_->readmit(context) : Result<void>{};
 }
 
 Result<OpenAnswer> Forwarder::start(const RequestContext &context, Attempts &attempts)
 {
-    Result<Placement> placement = router_->choose(toPlacement(context, dataCentre_), attempts.tried_);
+    Result<Placement> placement =
+        router_->choose(toPlacement(context, dataCentre_), attempts.tried_);
     if (!placement)
         return tl::unexpected(placement.error());
     const TargetInfo target = placement->target();
--- a/packages/entry/frame_stream.cpp
+++ b/packages/entry/frame_stream.cpp
@@ -29,8 +29,7 @@
     , clock_(&clock)
     , request_(std::move(request))
     , deadline_(deadline)
-{
-}
+{ }
 
 FrameStream::~FrameStream()
 {
--- a/packages/entry/heartbeats.cpp
+++ b/packages/entry/heartbeats.cpp
@@ -67,8 +67,7 @@
         : self_(std::move(self))
         , directory_(&directory)
         , links_(&links)
-    {
-    }
+    { }
 
     void setAgents(const std::vector<Member> &members);
     void publishTargets();
@@ -120,8 +119,7 @@
     agent.misses_ = 0;
     const bool isNew = agent.target_.name_.empty();
     agent.incarnation_ = reply.incarnation();
-    agent.target_
-        = {reply.target(), reply.group(), member.dataCentre_, member.address_, false};
+    agent.target_ = {reply.target(), reply.group(), member.dataCentre_, member.address_, false};
     if (isNew)
         publishTargets();
     directory_->heartbeat(reportOf(reply));
@@ -142,11 +140,9 @@
         call.link_->replace(call.channel_);
 }
 
-Heartbeats::Heartbeats(std::string self, TargetDirectory &directory,
-                       AgentLinks &links)
+Heartbeats::Heartbeats(std::string self, TargetDirectory &directory, AgentLinks &links)
     : state_(std::make_shared<State>(std::move(self), directory, links))
-{
-}
+{ }
 
 void Heartbeats::tick(const std::vector<Member> &agents, std::uint64_t revision)
 {
@@ -170,17 +166,16 @@
         call->context_.set_deadline(std::chrono::system_clock::now() + kTimeout);
         call->request_.set_sender(state_->self_);
         call->request_.set_revision(revision);
-        call->stub_->async()->Heartbeat(
-            &call->context_, &call->request_, &call->reply_,
-            [state = state_, call, member](const grpc::Status &status) {
-                if (status.ok())
-                    state->answered(member, call->reply_);
-                else
-                    state->missed(member, *call);
-                const std::lock_guard lock(state->mutex_);
-                --state->pending_;
-                state->idle_.notify_all();
-            });
+        call->stub_->async()->Heartbeat(&call->context_, &call->request_, &call->reply_,
+                                        [state = state_, call, member](const grpc::Status &status) {
+                                            if (status.ok())
+                                                state->answered(member, call->reply_);
+                                            else
+                                                state->missed(member, *call);
+                                            const std::lock_guard lock(state->mutex_);
+                                            --state->pending_;
+                                            state->idle_.notify_all();
+                                        });
     }
 }
 
--- a/packages/entry/live_request.cpp
+++ b/packages/entry/live_request.cpp
@@ -28,7 +28,8 @@
 Result<void> LiveRequest::check()
 {
     if (clock_->now() >= context_.deadline_)
-        return outcomeUnknown(ErrorCode::DeadlineExceeded, "request did not finish by its deadline");
+        return outcomeUnknown(ErrorCode::DeadlineExceeded,
+                              "request did not finish by its deadline");
     if (context_.key_ == nullptr)
         return {};
     std::shared_ptr<const Configuration> current = configuration_();
--- a/packages/entry/retry_guard.cpp
+++ b/packages/entry/retry_guard.cpp
@@ -27,8 +27,7 @@
 
 CrashIds::CrashIds(const Clock &clock)
     : clock_(&clock)
-{
-}
+{ }
 
 std::string CrashIds::idOf(const std::string &target)
 {
@@ -50,8 +49,7 @@
     , quarantine_(&quarantine)
     , exchange_(std::move(exchange))
     , crashIds_(clock)
-{
-}
+{ }
 
 TimePoint RetryGuard::exchangeDeadline() const
 {
@@ -69,7 +67,7 @@
     const Result<Standing> standing = quarantine_->admit(context.fingerprint_);
     if (!standing)
         return tl::unexpected(standing.error());
-    return *standing == Standing::Suspect ? waitForTurn(context) : Result<void> {};
+    return *standing == Standing::Suspect ? waitForTurn(context) : Result<void>{};
 }
 
 Result<void> RetryGuard::waitForTurn(RequestContext &context)
@@ -100,8 +98,8 @@
 Result<TimePoint> RetryGuard::decide(const RequestContext &context, const Error &failure,
                                      Execution earlier)
 {
-    return policy_->decide({failure, earlier, context.route_->repeatable_, context.deadline_,
-                            workspaceOf(context)});
+    return policy_->decide(
+        {failure, earlier, context.route_->repeatable_, context.deadline_, workspaceOf(context)});
 }
 
 void RetryGuard::targetCrashed(const RequestContext &context, const std::string &target)
--- a/packages/entry/stream_watchdog.cpp
+++ b/packages/entry/stream_watchdog.cpp
@@ -6,8 +6,7 @@
 
 StreamWatch::StreamWatch(std::function<void()> expire)
     : expire_(std::move(expire))
-{
-}
+{ }
 
 void StreamWatch::setDeadline(TimePoint deadline)
 {
--- a/packages/entry/stream_watchdog.h
+++ b/packages/entry/stream_watchdog.h
@@ -16,7 +16,8 @@
 
 namespace foxtailturn {
 
-// One read that is being watched. Its destruction waits for a callback that is running. Thread-safe.
+// One read that is being watched. Its destruction waits for a callback that is running.
+// Thread-safe.
 class StreamWatch
 {
 public:
--- a/packages/peer/announcer.cpp
+++ b/packages/peer/announcer.cpp
@@ -48,8 +48,7 @@
     , clock_(&clock)
     , peers_(&peers)
     , hooks_(std::move(hooks))
-{
-}
+{ }
 
 void Announcer::tick()
 {
--- a/packages/peer/async_call.h
+++ b/packages/peer/async_call.h
@@ -48,12 +48,12 @@
     call->context_.set_deadline(std::chrono::system_clock::now() + timeout);
     call->request_ = std::move(request);
     ++pendingPeerCalls();
-    std::function<void(grpc::Status)> done
-        = [call, onReply = std::move(onReply)](const grpc::Status &status) {
-              if (status.ok())
-                  onReply(call->reply_);
-              --pendingPeerCalls();
-          };
+    std::function<void(grpc::Status)> done =
+        [call, onReply = std::move(onReply)](const grpc::Status &status) {
+            if (status.ok())
+                onReply(call->reply_);
+            --pendingPeerCalls();
+        };
     method(*call->stub_->async(), &call->context_, &call->request_, &call->reply_, std::move(done));
 }
 
--- a/packages/peer/config_fetch.cpp
+++ b/packages/peer/config_fetch.cpp
@@ -4,8 +4,8 @@
 
 namespace foxtailturn {
 
-std::optional<ConfigContent> fetchConfig(const std::shared_ptr<grpc::Channel> &channel,
-                                         std::uint64_t revision, Duration timeout)
+std::optional<ConfigOffer> fetchConfig(const std::shared_ptr<grpc::Channel> &channel,
+                                       std::uint64_t revision, Duration timeout)
 {
     if (!channel)
         return std::nullopt;
@@ -18,7 +18,7 @@
     const grpc::Status status = stub->FetchConfig(&context, request, &reply);
     if (!status.ok() || !reply.found())
         return std::nullopt;
-    return ConfigContent {reply.revision(), reply.content()};
+    return ConfigOffer{reply.revision(), reply.digest(), reply.content()};
 }
 
 int pendingPeerCallCount()
--- a/packages/peer/lease_controller.cpp
+++ b/packages/peer/lease_controller.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <map>
+#include <memory>
+#include <mutex>
+#include <utility>
 
 #include "base/log.h"
 #include "peer/async_call.h"
@@ -16,6 +19,33 @@
 constexpr auto kTableTimeout = std::chrono::milliseconds(500);
 constexpr auto kContactTimeout = std::chrono::milliseconds(500);
 
+// Collects the revisions that the witnesses of one round hold.
+class ContactRound
+{
+public:
+    ContactRound(std::size_t witnesses, TimePoint askedAt, LeaseController::OnMajority onMajority)
+        : needed_(majorityOf(witnesses))
+        , askedAt_(askedAt)
+        , onMajority_(std::move(onMajority))
+    { }
+
+    void answered(std::uint64_t revision)
+    {
+        const std::lock_guard lock(mutex_);
+        highest_ = std::max(highest_, revision);
+        if (++answers_ == needed_)
+            onMajority_(highest_, askedAt_);
+    }
+
+private:
+    std::size_t needed_;
+    TimePoint askedAt_;
+    LeaseController::OnMajority onMajority_;
+    std::mutex mutex_;
+    std::size_t answers_ = 0;
+    std::uint64_t highest_ = 0;
+};
+
 } // namespace
 
 std::vector<std::string> chooseWitnesses(const std::vector<Peer> &livePeers,
@@ -25,8 +55,8 @@
     std::map<std::string, int> perDataCentre;
     std::vector<const Peer *> others;
     for (const Peer &peer : livePeers) {
-        const bool isCurrent
-            = std::find(current.begin(), current.end(), peer.incarnation_) != current.end();
+        const bool isCurrent =
+            std::find(current.begin(), current.end(), peer.incarnation_) != current.end();
         if (!isCurrent || chosen.size() >= kMaxWitnesses) {
             others.push_back(&peer);
             continue;
@@ -35,10 +65,11 @@
         ++perDataCentre[peer.member_.dataCentre_];
     }
     while (chosen.size() < kMaxWitnesses && !others.empty()) {
-        const auto least = std::min_element(
-            others.begin(), others.end(), [&perDataCentre](const Peer *a, const Peer *b) {
-                return perDataCentre[a->member_.dataCentre_] < perDataCentre[b->member_.dataCentre_];
-            });
+        const auto least = std::min_element(others.begin(), others.end(),
+                                            [&perDataCentre](const Peer *a, const Peer *b) {
+                                                return perDataCentre[a->member_.dataCentre_]
+                                                    < perDataCentre[b->member_.dataCentre_];
+                                            });
         chosen.push_back((*least)->incarnation_);
         ++perDataCentre[(*least)->member_.dataCentre_];
         others.erase(least);
@@ -47,20 +78,21 @@
     return chosen;
 }
 
-LeaseController::LeaseController(const Clock &clock, LeaseHolder &lease, PeerDirectory &peers)
+LeaseController::LeaseController(const Clock &clock, LeaseHolder &lease, PeerDirectory &peers,
+                                 OnMajority onMajority)
     : clock_(&clock)
     , lease_(&lease)
     , peers_(&peers)
-{
-}
+    , onMajority_(std::move(onMajority))
+{ }
 
 void LeaseController::tick()
 {
     sendContacts();
     updateWitnesses();
     const TimePoint deadline = clock_->now() + kTableTimeout;
-    const Result<void> renewed
-        = acquired_ ? lease_->renew(deadline) : lease_->acquire(witnesses_, deadline);
+    const Result<void> renewed =
+        acquired_ ? lease_->renew(deadline) : lease_->acquire(witnesses_, deadline);
     acquired_ = acquired_ || renewed.has_value();
     const bool failed = !renewed.has_value();
     if (failed != storeFailed_)
@@ -71,7 +103,9 @@
 
 void LeaseController::sendContacts()
 {
-    for (const WitnessContact &contact : lease_->startContacts()) {
+    const std::vector<WitnessContact> contacts = lease_->startContacts();
+    auto round = std::make_shared<ContactRound>(contacts.size(), clock_->now(), onMajority_);
+    for (const WitnessContact &contact : contacts) {
         wire::WitnessContactRequest request;
         request.set_holder(contact.holder_);
         request.set_witness(contact.witness_);
@@ -79,7 +113,8 @@
         callPeer<wire::WitnessContactReply>(
             peers_->channelOf(processNameOf(contact.witness_)), kContactTimeout, request,
             [](auto &async, auto... args) { async.WitnessContact(args...); },
-            [lease = lease_, contact](const wire::WitnessContactReply &reply) {
+            [lease = lease_, contact, round](const wire::WitnessContactReply &reply) {
+                round->answered(reply.revision());
                 lease->onAnswer(
                     {contact.holder_, contact.witness_, contact.round_, reply.accepted()});
             });
--- a/packages/peer/lease_controller.h
+++ b/packages/peer/lease_controller.h
@@ -3,9 +3,11 @@
 // Keeps this process's lease: creates the row, renews it in the table and through witnesses, and
 // chooses the witnesses.
 //
-//     LeaseController controller(self, dataCentre, clock, lease, peers);
+//     LeaseController controller(clock, lease, peers, onMajority);
 //     loop.every(kLeaseRenewal, [&] { controller.tick(); });
 
+#include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -24,8 +26,13 @@
 class LeaseController
 {
 public:
+    // Called with the highest configuration revision among a majority of the witnesses and the time
+    // at which they were asked. Thread-safe.
+    using OnMajority = std::function<void(std::uint64_t revision, TimePoint askedAt)>;
+
     // All references must outlive the controller.
-    LeaseController(const Clock &clock, LeaseHolder &lease, PeerDirectory &peers);
+    LeaseController(const Clock &clock, LeaseHolder &lease, PeerDirectory &peers,
+                    OnMajority onMajority);
 
     // Sends contacts to the witnesses and renews the row. Blocks for one table call at most.
     void tick();
@@ -40,6 +47,7 @@
     const Clock *clock_;
     LeaseHolder *lease_;
     PeerDirectory *peers_;
+    OnMajority onMajority_;
     std::vector<std::string> witnesses_;
     bool acquired_ = false;
     bool storeFailed_ = false;
--- a/packages/peer/lease_controller_test.cpp
+++ b/packages/peer/lease_controller_test.cpp
@@ -19,6 +19,7 @@
 TEST_CASE("witnesses are spread over data centres")
 {
     std::vector<Peer> peers;
+    peers.reserve(9);
     for (int i = 0; i < 6; ++i)
         peers.push_back(peerOf("a" + std::to_string(i), "dc-a"));
     for (int i = 0; i < 2; ++i)
@@ -38,9 +39,9 @@
 // Guards against a row write for each change of the peer list.
 TEST_CASE("live witnesses are kept")
 {
-    const std::vector<Peer> peers
-        = {peerOf("a0", "dc-a"), peerOf("a1", "dc-a"), peerOf("b0", "dc-b"), peerOf("b1", "dc-b"),
-           peerOf("c0", "dc-c"), peerOf("c1", "dc-c")};
+    const std::vector<Peer> peers = {peerOf("a0", "dc-a"), peerOf("a1", "dc-a"),
+                                     peerOf("b0", "dc-b"), peerOf("b1", "dc-b"),
+                                     peerOf("c0", "dc-c"), peerOf("c1", "dc-c")};
     const std::vector<std::string> current = {"a0#1", "a1#1", "b0#1", "b1#1", "c1#1"};
     CHECK(chooseWitnesses(peers, current) == current);
 }
--- a/packages/peer/peer_directory.cpp
+++ b/packages/peer/peer_directory.cpp
@@ -8,8 +8,7 @@
 PeerDirectory::PeerDirectory(std::string self, TransportSecurity security)
     : self_(std::move(self))
     , security_(std::move(security))
-{
-}
+{ }
 
 void PeerDirectory::setMembers(const std::vector<Member> &members)
 {
@@ -21,7 +20,7 @@
         names.insert(member.name_);
         Entry &entry = entries_[member.name_];
         if (entry.peer_.member_.address_ != member.address_)
-            entry = Entry {};
+            entry = Entry{};
         entry.peer_.member_ = member;
     }
     std::erase_if(entries_, [&names](const auto &item) { return !names.contains(item.first); });
--- a/packages/peer/peer_server.cpp
+++ b/packages/peer/peer_server.cpp
@@ -14,8 +14,7 @@
 public:
     explicit Impl(PeerHandlers handlers)
         : handlers_(std::move(handlers))
-    {
-    }
+    { }
 
     grpc::Status WitnessContact(grpc::ServerContext *, const wire::WitnessContactRequest *request,
                                 wire::WitnessContactReply *reply) override
@@ -90,11 +89,13 @@
     grpc::Status FetchConfig(grpc::ServerContext *, const wire::ConfigRequest *request,
                              wire::ConfigReply *reply) override
     {
-        const std::optional<ConfigContent> content = handlers_.config_(request->revision());
-        reply->set_found(content.has_value());
-        if (content) {
-            reply->set_revision(content->revision_);
-            reply->set_content(content->text_);
+        const std::optional<ConfigOffer> offer = handlers_.config_();
+        const bool isFound = offer && offer->revision_ >= request->revision();
+        reply->set_found(isFound);
+        if (isFound) {
+            reply->set_revision(offer->revision_);
+            reply->set_content(offer->canonicalJson_);
+            reply->set_digest(offer->digest_);
         }
         return grpc::Status::OK;
     }
@@ -110,8 +111,7 @@
 
 PeerServer::PeerServer(PeerHandlers handlers)
     : impl_(std::make_unique<Impl>(std::move(handlers)))
-{
-}
+{ }
 
 PeerServer::~PeerServer() = default;
 
--- a/packages/peer/peer_server.h
+++ b/packages/peer/peer_server.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 
+#include "config/config_follower.h"
 #include "lease/witness_log.h"
 #include "limiter/limiter.h"
 
@@ -26,15 +27,6 @@
 class AnnouncementReply;
 } // namespace wire
 
-// A configuration as one process hands it to another.
-struct ConfigContent
-{
-    std::uint64_t revision_ = 0;
-    std::string text_; // canonical JSON
-
-    bool operator==(const ConfigContent &) const = default;
-};
-
 // What the service asks the process for. All functions are thread-safe.
 struct PeerHandlers
 {
@@ -43,7 +35,7 @@
     std::function<void()> onShareArrived_; // called after a transfer was accepted
     std::function<std::uint64_t()> revision_;
     std::function<void(const wire::Announcement &, wire::AnnouncementReply &)> onAnnouncement_;
-    std::function<std::optional<ConfigContent>(std::uint64_t revision)> config_;
+    std::function<std::optional<ConfigOffer>()> config_; // what this process holds
 };
 
 // Thread-safe.
--- a/packages/peer/share_controller.cpp
+++ b/packages/peer/share_controller.cpp
@@ -50,8 +50,7 @@
 PeerWitnessClient::PeerWitnessClient(const Clock &clock, PeerDirectory &peers)
     : clock_(&clock)
     , peers_(&peers)
-{
-}
+{ }
 
 std::vector<FenceAnswer> PeerWitnessClient::fence(const std::vector<FenceRequest> &requests,
                                                   TimePoint deadline)
@@ -83,8 +82,7 @@
     , ledger_(&ledger)
     , reclaimer_(&reclaimer)
     , peers_(&peers)
-{
-}
+{ }
 
 void ShareController::setWorkspaces(std::vector<std::string> workspaces)
 {
@@ -216,7 +214,7 @@
     const Result<LedgerRow> row = ledger_->read(workspace, callDeadline());
     if (!row)
         return false;
-    NetRequest request {workspace, {}};
+    NetRequest request{workspace, {}};
     for (const std::string &holder : ended) {
         if (row->holders_.contains(holder))
             request.fenced_.push_back(holder);
@@ -224,13 +222,12 @@
     if (request.fenced_.empty())
         return true;
     const std::vector<NetReport> reports = collectNets(*row, request);
-    const Result<Settlement> settled
-        = ledger_->settle(workspace, {request.fenced_.begin(), request.fenced_.end()}, reports,
-                          callDeadline());
+    const Result<Settlement> settled = ledger_->settle(
+        workspace, {request.fenced_.begin(), request.fenced_.end()}, reports, callDeadline());
     if (!settled || !settled->missing_.empty())
         return false;
-    kLog.info(concat("shares are reclaimed, workspace=", workspace,
-                     " units=", settled->reclaimedUnits_));
+    kLog.info(
+        concat("shares are reclaimed, workspace=", workspace, " units=", settled->reclaimedUnits_));
     return true;
 }
 
--- a/packages/peer/share_controller.h
+++ b/packages/peer/share_controller.h
@@ -41,8 +41,8 @@
 public:
     // All references must outlive the controller.
     ShareController(std::string self, const Clock &clock, const LeaseStatus &lease,
-                    Limiter &limiter,
-                    ShareLedger &ledger, LeaseReclaimer &reclaimer, PeerDirectory &peers);
+                    Limiter &limiter, ShareLedger &ledger, LeaseReclaimer &reclaimer,
+                    PeerDirectory &peers);
 
     // Sets the workspaces that have a limit. Thread-safe.
     void setWorkspaces(std::vector<std::string> workspaces);
--- a/packages/wire/convert.cpp
+++ b/packages/wire/convert.cpp
@@ -18,7 +18,8 @@
     failure.set_not_run(error.execution_ == Execution::NotRun);
     failure.set_message(error.message_);
     if (error.retryAt_)
-        failure.set_retry_after_micros(std::max<std::uint64_t>(1, remainingMicros(*error.retryAt_, now)));
+        failure.set_retry_after_micros(
+            std::max<std::uint64_t>(1, remainingMicros(*error.retryAt_, now)));
     return failure;
 }
 
@@ -37,7 +38,8 @@
 {
     if (deadline <= now)
         return 0;
-    return std::min<std::uint64_t>(static_cast<std::uint64_t>((deadline - now).count()), kMaxRemainingMicros);
+    return std::min<std::uint64_t>(static_cast<std::uint64_t>((deadline - now).count()),
+                                   kMaxRemainingMicros);
 }
 
 TimePoint deadlineOf(std::uint64_t remainingMicros, TimePoint now)
