--- a/packages/limiter/limiter_test.cpp
+++ b/packages/limiter/limiter_test.cpp
@@ -130,6 +130,72 @@
     }
 }
 
+struct HeldLease final : LeaseStatus
+{
+    [[nodiscard]] bool isHeld() const override { return true; }
+};
+
+std::int64_t spendAll(Limiter &limiter)
+{
+    const std::int64_t tokens = limiter.state()[0].level_ / kMicroPerToken;
+    return limiter.reserve("w", tokens, Attempt::First) ? tokens : 0;
+}
+
+// A sender with all units, and a transfer to a receiver that has not arrived yet.
+struct TransferScene
+{
+    TransferScene()
+    {
+        for (Limiter *limiter : {&sender_, &receiver_}) {
+            limiter->setLimit("w", kLimit);
+            limiter->onGrant("w", {limiter == &sender_ ? kTotalUnits : 0, limiter == &sender_});
+            limiter->setPeers({"a", "b"});
+        }
+        REQUIRE_FALSE(receiver_.reserve("w", 3000, Attempt::First));
+        const OutgoingShares asked = receiver_.poll("w");
+        REQUIRE(asked.requests_.size() == 1);
+        transfer_ = sender_.onRequest(asked.requests_[0]).value();
+    }
+
+    ManualClock clock_;
+    HeldLease lease_;
+    Limiter sender_{"a", clock_, lease_};
+    Limiter receiver_{"b", clock_, lease_};
+    ShareTransfer transfer_;
+};
+
+// Guards against level sent without the units that hold it: the sender would refill while the level
+// is on its way, and both together would spend more than the burst in one moment.
+TEST_CASE("a sender does not refill what it has in flight")
+{
+    TransferScene scene;
+    scene.clock_.advance(seconds(60));
+    std::int64_t spent = spendAll(scene.sender_);
+    REQUIRE(scene.receiver_.onTransfer(scene.transfer_));
+    REQUIRE(scene.receiver_.onTransfer(scene.transfer_)); // repeated
+    spent += spendAll(scene.receiver_);
+    CHECK(spent <= kLimit.burst_);
+}
+
+// Guards against units that a settlement returns to spare and that arrive as well.
+TEST_CASE("after a net report nothing of the fenced holder is accepted and nothing sent to it")
+{
+    TransferScene scene;
+    const NetRequest onSender{"w", {"a"}};
+    for (int i = 0; i < 2; ++i) {
+        const std::optional<NetReport> report = scene.receiver_.onNetRequest(onSender);
+        REQUIRE(report);
+        CHECK(report->nets_.at("a") == 0);
+        CHECK_FALSE(scene.receiver_.onTransfer(scene.transfer_));
+        CHECK(scene.receiver_.state()[0].units_ == 0);
+    }
+    const std::optional<NetReport> report = scene.sender_.onNetRequest({"w", {"b"}});
+    CHECK(report->nets_.at("b") == scene.transfer_.units_);
+    scene.clock_.advance(seconds(1));
+    CHECK(scene.sender_.pollAll().transfers_.empty());
+    CHECK_FALSE(scene.sender_.onNetRequest(onSender)); // a fenced holder has no say
+}
+
 // Guards against refusing a request that only the pooled level of all entries can serve.
 TEST_CASE("a request above the local part pulls units from peers")
 {
