--- a/packages/config/content_json.cpp
+++ b/packages/config/content_json.cpp
@@ -213,6 +213,18 @@
     return content;
 }
 
+Result<std::shared_ptr<const Configuration>>
+readConfiguration(std::uint64_t revision, std::string_view digest, std::string_view canonicalJson)
+{
+    if (contentDigest(canonicalJson) != digest)
+        return notRun(ErrorCode::InvalidConfiguration,
+                      concat(kSource, " of revision ", revision, " has another digest"));
+    Result<ConfigurationContent> content = parseCanonicalJson(canonicalJson);
+    if (!content)
+        return tl::unexpected(content.error());
+    return Configuration::create(revision, std::move(*content));
+}
+
 std::string contentDigest(std::string_view canonicalJson)
 {
     return sha256Hex(canonicalJson);
--- a/packages/config/renderer.cpp
+++ b/packages/config/renderer.cpp
@@ -34,7 +34,7 @@
     void readSchemes(SourceObject &root);
     void readTemplates(SourceObject &root);
     void readInstance(const Json &json, const Place &place);
-    void renderTemplate(const Template &declared, Scope scope);
+    void renderTemplate(const Template &declared, const Scope &scope);
 
     // Reads each item of the list, and each number of its range, by reader.
     void readList(SourceObject &parent, const std::string &field, const Scope &scope,
@@ -130,10 +130,10 @@
     if (!scope)
         return;
     scope->context_ = concat(place.field_, " at line ", document_.lineOf(place.field_));
-    renderTemplate(declared->second, std::move(*scope));
+    renderTemplate(declared->second, *scope);
 }
 
-void Renderer::renderTemplate(const Template &declared, Scope scope)
+void Renderer::renderTemplate(const Template &declared, const Scope &scope)
 {
     SourceObject object(*declared.json_, declared.place_, scope, problems_);
     static_cast<void>(object.raw("parameters"));
