--- /dev/null
+++ b/packages/entry/entry_server.h
@@ -0,0 +1,83 @@
+#pragma once
+
+// The entry's HTTP server towards callers.
+//
+//     EntryServer server(settings, clock, chain, forwarder, retries, configuration);
+//     server.start();       // listens; returns once connections are accepted
+//     server.drain();       // refuses new requests
+//     server.stop();        // waits for running requests, then ends
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/error.h"
+#include "config/configuration.h"
+#include "entry/filter.h"
+#include "entry/forwarder.h"
+
+namespace foxtailturn {
+
+struct EntryServerSettings
+{
+    std::string host_; // IP address
+    int port_ = 0;
+    std::size_t maxConnections_ = 600; // each open connection holds a thread
+    std::size_t maxBodyBytes_ = 4 * 1024 * 1024;
+
+    bool operator==(const EntryServerSettings &) const = default;
+};
+
+// Counts for metrics; read at any time.
+struct EntryCounts
+{
+    std::uint64_t requests_ = 0;
+    std::uint64_t refused_ = 0; // not_run
+    std::uint64_t failed_ = 0; // outcome_unknown
+    std::uint64_t open_ = 0; // in progress now
+
+    bool operator==(const EntryCounts &) const = default;
+};
+
+// Told about each request's result, for metrics. Thread-safe.
+class RequestObserver
+{
+public:
+    virtual ~RequestObserver() = default;
+
+    // Called when the first bytes of an answer are ready.
+    virtual void onFirstByte(const RequestContext &context, Duration sinceArrival) = 0;
+
+    // Called once at the end; error is null after a whole answer.
+    virtual void onEnd(const RequestContext &context, const Error *error, Duration sinceArrival)
+        = 0;
+};
+
+// Thread-safe.
+class EntryServer
+{
+public:
+    // All references must outlive the server. configuration returns the one in force.
+    EntryServer(EntryServerSettings settings, const Clock &clock, const FilterChain &chain,
+                Forwarder &forwarder, RetryGuard &retries, RequestObserver &observer,
+                std::function<std::shared_ptr<const Configuration>()> configuration);
+    ~EntryServer();
+
+    // Begins to accept connections. Error: InvalidSettings when the address can't be used.
+    [[nodiscard]] Result<void> start();
+
+    // Refuses new requests as not_run; running ones go on. Thread-safe.
+    void drain();
+
+    // Waits until no request runs or until the deadline, then closes all connections. Thread-safe.
+    void stop(TimePoint deadline);
+
+    [[nodiscard]] EntryCounts counts() const;
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/entry/filters.cpp
@@ -0,0 +1,188 @@
+#include "entry/filters.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/json.h"
+#include "base/log.h"
+
+namespace foxtailturn {
+
+namespace {
+
+constexpr std::string_view kEnginePathStart = "/v1/";
+constexpr std::size_t kMaxIdempotencyKeyBytes = 255;
+constexpr std::int64_t kMaxChoices = 16;
+// A plain service has no tokens; one token bounds the rate of calls.
+constexpr std::uint64_t kServiceTokens = 1;
+
+std::string withQuery(const std::string &path, const std::string &query)
+{
+    return query.empty() ? path : path + "?" + query;
+}
+
+std::string fingerprintOf(const RequestContext &context)
+{
+    const std::string workspace = context.workspace_ == nullptr ? "" : context.workspace_->id_;
+    return sha256Hex(concat(workspace, "\n", context.route_->id_, "\n", context.targetPath_, "\n",
+                            context.targetBody_));
+}
+
+// Reads an optional positive whole number.
+Result<std::int64_t> countField(const Json &body, const char *name, std::int64_t fallback,
+                                std::int64_t max)
+{
+    const auto it = body.find(name);
+    if (it == body.end() || it->is_null())
+        return fallback;
+    if (!it->is_number_integer() || it->get<std::int64_t>() < 1 || it->get<std::int64_t>() > max)
+        return notRun(ErrorCode::BadRequest, concat(name, " must be from 1 to ", max));
+    return it->get<std::int64_t>();
+}
+
+// Returns the most tokens of all answers of the request and writes the bound into the body.
+Result<std::uint64_t> boundAnswer(Json &body, const Route &route)
+{
+    const char *field = body.contains("max_completion_tokens") ? "max_completion_tokens"
+                                                               : "max_tokens";
+    const Result<std::int64_t> tokens = countField(body, field, route.maxTokens_, route.maxTokens_);
+    const Result<std::int64_t> choices = countField(body, "n", 1, kMaxChoices);
+    const Result<std::int64_t> best = countField(body, "best_of", 1, kMaxChoices);
+    for (const Result<std::int64_t> *field : {&tokens, &choices, &best}) {
+        if (!*field)
+            return tl::unexpected(field->error());
+    }
+    body[field] = *tokens;
+    return static_cast<std::uint64_t>(*tokens * std::max(*choices, *best));
+}
+
+} // namespace
+
+RouteFilter::RouteFilter(const Clock &clock)
+    : clock_(&clock)
+{
+}
+
+Result<void> RouteFilter::apply(RequestContext &context) const
+{
+    const CallerRequest &request = context.request_;
+    const Result<const Route *> route
+        = context.configuration_->resolveRoute(request.method_, request.path_);
+    if (!route)
+        return tl::unexpected(route.error());
+    context.route_ = *route;
+    context.deadline_ = clock_->now() + std::chrono::milliseconds((*route)->deadlineMs_);
+    return {};
+}
+
+KeyFilter::KeyFilter(const Clock &clock, std::function<TimePoint()> confirmedUntil)
+    : clock_(&clock)
+    , confirmedUntil_(std::move(confirmedUntil))
+{
+}
+
+Result<void> KeyFilter::apply(RequestContext &context) const
+{
+    const CallerRequest &request = context.request_;
+    const CallerKey caller = callerKeyOf(request.headers_);
+    if (!context.route_->open_) {
+        if (caller.secret_.empty())
+            return notRun(ErrorCode::Unauthenticated, "request has no API key");
+        if (clock_->now() >= confirmedUntil_())
+            return notRun(ErrorCode::StaleConfiguration,
+                          "configuration could not be confirmed lately");
+        const Result<KeyMatch> match = context.configuration_->findKey(caller.secret_);
+        if (!match)
+            return tl::unexpected(match.error());
+        context.key_ = match->key_;
+        context.workspace_ = match->workspace_;
+    }
+    if (containsSecret(request.body_, caller.secret_) || containsSecret(request.path_, caller.secret_))
+        return notRun(ErrorCode::BadRequest, "API key must not stand in the path or the body");
+    context.targetPath_
+        = withQuery(request.path_, queryWithoutKey(request.query_, caller.secret_));
+    context.targetBody_ = request.body_;
+    return {};
+}
+
+Result<void> ModelFilter::apply(RequestContext &context) const
+{
+    context.maxTokens_ = kServiceTokens;
+    if (context.route_->kind_ == RouteKind::Model) {
+        if (context.workspace_ == nullptr)
+            return notRun(ErrorCode::Unauthenticated, "model routes need an API key");
+        Json body = Json::parse(context.request_.body_, nullptr, false);
+        if (!body.is_object() || !body.contains("model") || !body["model"].is_string())
+            return notRun(ErrorCode::BadRequest, "body must be JSON with a field model");
+        const Result<const AdapterVersion *> adapter = context.configuration_->resolveModel(
+            context.workspace_->id_, body["model"].get<std::string>());
+        if (!adapter)
+            return tl::unexpected(adapter.error());
+        context.adapter_ = *adapter;
+        const Result<std::uint64_t> answerTokens = boundAnswer(body, *context.route_);
+        if (!answerTokens)
+            return tl::unexpected(answerTokens.error());
+        const Json &stream = body.contains("stream") ? body["stream"] : Json(false);
+        if (!stream.is_boolean())
+            return notRun(ErrorCode::BadRequest, "stream must be true or false");
+        context.streaming_ = stream.get<bool>();
+        body["model"] = concat((*adapter)->adapter_, "@", (*adapter)->version_);
+        // The engine reports usage at the end of a stream only when asked; the reservation is
+        // settled by it.
+        if (context.streaming_)
+            body["stream_options"] = {{"include_usage", true}};
+        context.targetBody_ = body.dump();
+        const std::size_t start = context.targetPath_.find(kEnginePathStart);
+        if (start != std::string::npos)
+            context.targetPath_.erase(0, start);
+        // A token is at least one byte of text, so the body's size bounds the prompt's tokens.
+        context.maxTokens_ = context.request_.body_.size() + *answerTokens;
+    }
+    context.fingerprint_ = fingerprintOf(context);
+    return {};
+}
+
+Result<void> IdempotencyFilter::apply(RequestContext &context) const
+{
+    const HeaderMap &headers = context.request_.headers_;
+    const auto header = headers.find("idempotency-key");
+    if (header != headers.end())
+        context.idempotencyKey_ = header->second;
+    if (context.idempotencyKey_.size() > kMaxIdempotencyKeyBytes)
+        return notRun(ErrorCode::BadRequest, "Idempotency-Key is longer than 255 bytes");
+    if (containsSecret(context.idempotencyKey_, callerKeyOf(headers).secret_))
+        return notRun(ErrorCode::BadRequest, "API key must not stand in the Idempotency-Key");
+    if (!context.route_->repeatable_ && context.idempotencyKey_.empty())
+        return notRun(ErrorCode::IdempotencyKeyMissing, "this route needs an Idempotency-Key header");
+    return {};
+}
+
+SuspectFilter::SuspectFilter(RetryGuard &guard)
+    : guard_(&guard)
+{
+}
+
+Result<void> SuspectFilter::apply(RequestContext &context) const
+{
+    return guard_->admit(context);
+}
+
+LimitFilter::LimitFilter(TokenLimiter &limiter)
+    : limiter_(&limiter)
+{
+}
+
+Result<void> LimitFilter::apply(RequestContext &context) const
+{
+    if (context.workspace_ == nullptr)
+        return {};
+    Result<std::unique_ptr<TokenReservation>> reservation
+        = limiter_->reserve(context.workspace_->id_, context.maxTokens_, context.deadline_);
+    if (!reservation)
+        return tl::unexpected(reservation.error());
+    context.reservation_ = *std::move(reservation);
+    return {};
+}
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/entry/live_request.cpp
@@ -0,0 +1,75 @@
+#include "entry/live_request.h"
+
+#include <utility>
+
+#include "entry/entry_server.h"
+#include "entry/retry_guard.h"
+
+namespace foxtailturn {
+
+LiveRequest::LiveRequest(const Clock &clock, RequestObserver &observer, RetryGuard &guard,
+                         std::function<std::shared_ptr<const Configuration>()> configuration,
+                         std::atomic<std::uint64_t> &openCount)
+    : clock_(&clock)
+    , observer_(&observer)
+    , guard_(&guard)
+    , configuration_(std::move(configuration))
+    , openCount_(&openCount)
+    , arrivedAt_(clock.now())
+{
+    ++*openCount_;
+}
+
+LiveRequest::~LiveRequest()
+{
+    --*openCount_;
+}
+
+Result<void> LiveRequest::check()
+{
+    if (clock_->now() >= context_.deadline_)
+        return outcomeUnknown(ErrorCode::DeadlineExceeded, "request did not finish by its deadline");
+    if (context_.key_ == nullptr)
+        return {};
+    std::shared_ptr<const Configuration> current = configuration_();
+    if (current == checked_)
+        return {};
+    if (!current->isKeyActive(context_.key_->id_))
+        return outcomeUnknown(ErrorCode::KeyWithdrawn, "API key was withdrawn");
+    checked_ = std::move(current);
+    return {};
+}
+
+void LiveRequest::firstByte()
+{
+    if (!std::exchange(hasFirstByte_, true))
+        observer_->onFirstByte(context_, clock_->now() - arrivedAt_);
+}
+
+void LiveRequest::end(std::uint64_t usedTokens)
+{
+    if (std::exchange(ended_, true))
+        return;
+    if (context_.reservation_)
+        context_.reservation_->settle(usedTokens);
+    guard_->ended(context_, true);
+    observer_->onEnd(context_, nullptr, clock_->now() - arrivedAt_);
+}
+
+void LiveRequest::fail(const Error &error)
+{
+    if (std::exchange(ended_, true))
+        return;
+    // Work that may have run may have used all that was reserved.
+    if (context_.reservation_ && error.execution_ == Execution::NotRun)
+        context_.reservation_->settle(0);
+    guard_->ended(context_, false);
+    observer_->onEnd(context_, &error, clock_->now() - arrivedAt_);
+}
+
+Error LiveRequest::callerGone()
+{
+    return {ErrorCode::Cancelled, Execution::OutcomeUnknown, "caller closed the connection"};
+}
+
+} // namespace foxtailturn
