--- a/packages/adapters/adapter_cache.cpp
+++ b/packages/adapters/adapter_cache.cpp
@@ -157,9 +157,11 @@
     });
 }
 
-std::optional<AdapterId> AdapterCache::leastValuable(TimePoint now) const
+std::optional<AdapterId>
+AdapterCache::leastValuable(TimePoint now,
+                            const std::function<bool(const AdapterId &)> &isWanted) const
 {
-    return leastValuableOf(now, [](const AdapterId &, const Slot &) { return true; });
+    return leastValuableOf(now, [&](const AdapterId &id, const Slot &) { return !isWanted(id); });
 }
 
 bool AdapterCache::beginEviction(const AdapterId &id)
--- a/packages/adapters/adapter_cache.h
+++ b/packages/adapters/adapter_cache.h
@@ -94,8 +94,10 @@
     [[nodiscard]] std::optional<AdapterId>
     chooseVictim(TimePoint now, const std::function<bool(const AdapterId &)> &isWanted) const;
 
-    // Returns the resident adapter with the least keep value, pinned or not.
-    [[nodiscard]] std::optional<AdapterId> leastValuable(TimePoint now) const;
+    // Returns the resident adapter with the least keep value, pinned or not, of those that are not
+    // wanted.
+    [[nodiscard]] std::optional<AdapterId>
+    leastValuable(TimePoint now, const std::function<bool(const AdapterId &)> &isWanted) const;
 
     // Moves a resident adapter to Evicting. Returns false, and changes nothing, if it is pinned or
     // not resident.
--- a/packages/adapters/agent_core.cpp
+++ b/packages/adapters/agent_core.cpp
@@ -207,37 +207,64 @@
 
 void AgentCore::orderLoads(TimePoint now)
 {
-    vacating_ = AdapterId{};
-    std::unordered_set<AdapterId, AdapterIdHash> planned;
+    if (loadsInFlight_ + unloadsInFlight_ >= settings_.maxLoads_)
+        return;
+    vacateNeeded_ = false;
+    planLoads(now);
+    if (!vacateNeeded_)
+        vacating_ = AdapterId{};
+}
+
+std::optional<AdapterId> AgentCore::nextLoad(const PlannedLoads &planned, TimePoint now) const
+{
+    const auto mayLoad = [&](const AdapterId &adapter) {
+        return cache_.state(adapter) == SlotState::Absent && !planned.contains(adapter)
+            && !cache_.backOffUntil(adapter, now);
+    };
+    if (!entitled_.empty() && queue_.waitingFor(entitled_) > 0 && mayLoad(entitled_))
+        return entitled_;
+    return loads_.choose(queue_, mayLoad);
+}
+
+void AgentCore::planLoads(TimePoint now)
+{
+    PlannedLoads planned;
     std::size_t slotsComing = unloadsInFlight_;
     while (loadsInFlight_ + unloadsInFlight_ < settings_.maxLoads_) {
-        const std::optional<AdapterId> next = loads_.choose(queue_, [&](const AdapterId &adapter) {
-            return cache_.state(adapter) == SlotState::Absent && !planned.contains(adapter)
-                && !cache_.backOffUntil(adapter, now);
-        });
+        const std::optional<AdapterId> next = nextLoad(planned, now);
         if (!next)
             return;
         planned.insert(*next);
-        if (cache_.beginLoad(*next, now)) {
-            ++loadsInFlight_;
-            loads_.loadStarted(*next, queue_);
-            giveOrder(EngineOrder::Kind::Load, *next);
-        } else if (slotsComing > 0) {
+        if (cache_.beginLoad(*next, now))
+            orderLoad(*next);
+        else if (slotsComing > 0)
             --slotsComing; // an unload in flight makes room for it
-        } else if (!orderEviction(*next, now)) {
+        else if (!orderEviction(*next, now))
             vacateFor(*next, now);
-        }
     }
 }
 
+void AgentCore::orderLoad(const AdapterId &adapter)
+{
+    if (adapter == entitled_)
+        entitled_ = AdapterId{};
+    ++loadsInFlight_;
+    loads_.loadStarted(adapter, queue_);
+    giveOrder(EngineOrder::Kind::Load, adapter);
+}
+
 bool AgentCore::orderEviction(const AdapterId &forAdapter, TimePoint now)
 {
     std::optional<AdapterId> victim = cache_.chooseVictim(
         now, [&](const AdapterId &adapter) { return queue_.waitingFor(adapter) > 0; });
     // The first request in fair order may take the slot of an adapter that later ones wait for;
-    // otherwise a few busy adapters could keep all slots for ever.
-    if (!victim && queue_.isFirst(forAdapter))
-        victim = cache_.chooseVictim(now, [](const AdapterId &) { return false; });
+    // otherwise a few busy adapters could keep all slots for ever. The adapters of first requests
+    // keep theirs, so that two requests cannot take turns without either starting.
+    if (!victim && queue_.isFirst(forAdapter)) {
+        victim = cache_.chooseVictim(
+            now, [&](const AdapterId &adapter) { return queue_.isFirst(adapter); });
+        entitled_ = forAdapter;
+    }
     if (!victim || !cache_.beginEviction(*victim))
         return false;
     ++unloadsInFlight_;
@@ -247,11 +274,16 @@
 
 void AgentCore::vacateFor(const AdapterId &forAdapter, TimePoint now)
 {
-    if (!vacating_.empty() || !queue_.isFirst(forAdapter))
+    if (!queue_.isFirst(forAdapter))
+        return;
+    vacateNeeded_ = true;
+    // The choice is kept until the slot is free; otherwise none of the busy adapters might ever
+    // come to rest.
+    if (!vacating_.empty() && cache_.state(vacating_) == SlotState::Resident)
         return;
-    const std::optional<AdapterId> least = cache_.leastValuable(now);
-    if (least)
-        vacating_ = *least;
+    const std::optional<AdapterId> least = cache_.leastValuable(
+        now, [&](const AdapterId &adapter) { return queue_.isFirst(adapter); });
+    vacating_ = least.value_or(AdapterId{});
 }
 
 void AgentCore::orderRetries()
--- a/packages/adapters/agent_core.h
+++ b/packages/adapters/agent_core.h
@@ -145,6 +145,8 @@
     [[nodiscard]] const AdapterCache &cache() const { return cache_; }
 
 private:
+    using PlannedLoads = std::unordered_set<AdapterId, AdapterIdHash>;
+
     struct Running
     {
         WorkRequest request_;
@@ -164,6 +166,10 @@
     [[nodiscard]] bool exclusiveIsNext() const;
     void start(const WorkRequest &request, TimePoint now);
     void orderLoads(TimePoint now);
+    void planLoads(TimePoint now);
+    [[nodiscard]] std::optional<AdapterId> nextLoad(const PlannedLoads &planned,
+                                                    TimePoint now) const;
+    void orderLoad(const AdapterId &adapter);
     bool orderEviction(const AdapterId &forAdapter, TimePoint now);
     void vacateFor(const AdapterId &forAdapter, TimePoint now);
     void orderRetries();
@@ -183,6 +189,8 @@
     std::size_t loadsInFlight_ = 0;
     std::size_t unloadsInFlight_ = 0;
     AdapterId vacating_; // gets no new work, so that its slot becomes free for the first in order
+    AdapterId entitled_; // is loaded next, because a wanted adapter gives up its slot for it
+    bool vacateNeeded_ = false;
     bool listing_ = false;
     bool listRead_ = false;
     bool draining_ = false;
