--- a/packages/limiter/limiter_fixture.cpp
+++ b/packages/limiter/limiter_fixture.cpp
@@ -38,6 +38,7 @@
         , witnesses_(fixture, name)
         , reclaimer_(kLeaseMargin, fixture.events_.clock_, fixture.table_, witnesses_)
         , limiter_(name, fixture.events_.clock_, *this)
+        , startedAt_(fixture.events_.clock_.now())
     { }
 
     [[nodiscard]] bool isHeld() const override { return ignoresLease_ || lease_.isHeld(); }
@@ -54,6 +55,7 @@
     Witnesses witnesses_;
     LeaseReclaimer reclaimer_;
     Limiter limiter_;
+    TimePoint startedAt_;
     TimePoint renewAt_;
     TimePoint maintainAt_;
 };
@@ -201,6 +203,12 @@
     return entries_[entry]->isRunning();
 }
 
+bool LimiterFixture::isReady(std::size_t entry) const
+{
+    const Process &process = *entries_[entry];
+    return events_.clock_.now() >= process.startedAt_ + 2 * kMaintenance;
+}
+
 Limiter &LimiterFixture::limiter(std::size_t entry)
 {
     return entries_[entry]->limiter_;
@@ -325,12 +333,11 @@
             });
         });
     }
-    std::vector<Spend> &spends = spends_[workspace];
-    spends.push_back({now(), request.charge_});
-    const std::size_t index = spends.size() - 1;
+    SpendLog &spends = spends_[workspace];
+    const std::size_t index = spends.add(now(), request.charge_);
     events_.after(request.runs_, [=, this, &process, &spends] {
         post(process, [=, &process, &spends] {
-            spends[index].tokens_ = request.used_;
+            spends.setUsed(index, request.used_);
             process.limiter_.settle(*admitted, request.used_);
         });
     });
@@ -340,19 +347,7 @@
 MicroTokens LimiterFixture::excess(const std::string &workspace, WorkspaceLimit limit) const
 {
     const auto it = spends_.find(workspace);
-    if (it == spends_.end())
-        return 0;
-    // debt: the largest spending minus rate x time over all intervals that end now.
-    MicroTokens debt = 0;
-    MicroTokens largest = 0;
-    TimePoint last;
-    for (const Spend &spend : it->second) {
-        const MicroTokens paid = limit.rate_ * (spend.at_ - last).count();
-        debt = std::max<MicroTokens>(0, debt - paid) + spend.tokens_ * kMicroPerToken;
-        largest = std::max(largest, debt);
-        last = spend.at_;
-    }
-    return largest - limit.burst_ * kMicroPerToken;
+    return it == spends_.end() ? 0 : it->second.excess(limit);
 }
 
 std::int64_t LimiterFixture::unitsOfLive(const std::string &workspace)
@@ -369,13 +364,4 @@
     return units;
 }
 
-std::int64_t LimiterFixture::spentTokens(const std::string &workspace) const
-{
-    std::int64_t tokens = 0;
-    const auto it = spends_.find(workspace);
-    for (const Spend &spend : it == spends_.end() ? std::vector<Spend>() : it->second)
-        tokens += spend.tokens_;
-    return tokens;
-}
-
 } // namespace foxtailturn
--- a/packages/limiter/limiter_fixture.h
+++ b/packages/limiter/limiter_fixture.h
@@ -59,6 +59,8 @@
     void setIgnoresLease(std::size_t entry); // breaks the rule, to see that the checks notice
 
     [[nodiscard]] bool isServing(std::size_t entry) const;
+    // Returns whether the entry is old enough to be known to its peers, as a readiness check asks.
+    [[nodiscard]] bool isReady(std::size_t entry) const;
     [[nodiscard]] Limiter &limiter(std::size_t entry);
     [[nodiscard]] LeaseHolder &lease(std::size_t entry);
     [[nodiscard]] ShareLedger &ledger() { return ledger_; }
@@ -70,15 +72,9 @@
     [[nodiscard]] MicroTokens excess(const std::string &workspace, WorkspaceLimit limit) const;
     // Returns the units of all incarnations that are not fenced or released.
     [[nodiscard]] std::int64_t unitsOfLive(const std::string &workspace);
-    [[nodiscard]] std::int64_t spentTokens(const std::string &workspace) const;
 
 private:
     struct Process;
-    struct Spend
-    {
-        TimePoint at_;
-        std::int64_t tokens_ = 0;
-    };
     class Witnesses;
 
     bool chance(double probability);
@@ -104,7 +100,7 @@
     std::map<std::string, WorkspaceLimit> limits_;
     std::vector<std::unique_ptr<Process>> processes_; // all incarnations; the agents come first
     std::vector<Process *> entries_; // current incarnation of each entry
-    std::map<std::string, std::vector<Spend>> spends_;
+    std::map<std::string, SpendLog> spends_;
 };
 
 } // namespace foxtailturn
--- a/packages/limiter/share_policy.cpp
+++ b/packages/limiter/share_policy.cpp
@@ -8,8 +8,10 @@
 
 using Wide = __int128;
 
-// Smaller imbalances are left alone: units in flight do not refill, so needless transfers cost
-// rate.
+// Imbalances below one of these parts are left alone: units in flight do not refill, so needless
+// transfers cost rate. A holder with a waiting request asks many times a second, and over such
+// short times demand varies a lot; other requests are rare.
+constexpr std::int64_t kImbalancePartsWaiting = 4;
 constexpr std::int64_t kImbalanceParts = 16;
 
 std::int64_t divideUp(std::int64_t value, std::int64_t divisor)
@@ -17,8 +19,9 @@
     return (value + divisor - 1) / divisor;
 }
 
-// Returns how far the requester is below its part by demand of what both sides have.
-std::int64_t shortfall(std::int64_t own, std::int64_t theirs, const OwnShare &share,
+// Returns how far the requester is below its part by demand of what both sides have; 0 when that is
+// a small part of whole.
+std::int64_t shortfall(std::int64_t own, std::int64_t theirs, Wide whole, const OwnShare &share,
                        const ShareRequest &request)
 {
     const Wide demand = Wide{share.demand_} + request.demand_;
@@ -26,16 +29,19 @@
         return 0;
     const Wide part = (Wide{own} + theirs) * request.demand_ / demand;
     const Wide missing = part - theirs;
-    if (missing * kImbalanceParts < Wide{own} + theirs)
+    const Wide parts = request.needLevel_ > 0 ? kImbalancePartsWaiting : kImbalanceParts;
+    if (missing * parts < whole)
         return 0;
     return static_cast<std::int64_t>(std::min<Wide>(missing, own));
 }
 
-// Between two waiting requests the one that has waited longer goes first; else two holders could
-// take the same tokens from each other forever.
+// While both sides have a waiting request, tokens stay where they are: with a workspace over its
+// rate, each side could else take them from the other for ever. An exception is a request that the
+// other side's units cannot hold: of two such, the one that has waited longer goes first.
 bool keepsOwnReserve(const OwnShare &own, const ShareRequest &request)
 {
-    return own.reserved_ > 0 && own.waitedMicros_ >= request.waitedMicros_;
+    const bool mustPull = request.needUnits_ > 0;
+    return own.reserved_ > 0 && (!mustPull || own.waitedMicros_ >= request.waitedMicros_);
 }
 
 } // namespace
@@ -47,9 +53,11 @@
     const MicroTokens free = std::max<MicroTokens>(0, own.level_ - reserved);
     const std::int64_t freeUnits = std::max<std::int64_t>(0, own.units_ - keptUnits);
 
-    const MicroTokens byDemand = shortfall(own.level_, request.level_, own, request);
+    const Wide bothUnits = Wide{own.units_} + request.units_;
+    const MicroTokens byDemand =
+        shortfall(own.level_, request.level_, bothUnits * burst, own, request);
     MicroTokens level = std::clamp<MicroTokens>(std::max(byDemand, request.needLevel_), 0, free);
-    std::int64_t units = shortfall(own.units_, request.units_, own, request);
+    std::int64_t units = shortfall(own.units_, request.units_, bothUnits, own, request);
     units = std::max({units, request.needUnits_, divideUp(level, burst)});
     units = std::clamp<std::int64_t>(units, 0, freeUnits);
     level = std::min(level, burst * units);
--- a/packages/limiter/test_faults.cpp
+++ b/packages/limiter/test_faults.cpp
@@ -1,5 +1,7 @@
 #include "limiter/test_faults.h"
 
+#include <algorithm>
+
 namespace foxtailturn {
 
 namespace {
@@ -30,6 +32,27 @@
     clock_.advance(end - clock_.now());
 }
 
+std::size_t SpendLog::add(TimePoint at, std::int64_t tokens)
+{
+    spends_.push_back({at, tokens});
+    return spends_.size() - 1;
+}
+
+MicroTokens SpendLog::excess(WorkspaceLimit limit) const
+{
+    // debt: the largest spending minus rate x time over all intervals that end now.
+    MicroTokens debt = 0;
+    MicroTokens largest = 0;
+    TimePoint last;
+    for (const Spend &spend : spends_) {
+        const MicroTokens paid = limit.rate_ * (spend.at_ - last).count();
+        debt = std::max<MicroTokens>(0, debt - paid) + spend.tokens_ * kMicroPerToken;
+        largest = std::max(largest, debt);
+        last = spend.at_;
+    }
+    return largest - limit.burst_ * kMicroPerToken;
+}
+
 FaultyTable::FaultyTable(EventQueue &events, std::mt19937_64 &random, const FaultRates &faults)
     : events_(events)
     , random_(random)
--- a/packages/limiter/test_faults.h
+++ b/packages/limiter/test_faults.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "limiter/token_bucket.h"
 #include "platform/memory_platform.h"
 
 namespace foxtailturn {
@@ -51,6 +52,29 @@
     std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
 };
 
+// What one workspace spent. A request counts at the time of its reservation, with the tokens that
+// it used in the end.
+class SpendLog
+{
+public:
+    // Adds a reservation and returns its index.
+    std::size_t add(TimePoint at, std::int64_t tokens);
+
+    void setUsed(std::size_t index, std::int64_t tokens) { spends_[index].tokens_ = tokens; }
+
+    // Returns the largest spending in any interval minus (rate x time + burst), in micro-tokens.
+    [[nodiscard]] MicroTokens excess(WorkspaceLimit limit) const;
+
+private:
+    struct Spend
+    {
+        TimePoint at_;
+        std::int64_t tokens_ = 0;
+    };
+
+    std::vector<Spend> spends_;
+};
+
 // A MemoryTable with random and delayed writes.
 class FaultyTable final : public TableService
 {
--- a/packages/limiter/token_share.cpp
+++ b/packages/limiter/token_share.cpp
@@ -20,6 +20,9 @@
 constexpr Duration kWaitingLifetime = std::chrono::milliseconds(300);
 constexpr Duration kShortestRetry = std::chrono::milliseconds(1);
 constexpr Duration kUnjoinedRetry = std::chrono::seconds(1);
+// Interval at which a holder with demand asks one peer for its part, so that no entry keeps much
+// more than its part, which would be idle while its end is noticed.
+constexpr Duration kBalanceInterval = std::chrono::seconds(1);
 // A level below the demand of this time is filled up before requests have to wait.
 constexpr std::int64_t kLowLevelMicros = 200'000;
 
@@ -213,16 +216,28 @@
 
 void TokenShare::ask(const PeerList &peers, TimePoint now, OutgoingShares &out)
 {
-    if (!joined_ || now < askAt_ || !isShort(now) || !lease_->isHeld())
+    if (!joined_ || !lease_->isHeld())
         return;
-    const std::size_t count = std::min(peers.names_.size(), kPeersAsked);
+    if (now >= askAt_ && isShort(now)) {
+        askPeers(std::min(peers.names_.size(), kPeersAsked), peers, now, out);
+        askAt_ = now + askDelay_;
+        askDelay_ = std::min(askDelay_ * 2, kLongestAsk);
+        balanceAt_ = now + kBalanceInterval;
+    }
+    if (now >= balanceAt_ && demand_.perSecond(now) > 0) {
+        askPeers(std::min<std::size_t>(peers.names_.size(), 1), peers, now, out);
+        balanceAt_ = now + kBalanceInterval;
+    }
+}
+
+void TokenShare::askPeers(std::size_t count, const PeerList &peers, TimePoint now,
+                          OutgoingShares &out)
+{
     for (std::size_t i = 0; i < count; ++i) {
         const std::string &peer = peers.names_[nextPeer_++ % peers.names_.size()];
         if (blocked_.count(peer) == 0)
             out.requests_.push_back(requestTo(peer, now));
     }
-    askAt_ = now + askDelay_;
-    askDelay_ = std::min(askDelay_ * 2, kLongestAsk);
 }
 
 void TokenShare::poll(const PeerList &peers, TimePoint now, OutgoingShares &out)
--- a/packages/limiter/token_share.h
+++ b/packages/limiter/token_share.h
@@ -112,6 +112,7 @@
                                                     TimePoint now);
     [[nodiscard]] bool mayGiveTo(const std::string &peer, const PeerList &peers);
     void ask(const PeerList &peers, TimePoint now, OutgoingShares &out);
+    void askPeers(std::size_t count, const PeerList &peers, TimePoint now, OutgoingShares &out);
 
     std::string workspace_;
     std::string self_;
@@ -127,6 +128,7 @@
     std::map<std::string, std::int64_t> blocked_; // fenced holders and the final net of each
     TimePoint askAt_;
     Duration askDelay_;
+    TimePoint balanceAt_;
     std::size_t nextPeer_;
 };
 
