--- a/packages/peer/share_controller.cpp
+++ b/packages/peer/share_controller.cpp
@@ -1,5 +1,6 @@
 #include "peer/share_controller.h"
 
+#include <map>
 #include <thread>
 #include <utility>
 
@@ -103,12 +104,6 @@
 
 void ShareController::exchange()
 {
-    std::vector<std::string> entries;
-    for (const Peer &peer : peers_->livePeers(clock_->now())) {
-        if (peer.member_.role_ == kEntryRole)
-            entries.push_back(peer.incarnation_);
-    }
-    limiter_->setPeers(std::move(entries));
     send(limiter_->pollAll());
 }
 
@@ -171,64 +166,77 @@
 
 void ShareController::reconcile()
 {
+    // The rows are read before the leases: a holder that is in a row but has no live lease in the
+    // later survey has surely ended.
+    std::map<std::string, LedgerRow> rows;
+    for (const std::string &workspace : workspaces()) {
+        Result<LedgerRow> row = ledger_->read(workspace, callDeadline());
+        if (!row)
+            return;
+        rows.emplace(workspace, *std::move(row));
+    }
     const Result<LeaseSurvey> survey = reclaimer_->run(callDeadline());
     if (!survey)
         return;
-    if (!survey->ended_.empty())
-        settleEnded(survey->ended_);
+    bool isSettled = true;
+    for (const auto &[workspace, row] : rows)
+        isSettled = settle(workspace, row, *survey) && isSettled;
+    if (isSettled)
+        forget(survey->ended_);
+    setPeers(*survey);
     join();
 }
 
+void ShareController::setPeers(const LeaseSurvey &survey)
+{
+    std::set<std::string> entries;
+    for (const Peer &peer : peers_->peers()) {
+        if (peer.member_.role_ == kEntryRole)
+            entries.insert(peer.member_.name_);
+    }
+    std::vector<std::string> holders;
+    for (const LeaseRow &lease : survey.live_) {
+        if (lease.holder_ != self_ && entries.contains(processNameOf(lease.holder_)))
+            holders.push_back(lease.holder_);
+    }
+    limiter_->setPeers(std::move(holders));
+}
+
 void ShareController::join()
 {
     for (const std::string &workspace : workspaces()) {
-        // An ended holder must not enter the ledger again: nobody would reclaim its units.
-        if (!lease_->isHeld())
-            return;
-        const Result<LedgerGrant> grant = ledger_->take(workspace, self_, callDeadline());
+        const Result<LedgerGrant> grant
+            = ledger_->take(workspace, self_, *lease_, callDeadline());
         if (grant)
             limiter_->onGrant(workspace, *grant);
     }
 }
 
-void ShareController::settleEnded(const std::vector<std::string> &ended)
+bool ShareController::settle(const std::string &workspace, const LedgerRow &row,
+                             const LeaseSurvey &survey)
 {
-    const std::set<std::string> endedSet(ended.begin(), ended.end());
-    // An ended holder was never this incarnation: its own lease controller would know first.
-    if (endedSet.contains(self_))
-        return;
-    bool isSettled = true;
-    for (const std::string &workspace : workspaces())
-        isSettled = settleWorkspace(workspace, endedSet) && isSettled;
-    if (!isSettled)
-        return;
-    for (const std::string &holder : ended) {
-        kLog.info(concat("holder is settled, holder=", holder));
-        (void)reclaimer_->forget(holder, callDeadline());
-    }
+    const std::set<std::string> ended = endedHolders(row, survey.live_);
+    if (ended.empty())
+        return true;
+    if (ended.contains(self_))
+        return false;
+    const NetRequest request {workspace, {ended.begin(), ended.end()}};
+    const Result<Settlement> settled
+        = ledger_->settle(workspace, ended, collectNets(row, request), callDeadline());
+    if (!settled || !settled->missing_.empty())
+        return false;
+    kLog.info(concat("shares are reclaimed, workspace=", workspace,
+                     " units=", settled->reclaimedUnits_));
+    return true;
 }
 
-bool ShareController::settleWorkspace(const std::string &workspace,
-                                      const std::set<std::string> &ended)
+void ShareController::forget(const std::vector<std::string> &ended)
 {
-    const Result<LedgerRow> row = ledger_->read(workspace, callDeadline());
-    if (!row)
-        return false;
-    NetRequest request{workspace, {}};
     for (const std::string &holder : ended) {
-        if (row->holders_.contains(holder))
-            request.fenced_.push_back(holder);
+        const Result<void> forgotten = reclaimer_->forget(holder, callDeadline());
+        if (forgotten)
+            kLog.info(concat("ended holder is forgotten, holder=", holder));
     }
-    if (request.fenced_.empty())
-        return true;
-    const std::vector<NetReport> reports = collectNets(*row, request);
-    const Result<Settlement> settled = ledger_->settle(
-        workspace, {request.fenced_.begin(), request.fenced_.end()}, reports, callDeadline());
-    if (!settled || !settled->missing_.empty())
-        return false;
-    kLog.info(
-        concat("shares are reclaimed, workspace=", workspace, " units=", settled->reclaimedUnits_));
-    return true;
 }
 
 std::vector<NetReport> ShareController::collectNets(const LedgerRow &row, const NetRequest &request)
--- a/packages/peer/share_controller.h
+++ b/packages/peer/share_controller.h
@@ -47,10 +47,11 @@
     // Sets the workspaces that have a limit. Thread-safe.
     void setWorkspaces(std::vector<std::string> workspaces);
 
-    // Sends what is due to peers, and tells the limiter which entries are live.
+    // Sends what is due to peers.
     void exchange();
 
-    // Takes spare units and settles ended holders; blocks for table calls.
+    // Settles ended holders, tells the limiter which entries are live and takes spare units; blocks
+    // for table calls.
     void reconcile();
 
     // Sends what is due for one workspace. Thread-safe.
@@ -70,9 +71,11 @@
     void sendRequest(const ShareRequest &request);
     void acceptReply(const std::string &peer, const ShareTransfer &transfer);
     void join();
-    void settleEnded(const std::vector<std::string> &ended);
-    [[nodiscard]] bool settleWorkspace(const std::string &workspace,
-                                       const std::set<std::string> &ended);
+    void setPeers(const LeaseSurvey &survey);
+    // Returns whether no ended holder is left in the row.
+    [[nodiscard]] bool settle(const std::string &workspace, const LedgerRow &row,
+                              const LeaseSurvey &survey);
+    void forget(const std::vector<std::string> &ended);
     [[nodiscard]] std::vector<NetReport> collectNets(const LedgerRow &row,
                                                      const NetRequest &request);
     [[nodiscard]] std::vector<std::string> workspaces() const;
