--- a/packages/daemon/agent_role.h
+++ b/packages/daemon/agent_role.h
@@ -25,6 +25,7 @@
 
     Result<void> start() override;
     void stop() override;
+    [[nodiscard]] bool isFenced() const override { return node_.isFenced(); }
 
 private:
     [[nodiscard]] NodeHooks nodeHooks();
--- a/packages/daemon/entry_role.cpp
+++ b/packages/daemon/entry_role.cpp
@@ -136,13 +136,18 @@
     return record ? quarantine_.merge(*record).toJson() : text;
 }
 
+bool EntryRole::isReady() const
+{
+    return !draining_ && !node_.isFenced() && limitsRevision_ != 0 && shares_.isKnownToPeers();
+}
+
 NodeHooks EntryRole::nodeHooks()
 {
     NodeHooks hooks;
     hooks.limiter_ = &limiter_;
     hooks.onShareArrived_ = [this] { shares_.shareArrived(); };
     hooks.onSuspect_ = [this](const std::string &record) { return mergeSuspect(record); };
-    hooks.isReady_ = [this] { return !draining_ && node_.config().snapshot() != nullptr; };
+    hooks.isReady_ = [this] { return isReady(); };
     hooks.addState_ = [this](Json &state) { addState(state); };
     hooks.metrics_ = [this] { return metrics_.text(); };
     hooks.drain_ = [this] { draining_ = true; };
--- a/packages/daemon/entry_role.h
+++ b/packages/daemon/entry_role.h
@@ -27,9 +27,11 @@
 
     Result<void> start() override;
     void stop() override;
+    [[nodiscard]] bool isFenced() const override { return node_.isFenced(); }
 
 private:
     [[nodiscard]] NodeHooks nodeHooks();
+    [[nodiscard]] bool isReady() const;
     void buildChain();
     void startControllers();
     void applyLimits();
@@ -60,7 +62,7 @@
     Forwarder forwarder_;
     FilterChain chain_;
     EntryServer server_;
-    std::uint64_t limitsRevision_ = 0; // used by one controller
+    std::atomic<std::uint64_t> limitsRevision_ = 0; // revision whose limits are applied
     std::atomic<bool> draining_ = false;
 };
 
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -16,6 +16,7 @@
 constexpr int kExitOk = 0;
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
+constexpr int kExitFenced = 3; // start the process again
 
 // Blocks the stop signals in this and all later threads, so that waitForStop() receives them.
 sigset_t blockStopSignals()
@@ -51,7 +52,7 @@
     log.info("stopping");
     role->stop();
     log.info("stopped");
-    return kExitOk;
+    return role->isFenced() ? kExitFenced : kExitOk;
 }
 
 } // namespace
--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -1,9 +1,11 @@
 #include "daemon/node.h"
 
+#include <csignal>
 #include <thread>
 #include <utility>
 
 #include <grpcpp/grpcpp.h>
+#include <unistd.h>
 
 #include "base/log.h"
 #include "peer/config_fetch.h"
@@ -94,8 +96,17 @@
     loop_.every(kMembershipInterval, [this] { readMembership(); });
     loop_.every(kConfigInterval, [this] { pollConfig(); });
     loop_.every(kAnnounceInterval, [this] { announcer_.tick(); });
-    loop_.every(std::chrono::milliseconds(settings_.leaseMs_) / 4,
-                [this] { leaseController_.tick(); });
+    loop_.every(std::chrono::milliseconds(settings_.leaseMs_) / 4, [this] { renewLease(); });
+}
+
+void Node::renewLease()
+{
+    leaseController_.tick();
+    if (!lease_.isFenced() || fenced_.exchange(true))
+        return;
+    kLog.error("lease was fenced, stopping for a restart as a new incarnation");
+    // The signal ends the wait in main(), which then shuts down as planned.
+    kill(getpid(), SIGTERM);
 }
 
 void Node::stop()
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -71,6 +71,9 @@
     // Stops controllers, waits for calls in progress and releases the lease.
     void stop();
 
+    // Returns whether the lease was fenced, so that only a new incarnation can serve. Thread-safe.
+    [[nodiscard]] bool isFenced() const { return fenced_; }
+
     [[nodiscard]] const std::string &incarnation() const { return incarnation_; }
     [[nodiscard]] const Clock &clock() const { return clock_; }
     [[nodiscard]] const WallClock &wallClock() const { return wallClock_; }
@@ -97,6 +100,7 @@
     void fetchConfigFrom(const std::string &peer);
     void passOnWithdrawals(const std::set<std::string> &keys);
     void startControllers();
+    void renewLease();
 
     Settings settings_;
     std::string incarnation_;
@@ -116,6 +120,7 @@
     std::vector<grpc::Service *> services_;
     std::unique_ptr<grpc::Server> grpcServer_;
     AdminServer admin_;
+    std::atomic<bool> fenced_ = false;
     ControllerLoop loop_;
 };
 
--- a/packages/daemon/role.h
+++ b/packages/daemon/role.h
@@ -25,6 +25,9 @@
     // Graceful shutdown: not ready, no new work, running requests finish, shares and lease are
     // given up. Blocks until done or until the settings' stop timeout.
     virtual void stop() = 0;
+
+    // Returns whether the process was fenced and must be started anew.
+    [[nodiscard]] virtual bool isFenced() const = 0;
 };
 
 // Returns the role that the settings ask for.
--- a/packages/peer/share_controller.cpp
+++ b/packages/peer/share_controller.cpp
@@ -184,7 +184,8 @@
     if (isSettled)
         forget(survey->ended_);
     setPeers(*survey);
-    join();
+    if (join())
+        ++rounds_;
 }
 
 void ShareController::setPeers(const LeaseSurvey &survey)
@@ -202,14 +203,16 @@
     limiter_->setPeers(std::move(holders));
 }
 
-void ShareController::join()
+bool ShareController::join()
 {
     for (const std::string &workspace : workspaces()) {
         const Result<LedgerGrant> grant
             = ledger_->take(workspace, self_, *lease_, callDeadline());
-        if (grant)
-            limiter_->onGrant(workspace, *grant);
+        if (!grant)
+            return false;
+        limiter_->onGrant(workspace, *grant);
     }
+    return true;
 }
 
 bool ShareController::settle(const std::string &workspace, const LedgerRow &row,
--- a/packages/peer/share_controller.h
+++ b/packages/peer/share_controller.h
@@ -6,6 +6,7 @@
 //     loop.every(kPollInterval, [&] { shares.exchange(); });
 //     loop.every(1 s, [&] { shares.reconcile(); });
 
+#include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <set>
@@ -54,6 +55,10 @@
     // for table calls.
     void reconcile();
 
+    // Returns whether peers had time to learn of this entry after it joined the ledger. Before that
+    // they would not give it tokens, and it would refuse requests inside the rate. Thread-safe.
+    [[nodiscard]] bool isKnownToPeers() const { return rounds_ >= kRoundsUntilKnown; }
+
     // Sends what is due for one workspace. Thread-safe.
     void send(const OutgoingShares &shares);
 
@@ -67,10 +72,14 @@
     void leave(TimePoint deadline);
 
 private:
+    // Peers look at the leases once per round; the third round here ends after their next two.
+    static constexpr int kRoundsUntilKnown = 3;
+
     void sendTransfer(const ShareTransfer &transfer);
     void sendRequest(const ShareRequest &request);
     void acceptReply(const std::string &peer, const ShareTransfer &transfer);
-    void join();
+    // Returns whether this entry is in the ledger of all workspaces.
+    bool join();
     void setPeers(const LeaseSurvey &survey);
     // Returns whether no ended holder is left in the row.
     [[nodiscard]] bool settle(const std::string &workspace, const LedgerRow &row,
@@ -92,6 +101,7 @@
     std::condition_variable arrived_;
     std::vector<std::string> workspaces_;
     std::uint64_t arrivals_ = 0;
+    std::atomic<int> rounds_ = 0; // complete rounds of reconcile()
 };
 
 } // namespace foxtailturn
--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -255,16 +255,15 @@
         targets = len(self.engine_names) + len(self.service_names)
 
         def ready():
-            units = 0
             for name in self.entry_names:
                 state = self.state(name)
                 live = sum(1 for target in state["targets"] if target["live"])
-                joined = state["shares"] and all(share["joined"] for share in state["shares"])
-                if state["revision"] < revision or live < targets or not joined:
+                if state["revision"] < revision or live < targets:
+                    return False
+                if call(self.admin_ports[name], "GET", "/readyz", timeout=5).status != 200:
                     return False
-                units += state["shares"][0]["units"]
             agents = [self.state("agent-" + name) for name in self.engine_names]
-            return units > 0 and all(agent["target"]["fencing_number"] > 0 for agent in agents)
+            return all(agent["target"]["fencing_number"] > 0 for agent in agents)
         self.wait_until(ready, "all entries serve", timeout)
 
     def post(self, entry, path, body, key=None, headers=None, timeout=30):
