--- /dev/null
+++ b/packages/limiter/test_faults.h
@@ -0,0 +1,99 @@
+#pragma once
+
+// Virtual time and a table service with random faults, for the fault tests and the bench; not
+// installed.
+
+#include <functional>
+#include <queue>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "limiter/token_bucket.h"
+#include "platform/memory_platform.h"
+
+namespace foxtailturn {
+
+// Probabilities per message or write, and the range of message delays.
+struct FaultRates
+{
+    double loss_ = 0;
+    double duplicate_ = 0;
+    double lostWriteAnswer_ = 0;
+    double droppedWrite_ = 0;
+    double delayedWrite_ = 0; // answer lost, applied up to 3 s later
+    Duration minDelay_ = std::chrono::microseconds(500);
+    Duration maxDelay_ = std::chrono::microseconds(1500);
+};
+
+// Events in virtual time.
+class EventQueue
+{
+public:
+    ManualClock clock_;
+
+    void after(Duration delay, std::function<void()> action);
+    void run(Duration time);
+
+private:
+    struct Event
+    {
+        TimePoint at_;
+        std::uint64_t number_ = 0;
+        std::function<void()> action_;
+        bool operator>(const Event &other) const
+        {
+            return std::pair(at_, number_) > std::pair(other.at_, other.number_);
+        }
+    };
+
+    std::uint64_t lastNumber_ = 0;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+};
+
+// What one workspace spent. A request counts at the time of its reservation, with the tokens that
+// it used in the end.
+class SpendLog
+{
+public:
+    // Adds a reservation and returns its index.
+    std::size_t add(TimePoint at, std::int64_t tokens);
+
+    void setUsed(std::size_t index, std::int64_t tokens) { spends_[index].tokens_ = tokens; }
+
+    // Returns the largest spending in any interval minus (rate x time + burst), in micro-tokens.
+    [[nodiscard]] MicroTokens excess(WorkspaceLimit limit) const;
+
+private:
+    struct Spend
+    {
+        TimePoint at_;
+        std::int64_t tokens_ = 0;
+    };
+
+    std::vector<Spend> spends_;
+};
+
+// A MemoryTable with random and delayed writes.
+class FaultyTable final : public TableService
+{
+public:
+    FaultyTable(EventQueue &events, std::mt19937_64 &random, const FaultRates &faults);
+
+    Result<std::optional<Row>> read(const std::string &key, TimePoint deadline) override;
+    Result<RowVersion> write(const std::string &key, const std::string &value, RowVersion expected,
+                             TimePoint deadline) override;
+    Result<void> remove(const std::string &key, RowVersion expected, TimePoint deadline) override;
+    Result<std::vector<Row>> scan(const std::string &prefix, TimePoint deadline) override;
+
+    MemoryTable table_;
+    bool isDown_ = false;
+
+private:
+    EventQueue &events_;
+    std::mt19937_64 &random_;
+    const FaultRates &faults_;
+};
+
+} // namespace foxtailturn
