Add routing tests and a bench of placements in virtual time

Cause: placement had no figures. Change: an extra copy is loaded only when the wait for a resident one exceeds 16 loads (batch 128); an absent adapter goes to the one of its first 2 targets whose next victim is used least, which heartbeats now report; a target is full at 85% of its places.

--- a/packages/adapters/agent_core.h
+++ b/packages/adapters/agent_core.h
@@ -50,6 +50,7 @@
     std::size_t waiting_ = 0;
     std::size_t maxRunning_ = 0;
     std::size_t loadsInFlight_ = 0;
+    double victimRate_ = 0; // uses per second of the adapter that a load would evict next
     bool draining_ = false;
     bool recovered_ = false; // the engine's list was read
     std::map<std::string, std::size_t> waitingByWorkspace_;
@@ -138,10 +139,17 @@
     // Returns whether a request with this id waits or runs.
     [[nodiscard]] bool knows(const std::string &requestId) const;
 
+    // Returns whether a request with this id waits.
+    [[nodiscard]] bool isWaiting(const std::string &requestId) const
+    {
+        return queue_.contains(requestId);
+    }
+
     // Returns whether nothing runs or waits.
     [[nodiscard]] bool isIdle() const { return running_.empty() && queue_.size() == 0; }
 
-    [[nodiscard]] AgentSnapshot snapshot() const;
+    // now is needed for measured popularity, which decays.
+    [[nodiscard]] AgentSnapshot snapshot(TimePoint now) const;
     [[nodiscard]] const AdapterCache &cache() const { return cache_; }
 
 private:
@@ -170,6 +178,8 @@
     [[nodiscard]] std::optional<AdapterId> nextLoad(const PlannedLoads &planned,
                                                     TimePoint now) const;
     void orderLoad(const AdapterId &adapter);
+    [[nodiscard]] std::optional<AdapterId> unwantedVictim(TimePoint now) const;
+    [[nodiscard]] double victimRate(TimePoint now) const;
     bool orderEviction(const AdapterId &forAdapter, TimePoint now);
     void vacateFor(const AdapterId &forAdapter, TimePoint now);
     void orderRetries();
--- a/packages/routing/placement_policy.cpp
+++ b/packages/routing/placement_policy.cpp
@@ -2,10 +2,10 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
 #include <mutex>
 #include <random>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "adapters/popularity.h"
@@ -100,8 +100,19 @@
     }
 
 private:
+    // Expected seconds; then, among equals, another data centre and the place in the order.
     using Cost = std::tuple<double, bool, std::uint64_t>;
 
+    // What is the same for all targets of one choice.
+    struct Choice
+    {
+        const PlacementRequest &request_;
+        std::size_t homes_; // first targets in rendezvous order that should hold the adapter
+        double loadSeconds_; // at a home
+        double extraLoadSeconds_; // elsewhere
+        double bound_; // load
+    };
+
     // Targets that should hold the adapter: enough that its share of each stays below half.
     std::size_t copies(const AdapterId &adapter, std::span<const TargetView> targets, TimePoint now)
     {
@@ -110,7 +121,8 @@
         const double perSecond =
             popularity_.rate(adapter, now) * static_cast<double>(settings_.entries_);
         const double busy = perSecond * settings_.serviceSeconds_;
-        const double perTarget = kShareOfTarget * static_cast<double>(targets.front().maxRunning_);
+        const double perTarget =
+            settings_.shareOfTarget_ * static_cast<double>(targets.front().maxRunning_);
         const auto wanted = static_cast<std::size_t>(std::ceil(busy / perTarget));
         return std::clamp<std::size_t>(wanted, 1, targets.size());
     }
@@ -118,24 +130,12 @@
     std::size_t cheapest(const PlacementRequest &request, std::span<const TargetView> targets,
                          std::size_t copies) const
     {
-        const std::uint64_t seed = AdapterIdHash()(request.adapter_);
-        std::vector<std::size_t> order(targets.size());
-        for (std::size_t i = 0; i < order.size(); ++i)
-            order[i] = i;
-        std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
-            return rendezvousScore(seed, targets[a]) > rendezvousScore(seed, targets[b]);
-        });
-        const double loadCost = loadSeconds(targets);
-        const double bound = loadBound(targets);
+        const std::vector<std::size_t> order = rendezvousOrder(request.adapter_, targets);
+        const Choice choice = choiceOf(request, targets, copies);
         std::size_t best = order.front();
-        Cost bestCost{std::numeric_limits<double>::infinity(), true, 0};
-        for (std::size_t rank = 0; rank < order.size(); ++rank) {
-            const TargetView &target = targets[order[rank]];
-            const Cost cost{
-                seconds(request, target, rank, copies, loadCost, bound),
-                target.info_.dataCentre_ != request.dataCentre_,
-                rank,
-            };
+        Cost bestCost = costOf(choice, targets[best], 0);
+        for (std::size_t rank = 1; rank < order.size(); ++rank) {
+            const Cost cost = costOf(choice, targets[order[rank]], rank);
             if (cost < bestCost) {
                 best = order[rank];
                 bestCost = cost;
@@ -144,22 +144,59 @@
         return best;
     }
 
-    double seconds(const PlacementRequest &request, const TargetView &target, std::size_t rank,
-                   std::size_t copies, double loadCost, double bound) const
+    static std::vector<std::size_t> rendezvousOrder(const AdapterId &adapter,
+                                                    std::span<const TargetView> targets)
+    {
+        const std::uint64_t seed = AdapterIdHash()(adapter);
+        std::vector<std::pair<std::uint64_t, std::size_t>> scores(targets.size());
+        for (std::size_t i = 0; i < targets.size(); ++i)
+            scores[i] = {rendezvousScore(seed, targets[i]), i};
+        std::sort(scores.rbegin(), scores.rend());
+        std::vector<std::size_t> order(targets.size());
+        std::transform(scores.begin(), scores.end(), order.begin(),
+                       [](const auto &score) { return score.second; });
+        return order;
+    }
+
+    Choice choiceOf(const PlacementRequest &request, std::span<const TargetView> targets,
+                    std::size_t copies) const
     {
-        double cost = queueSeconds(target);
-        if (!target.has(request.adapter_))
-            cost += loadCost * (rank < copies ? 1 : kStrayCopyFactor);
-        if (static_cast<double>(target.load_) + 1 > bound)
-            cost += settings_.serviceSeconds_;
-        return cost;
+        const bool absent =
+            std::none_of(targets.begin(), targets.end(),
+                         [&](const TargetView &target) { return target.has(request.adapter_); });
+        const bool batch = request.priority_ == Priority::Batch;
+        const double factor = batch ? settings_.batchExtraCopyFactor_ : settings_.extraCopyFactor_;
+        const double load = loadSeconds(targets);
+        return Choice{.request_ = request,
+                      .homes_ = absent ? std::max(copies, settings_.targetsForAbsent_) : copies,
+                      .loadSeconds_ = load,
+                      .extraLoadSeconds_ = load * factor,
+                      .bound_ = loadBound(targets)};
+    }
+
+    Cost costOf(const Choice &choice, const TargetView &target, std::size_t rank) const
+    {
+        const PlacementRequest &request = choice.request_;
+        double seconds = queueSeconds(target);
+        if (static_cast<double>(target.load_) + 1 > choice.bound_)
+            seconds += settings_.serviceSeconds_;
+        if (!target.has(request.adapter_)) {
+            seconds += rank < choice.homes_ ? choice.loadSeconds_ : choice.extraLoadSeconds_;
+            seconds += target.victimRate_ * settings_.evictionSeconds_;
+            // Without regard to data centres, so that all entries load it at the same target.
+            return Cost{seconds, false, rank};
+        }
+        if (request.prefixHint_)
+            return Cost{seconds, false, ~rendezvousScore(*request.prefixHint_, target)};
+        return Cost{seconds, target.info_.dataCentre_ != request.dataCentre_, rank};
     }
 
     // Expected wait for a place among the running requests.
     double queueSeconds(const TargetView &target) const
     {
-        const double over = relativeLoad(target) - 1;
-        return over <= 0 ? 0 : over * settings_.serviceSeconds_;
+        const auto places = static_cast<double>(target.maxRunning_);
+        const double over = static_cast<double>(target.load_) + 1 - kFullFrom * places;
+        return std::max(0.0, over) / places * settings_.serviceSeconds_;
     }
 
     // Expected time of one more load, given those in flight over all targets.
@@ -173,19 +210,20 @@
         return settings_.loadSeconds_ * std::max(1.0, slowdown);
     }
 
+    // Load at which a target is used only if the others are no better: a factor over the mean,
+    // but not below its places.
     double loadBound(std::span<const TargetView> targets) const
     {
         double sum = 1;
         for (const TargetView &target : targets)
             sum += static_cast<double>(target.load_);
-        return std::ceil(settings_.loadBound_ * sum / static_cast<double>(targets.size()));
+        const double mean = sum / static_cast<double>(targets.size());
+        return std::max(std::ceil(settings_.loadBound_ * mean),
+                        static_cast<double>(targets.front().maxRunning_));
     }
 
-    // One adapter should not take more than this part of a target's running requests.
-    static constexpr double kShareOfTarget = 0.5;
-    // A copy outside the adapter's first targets also costs another adapter its slot.
-    static constexpr double kStrayCopyFactor = 4;
-
+    // Load reports lag, so a target counts as filling up before all its places are taken.
+    static constexpr double kFullFrom = 0.85;
     const PlacementSettings settings_;
     std::mutex mutex_;
     Popularity popularity_;
--- a/packages/routing/placement_policy.h
+++ b/packages/routing/placement_policy.h
@@ -27,7 +27,7 @@
     Priority priority_ = Priority::Chat;
     // Hash of the beginning of a long prompt. Requests with the same hint prefer the same copy,
     // where the engine's prefix cache may have it. A wrong guess costs time only.
-    std::optional<std::uint64_t> prefixHint_;
+    std::optional<std::uint64_t> prefixHint_ = std::nullopt;
 
     bool operator==(const PlacementRequest &) const = default;
 };
@@ -45,10 +45,21 @@
 
 struct PlacementSettings
 {
-    double loadBound_ = 1.25; // a target may exceed the mean load by this factor
+    double loadBound_ = 1.25; // a full target may exceed the mean load by this factor
     double serviceSeconds_ = 4; // mean run time of a request
     double loadSeconds_ = 0.25; // one adapter load while the weight store is not busy
     std::size_t fullSpeedLoads_ = 8; // loads in flight, over all targets, at full speed
+    // Weight of a load that makes one more copy than popularity asks for: it takes a slot from
+    // another adapter and a place at the weight store from other requests. Batch may wait longer
+    // for a resident copy, so its weight is larger.
+    double extraCopyFactor_ = 16;
+    double batchExtraCopyFactor_ = 128;
+    // An absent adapter goes to the one of its first targets that loses least by the eviction.
+    std::size_t targetsForAbsent_ = 2;
+    double evictionSeconds_ = 20; // time over which the evicted adapter's uses count
+    // One adapter should not take more than this part of a target's running requests; beyond, it
+    // gets another copy.
+    double shareOfTarget_ = 0.5;
     std::size_t entries_ = 3; // entries among which the traffic is spread
     Duration popularityHalfLife_ = std::chrono::minutes(2);
 
--- /dev/null
+++ b/packages/routing/routing_bench.cpp
@@ -0,0 +1,95 @@
+// Compares placements on the same seeded traffic, in virtual time.
+// Usage: routing_bench [ENGINES [SLOTS [SEED]]]
+
+#include <cstdio>
+#include <cstdlib>
+
+#include "routing/bench_fleet.h"
+
+namespace foxtailturn::bench {
+namespace {
+
+struct Contender
+{
+    const char *name_;
+    std::unique_ptr<PlacementPolicy> (*make_)(int entry);
+    KeepValue (*keepValue_)();
+};
+
+std::unique_ptr<PlacementPolicy> makeRandom(int entry)
+{
+    return randomPlacement(static_cast<std::uint64_t>(entry) + 7);
+}
+
+std::unique_ptr<PlacementPolicy> makeLeastLoaded(int)
+{
+    return leastLoadedPlacement();
+}
+
+std::unique_ptr<PlacementPolicy> makeHash(int)
+{
+    return consistentHashPlacement();
+}
+
+std::unique_ptr<PlacementPolicy> makeOurs(int)
+{
+    return adapterAwarePlacement(PlacementSettings{});
+}
+
+// The baselines evict the least recently used adapter; hash+leu differs from hash only by the
+// agents' choice of victim, ours+lru from ours.
+constexpr Contender kContenders[] = {
+    {"random", makeRandom, leastRecentlyUsed}, {"least-loaded", makeLeastLoaded, leastRecentlyUsed},
+    {"hash", makeHash, leastRecentlyUsed},     {"hash+leu", makeHash, leastExpectedUse},
+    {"ours+lru", makeOurs, leastRecentlyUsed}, {"ours", makeOurs, leastExpectedUse},
+};
+
+void print(const char *name, const FleetResult &r)
+{
+    std::printf("%-13s %6.0f %6.0f %6.0f %6.3f %6.3f %6.1f %5.2f %5.1f ", name,
+                r.stallsPerThousand_, r.calmStallsPerThousand_, r.chatStallsPerThousand_,
+                r.stallP50_, r.stallP99_, r.loadsPerSecond_, r.batchFill_, r.adaptersPerBatch_);
+    for (const double p99 : r.chatWaitP99_)
+        std::printf("%6.2f", p99);
+    std::printf(" |");
+    for (const double p99 : r.floodWaitP99_)
+        std::printf("%6.2f", p99);
+    std::printf(" %6.2f %5d %6d\n", r.worstOverMedian_, r.shed_, r.floodShed_);
+}
+
+void compare(int engines, std::size_t slots, std::uint64_t seed)
+{
+    TrafficSettings traffic;
+    traffic.requestsPerSecond_ = 40.0 * engines / 12;
+    traffic.seed_ = seed;
+    const std::vector<Arrival> arrivals = makeTraffic(traffic);
+    std::printf("\n%d engines, %zu slots, %.0f requests/s, seed %llu, %zu requests\n", engines,
+                slots, traffic.requestsPerSecond_, static_cast<unsigned long long>(seed),
+                arrivals.size());
+    std::printf(
+        "              st/1k  calm   chat   p50    p99  load/s  fill distinct  chat wait p99 by "
+        "workspace       | in flood (third floods)     worst/med shed flood\n");
+    for (const Contender &contender : kContenders) {
+        FleetSettings fleet;
+        fleet.engines_ = engines;
+        fleet.agent_.slots_ = slots;
+        fleet.placement_ = contender.make_;
+        fleet.keepValue_ = contender.keepValue_();
+        print(contender.name_, runFleet(fleet, traffic, arrivals));
+    }
+    std::printf(
+        "%-13s %6.0f (clairvoyant loads, all slots in one pool)\n", "floor",
+        clairvoyantLoads(arrivals, slots * static_cast<std::size_t>(engines), traffic.warmUp_));
+}
+
+} // namespace
+} // namespace foxtailturn::bench
+
+int main(int argc, char **argv)
+{
+    const int engines = argc > 1 ? std::atoi(argv[1]) : 12;
+    const std::size_t slots = argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 32;
+    const std::uint64_t seed = argc > 3 ? std::strtoull(argv[3], nullptr, 10) : 1;
+    foxtailturn::bench::compare(engines, slots, seed);
+    return 0;
+}
--- /dev/null
+++ b/packages/routing/target_directory_test.cpp
@@ -0,0 +1,139 @@
+#include "routing/target_directory.h"
+
+#include <doctest/doctest.h>
+
+namespace foxtailturn {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct Fixture
+{
+    Fixture() { list(false); }
+
+    void list(bool leaving)
+    {
+        directory_.setTargets({TargetInfo{"t1", "engines", "a", "10.0.0.1:1", leaving}});
+    }
+
+    bool beat(std::uint64_t sequence, bool draining = false, const std::string &incarnation = "i1")
+    {
+        return directory_.heartbeat(TargetReport{.name_ = "t1",
+                                                 .incarnation_ = incarnation,
+                                                 .sequence_ = sequence,
+                                                 .running_ = 5,
+                                                 .draining_ = draining,
+                                                 .resident_ = {{"a", "1"}},
+                                                 .loading_ = {{"b", "1"}}});
+    }
+
+    bool isUsable() const { return !directory_.usable("engines").empty(); }
+    TargetState state() const { return directory_.all().at(0).state_; }
+
+    ManualClock clock_;
+    TargetDirectory directory_{clock_};
+};
+
+// Guards against work for targets that stopped reporting, and against targets lost for ever after
+// a gap in their heartbeats.
+TEST_CASE("a target without heartbeats is unreachable from its stored deadline on")
+{
+    Fixture f;
+    CHECK(!f.isUsable());
+    f.beat(1);
+    f.clock_.advance(kHeartbeatTimeout - Duration(1));
+    CHECK(f.isUsable());
+    f.clock_.advance(Duration(1));
+    CHECK(f.state() == TargetState::Unreachable);
+    CHECK(!f.isUsable());
+    f.beat(2);
+    CHECK(f.isUsable());
+}
+
+// Guards against late heartbeats that undo newer ones: a draining target would get work again.
+TEST_CASE("late heartbeats change nothing")
+{
+    Fixture f;
+    REQUIRE(f.beat(5, true));
+    CHECK(!f.beat(4));
+    CHECK(f.state() == TargetState::Draining);
+    CHECK(f.beat(6)); // draining ends only with the incarnation
+    CHECK(f.state() == TargetState::Draining);
+    REQUIRE(f.beat(1, false, "i2"));
+    CHECK(f.state() == TargetState::Live);
+    CHECK(!f.beat(7, true, "i1"));
+    CHECK(f.state() == TargetState::Live);
+}
+
+// Guards against invariant 10: no new work for a leaving target after at most 3 s, whether its
+// heartbeats go on or membership repeats or drops it.
+TEST_CASE("a leaving target gets nothing after its stored deadline")
+{
+    for (const bool listed : {true, false}) {
+        CAPTURE(listed);
+        Fixture f;
+        std::uint64_t sequence = 0;
+        for (Duration since{}; since <= seconds(6); since += milliseconds(500)) {
+            if (listed)
+                f.list(true);
+            else
+                f.directory_.setTargets({});
+            const bool known = f.beat(++sequence);
+            if (since >= seconds(3)) {
+                CHECK(!f.isUsable());
+            } else if (since < kLeavingGrace) {
+                CHECK(known);
+                CHECK(f.isUsable()); // the only target of its group
+            }
+            f.clock_.advance(milliseconds(500));
+        }
+    }
+}
+
+// Guards against new work for a leaving target while a live one exists.
+TEST_CASE("a leaving target is passed over at once when another is live")
+{
+    Fixture f;
+    f.directory_.setTargets({TargetInfo{"t1", "engines", "a", "x", true},
+                             TargetInfo{"t2", "engines", "a", "y", false}});
+    f.beat(1);
+    f.directory_.heartbeat(TargetReport{
+        .name_ = "t2", .incarnation_ = "i", .sequence_ = 1, .resident_ = {}, .loading_ = {}});
+    REQUIRE(f.directory_.usable("engines").size() == 1);
+    CHECK(f.directory_.usable("engines")[0].info_.name_ == "t2");
+}
+
+// Guards against a target skipped for ever, or not at all, after a failed connection.
+TEST_CASE("a failed connection excludes a target for a stored time")
+{
+    Fixture f;
+    f.beat(1);
+    f.directory_.connectionFailed("t1");
+    CHECK(!f.isUsable());
+    CHECK(f.directory_.retryAt("engines") == f.clock_.now() + kUnreachableTime);
+    f.beat(2);
+    CHECK(f.isUsable());
+    f.directory_.refusedAsDraining("t1");
+    CHECK(!f.isUsable());
+}
+
+// Guards against all entries sending to one target between two of its reports.
+TEST_CASE("own requests in flight correct the reported load")
+{
+    Fixture f;
+    f.directory_.begin("t1", {});
+    f.beat(1); // reports 5, one of them ours
+    f.directory_.begin("t1", {"c", "1"});
+    const TargetView view = f.directory_.usable("engines")[0];
+    CHECK(view.load_ == 6);
+    CHECK(view.has({"a", "1"}));
+    CHECK(view.has({"b", "1"})); // being loaded
+    CHECK(view.has({"c", "1"})); // will be loaded for our request
+    f.directory_.end("t1");
+    f.directory_.end("t1");
+    CHECK(f.directory_.usable("engines")[0].load_ == 4);
+}
+
+} // namespace
+} // namespace foxtailturn
