--- a/packages/retry/quarantine_simulation_test.cpp
+++ b/packages/retry/quarantine_simulation_test.cpp
@@ -95,7 +95,7 @@
     }
 
     // Sends the report to the peers, each way with its own delay; calls done after all replies.
-    void exchange(int entry, const SuspectRecord &report, std::function<void()> done)
+    void exchange(int entry, const SuspectRecord &report, const std::function<void()> &done)
     {
         if (!scenario_.announces_)
             return done();
--- a/packages/retry/suspect_record.cpp
+++ b/packages/retry/suspect_record.cpp
@@ -1,6 +1,7 @@
 #include "retry/suspect_record.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "base/hash.h"
 #include "base/json.h"
@@ -12,6 +13,11 @@
 
 constexpr int kRunStates = 3;
 
+bool isEarlier(const RunMark &a, const RunMark &b)
+{
+    return std::tie(a.sequence_, a.state_, a.until_) < std::tie(b.sequence_, b.state_, b.until_);
+}
+
 std::int64_t microsOf(UtcTime time)
 {
     return time.time_since_epoch().count();
@@ -73,7 +79,7 @@
     }
     for (const auto &[holder, run] : other.runs_) {
         RunMark &mine = runs_.try_emplace(holder, run).first->second;
-        mine = std::max(mine, run);
+        mine = std::max(mine, run, isEarlier);
     }
 }
 
--- a/packages/retry/suspect_record.h
+++ b/packages/retry/suspect_record.h
@@ -40,14 +40,15 @@
 
 enum class RunState { Waiting, Running, Ended };
 
-// Right of a process to run the suspect. Only the holder changes it; later values are larger.
+// Right of a process to run the suspect. Only the holder changes it; a later value is larger by
+// sequence, then by state, then by deadline.
 struct RunMark
 {
     std::uint64_t sequence_ = 0; // larger in each run of the holder
     RunState state_ = RunState::Waiting;
     UtcTime until_; // the mark is void from this time, should the holder die
 
-    auto operator<=>(const RunMark &) const = default;
+    bool operator==(const RunMark &) const = default;
 };
 
 // Value type. Reports of a record carry all of it.
