--- a/packages/agent/agent_server.cpp
+++ b/packages/agent/agent_server.cpp
@@ -49,7 +49,7 @@
 public:
     Impl(AgentIdentity identity, const Clock &clock, AgentScheduler &scheduler, Executor &executor,
          AdapterObjects &objects, std::size_t maxExecutions,
-         std::function<std::uint64_t()> revision)
+         std::function<std::uint64_t()> revision, std::function<bool()> isTargetUp)
         : identity_(std::move(identity))
         , clock_(&clock)
         , scheduler_(&scheduler)
@@ -57,6 +57,7 @@
         , objects_(&objects)
         , maxExecutions_(maxExecutions)
         , revision_(std::move(revision))
+        , isTargetUp_(std::move(isTargetUp))
         , executions_(clock)
         , pool_(maxExecutions)
     { }
@@ -117,6 +118,7 @@
         for (const AdapterId &adapter : snapshot.loading_)
             toWire(adapter, *reply->add_loading());
         reply->set_revision(revision_());
+        reply->set_target_up(isTargetUp_());
         return grpc::Status::OK;
     }
 
@@ -194,6 +196,7 @@
     AdapterObjects *objects_;
     std::size_t maxExecutions_;
     std::function<std::uint64_t()> revision_;
+    std::function<bool()> isTargetUp_;
     ExecutionTable executions_;
     std::atomic<bool> draining_ = false;
     std::atomic<std::size_t> readers_ = 0;
@@ -203,9 +206,9 @@
 
 AgentServer::AgentServer(AgentIdentity identity, const Clock &clock, AgentScheduler &scheduler,
                          Executor &executor, AdapterObjects &objects, std::size_t maxExecutions,
-                         std::function<std::uint64_t()> revision)
+                         std::function<std::uint64_t()> revision, std::function<bool()> isTargetUp)
     : impl_(std::make_unique<Impl>(std::move(identity), clock, scheduler, executor, objects,
-                                   maxExecutions, std::move(revision)))
+                                   maxExecutions, std::move(revision), std::move(isTargetUp)))
 { }
 
 AgentServer::~AgentServer() = default;
--- a/packages/agent/agent_server.h
+++ b/packages/agent/agent_server.h
@@ -2,7 +2,7 @@
 
 // The agent's gRPC service: executions and heartbeats.
 //
-//     AgentServer server(identity, clock, scheduler, executor, objects, 256, revision);
+//     AgentServer server(identity, clock, scheduler, executor, objects, 256, revision, isUp);
 //     builder.RegisterService(server.service());
 //     ...
 //     server.drain();   // refuses new work; running executions finish
@@ -38,10 +38,11 @@
 {
 public:
     // All references must outlive the server. maxExecutions bounds the threads that run or wait
-    // with a request; revision returns the configuration revision in force.
+    // with a request; revision returns the configuration revision in force,
+    // isTargetUp the result of the last health check.
     AgentServer(AgentIdentity identity, const Clock &clock, AgentScheduler &scheduler,
                 Executor &executor, AdapterObjects &objects, std::size_t maxExecutions,
-                std::function<std::uint64_t()> revision);
+                std::function<std::uint64_t()> revision, std::function<bool()> isTargetUp);
     ~AgentServer();
 
     // Returns the service for grpc::ServerBuilder.
--- a/packages/daemon/agent_role.cpp
+++ b/packages/daemon/agent_role.cpp
@@ -13,6 +13,7 @@
 const Logger kLog("agent");
 
 constexpr auto kLeaseInterval = std::chrono::milliseconds(500);
+constexpr auto kHealthInterval = std::chrono::milliseconds(250);
 constexpr auto kSweepInterval = std::chrono::seconds(1);
 constexpr auto kClaimRepairInterval = std::chrono::seconds(1);
 constexpr auto kStopPollInterval = std::chrono::milliseconds(20);
@@ -65,7 +66,7 @@
           AgentIdentity{settings.target_.name_, settings.target_.group_, node_.incarnation()},
           node_.clock(), *scheduler_, *executor_, objects_,
           static_cast<std::size_t>(settings.target_.maxRunning_ + settings.target_.maxWaiting_),
-          [this] { return node_.revision(); }))
+          [this] { return node_.revision(); }, [this] { return targetUp_.load(); }))
 {
     node_.setHooks(nodeHooks());
     node_.addService(server_->service());
@@ -89,11 +90,24 @@
     if (!started)
         return started;
     node_.loop().every(kLeaseInterval, [this] { lease_.tick(); });
+    node_.loop().every(kHealthInterval, [this] { checkTarget(); });
     node_.loop().every(kSweepInterval, [this] { server_->sweep(); });
     node_.loop().every(kClaimRepairInterval, [this] { claims_.repairPending(); });
     return {};
 }
 
+void AgentRole::checkTarget()
+{
+    const bool isUp = client_.isReachable();
+    if (targetUp_.exchange(isUp) == isUp)
+        return;
+    kLog.warn(concat(isUp ? "target is up again" : "target is down",
+                     ", target=", settings_.target_.name_));
+    // A target that was down has started anew, with empty slots.
+    if (isUp)
+        scheduler_->engineChanged();
+}
+
 NodeHooks AgentRole::nodeHooks()
 {
     NodeHooks hooks;
--- a/packages/daemon/agent_role.h
+++ b/packages/daemon/agent_role.h
@@ -2,6 +2,7 @@
 
 // The agent: runs requests on the target beside it and gives it orders.
 
+#include <atomic>
 #include <memory>
 
 #include "adapters/agent_scheduler.h"
@@ -31,6 +32,7 @@
     [[nodiscard]] NodeHooks nodeHooks();
     [[nodiscard]] std::unique_ptr<EngineOrders> makeOrders();
     void addState(Json &state);
+    void checkTarget();
 
     Settings settings_;
     Node node_;
@@ -41,6 +43,7 @@
     ClaimStore claims_;
     OnceExecutor once_;
     HttpTargetClient client_;
+    std::atomic<bool> targetUp_ = true;
     std::unique_ptr<AgentScheduler> scheduler_;
     std::unique_ptr<Executor> executor_;
     std::unique_ptr<AgentServer> server_;
--- a/packages/daemon/entry_role.cpp
+++ b/packages/daemon/entry_role.cpp
@@ -36,7 +36,7 @@
     , node_(settings)
     , limiter_(node_.incarnation(), node_.clock(), node_.lease())
     , ledger_(node_.table())
-    , witnesses_(node_.clock(), node_.peers())
+    , witnesses_(node_.clock(), node_.peers(), node_.witness())
     , reclaimer_(kLeaseMargin, node_.clock(), node_.table(), witnesses_)
     , shares_(node_.incarnation(), node_.clock(), node_.lease(), limiter_, ledger_, reclaimer_,
               node_.peers())
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -80,6 +80,7 @@
     [[nodiscard]] TableService &table() { return table_; }
     [[nodiscard]] LeaseHolder &lease() { return lease_; }
     [[nodiscard]] PeerDirectory &peers() { return peers_; }
+    [[nodiscard]] WitnessLog &witness() { return witness_; }
     [[nodiscard]] Announcer &announcer() { return announcer_; }
     [[nodiscard]] ConfigFollower &config() { return config_; }
     [[nodiscard]] ControllerLoop &loop() { return loop_; }
--- a/packages/entry/entry_server.cpp
+++ b/packages/entry/entry_server.cpp
@@ -65,6 +65,24 @@
         response.set_header("Retry-After", std::to_string(*http.retryAfterSeconds_));
 }
 
+// httplib listens with a backlog of 5 and SO_REUSEPORT: a burst of connections would be dropped, and
+// two processes could share a port unnoticed.
+class CallerHttpServer final : public httplib::Server
+{
+public:
+    bool bind(const std::string &host, int port)
+    {
+        set_socket_options([](socket_t fd) {
+            const int on = 1;
+            setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+        });
+        return bind_to_port(host, port) && ::listen(svr_sock_, kBacklog) == 0;
+    }
+
+private:
+    static constexpr int kBacklog = 1'024;
+};
+
 } // namespace
 
 class EntryServer::Impl
@@ -105,7 +123,7 @@
 
     Result<void> start()
     {
-        if (!server_.bind_to_port(settings_.host_, settings_.port_))
+        if (!server_.bind(settings_.host_, settings_.port_))
             return notRun(ErrorCode::InvalidSettings,
                           concat("can not listen on ", settings_.host_, ":", settings_.port_));
         listener_ = std::thread([this] { server_.listen_after_bind(); });
@@ -289,7 +307,7 @@
     RequestObserver *observer_;
     RetryGuard *retries_;
     std::function<std::shared_ptr<const Configuration>()> configuration_;
-    httplib::Server server_;
+    CallerHttpServer server_;
     std::thread listener_;
     std::atomic<bool> draining_ = false;
     std::atomic<std::uint64_t> requests_ = 0;
--- a/packages/entry/forwarder.cpp
+++ b/packages/entry/forwarder.cpp
@@ -34,6 +34,12 @@
     return request;
 }
 
+// Returns whether other requests should avoid the target until it reports again.
+bool isTargetDown(const Error &error)
+{
+    return error.code_ == ErrorCode::ConnectionLost || error.code_ == ErrorCode::TargetCrashed;
+}
+
 Error unexpectedEnd()
 {
     return {ErrorCode::TargetFailed, Execution::OutcomeUnknown, "answer ended without a head"};
@@ -176,7 +182,7 @@
 {
     if (error.code_ == ErrorCode::TargetDraining)
         directory_->refusedAsDraining(target);
-    if (error.code_ == ErrorCode::ConnectionLost)
+    if (isTargetDown(error))
         directory_->connectionFailed(target);
     if (error.code_ == ErrorCode::TargetCrashed)
         retries_->targetCrashed(context, target);
--- a/packages/entry/heartbeats.cpp
+++ b/packages/entry/heartbeats.cpp
@@ -122,7 +122,10 @@
     agent.target_ = {reply.target(), reply.group(), member.dataCentre_, member.address_, false};
     if (isNew)
         publishTargets();
-    directory_->heartbeat(reportOf(reply));
+    if (reply.target_up())
+        directory_->heartbeat(reportOf(reply));
+    else
+        directory_->connectionFailed(reply.target());
 }
 
 void Heartbeats::State::missed(const Member &member, Call &call)
--- a/packages/peer/share_controller.cpp
+++ b/packages/peer/share_controller.cpp
@@ -1,5 +1,6 @@
 #include "peer/share_controller.h"
 
+#include <algorithm>
 #include <map>
 #include <thread>
 #include <utility>
@@ -15,7 +16,8 @@
 
 const Logger kLog("limiter");
 
-constexpr auto kTableTimeout = std::chrono::milliseconds(500);
+constexpr auto kTableTimeout = std::chrono::seconds(1);
+constexpr auto kFenceTimeout = std::chrono::milliseconds(200);
 constexpr auto kShareTimeout = std::chrono::milliseconds(200);
 constexpr auto kNetTimeout = std::chrono::milliseconds(500);
 constexpr auto kLeavePause = std::chrono::milliseconds(20);
@@ -48,17 +50,22 @@
 
 } // namespace
 
-PeerWitnessClient::PeerWitnessClient(const Clock &clock, PeerDirectory &peers)
+PeerWitnessClient::PeerWitnessClient(const Clock &clock, PeerDirectory &peers, WitnessLog &own)
     : clock_(&clock)
     , peers_(&peers)
+    , own_(&own)
 { }
 
 std::vector<FenceAnswer> PeerWitnessClient::fence(const std::vector<FenceRequest> &requests,
                                                   TimePoint deadline)
 {
-    const Duration timeout = deadline - clock_->now();
+    // Witnesses that are gone never answer; the time left is for the write of the row.
+    const Duration timeout = std::min<Duration>(deadline - clock_->now(), kFenceTimeout);
     auto answers = std::make_shared<Collector<FenceAnswer>>();
     for (const FenceRequest &fence : requests) {
+        const FenceAnswer own = own_->onFence(fence);
+        if (own.fenced_)
+            answers->add(own);
         wire::FenceRequest request;
         request.set_holder(fence.holder_);
         request.set_witness(fence.witness_);
--- a/packages/peer/share_controller.h
+++ b/packages/peer/share_controller.h
@@ -15,18 +15,19 @@
 
 #include "base/clock.h"
 #include "lease/lease_reclaimer.h"
+#include "lease/witness_log.h"
 #include "limiter/limiter.h"
 #include "limiter/share_ledger.h"
 #include "peer/peer_directory.h"
 
 namespace foxtailturn {
 
-// Asks witnesses over the network to fence holders.
+// Asks witnesses to fence holders: others over the network, this process's own log directly.
 class PeerWitnessClient final : public WitnessClient
 {
 public:
-    // Both must outlive the client.
-    PeerWitnessClient(const Clock &clock, PeerDirectory &peers);
+    // All must outlive the client.
+    PeerWitnessClient(const Clock &clock, PeerDirectory &peers, WitnessLog &own);
 
     std::vector<FenceAnswer> fence(const std::vector<FenceRequest> &requests,
                                    TimePoint deadline) override;
@@ -34,6 +35,7 @@
 private:
     const Clock *clock_;
     PeerDirectory *peers_;
+    WitnessLog *own_;
 };
 
 // exchange() and reconcile() are called by one controller thread each; the rest is thread-safe.
--- a/testing/process_test.py
+++ b/testing/process_test.py
@@ -49,14 +49,14 @@
             response = connection.getresponse()
             last = time.monotonic()
             while True:
-                line = response.readline()
-                if not line:
+                data = response.read1(65536)  # raises when the final chunk is missing
+                if not data:
                     self.complete = True
                     break
                 now = time.monotonic()
                 self.largest_gap = max(self.largest_gap, now - last)
                 last = now
-                self.text += line.decode(errors="replace")
+                self.text += data.decode(errors="replace")
                 self.first.set()
         except (http.client.HTTPException, OSError):
             pass
