Log claim rows that can't be read; test threads of the retry package

Cause: a claim row that can't be parsed blocks its key and was silently left out of the operators' list. The retry package's shards had no test with threads.

--- a/packages/claims/claim_admin.cpp
+++ b/packages/claims/claim_admin.cpp
@@ -1,7 +1,15 @@
 #include "claims/claim_admin.h"
 
+#include "base/log.h"
+
 namespace foxtailturn {
 
+namespace {
+
+const Logger kLog("claims");
+
+} // namespace
+
 ClaimAdmin::ClaimAdmin(const ClaimServices &services, const ClaimLimits &limits)
     : services_(services)
     , limits_(limits)
@@ -23,6 +31,8 @@
 {
     const std::optional<ClaimKey> key = ClaimKey::ofRow(row.key_);
     const Result<Claim> claim = Claim::ofJson(row.value_);
+    if (!key || !claim)
+        kLog.warn("claim row not readable, its key stays blocked");
     if (!key || !claim || claim->state_ != ClaimState::Claimed)
         return std::nullopt;
     return ObservedClaim{*key, *claim, row.version_,
--- a/packages/retry/quarantine_test.cpp
+++ b/packages/retry/quarantine_test.cpp
@@ -1,7 +1,9 @@
 #include "retry/quarantine.h"
 
 #include <algorithm>
+#include <atomic>
 #include <random>
+#include <thread>
 
 #include <doctest/doctest.h>
 
@@ -98,6 +100,27 @@
     CHECK(world.a_.confirmRun("f") == true);
 }
 
+// Guards against two copies run by threads of one process.
+TEST_CASE("one thread gets the run of a suspect")
+{
+    QuarantineWorld world;
+    std::atomic<int> confirmed = 0;
+    std::vector<std::thread> threads;
+    threads.reserve(8);
+    for (int i = 0; i < 8; ++i) {
+        threads.emplace_back([&, i] {
+            world.a_.crashed("f", "crash 1");
+            world.a_.crashed(std::to_string(i), "crash 1");
+            if (world.a_.requestRun("f", world.soon()) && *world.a_.confirmRun("f"))
+                ++confirmed;
+        });
+    }
+    for (std::thread &thread : threads)
+        thread.join();
+    CHECK(confirmed == 1);
+    CHECK(world.a_.records().size() == 9);
+}
+
 // Guards against an ended run, still known to a peer, that hides a new run of the same process.
 TEST_CASE("a new run counts even if peers remember an earlier one")
 {
--- a/packages/retry/retry_policy_test.cpp
+++ b/packages/retry/retry_policy_test.cpp
@@ -1,5 +1,9 @@
 #include "retry/retry_policy.h"
 
+#include <atomic>
+#include <thread>
+#include <vector>
+
 #include <doctest/doctest.h>
 
 namespace foxtailturn {
@@ -36,6 +40,23 @@
     CHECK(takeAll(budget, "small") == 2);
 }
 
+// Guards against retries beyond the budget when many requests fail at once on several threads.
+TEST_CASE("threads share one budget")
+{
+    ManualClock clock;
+    RetryBudget budget(clock, kLimits);
+    std::atomic<int> taken = 0;
+    std::vector<std::thread> threads;
+    threads.reserve(8);
+    for (int i = 0; i < 100; ++i)
+        budget.onRequest("w");
+    for (int i = 0; i < 8; ++i)
+        threads.emplace_back([&] { taken += takeAll(budget, "w"); });
+    for (std::thread &thread : threads)
+        thread.join();
+    CHECK(taken == 12);
+}
+
 // Guards against memory that grows with every workspace ever seen.
 TEST_CASE("idle workspaces are forgotten")
 {
