Load extra copies later and copy popular adapters earlier

Rarely used adapters got second copies whenever the queue at their only copy grew. Change: the wait for a resident copy must exceed 32 loads (batch 256) before an extra copy is loaded, and an adapter gets its next copy at 25% of a target's places instead of 50%, so that popular adapters take their requests elsewhere. The bench can run one placement only.

--- a/packages/adapters/adapter_cache.h
+++ b/packages/adapters/adapter_cache.h
@@ -86,16 +86,6 @@
     // Counts a request for the adapter towards its popularity, resident or not.
     void recordUse(const AdapterId &id, TimePoint now);
 
-    // Returns the measured popularity of an adapter, and of all together.
-    [[nodiscard]] double usesPerSecond(const AdapterId &id, TimePoint now) const
-    {
-        return popularity_.rate(id, now);
-    }
-    [[nodiscard]] double totalUsesPerSecond(TimePoint now) const
-    {
-        return popularity_.totalRate(now);
-    }
-
     // Returns whether a slot is neither used nor about to be used.
     [[nodiscard]] bool hasFreeSlot() const;
 
--- a/packages/adapters/agent_core.cpp
+++ b/packages/adapters/agent_core.cpp
@@ -253,23 +253,10 @@
     giveOrder(EngineOrder::Kind::Load, adapter);
 }
 
-std::optional<AdapterId> AgentCore::unwantedVictim(TimePoint now) const
-{
-    return cache_.chooseVictim(
-        now, [&](const AdapterId &adapter) { return queue_.waitingFor(adapter) > 0; });
-}
-
-double AgentCore::victimRate(TimePoint now) const
-{
-    if (cache_.hasFreeSlot())
-        return 0;
-    const std::optional<AdapterId> victim = unwantedVictim(now);
-    return victim ? cache_.usesPerSecond(*victim, now) : cache_.totalUsesPerSecond(now);
-}
-
 bool AgentCore::orderEviction(const AdapterId &forAdapter, TimePoint now)
 {
-    std::optional<AdapterId> victim = unwantedVictim(now);
+    std::optional<AdapterId> victim = cache_.chooseVictim(
+        now, [&](const AdapterId &adapter) { return queue_.waitingFor(adapter) > 0; });
     // The first request in fair order may take the slot of an adapter that later ones wait for;
     // otherwise a few busy adapters could keep all slots for ever. The adapters of first requests
     // keep theirs, so that two requests cannot take turns without either starting.
@@ -350,7 +337,7 @@
     return listing_ ? deadline : std::min(deadline, listAt_);
 }
 
-AgentSnapshot AgentCore::snapshot(TimePoint now) const
+AgentSnapshot AgentCore::snapshot() const
 {
     return AgentSnapshot{
         .resident_ = cache_.inState(SlotState::Resident),
@@ -359,7 +346,6 @@
         .waiting_ = queue_.size(),
         .maxRunning_ = settings_.maxRunning_,
         .loadsInFlight_ = loadsInFlight_,
-        .victimRate_ = victimRate(now),
         .draining_ = draining_,
         .recovered_ = listRead_,
         .waitingByWorkspace_ = queue_.waitingByWorkspace(),
--- a/packages/adapters/agent_core.h
+++ b/packages/adapters/agent_core.h
@@ -50,7 +50,6 @@
     std::size_t waiting_ = 0;
     std::size_t maxRunning_ = 0;
     std::size_t loadsInFlight_ = 0;
-    double victimRate_ = 0; // uses per second of the adapter that a load would evict next
     bool draining_ = false;
     bool recovered_ = false; // the engine's list was read
     std::map<std::string, std::size_t> waitingByWorkspace_;
@@ -148,8 +147,7 @@
     // Returns whether nothing runs or waits.
     [[nodiscard]] bool isIdle() const { return running_.empty() && queue_.size() == 0; }
 
-    // now is needed for measured popularity, which decays.
-    [[nodiscard]] AgentSnapshot snapshot(TimePoint now) const;
+    [[nodiscard]] AgentSnapshot snapshot() const;
     [[nodiscard]] const AdapterCache &cache() const { return cache_; }
 
 private:
@@ -178,8 +176,6 @@
     [[nodiscard]] std::optional<AdapterId> nextLoad(const PlannedLoads &planned,
                                                     TimePoint now) const;
     void orderLoad(const AdapterId &adapter);
-    [[nodiscard]] std::optional<AdapterId> unwantedVictim(TimePoint now) const;
-    [[nodiscard]] double victimRate(TimePoint now) const;
     bool orderEviction(const AdapterId &forAdapter, TimePoint now);
     void vacateFor(const AdapterId &forAdapter, TimePoint now);
     void orderRetries();
--- a/packages/adapters/agent_scheduler.cpp
+++ b/packages/adapters/agent_scheduler.cpp
@@ -57,7 +57,7 @@
     auto read(const Read &read) const
     {
         const std::lock_guard lock(mutex_);
-        return read(core_, clock_.now());
+        return read(core_);
     }
 
 private:
@@ -315,7 +315,7 @@
 
 bool AgentScheduler::isIdle() const
 {
-    return state_->read([](const AgentCore &core, TimePoint) { return core.isIdle(); });
+    return state_->read([](const AgentCore &core) { return core.isIdle(); });
 }
 
 void AgentScheduler::engineChanged()
@@ -328,7 +328,7 @@
 
 AgentSnapshot AgentScheduler::snapshot() const
 {
-    return state_->read([](const AgentCore &core, TimePoint now) { return core.snapshot(now); });
+    return state_->read([](const AgentCore &core) { return core.snapshot(); });
 }
 
 } // namespace foxtailturn
--- a/packages/routing/bench_fleet.cpp
+++ b/packages/routing/bench_fleet.cpp
@@ -219,7 +219,7 @@
     // Each entry gets the heartbeat late by a time of its own, or not at all.
     void beat(Engine &engine)
     {
-        const AgentSnapshot snapshot = engine.core_->snapshot(loop_.time());
+        const AgentSnapshot snapshot = engine.core_->snapshot();
         const TargetReport report{.name_ = engine.name_,
                                   .incarnation_ = "1",
                                   .sequence_ = ++engine.sequence_,
@@ -227,7 +227,6 @@
                                   .waiting_ = snapshot.waiting_,
                                   .maxRunning_ = snapshot.maxRunning_,
                                   .loadsInFlight_ = snapshot.loadsInFlight_,
-                                  .victimRate_ = snapshot.victimRate_,
                                   .draining_ = snapshot.draining_,
                                   .resident_ = snapshot.resident_,
                                   .loading_ = snapshot.loading_};
--- a/packages/routing/placement_policy.cpp
+++ b/packages/routing/placement_policy.cpp
@@ -113,7 +113,7 @@
         double bound_; // load
     };
 
-    // Targets that should hold the adapter: enough that its share of each stays below half.
+    // Targets that should hold the adapter: enough that its share of each stays within bounds.
     std::size_t copies(const AdapterId &adapter, std::span<const TargetView> targets, TimePoint now)
     {
         const std::lock_guard lock(mutex_);
@@ -161,14 +161,11 @@
     Choice choiceOf(const PlacementRequest &request, std::span<const TargetView> targets,
                     std::size_t copies) const
     {
-        const bool absent =
-            std::none_of(targets.begin(), targets.end(),
-                         [&](const TargetView &target) { return target.has(request.adapter_); });
         const bool batch = request.priority_ == Priority::Batch;
         const double factor = batch ? settings_.batchExtraCopyFactor_ : settings_.extraCopyFactor_;
         const double load = loadSeconds(targets);
         return Choice{.request_ = request,
-                      .homes_ = absent ? std::max(copies, settings_.targetsForAbsent_) : copies,
+                      .homes_ = copies,
                       .loadSeconds_ = load,
                       .extraLoadSeconds_ = load * factor,
                       .bound_ = loadBound(targets)};
@@ -182,7 +179,6 @@
             seconds += settings_.serviceSeconds_;
         if (!target.has(request.adapter_)) {
             seconds += rank < choice.homes_ ? choice.loadSeconds_ : choice.extraLoadSeconds_;
-            seconds += target.victimRate_ * settings_.evictionSeconds_;
             // Without regard to data centres, so that all entries load it at the same target.
             return Cost{seconds, false, rank};
         }
--- a/packages/routing/placement_policy.h
+++ b/packages/routing/placement_policy.h
@@ -52,14 +52,11 @@
     // Weight of a load that makes one more copy than popularity asks for: it takes a slot from
     // another adapter and a place at the weight store from other requests. Batch may wait longer
     // for a resident copy, so its weight is larger.
-    double extraCopyFactor_ = 16;
-    double batchExtraCopyFactor_ = 128;
-    // An absent adapter goes to the one of its first targets that loses least by the eviction.
-    std::size_t targetsForAbsent_ = 2;
-    double evictionSeconds_ = 20; // time over which the evicted adapter's uses count
+    double extraCopyFactor_ = 32;
+    double batchExtraCopyFactor_ = 256;
     // One adapter should not take more than this part of a target's running requests; beyond, it
     // gets another copy.
-    double shareOfTarget_ = 0.5;
+    double shareOfTarget_ = 0.25;
     std::size_t entries_ = 3; // entries among which the traffic is spread
     Duration popularityHalfLife_ = std::chrono::minutes(2);
 
--- a/packages/routing/routing_bench.cpp
+++ b/packages/routing/routing_bench.cpp
@@ -1,5 +1,5 @@
 // Compares placements on the same seeded traffic, in virtual time.
-// Usage: routing_bench [ENGINES [SLOTS [SEED]]]
+// Usage: routing_bench [ENGINES [SLOTS [SEED [PLACEMENT]]]]
 
 #include <cstdio>
 #include <cstdlib>
@@ -57,7 +57,8 @@
     std::printf(" %6.2f %5d %6d\n", r.worstOverMedian_, r.shed_, r.floodShed_);
 }
 
-void compare(int engines, std::size_t slots, std::uint64_t seed)
+// only: name of the one placement to run; all if empty.
+void compare(int engines, std::size_t slots, std::uint64_t seed, const std::string &only)
 {
     TrafficSettings traffic;
     traffic.requestsPerSecond_ = 40.0 * engines / 12;
@@ -70,6 +71,8 @@
         "              st/1k  calm   chat   p50    p99  load/s  fill distinct  chat wait p99 by "
         "workspace       | in flood (third floods)     worst/med shed flood\n");
     for (const Contender &contender : kContenders) {
+        if (!only.empty() && only != contender.name_)
+            continue;
         FleetSettings fleet;
         fleet.engines_ = engines;
         fleet.agent_.slots_ = slots;
@@ -90,6 +93,6 @@
     const int engines = argc > 1 ? std::atoi(argv[1]) : 12;
     const std::size_t slots = argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 32;
     const std::uint64_t seed = argc > 3 ? std::strtoull(argv[3], nullptr, 10) : 1;
-    foxtailturn::bench::compare(engines, slots, seed);
+    foxtailturn::bench::compare(engines, slots, seed, argc > 4 ? argv[4] : "");
     return 0;
 }
--- a/packages/routing/target_directory.cpp
+++ b/packages/routing/target_directory.cpp
@@ -53,7 +53,6 @@
     target.reportedLoad_ = report.running_ + report.waiting_;
     target.maxRunning_ = std::max<std::size_t>(report.maxRunning_, 1);
     target.loadsInFlight_ = report.loadsInFlight_;
-    target.victimRate_ = report.victimRate_;
     target.inFlightAtReport_ = target.inFlight_;
     target.resident_ = std::move(resident);
     return true;
@@ -122,8 +121,7 @@
                       .resident_ = target.resident_,
                       .load_ = std::max(corrected, target.inFlight_),
                       .maxRunning_ = target.maxRunning_,
-                      .loadsInFlight_ = target.loadsInFlight_,
-                      .victimRate_ = target.victimRate_};
+                      .loadsInFlight_ = target.loadsInFlight_};
 }
 
 std::vector<TargetView> TargetDirectory::usable(const std::string &group) const
--- a/packages/routing/target_directory.h
+++ b/packages/routing/target_directory.h
@@ -61,7 +61,6 @@
     std::size_t waiting_ = 0;
     std::size_t maxRunning_ = 1;
     std::size_t loadsInFlight_ = 0;
-    double victimRate_ = 0; // uses per second of the adapter that a load would evict next
     bool draining_ = false;
     std::vector<AdapterId> resident_;
     std::vector<AdapterId> loading_;
@@ -78,7 +77,6 @@
     std::size_t load_ = 0; // requests there: reported ones corrected by own requests in flight
     std::size_t maxRunning_ = 1;
     std::size_t loadsInFlight_ = 0;
-    double victimRate_ = 0;
 
     [[nodiscard]] bool has(const AdapterId &id) const { return resident_->contains(id); }
 };
@@ -136,7 +134,6 @@
         std::size_t reportedLoad_ = 0;
         std::size_t maxRunning_ = 1;
         std::size_t loadsInFlight_ = 0;
-        double victimRate_ = 0;
         std::size_t inFlight_ = 0; // own requests now
         std::size_t inFlightAtReport_ = 0; // own requests when the last heartbeat came
         std::shared_ptr<const AdapterSet> resident_ = std::make_shared<AdapterSet>();
