--- a/Makefile
+++ b/Makefile
@@ -14,9 +14,13 @@
 configure: install-deps
 	cmake -S . -B $(BUILD) -G Ninja
 
-check: all
+check: all spec
 	ctest --test-dir $(BUILD) --output-on-failure --no-tests=error -j 4
 
+# Checks the models in spec/ and that spin refutes their mutations.
+spec: install-deps
+	tools/check-specs.sh
+
 demo: all
 	BUILD=$(BUILD) tools/demo.sh
 
