--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	tools/check-specs.sh
 
 demo: all
-	BUILD=$(BUILD) tools/demo.sh
+	python3 -B testing/demo.py $(BUILD)
 
 format:
 	clang-format -i $(SOURCES)
--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -109,7 +109,8 @@
     """Platform, targets, agents and entries. Ports are chosen free at the start."""
 
     def __init__(self, build, entries=2, engines=2, services=1, engine_flags=(), lease_ms=3000,
-                 drain_grace_ms=300, slots=8, log_level="info", target_settings=None):
+                 drain_grace_ms=300, slots=8, log_level="info", target_settings=None,
+                 relay_agents=False):
         self.build = build
         self.folder = tempfile.TemporaryDirectory(prefix="foxtailturn-")
         self.engine_flags = list(engine_flags)
@@ -118,6 +119,7 @@
         self.slots = slots
         self.log_level = log_level
         self.target_settings = target_settings or {}
+        self.relay_agents = relay_agents
         self.processes = {}
         self.ports = {}
         self.admin_ports = {}
@@ -187,9 +189,30 @@
         path = os.path.join(self.folder.name, name + ".json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(settings, file)
-        self.register(name, settings["role"], settings["peer_listen"], settings["data_centre"])
+        address = settings["peer_listen"]
+        if self.relay_agents and settings["role"] == "agent":
+            address = self.start_relay(name, address)
+        self.register(name, settings["role"], address, settings["data_centre"])
         self.spawn(name, [self.program("packages/daemon", "foxtailturnd"), f"--settings={path}"])
 
+    def start_relay(self, name, address):
+        """Starts a relay before an agent, once, and returns the relay's address."""
+        relay = "relay-" + name
+        if relay not in self.processes:
+            self.ports[relay] = free_port()
+            self.ports[relay + ".control"] = free_port()
+            self.spawn(relay, [self.program("testing", "foxtailturn_relay"),
+                               f"--target=http://{address}", f"--port={self.ports[relay]}",
+                               f"--control_port={self.ports[relay + '.control']}"])
+            self.wait_port(self.ports[relay + ".control"])
+        return f"127.0.0.1:{self.ports[relay]}"
+
+    def set_relays(self, mode):
+        """Sets the mode of all relays; see testing/stub_lib/tcp_relay.h."""
+        for name in list(self.processes):
+            if name.startswith("relay-"):
+                call(self.ports[name + ".control"], "POST", "/mode", {"mode": mode})
+
     def start_agent(self, target, index, kind, group):
         settings = self.common_settings("agent-" + target, index)
         settings["role"] = "agent"
--- a/testing/process_test.py
+++ b/testing/process_test.py
@@ -365,6 +365,65 @@
         self.assertTrue(stream.is_whole())
         self.assertEqual(set(codes), {200})
 
+    def test_a_silent_connection_is_replaced_and_the_stream_resumes(self):
+        # Invariant 7 and design 5.8: open connections go silent for good, new ones work.
+        fleet = self.fleet(engine_flags=["--token_ms=20"], relay_agents=True)
+        streams = [Stream(fleet.ports[name], max_tokens=200) for name in fleet.entry_names]
+        for stream in streams:
+            self.assertTrue(stream.first.wait(10))
+        time.sleep(0.5)
+        fleet.set_relays("silence_open")
+        for stream in streams:
+            stream.join(30)
+            self.assertTrue(stream.is_whole(), stream.text[-300:])
+            self.assertLess(stream.largest_gap, 2)
+        self.assertEqual(len({stream.text.count("data: ") for stream in streams}), 1)
+
+    def test_a_cut_network_heals_without_wrong_answers(self):
+        # Invariant 7: all connections between entries and agents are cut for a second.
+        fleet = self.fleet(engine_flags=["--token_ms=20"], relay_agents=True)
+        stream = Stream(fleet.ports["entry-1"], max_tokens=200)
+        self.assertTrue(stream.first.wait(10))
+        fleet.set_relays("cut")
+        time.sleep(1)
+        fleet.set_relays("pass")
+        stream.join(30)
+        self.assertTrue(stream.is_whole(), stream.text[-300:])
+        self.assertEqual(fleet.chat(0, "restorersr1").status, 200)
+
+    def test_a_revision_is_in_force_everywhere_within_two_seconds(self):
+        # Invariant 12, with a racing operator and a slow store.
+        fleet = self.fleet(entries=3, engines=3)
+        with open(DEMO, encoding="utf-8") as file:
+            source = file.read()
+        longest = 0.0
+        for revision in range(2, 8):
+            if revision == 5:
+                call(fleet.ports["platform"], "POST", "/fault", {"service": "rows", "slow_ms": 150})
+            path = os.path.join(fleet.folder.name, f"revision-{revision}.json")
+            with open(path, "w", encoding="utf-8") as file:
+                file.write(source.replace('"rate": 5000', f'"rate": {5000 + revision}'))
+            fleet.ctl("apply", path, f"--expect-revision={revision - 1}")
+            start = time.monotonic()
+            late = fleet.ctl("apply", DEMO, f"--expect-revision={revision - 1}", check=False)
+            self.assertEqual(late.returncode, 3, late.stdout + late.stderr)
+            fleet.wait_until(lambda wanted=revision: all(
+                fleet.state(name)["revision"] == wanted for name in fleet.daemons()),
+                             "the revision is in force everywhere", 10)
+            longest = max(longest, time.monotonic() - start)
+        self.assertLess(longest, 2)
+
+    def test_a_withdrawal_by_the_operators_command_is_in_force_everywhere(self):
+        # Invariant 5.
+        fleet = self.fleet(engine_flags=["--token_ms=30"])
+        stream = Stream(fleet.ports["entry-2"])
+        self.assertTrue(stream.first.wait(10))
+        fleet.ctl("key", "withdraw", "restorers-main")
+        withdrawn = time.monotonic()
+        stream.join(10)
+        self.assertLess(stream.ended_at - withdrawn, 2)
+        self.assertIn("key_withdrawn", stream.text)
+
     def test_a_leaving_target_gets_no_new_work(self):
         # Invariant 10: the membership list says leaving.
         fleet = self.fleet()
