Test the limiter with several threads

Four threads spend, settle, give units and poll on one limiter. Guards against races between them; a data race would show under ThreadSanitizer.

--- a/packages/limiter/limiter_test.cpp
+++ b/packages/limiter/limiter_test.cpp
@@ -2,6 +2,9 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
+#include <thread>
+
 #include "limiter/limiter_fixture.h"
 
 namespace foxtailturn {
@@ -301,5 +304,36 @@
     CHECK(limiter.reserve("w", 1, Attempt::First).error().code_ == ErrorCode::LeaseExpired);
 }
 
+// Guards against races between threads: all spend from one bucket while its units move.
+TEST_CASE("threads together spend no more than rate x time + burst")
+{
+    const SystemClock clock;
+    const HeldLease lease;
+    Limiter limiter("a", clock, lease);
+    const TimePoint startedAt = clock.now();
+    limiter.setLimit("w", kLimit);
+    limiter.onGrant("w", {kTotalUnits, true});
+    std::atomic<std::int64_t> spent = 0;
+    std::vector<std::thread> threads;
+    threads.reserve(4);
+    for (int i = 0; i < 4; ++i) {
+        threads.emplace_back([&] {
+            for (int step = 0; step < 5000; ++step) {
+                limiter.setPeers({"a", "b"});
+                if (const Result<Reservation> taken = limiter.reserve("w", 3, Attempt::First)) {
+                    limiter.settle(*taken, 2);
+                    spent += 2;
+                }
+                (void)limiter.onRequest({"w", "b", "a", 0, 1, 0, 0, 0, 0});
+                (void)limiter.pollAll();
+            }
+        });
+    }
+    for (std::thread &thread : threads)
+        thread.join();
+    const std::chrono::duration<double> elapsed = clock.now() - startedAt;
+    CHECK(spent <= kLimit.burst_ + elapsed.count() * kLimit.rate_);
+}
+
 } // namespace
 } // namespace foxtailturn
