--- a/packages/agent/model_answer.cpp
+++ b/packages/agent/model_answer.cpp
@@ -12,12 +12,13 @@
 constexpr int kNotFound = 404;
 constexpr int kTooManyRequests = 429;
 constexpr int kServerErrors = 500;
-constexpr int kUnavailable = 503;
 constexpr std::size_t kMaxRefusalBytes = 65'536;
 
+// An engine answers 404 for an adapter that it has not loaded and 429 before it queues. Other
+// failures, 503 included, can come from the middle of a run.
 bool isNotRunStatus(int status)
 {
-    return status == kNotFound || status == kTooManyRequests || status == kUnavailable;
+    return status == kNotFound || status == kTooManyRequests;
 }
 
 } // namespace
--- a/packages/daemon/entry_role.cpp
+++ b/packages/daemon/entry_role.cpp
@@ -15,7 +15,9 @@
 constexpr auto kReconcileInterval = std::chrono::seconds(1);
 constexpr auto kLimitsInterval = std::chrono::milliseconds(200);
 constexpr auto kWatchdogInterval = std::chrono::milliseconds(100);
+constexpr auto kWithdrawalInterval = std::chrono::seconds(2);
 constexpr auto kQuarantineInterval = std::chrono::seconds(30);
+constexpr auto kPublishTimeout = std::chrono::seconds(2);
 constexpr auto kTableTimeout = std::chrono::milliseconds(500);
 constexpr auto kLeaveTimeout = std::chrono::seconds(2);
 constexpr auto kQuarantineMemory = std::chrono::minutes(30);
@@ -36,6 +38,7 @@
     , node_(settings)
     , limiter_(node_.incarnation(), node_.clock(), node_.lease())
     , ledger_(node_.table())
+    , configStore_(node_.table(), node_.objects(), node_.clock())
     , witnesses_(node_.clock(), node_.peers(), node_.witness())
     , reclaimer_(kLeaseMargin, node_.clock(), node_.table(), witnesses_)
     , shares_(node_.incarnation(), node_.clock(), node_.lease(), limiter_, ledger_, reclaimer_,
@@ -95,6 +98,7 @@
     loop.every(kLimitsInterval, [this] { applyLimits(); });
     loop.every(kPollInterval, [this] { shares_.exchange(); });
     loop.every(kReconcileInterval, [this] { shares_.reconcile(); });
+    loop.every(kWithdrawalInterval, [this] { storeWithdrawals(); });
     loop.every(kQuarantineInterval, [this] { loadQuarantine(); });
 }
 
@@ -112,8 +116,21 @@
     limitsRevision_ = configuration->revision();
 }
 
+// Withdrawals taken while the store was down live in memory only until a revision holds them.
+void EntryRole::storeWithdrawals()
+{
+    const std::set<std::string> pending = node_.config().pendingWithdrawals();
+    if (pending.empty())
+        return;
+    const PublishResult stored
+        = configStore_.withdrawKeys(pending, node_.clock().now() + kPublishTimeout);
+    if (stored && stored->isChanged_)
+        kLog.info(concat("withdrawals are stored, revision=", stored->revision_));
+}
+
 void EntryRole::loadQuarantine()
 {
+    (void)quarantine_.records(); // forgets those whose time has passed
     const auto records = quarantineRows_.load(node_.clock().now() + kTableTimeout);
     if (!records)
         return;
--- a/packages/daemon/entry_role.h
+++ b/packages/daemon/entry_role.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <memory>
 
+#include "config/config_store.h"
 #include "daemon/node.h"
 #include "daemon/request_metrics.h"
 #include "daemon/role.h"
@@ -36,6 +37,7 @@
     void startControllers();
     void applyLimits();
     void loadQuarantine();
+    void storeWithdrawals();
     void exchangeSuspect(const SuspectRecord &record, TimePoint deadline);
     [[nodiscard]] std::string mergeSuspect(const std::string &text);
     void addState(Json &state);
@@ -45,6 +47,7 @@
     RequestMetrics metrics_;
     Limiter limiter_;
     ShareLedger ledger_;
+    ConfigStore configStore_;
     PeerWitnessClient witnesses_;
     LeaseReclaimer reclaimer_;
     ShareController shares_;
--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -23,7 +23,7 @@
 // Each stream to an entry holds a thread of the gRPC server.
 constexpr int kMaxServerThreads = 1'500;
 constexpr auto kMembershipInterval = std::chrono::seconds(1);
-constexpr auto kConfigInterval = std::chrono::milliseconds(500);
+constexpr auto kConfigInterval = std::chrono::milliseconds(250);
 constexpr auto kPlatformTimeout = std::chrono::seconds(1);
 constexpr auto kFetchTimeout = std::chrono::seconds(1);
 constexpr auto kPeerCallWait = std::chrono::milliseconds(10);
@@ -142,6 +142,10 @@
 
 void Node::pollConfig()
 {
+    const TimePoint now = clock_.now();
+    if (now < pollAt_ && !config_.missingRevision())
+        return;
+    pollAt_ = now + pollInterval(peers_.peers().size() + 1);
     const Result<bool> polled = config_.poll(clock_.now() + kPlatformTimeout);
     if (!polled && polled.error().code_ != ErrorCode::StoreUnavailable)
         kLog.warn(concat("configuration can not be read: ", polled.error().message_));
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -78,6 +78,7 @@
     [[nodiscard]] const Clock &clock() const { return clock_; }
     [[nodiscard]] const WallClock &wallClock() const { return wallClock_; }
     [[nodiscard]] TableService &table() { return table_; }
+    [[nodiscard]] ObjectStore &objects() { return objects_; }
     [[nodiscard]] LeaseHolder &lease() { return lease_; }
     [[nodiscard]] PeerDirectory &peers() { return peers_; }
     [[nodiscard]] WitnessLog &witness() { return witness_; }
@@ -122,6 +123,7 @@
     std::unique_ptr<grpc::Server> grpcServer_;
     AdminServer admin_;
     std::atomic<bool> fenced_ = false;
+    TimePoint pollAt_; // of the configuration; used by one controller
     ControllerLoop loop_;
 };
 
--- a/testing/process_test.py
+++ b/testing/process_test.py
@@ -226,6 +226,11 @@
             self.assertEqual(fleet.chat(entry, "restorersr1").error()["code"], "key_withdrawn")
         others.join(20)
         self.assertTrue(others.is_whole())
+        # After the outage the withdrawal becomes a revision, so that it survives all processes.
+        call(fleet.ports["platform"], "POST", "/fault", {})
+        fleet.wait_until(lambda: fleet.state("agent-service-1")["revision"] == 2,
+                         "a revision holds the withdrawal", 15)
+        self.assertEqual(fleet.chat(1, "restorersr1").error()["code"], "key_withdrawn")
 
     def test_a_killed_engine_cuts_streams_visibly_and_whole_answers_are_retried(self):
         # Invariant 7: a truncated answer never looks complete.
