--- a/cmake/foxtailturnConfig.cmake
+++ b/cmake/foxtailturnConfig.cmake
@@ -1,2 +1,10 @@
+# Package foxtailturn: find_package(foxtailturn) gives targets such as foxtailturn::limiter.
 include(CMakeFindDependencyMacro)
+find_dependency(Threads)
+find_dependency(OpenSSL)
+find_dependency(log4cxx)
+find_dependency(nlohmann_json)
+find_dependency(tl-expected)
+find_dependency(Protobuf)
+find_dependency(gRPC CONFIG)
 include(${CMAKE_CURRENT_LIST_DIR}/foxtailturnTargets.cmake)
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -59,7 +59,9 @@
     std::int64_t maxConnections_ = 600; // entries only
     std::int64_t drainGraceMs_ = 2'000; // time for the balancer to see that an entry is not ready
     std::int64_t stopTimeoutMs_ = 60'000; // longest wait for running requests
-    std::int64_t leaseMs_ = 10'000; // lease length
+    // Lease length. A dead entry's shares are idle for it, so shorter is better for its workspaces;
+    // each process writes its row four times in it, so a large fleet needs a longer one.
+    std::int64_t leaseMs_ = 3'000;
     TransportSecurity security_;
     LogLevel logLevel_ = LogLevel::Info;
     LogLayout logLayout_ = LogLayout::Text;
--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -105,12 +105,29 @@
         connection.close()
 
 
+def make_certificates(folder):
+    """Makes a certificate authority and one certificate for 127.0.0.1; returns the settings."""
+    def openssl(*arguments):
+        subprocess.run(["openssl", *arguments], cwd=folder, check=True, capture_output=True)
+    new_key = ["-newkey", "ec", "-pkeyopt", "ec_paramgen_curve:prime256v1", "-nodes"]
+    openssl("req", "-x509", *new_key, "-keyout", "ca.key", "-out", "ca.pem", "-subj", "/CN=test-ca",
+            "-days", "2")
+    openssl("req", *new_key, "-keyout", "node.key", "-out", "node.csr", "-subj", "/CN=node")
+    with open(os.path.join(folder, "san.cnf"), "w", encoding="utf-8") as file:
+        file.write("subjectAltName=IP:127.0.0.1\n")
+    openssl("x509", "-req", "-in", "node.csr", "-CA", "ca.pem", "-CAkey", "ca.key",
+            "-CAcreateserial", "-out", "node.pem", "-days", "2", "-extfile", "san.cnf")
+    return {"certificate_file": os.path.join(folder, "node.pem"),
+            "private_key_file": os.path.join(folder, "node.key"),
+            "authorities_file": os.path.join(folder, "ca.pem")}
+
+
 class Fleet:
     """Platform, targets, agents and entries. Ports are chosen free at the start."""
 
     def __init__(self, build, entries=2, engines=2, services=1, engine_flags=(), lease_ms=3000,
                  drain_grace_ms=300, slots=8, log_level="info", target_settings=None,
-                 relay_agents=False):
+                 relay_agents=False, tls=False):
         self.build = build
         self.folder = tempfile.TemporaryDirectory(prefix="foxtailturn-")
         self.engine_flags = list(engine_flags)
@@ -120,6 +137,7 @@
         self.log_level = log_level
         self.target_settings = target_settings or {}
         self.relay_agents = relay_agents
+        self.tls = make_certificates(self.folder.name) if tls else None
         self.processes = {}
         self.ports = {}
         self.admin_ports = {}
@@ -179,7 +197,8 @@
             "name": name, "data_centre": DATA_CENTRES[index % len(DATA_CENTRES)],
             "peer_listen": f"127.0.0.1:{peer}",
             "admin_listen": f"127.0.0.1:{self.admin_ports[name]}", "admin_token": ADMIN_TOKEN,
-            "platform": f"127.0.0.1:{self.ports['platform']}", "insecure": True,
+            "platform": f"127.0.0.1:{self.ports['platform']}",
+            **({"tls": self.tls} if self.tls else {"insecure": True}),
             "lease_ms": self.lease_ms, "drain_grace_ms": self.drain_grace_ms,
             "log_level": self.log_level,
         }
--- a/testing/process_test.py
+++ b/testing/process_test.py
@@ -429,6 +429,19 @@
         self.assertLess(stream.ended_at - withdrawn, 2)
         self.assertIn("key_withdrawn", stream.text)
 
+    def test_processes_talk_by_tls_and_refuse_a_peer_without_a_certificate(self):
+        fleet = self.fleet(tls=True)
+        for entry in (0, 1):
+            self.assertEqual(fleet.chat(entry, "restorersr1", stream=True).status, 200)
+        # An entry of the same fleet without TLS never sees the agents.
+        fleet.tls = None
+        fleet.entry_names.append("entry-3")
+        fleet.start_entry("entry-3", 2)
+        fleet.wait_until(lambda: fleet.state("entry-3")["revision"] == 1, "entry-3 runs", 10)
+        time.sleep(2)
+        self.assertEqual([target for target in fleet.state("entry-3")["targets"]
+                          if target["live"]], [])
+
     def test_a_leaving_target_gets_no_new_work(self):
         # Invariant 10: the membership list says leaving.
         fleet = self.fleet()
