--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -11,12 +11,14 @@
 import http.client
 import json
 import os
-import signal
+import pathlib
 import socket
 import subprocess
 import tempfile
 import time
 
+from processes import Process, free_port
+
 ADMIN_TOKEN = "loopback-admin-token"
 DATA_CENTRES = ["dc-a", "dc-b", "dc-c"]
 
@@ -25,52 +27,6 @@
     """A process did not start or did not become ready in time."""
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
-class Process:
-    """One child process with its command, so that it can be started again."""
-
-    def __init__(self, name, command, log_folder):
-        self.name = name
-        self.command = command
-        self.log_path = os.path.join(log_folder, name + ".log")
-        self.child = None
-        self.start()
-
-    def start(self):
-        with open(self.log_path, "ab") as log:
-            self.child = subprocess.Popen(
-                self.command, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
-
-    def alive(self):
-        return self.child.poll() is None
-
-    def terminate(self, timeout=90):
-        """Planned stop; returns the exit code."""
-        if self.alive():
-            self.child.send_signal(signal.SIGTERM)
-        return self.child.wait(timeout)
-
-    def kill(self):
-        if self.alive():
-            self.child.kill()
-        self.child.wait()
-
-    def pause(self):
-        self.child.send_signal(signal.SIGSTOP)
-
-    def resume(self):
-        self.child.send_signal(signal.SIGCONT)
-
-    def log(self):
-        with open(self.log_path, encoding="utf-8", errors="replace") as file:
-            return file.read()
-
-
 class Answer:
     """An HTTP answer; json() is None when the body is no JSON."""
 
@@ -162,7 +118,8 @@
         return os.path.join(self.build, folder, name)
 
     def spawn(self, name, command):
-        self.processes[name] = Process(name, command, self.folder.name)
+        log_path = pathlib.Path(self.folder.name, name + ".log")
+        self.processes[name] = Process(name, command, self.ports.get(name), log_path)
         return self.processes[name]
 
     def start(self):
@@ -325,18 +282,13 @@
 
     def print_logs(self):
         for name, process in self.processes.items():
-            tail = process.log().splitlines()[-25:]
-            print(f"--- log of {name}", *tail, sep="\n")
+            print(f"--- log of {name}\n{process.log()}")
 
     def stop(self):
         for process in self.processes.values():
-            if process.alive():
+            if process.is_running():
                 process.resume()
-                process.child.terminate()
-        end = time.monotonic() + 15
+                process.terminate()
         for process in self.processes.values():
-            try:
-                process.child.wait(max(0.1, end - time.monotonic()))
-            except subprocess.TimeoutExpired:
-                process.kill()
+            process.stop()
         self.folder.cleanup()
--- a/testing/process_test.py
+++ b/testing/process_test.py
@@ -24,6 +24,12 @@
 OTHER_KEY = "demo-key-stalls"
 
 
+def stop_as_planned(fleet, name):
+    """Sends SIGTERM, waits for running requests and returns the exit code."""
+    fleet.processes[name].terminate()
+    return fleet.processes[name].wait_exit(60)
+
+
 class Stream(threading.Thread):
     """A streamed chat, read in a thread of its own."""
 
@@ -260,7 +266,7 @@
         self.assertEqual(answer.status, 200, answer.body)
         stream.join(20)
         self.assertFalse(stream.is_whole())
-        fleet.processes["agent-" + victim].start()
+        fleet.processes["agent-" + victim].restart()
         fleet.wait_until(lambda: fleet.state("agent-" + victim)["target"]["fencing_number"] == 2,
                          "the new agent holds the next fencing number", 30)
 
@@ -271,7 +277,7 @@
         for attempt in range(6):
             answer = fleet.chat(attempt % 2, "restorersr1", prompt="POISON", timeout=60)
             codes.append(answer.error().get("code"))
-        dead = [name for name in fleet.engine_names if not fleet.processes[name].alive()]
+        dead = [name for name in fleet.engine_names if not fleet.processes[name].is_running()]
         self.assertLessEqual(len(dead), 2, codes)
         self.assertEqual(codes[-1], "quarantined", codes)
         answer = fleet.chat(0, "restorersr1", prompt="harmless")
@@ -339,7 +345,7 @@
         fleet = self.fleet(engine_flags=["--token_ms=20"])
         stream = Stream(fleet.ports["entry-1"], max_tokens=150)
         self.assertTrue(stream.first.wait(10))
-        self.assertEqual(fleet.processes["entry-1"].terminate(), 0)
+        self.assertEqual(stop_as_planned(fleet, "entry-1"), 0)
         stream.join(10)
         self.assertTrue(stream.is_whole())
 
@@ -362,7 +368,7 @@
                 codes.append(fleet.chat(1, "restorersr1", max_tokens=4).status)
         asking = threading.Thread(target=keep_asking)
         asking.start()
-        code = fleet.processes["agent-" + victim].terminate()
+        code = stop_as_planned(fleet, "agent-" + victim)
         stopped.set()
         asking.join()
         stream.join(10)
@@ -442,6 +448,19 @@
         self.assertEqual([target for target in fleet.state("entry-3")["targets"]
                           if target["live"]], [])
 
+    def test_three_hundred_open_streams_do_not_block_other_callers(self):
+        # Guards against a worker pool in which open streams take all threads.
+        fleet = self.fleet(engine_flags=["--token_ms=20"])
+        streams = [Stream(fleet.ports["entry-1"], model=f"restorersr{index % 6 + 1}", max_tokens=20)
+                   for index in range(300)]
+        start = time.monotonic()
+        self.assertEqual(call(fleet.ports["entry-1"], "GET", "/registers/1").status, 200)
+        self.assertEqual(call(fleet.admin_ports["entry-1"], "GET", "/readyz").status, 200)
+        self.assertLess(time.monotonic() - start, 2)
+        for stream in streams:
+            stream.join(60)
+        self.assertEqual([stream.text[-300:] for stream in streams if not stream.is_whole()], [])
+
     def test_a_leaving_target_gets_no_new_work(self):
         # Invariant 10: the membership list says leaving.
         fleet = self.fleet()
@@ -480,8 +499,8 @@
         self.assertEqual((answer.status, answer.error().get("execution")), (503, "not_run"),
                          answer.body)
         # The fenced incarnation ends; a new one serves.
-        self.assertEqual(fleet.processes["entry-1"].child.wait(15), 3)
-        fleet.processes["entry-1"].start()
+        self.assertEqual(fleet.processes["entry-1"].wait_exit(15), 3)
+        fleet.processes["entry-1"].restart()
         fleet.wait_serving()
 
 
--- a/testing/processes.py
+++ b/testing/processes.py
@@ -99,9 +99,16 @@
         self.url = f"http://{HOST}:{port}" if port else None
         self.log_path = log_path
         self._paused = False
-        with open(log_path, "ab") as log:
-            self._popen = subprocess.Popen(command, stdout=log, stderr=subprocess.STDOUT,
-                                           stdin=subprocess.DEVNULL)
+        self._popen = self._spawn()
+
+    def _spawn(self):
+        with open(self.log_path, "ab") as log:
+            return subprocess.Popen(self.command, stdout=log, stderr=subprocess.STDOUT,
+                                    stdin=subprocess.DEVNULL)
+
+    def restart(self):
+        """Starts the same command again, as a new process. Precondition: it has ended."""
+        self._popen = self._spawn()
 
     @property
     def pid(self):
--- a/testing/propagation.py
+++ b/testing/propagation.py
@@ -43,7 +43,7 @@
     fleet.ctl("apply", path, f"--expect-revision={revision - 1}")
     start = time.monotonic()
     times = []
-    names = [name for name in fleet.daemons() if fleet.processes[name].alive()]
+    names = [name for name in fleet.daemons() if fleet.processes[name].is_running()]
     threads = [threading.Thread(target=poll_process, args=(fleet, name, revision, start, times))
                for name in names]
     for thread in threads:
