--- a/packages/agent/answer_buffer.cpp
+++ b/packages/agent/answer_buffer.cpp
@@ -27,10 +27,12 @@
 bool AnswerBuffer::append(std::string_view data)
 {
     const std::lock_guard lock(mutex_);
-    if (cancelled_ || finished_ || failure_)
+    if (finished_ || failure_)
         return false;
-    if (data_.size() + data.size() > kMaxAnswerBytes)
+    if (cancelled_ || data_.size() + data.size() > kMaxAnswerBytes) {
+        incomplete_ = true;
         return false;
+    }
     data_.append(data);
     changed_.notify_all();
     return true;
@@ -41,7 +43,10 @@
     const std::lock_guard lock(mutex_);
     if (finished_ || failure_)
         return;
-    finished_ = true;
+    if (incomplete_)
+        failure_ = Error{ErrorCode::Cancelled, Execution::OutcomeUnknown, "answer is incomplete"};
+    else
+        finished_ = true;
     usedTokens_ = usedTokens;
     changed_.notify_all();
 }
--- a/packages/agent/answer_buffer.h
+++ b/packages/agent/answer_buffer.h
@@ -57,7 +57,9 @@
     // then the writer must stop. Thread-safe.
     [[nodiscard]] bool append(std::string_view data);
 
-    // Ends the answer. Later calls of finish() and fail() have no effect. Thread-safe.
+    // Ends the answer. finish() after an append() that was refused fails the answer with Cancelled
+    // (OutcomeUnknown), because data is missing. Later calls of finish() and fail() have no effect.
+    // Thread-safe.
     void finish(std::uint64_t usedTokens);
     void fail(Error error);
 
@@ -86,6 +88,7 @@
     std::string data_;
     bool finished_ = false;
     bool cancelled_ = false;
+    bool incomplete_ = false; // an append() was refused before the end
     int waitingReaders_ = 0;
     std::uint64_t usedTokens_ = 0;
     std::optional<Error> failure_;
