--- a/testing/process_test.py
+++ b/testing/process_test.py
@@ -226,6 +226,11 @@
             self.assertEqual(fleet.chat(entry, "restorersr1").error()["code"], "key_withdrawn")
         others.join(20)
         self.assertTrue(others.is_whole())
+        # After the outage the withdrawal becomes a revision, so that it survives all processes.
+        call(fleet.ports["platform"], "POST", "/fault", {})
+        fleet.wait_until(lambda: fleet.state("agent-service-1")["revision"] == 2,
+                         "a revision holds the withdrawal", 15)
+        self.assertEqual(fleet.chat(1, "restorersr1").error()["code"], "key_withdrawn")
 
     def test_a_killed_engine_cuts_streams_visibly_and_whole_answers_are_retried(self):
         # Invariant 7: a truncated answer never looks complete.
@@ -365,6 +370,78 @@
         self.assertTrue(stream.is_whole())
         self.assertEqual(set(codes), {200})
 
+    def test_a_silent_connection_is_replaced_and_the_stream_resumes(self):
+        # Invariant 7 and design 5.8: open connections go silent for good, new ones work.
+        fleet = self.fleet(engine_flags=["--token_ms=20"], relay_agents=True)
+        streams = [Stream(fleet.ports[name], max_tokens=200) for name in fleet.entry_names]
+        for stream in streams:
+            self.assertTrue(stream.first.wait(10))
+        time.sleep(0.5)
+        fleet.set_relays("silence_open")
+        for stream in streams:
+            stream.join(30)
+            self.assertTrue(stream.is_whole(), stream.text[-300:])
+            self.assertLess(stream.largest_gap, 2)
+        self.assertEqual(len({stream.text.count("data: ") for stream in streams}), 1)
+
+    def test_a_cut_network_heals_without_wrong_answers(self):
+        # Invariant 7: all connections between entries and agents are cut for a second.
+        fleet = self.fleet(engine_flags=["--token_ms=20"], relay_agents=True)
+        stream = Stream(fleet.ports["entry-1"], max_tokens=200)
+        self.assertTrue(stream.first.wait(10))
+        fleet.set_relays("cut")
+        time.sleep(1)
+        fleet.set_relays("pass")
+        stream.join(30)
+        self.assertTrue(stream.is_whole(), stream.text[-300:])
+        self.assertEqual(fleet.chat(0, "restorersr1").status, 200)
+
+    def test_a_revision_is_in_force_everywhere_within_two_seconds(self):
+        # Invariant 12, with a racing operator and a slow store.
+        fleet = self.fleet(entries=3, engines=3)
+        with open(DEMO, encoding="utf-8") as file:
+            source = file.read()
+        longest = 0.0
+        for revision in range(2, 8):
+            if revision == 5:
+                call(fleet.ports["platform"], "POST", "/fault", {"service": "rows", "slow_ms": 150})
+            path = os.path.join(fleet.folder.name, f"revision-{revision}.json")
+            with open(path, "w", encoding="utf-8") as file:
+                file.write(source.replace('"rate": 5000', f'"rate": {5000 + revision}'))
+            fleet.ctl("apply", path, f"--expect-revision={revision - 1}")
+            start = time.monotonic()
+            late = fleet.ctl("apply", DEMO, f"--expect-revision={revision - 1}", check=False)
+            self.assertEqual(late.returncode, 3, late.stdout + late.stderr)
+            fleet.wait_until(lambda wanted=revision: all(
+                fleet.state(name)["revision"] == wanted for name in fleet.daemons()),
+                             "the revision is in force everywhere", 10)
+            longest = max(longest, time.monotonic() - start)
+        self.assertLess(longest, 2)
+
+    def test_a_withdrawal_by_the_operators_command_is_in_force_everywhere(self):
+        # Invariant 5.
+        fleet = self.fleet(engine_flags=["--token_ms=30"])
+        stream = Stream(fleet.ports["entry-2"])
+        self.assertTrue(stream.first.wait(10))
+        fleet.ctl("key", "withdraw", "restorers-main")
+        withdrawn = time.monotonic()
+        stream.join(10)
+        self.assertLess(stream.ended_at - withdrawn, 2)
+        self.assertIn("key_withdrawn", stream.text)
+
+    def test_processes_talk_by_tls_and_refuse_a_peer_without_a_certificate(self):
+        fleet = self.fleet(tls=True)
+        for entry in (0, 1):
+            self.assertEqual(fleet.chat(entry, "restorersr1", stream=True).status, 200)
+        # An entry of the same fleet without TLS never sees the agents.
+        fleet.tls = None
+        fleet.entry_names.append("entry-3")
+        fleet.start_entry("entry-3", 2)
+        fleet.wait_until(lambda: fleet.state("entry-3")["revision"] == 1, "entry-3 runs", 10)
+        time.sleep(2)
+        self.assertEqual([target for target in fleet.state("entry-3")["targets"]
+                          if target["live"]], [])
+
     def test_a_leaving_target_gets_no_new_work(self):
         # Invariant 10: the membership list says leaving.
         fleet = self.fleet()
