--- a/testing/capacity.py
+++ b/testing/capacity.py
@@ -6,9 +6,13 @@
     python3 -B testing/capacity.py --build=build first_token
     python3 -B testing/capacity.py --build=build config --adapters=30,3000,12000
 
-Each prints one JSON object a line. Processor time is that of the process (user and system) over
-wall time, so 0.01 is 1% of one core. The machine's load average is printed with each figure: repeat
-a figure taken on a busy machine.
+    python3 -B testing/capacity.py fit --file=idle.txt
+
+The first four print one JSON object a line. fit takes the lines of idle and prints the plane
+through them (base + slope x agents + slope x entries), its largest residual and its value at the
+target size. Processor time is that of the process (user and system) over wall time, so 0.01 is 1%
+of one core. The machine's load average is printed with each figure: repeat a figure taken on a busy
+machine.
 """
 
 import argparse
@@ -17,6 +21,7 @@
 import subprocess
 import threading
 import time
+import urllib.parse
 
 from fleet import Fleet, call, free_port
 
@@ -25,6 +30,8 @@
 KEY = "demo-key-restorers"
 TICKS = os.sysconf("SC_CLK_TCK")
 MAX_PROCESSES = 60
+TARGET_AGENTS = 850
+TARGET_ENTRIES = 420
 SETTLE_SECONDS = 4
 IDLE_SECONDS = 8
 # High enough that admission refuses nothing: the measurement is of the relay.
@@ -97,6 +104,14 @@
         counts.update({"requests_" + name: n for name, n in stats["requests"].items()})
         return counts
 
+    def platform_body(self, path):
+        return call(self.ports["platform"], "GET", path).body
+
+    def content_bytes(self):
+        """Size of the rendered configuration in the object store."""
+        name = json.loads(self.platform_body("/rows/config%2Fcurrent"))["object"]
+        return len(self.platform_body("/objects/" + urllib.parse.quote(name, safe="")))
+
     def cpu(self, names):
         return {name: cpu_seconds(self.pid(name)) for name in names}
 
@@ -119,11 +134,13 @@
 
 
 def measure_idle(build, entries, agents):
-    """One idle fleet: processor time, memory, bytes into one entry and one agent, table calls."""
-    if 2 * agents + entries + 3 > MAX_PROCESSES:
+    """One idle fleet: processor time, memory, bytes on the connections to one entry
+    and to the first and last agent (both directions), table calls."""
+    if 2 * agents + entries + 4 > MAX_PROCESSES:
         raise SystemExit(f"more than {MAX_PROCESSES} processes: {entries}x{agents}")
     with MeasuredFleet(build, entries, agents, 0, engine_flags=["--workers=16"],
-                       log_level="warn", relayed=("entry-1", "agent-engine-1")) as fleet:
+                       log_level="warn",
+                       relayed=("entry-1", "agent-engine-1", f"agent-engine-{agents}")) as fleet:
         fleet.apply(DEMO)
         fleet.wait_serving()
         time.sleep(SETTLE_SECONDS)
@@ -142,10 +159,11 @@
                 "threads": mean(status_field(fleet.pid(name), "Threads") for name in of_role)}
         for name, stats in relays_end.items():
             moved = stats["forwarded_bytes"] - relays[name]["forwarded_bytes"]
-            values["into_" + name.split("-")[0]] = {
+            values["into_" + name] = {
                 "bytes_per_second": moved / seconds, "connections": stats["open"]}
         values["platform_per_second"] = {
             name: (counts_end[name] - counts[name]) / seconds for name in counts}
+        values["lease_scan_bytes"] = len(fleet.platform_body("/rows?prefix=leases%2F"))
         report("idle", **values)
 
 
@@ -244,7 +262,8 @@
         time.sleep(1)
         seconds, end = time.monotonic() - start, fleet.cpu(names)
         values = {"adapters": adapters, "apply_seconds": applied - start,
-                  "in_force_seconds": in_force - start}
+                  "in_force_seconds": in_force - start,
+                  "content_bytes": fleet.content_bytes()}
         for name, role in zip(names, ("entry", "agent")):
             idle = (first[name] - begin[name]) / (start - idle_start)
             values[role] = {
@@ -254,6 +273,48 @@
         report("config", **values)
 
 
+def solve(matrix, vector):
+    """Gauss-Jordan elimination. Raises ZeroDivisionError when the sizes do not span a plane."""
+    rows = [row[:] + [value] for row, value in zip(matrix, vector)]
+    for i, _ in enumerate(rows):
+        pivot = max(range(i, len(rows)), key=lambda k: abs(rows[k][i]))
+        rows[i], rows[pivot] = rows[pivot], rows[i]
+        for k, row in enumerate(rows):
+            if k != i:
+                factor = row[i] / rows[i][i]
+                rows[k] = [x - factor * y for x, y in zip(row, rows[i])]
+    return [row[-1] / row[i] for i, row in enumerate(rows)]
+
+
+def fit_plane(points):
+    """Least squares over (agents, entries, value). Returns base, per agent, per entry, residual."""
+    inputs = [(1, agents, entries) for agents, entries, _ in points]
+    values = [value for _, _, value in points]
+    matrix = [[sum(x[i] * x[j] for x in inputs) for j in range(3)] for i in range(3)]
+    vector = [sum(x[i] * value for x, value in zip(inputs, values)) for i in range(3)]
+    plane = solve(matrix, vector)
+    residual = max(abs(sum(a * b for a, b in zip(plane, x)) - value)
+                   for x, value in zip(inputs, values))
+    return (*plane, residual)
+
+
+def fit(path):
+    with open(path, encoding="utf-8") as file:
+        runs = [json.loads(line) for line in file if line.startswith('{"measurement": "idle"')]
+    if not runs:
+        raise SystemExit(f"{path}: no lines of idle")
+    for part, values in runs[0].items():
+        for name in values if isinstance(values, dict) else ():
+            points = [(run["agents"], run["entries"], run[part][name]) for run in runs
+                      if part in run]
+            if len(points) < 3:
+                continue
+            base, agent, entry, residual = fit_plane(points)
+            target = base + agent * TARGET_AGENTS + entry * TARGET_ENTRIES
+            print(f"{part} {name}: {base:.5g} + {agent:.5g} x agents + {entry:.5g} x entries, "
+                  f"residual {residual:.3g}, at the target {target:.6g}")
+
+
 def numbers(text):
     return [int(part) for part in text.split(",")]
 
@@ -261,14 +322,17 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--build", default="build")
-    parser.add_argument("measurement", choices=["idle", "load", "first_token", "config"])
+    parser.add_argument("measurement", choices=["idle", "load", "first_token", "config", "fit"])
     parser.add_argument("--sizes", default="2x2,2x8,2x16,4x8,6x8", help="ENTRIESxAGENTS,...")
     parser.add_argument("--streams", type=numbers, default=[50, 200, 400])
     parser.add_argument("--token_ms", type=int, default=20)
     parser.add_argument("--rounds", type=int, default=2)
     parser.add_argument("--adapters", type=numbers, default=[30, 3000, 12000])
+    parser.add_argument("--file", help="output of idle, for fit")
     options = parser.parse_args()
-    if options.measurement == "idle":
+    if options.measurement == "fit":
+        fit(options.file)
+    elif options.measurement == "idle":
         for size in options.sizes.split(","):
             measure_idle(options.build, *(int(part) for part in size.split("x")))
     elif options.measurement == "load":
