--- a/testing/capacity.py
+++ b/testing/capacity.py
@@ -164,6 +164,8 @@
         values["platform_per_second"] = {
             name: (counts_end[name] - counts[name]) / seconds for name in counts}
         values["lease_scan_bytes"] = len(fleet.platform_body("/rows?prefix=leases%2F"))
+        values["members_bytes"] = len(fleet.platform_body("/members"))
+        values["config_row_bytes"] = len(fleet.platform_body("/rows/config%2Fcurrent"))
         report("idle", **values)
 
 
