--- a/packages/agent/http_engine_orders.cpp
+++ b/packages/agent/http_engine_orders.cpp
@@ -1,10 +1,8 @@
 #include "agent/http_engine_orders.h"
 
-#include <algorithm>
 #include <utility>
 
-#include <httplib.h>
-
+#include "agent/http_timeouts.h"
 #include "base/json.h"
 #include "base/log.h"
 
@@ -13,20 +11,6 @@
 namespace {
 
 constexpr char kVersionMark = '@';
-constexpr auto kConnectTimeout = std::chrono::milliseconds(500);
-
-void setTimeouts(httplib::Client &client, Duration remaining)
-{
-    const Duration timeout = std::max<Duration>(remaining, std::chrono::milliseconds(1));
-    client.set_connection_timeout(std::min<Duration>(timeout, kConnectTimeout));
-    client.set_read_timeout(timeout);
-    client.set_write_timeout(timeout);
-}
-
-bool isNotSent(httplib::Error error)
-{
-    return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout;
-}
 
 // Returns the running requests of an adapter. An engine that reports only a total could be running
 // any of its adapters, so then each one counts as running.
--- a/packages/agent/target_client.cpp
+++ b/packages/agent/target_client.cpp
@@ -1,27 +1,15 @@
 #include "agent/target_client.h"
 
-#include <algorithm>
 #include <utility>
 
-#include <httplib.h>
-
-#include "base/log.h"
+#include "agent/http_timeouts.h"
 
 namespace foxtailturn {
 
 namespace {
 
-constexpr auto kConnectTimeout = std::chrono::milliseconds(500);
 constexpr auto kHealthTimeout = std::chrono::milliseconds(300);
 
-void setTimeouts(httplib::Client &client, Duration remaining)
-{
-    const Duration timeout = std::max<Duration>(remaining, std::chrono::milliseconds(1));
-    client.set_connection_timeout(std::min<Duration>(timeout, kConnectTimeout));
-    client.set_read_timeout(timeout);
-    client.set_write_timeout(timeout);
-}
-
 httplib::Request toHttp(const TargetRequest &request)
 {
     httplib::Request http;
@@ -67,7 +55,7 @@
     httplib::Error error = httplib::Error::Success;
     if (client.send(http, response, error))
         return {};
-    if (error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout)
+    if (isNotSent(error))
         return notRun(ErrorCode::TargetFailed, "target refused the connection");
     if (clock_->now() >= request.deadline_)
         return outcomeUnknown(ErrorCode::TargetTimeout, "target did not finish by the deadline");
--- a/packages/daemon/entry_role.cpp
+++ b/packages/daemon/entry_role.cpp
@@ -122,8 +122,8 @@
     const std::set<std::string> pending = node_.config().pendingWithdrawals();
     if (pending.empty())
         return;
-    const PublishResult stored
-        = configStore_.withdrawKeys(pending, node_.clock().now() + kPublishTimeout);
+    const PublishResult stored =
+        configStore_.withdrawKeys(pending, node_.clock().now() + kPublishTimeout);
     if (stored && stored->isChanged_)
         kLog.info(concat("withdrawals are stored, revision=", stored->revision_));
 }
--- a/packages/peer/announcer.cpp
+++ b/packages/peer/announcer.cpp
@@ -1,12 +1,11 @@
 #include "peer/announcer.h"
 
-#include <condition_variable>
 #include <memory>
-#include <mutex>
 #include <utility>
 
 #include "peer/async_call.h"
 #include "peer/incarnation.h"
+#include "peer/reply_collector.h"
 
 namespace foxtailturn {
 
@@ -16,29 +15,6 @@
 // Three lost announcements in a row make a peer count as unreachable.
 constexpr auto kPeerTimeout = std::chrono::seconds(2);
 
-// Counts answers of one round.
-class Round
-{
-public:
-    void answered()
-    {
-        const std::lock_guard lock(mutex_);
-        ++count_;
-        changed_.notify_all();
-    }
-
-    void waitFor(std::size_t count, Duration timeout)
-    {
-        std::unique_lock lock(mutex_);
-        changed_.wait_for(lock, timeout, [&] { return count_ >= count; });
-    }
-
-private:
-    std::mutex mutex_;
-    std::condition_variable changed_;
-    std::size_t count_ = 0;
-};
-
 } // namespace
 
 Announcer::Announcer(std::string self, std::string role, const Clock &clock, PeerDirectory &peers,
@@ -62,10 +38,10 @@
     wire::Announcement message = announcement();
     message.add_suspect_records(record);
     const std::vector<Peer> live = peers_->livePeers(clock_->now());
-    auto round = std::make_shared<Round>();
+    auto replies = std::make_shared<ReplyCollector<std::string>>();
     for (const Peer &peer : live)
-        send(peer, message, [round] { round->answered(); });
-    round->waitFor(live.size(), deadline - clock_->now());
+        send(peer, message, [replies, name = peer.member_.name_] { replies->add(name); });
+    (void)replies->waitFor(live.size(), deadline - clock_->now());
 }
 
 wire::Announcement Announcer::announcement() const
--- /dev/null
+++ b/packages/peer/reply_collector.h
@@ -0,0 +1,45 @@
+#pragma once
+
+// Collects the answers to several calls until enough have come or a time has passed.
+//
+//     auto replies = std::make_shared<ReplyCollector<NetReport>>();
+//     callPeer(..., [replies](const auto &reply) { replies->add(...); });
+//     std::vector<NetReport> reports = replies->waitFor(3, timeout);
+
+#include <condition_variable>
+#include <mutex>
+#include <utility>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace foxtailturn {
+
+// Thread-safe. Shared by the waiting thread and the callbacks, of which some may come too late.
+template <typename T>
+class ReplyCollector
+{
+public:
+    // Adds an answer. Thread-safe.
+    void add(T value)
+    {
+        const std::lock_guard lock(mutex_);
+        values_.push_back(std::move(value));
+        changed_.notify_all();
+    }
+
+    // Returns the answers so far once there are `count`, or when the time has passed. Thread-safe.
+    std::vector<T> waitFor(std::size_t count, Duration timeout)
+    {
+        std::unique_lock lock(mutex_);
+        changed_.wait_for(lock, timeout, [&] { return values_.size() >= count; });
+        return values_;
+    }
+
+private:
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::vector<T> values_;
+};
+
+} // namespace foxtailturn
--- a/packages/peer/share_controller.cpp
+++ b/packages/peer/share_controller.cpp
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "peer/async_call.h"
 #include "peer/incarnation.h"
+#include "peer/reply_collector.h"
 #include "peer/share_messages.h"
 
 namespace foxtailturn {
@@ -23,31 +24,6 @@
 constexpr auto kLeavePause = std::chrono::milliseconds(20);
 constexpr const char *kEntryRole = "entry";
 
-// Answers of several calls, collected until all have come or until a deadline.
-template <typename T>
-class Collector
-{
-public:
-    void add(T value)
-    {
-        const std::lock_guard lock(mutex_);
-        values_.push_back(std::move(value));
-        changed_.notify_all();
-    }
-
-    std::vector<T> waitFor(std::size_t count, Duration timeout)
-    {
-        std::unique_lock lock(mutex_);
-        changed_.wait_for(lock, timeout, [&] { return values_.size() >= count; });
-        return values_;
-    }
-
-private:
-    std::mutex mutex_;
-    std::condition_variable changed_;
-    std::vector<T> values_;
-};
-
 } // namespace
 
 PeerWitnessClient::PeerWitnessClient(const Clock &clock, PeerDirectory &peers, WitnessLog &own)
@@ -61,7 +37,7 @@
 {
     // Witnesses that are gone never answer; the time left is for the write of the row.
     const Duration timeout = std::min<Duration>(deadline - clock_->now(), kFenceTimeout);
-    auto answers = std::make_shared<Collector<FenceAnswer>>();
+    auto answers = std::make_shared<ReplyCollector<FenceAnswer>>();
     for (const FenceRequest &fence : requests) {
         const FenceAnswer own = own_->onFence(fence);
         if (own.fenced_)
@@ -250,7 +226,7 @@
 
 std::vector<NetReport> ShareController::collectNets(const LedgerRow &row, const NetRequest &request)
 {
-    auto reports = std::make_shared<Collector<NetReport>>();
+    auto reports = std::make_shared<ReplyCollector<NetReport>>();
     std::size_t asked = 0;
     const std::set<std::string> ended(request.fenced_.begin(), request.fenced_.end());
     for (const auto &[holder, grant] : row.holders_) {
