Entries that are not listed as live report not ready; forward PATCH and OPTIONS

Cause: an entry missing from the membership list was ready and refused with 429, because peers gave it no shares. Routes accepted two methods that the server did not register.

--- a/packages/daemon/entry_role.cpp
+++ b/packages/daemon/entry_role.cpp
@@ -155,7 +155,8 @@
 
 bool EntryRole::isReady() const
 {
-    return !draining_ && !node_.isFenced() && limitsRevision_ != 0 && shares_.isKnownToPeers();
+    const bool isServing = !draining_ && !node_.isFenced() && node_.isListed();
+    return isServing && limitsRevision_ != 0 && shares_.isKnownToPeers();
 }
 
 NodeHooks EntryRole::nodeHooks()
--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -1,5 +1,6 @@
 #include "daemon/node.h"
 
+#include <algorithm>
 #include <csignal>
 #include <thread>
 #include <utility>
@@ -126,8 +127,12 @@
 {
     const Result<std::vector<Member>> members =
         membership_.members(clock_.now() + kPlatformTimeout);
-    if (members)
-        peers_.setMembers(*members);
+    if (!members)
+        return;
+    peers_.setMembers(*members);
+    listed_ = std::any_of(members->begin(), members->end(), [this](const Member &member) {
+        return member.name_ == settings_.name_ && member.state_ == VmState::Live;
+    });
 }
 
 std::vector<Member> Node::membersOf(const std::string &role) const
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -74,6 +74,10 @@
     // Returns whether the lease was fenced, so that only a new incarnation can serve. Thread-safe.
     [[nodiscard]] bool isFenced() const { return fenced_; }
 
+    // Returns whether the last membership list that could be read has this process as live. Peers
+    // give no shares to a process that is not listed. Thread-safe.
+    [[nodiscard]] bool isListed() const { return listed_; }
+
     [[nodiscard]] const std::string &incarnation() const { return incarnation_; }
     [[nodiscard]] const Clock &clock() const { return clock_; }
     [[nodiscard]] const WallClock &wallClock() const { return wallClock_; }
@@ -123,6 +127,7 @@
     std::unique_ptr<grpc::Server> grpcServer_;
     AdminServer admin_;
     std::atomic<bool> fenced_ = false;
+    std::atomic<bool> listed_ = false;
     TimePoint pollAt_; // of the configuration; used by one controller
     ControllerLoop loop_;
 };
--- a/packages/entry/entry_server.cpp
+++ b/packages/entry/entry_server.cpp
@@ -114,6 +114,8 @@
         server_.Post(kAnyPath, handler);
         server_.Put(kAnyPath, handler);
         server_.Delete(kAnyPath, handler);
+        server_.Patch(kAnyPath, handler);
+        server_.Options(kAnyPath, handler);
         server_.set_error_handler([this](const httplib::Request &, httplib::Response &response) {
             nameServerError(response);
         });
--- a/testing/process_test.py
+++ b/testing/process_test.py
@@ -474,6 +474,18 @@
             self.assertEqual(fleet.chat(index % 2, f"restorersr{index % 8 + 1}").status, 200)
         self.assertEqual(fleet.stats("engine-1")["requests"], before)
 
+    def test_an_entry_is_not_ready_while_it_is_not_listed_as_live(self):
+        # Guards against wrongful refusals by an entry to which peers give no shares.
+        fleet = self.fleet()
+        peer = f"127.0.0.1:{fleet.ports['entry-1.peer']}"
+        fleet.register("entry-1", "entry", peer, "dc-a", "leaving")
+
+        def status():
+            return call(fleet.admin_ports["entry-1"], "GET", "/readyz").status
+        fleet.wait_until(lambda: status() == 503, "the leaving entry is not ready", 5)
+        fleet.register("entry-1", "entry", peer, "dc-a")
+        fleet.wait_until(lambda: status() == 200, "the listed entry is ready", 5)
+
     def test_a_killed_entry_gives_its_shares_back(self):
         # Design 5.1: units of a dead holder return through the ledger.
         fleet = self.fleet()
