docs: work out the capacity at the size to design for

Cause: the target of 420 entries and 850 agents can not be run on one machine, so the page works out each role from slopes of fleets of at most 18 daemons, by testing/capacity.py and capacity_fit.py.

Of 18 lease rows, 17 name the same process as a witness.

Ruled out: /proc/PID/io for bytes between processes, because it does not count sendmsg() and recvmsg(); the fitted slope of bytes into an entry, because in the smallest fleet each process is a witness of all others.

A quiet machine, TLS and a region cut off were not measured.

--- a/testing/capacity.py
+++ b/testing/capacity.py
@@ -6,16 +6,13 @@
     python3 -B testing/capacity.py --build=build first_token
     python3 -B testing/capacity.py --build=build config --adapters=30,3000,12000
 
-    python3 -B testing/capacity.py fit --file=idle.txt
-
-The first four print one JSON object a line. fit takes the lines of idle and prints the plane
-through them (base + slope x agents + slope x entries), its largest residual and its value at the
-target size. Processor time is that of the process (user and system) over wall time, so 0.01 is 1%
-of one core. The machine's load average is printed with each figure: repeat a figure taken on a busy
-machine.
+Each prints one JSON object a line; capacity_fit.py takes those of idle. Processor time is that of
+the process (user and system) over wall time, so 0.01 is 1% of one core. The machine's load average
+is printed with each figure: repeat a figure taken on a busy machine.
 """
 
 import argparse
+import collections
 import json
 import os
 import subprocess
@@ -30,8 +27,6 @@
 KEY = "demo-key-restorers"
 TICKS = os.sysconf("SC_CLK_TCK")
 MAX_PROCESSES = 60
-TARGET_AGENTS = 850
-TARGET_ENTRIES = 420
 SETTLE_SECONDS = 4
 IDLE_SECONDS = 8
 # High enough that admission refuses nothing: the measurement is of the relay.
@@ -112,6 +107,14 @@
         name = json.loads(self.platform_body("/rows/config%2Fcurrent"))["object"]
         return len(self.platform_body("/objects/" + urllib.parse.quote(name, safe="")))
 
+    def witness_counts(self):
+        """How many lease rows name each process as a witness, the most named first."""
+        rows = json.loads(self.platform_body("/rows?prefix=leases%2F"))
+        rows = rows["rows"] if isinstance(rows, dict) else rows
+        counts = collections.Counter(witness.rsplit("/", 1)[0].rsplit("#", 1)[0] for row in rows
+                                     for witness in json.loads(row["value"])["witnesses"])
+        return counts.most_common()
+
     def cpu(self, names):
         return {name: cpu_seconds(self.pid(name)) for name in names}
 
@@ -164,6 +167,7 @@
         values["platform_per_second"] = {
             name: (counts_end[name] - counts[name]) / seconds for name in counts}
         values["lease_scan_bytes"] = len(fleet.platform_body("/rows?prefix=leases%2F"))
+        values["witness_of"] = fleet.witness_counts()
         values["members_bytes"] = len(fleet.platform_body("/members"))
         values["config_row_bytes"] = len(fleet.platform_body("/rows/config%2Fcurrent"))
         report("idle", **values)
@@ -275,48 +279,6 @@
         report("config", **values)
 
 
-def solve(matrix, vector):
-    """Gauss-Jordan elimination. Raises ZeroDivisionError when the sizes do not span a plane."""
-    rows = [row[:] + [value] for row, value in zip(matrix, vector)]
-    for i, _ in enumerate(rows):
-        pivot = max(range(i, len(rows)), key=lambda k: abs(rows[k][i]))
-        rows[i], rows[pivot] = rows[pivot], rows[i]
-        for k, row in enumerate(rows):
-            if k != i:
-                factor = row[i] / rows[i][i]
-                rows[k] = [x - factor * y for x, y in zip(row, rows[i])]
-    return [row[-1] / row[i] for i, row in enumerate(rows)]
-
-
-def fit_plane(points):
-    """Least squares over (agents, entries, value). Returns base, per agent, per entry, residual."""
-    inputs = [(1, agents, entries) for agents, entries, _ in points]
-    values = [value for _, _, value in points]
-    matrix = [[sum(x[i] * x[j] for x in inputs) for j in range(3)] for i in range(3)]
-    vector = [sum(x[i] * value for x, value in zip(inputs, values)) for i in range(3)]
-    plane = solve(matrix, vector)
-    residual = max(abs(sum(a * b for a, b in zip(plane, x)) - value)
-                   for x, value in zip(inputs, values))
-    return (*plane, residual)
-
-
-def fit(path):
-    with open(path, encoding="utf-8") as file:
-        runs = [json.loads(line) for line in file if line.startswith('{"measurement": "idle"')]
-    if not runs:
-        raise SystemExit(f"{path}: no lines of idle")
-    for part, values in runs[0].items():
-        for name in values if isinstance(values, dict) else ():
-            points = [(run["agents"], run["entries"], run[part][name]) for run in runs
-                      if part in run]
-            if len(points) < 3:
-                continue
-            base, agent, entry, residual = fit_plane(points)
-            target = base + agent * TARGET_AGENTS + entry * TARGET_ENTRIES
-            print(f"{part} {name}: {base:.5g} + {agent:.5g} x agents + {entry:.5g} x entries, "
-                  f"residual {residual:.3g}, at the target {target:.6g}")
-
-
 def numbers(text):
     return [int(part) for part in text.split(",")]
 
@@ -324,17 +286,14 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--build", default="build")
-    parser.add_argument("measurement", choices=["idle", "load", "first_token", "config", "fit"])
+    parser.add_argument("measurement", choices=["idle", "load", "first_token", "config"])
     parser.add_argument("--sizes", default="2x2,2x8,2x16,4x8,6x8", help="ENTRIESxAGENTS,...")
     parser.add_argument("--streams", type=numbers, default=[50, 200, 400])
     parser.add_argument("--token_ms", type=int, default=20)
     parser.add_argument("--rounds", type=int, default=2)
     parser.add_argument("--adapters", type=numbers, default=[30, 3000, 12000])
-    parser.add_argument("--file", help="output of idle, for fit")
     options = parser.parse_args()
-    if options.measurement == "fit":
-        fit(options.file)
-    elif options.measurement == "idle":
+    if options.measurement == "idle":
         for size in options.sizes.split(","):
             measure_idle(options.build, *(int(part) for part in size.split("x")))
     elif options.measurement == "load":
