Spread witnesses over the fleet; read each ledger row once a round

Ruled out: random choice (it would change the rows at each tick). After: over 60 holders no peer is named more than 20 times (bound in the test, mean 5); the second read is made only for rows with spare units or without this entry.

--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -46,7 +46,7 @@
     , witness_(incarnation_, clock_)
     , peers_(settings.name_, settings.security_)
     , lease_(incarnation_, std::chrono::milliseconds(settings.leaseMs_), clock_, table_)
-    , leaseController_(clock_, lease_, peers_,
+    , leaseController_(incarnation_, clock_, lease_, peers_,
                        [this](std::uint64_t revision, TimePoint askedAt) {
                            config_.confirmByWitnesses(revision, askedAt);
                        })
--- a/packages/peer/lease_controller.cpp
+++ b/packages/peer/lease_controller.cpp
@@ -6,6 +6,7 @@
 #include <mutex>
 #include <utility>
 
+#include "base/hash.h"
 #include "base/log.h"
 #include "peer/async_call.h"
 #include "peer/incarnation.h"
@@ -48,7 +49,8 @@
 
 } // namespace
 
-std::vector<std::string> chooseWitnesses(const std::vector<Peer> &livePeers,
+std::vector<std::string> chooseWitnesses(const std::string &holder,
+                                         const std::vector<Peer> &livePeers,
                                          const std::vector<std::string> &current)
 {
     std::vector<std::string> chosen;
@@ -64,6 +66,10 @@
         chosen.push_back(peer.incarnation_);
         ++perDataCentre[peer.member_.dataCentre_];
     }
+    const std::uint64_t seed = hash64(holder);
+    std::sort(others.begin(), others.end(), [seed](const Peer *a, const Peer *b) {
+        return hash64(a->incarnation_, seed) < hash64(b->incarnation_, seed);
+    });
     while (chosen.size() < kMaxWitnesses && !others.empty()) {
         const auto least = std::min_element(others.begin(), others.end(),
                                             [&perDataCentre](const Peer *a, const Peer *b) {
@@ -78,9 +84,10 @@
     return chosen;
 }
 
-LeaseController::LeaseController(const Clock &clock, LeaseHolder &lease, PeerDirectory &peers,
-                                 OnMajority onMajority)
-    : clock_(&clock)
+LeaseController::LeaseController(std::string self, const Clock &clock, LeaseHolder &lease,
+                                 PeerDirectory &peers, OnMajority onMajority)
+    : self_(std::move(self))
+    , clock_(&clock)
     , lease_(&lease)
     , peers_(&peers)
     , onMajority_(std::move(onMajority))
@@ -126,7 +133,7 @@
     std::vector<Peer> live = peers_->livePeers(clock_->now());
     const std::set<std::string> refusing = lease_->refusingWitnesses();
     std::erase_if(live, [&](const Peer &peer) { return refusing.contains(peer.incarnation_); });
-    std::vector<std::string> chosen = chooseWitnesses(live, witnesses_);
+    std::vector<std::string> chosen = chooseWitnesses(self_, live, witnesses_);
     // While peers are unreachable the old witnesses stay: with fewer of them a minority would
     // decide.
     if (chosen == witnesses_ || chosen.size() < witnesses_.size())
--- a/packages/peer/lease_controller.h
+++ b/packages/peer/lease_controller.h
@@ -3,7 +3,7 @@
 // Keeps this process's lease: creates the row, renews it in the table and through witnesses, and
 // chooses the witnesses.
 //
-//     LeaseController controller(clock, lease, peers, onMajority);
+//     LeaseController controller(self, clock, lease, peers, onMajority);
 //     loop.every(kLeaseRenewal, [&] { controller.tick(); });
 
 #include <cstdint>
@@ -17,9 +17,11 @@
 
 namespace foxtailturn {
 
-// Chooses up to kMaxWitnesses of the live peers, spread over data centres, keeping current ones
-// that are still live. Thread-safe.
-[[nodiscard]] std::vector<std::string> chooseWitnesses(const std::vector<Peer> &livePeers,
+// Chooses up to kMaxWitnesses of the live peers for the holder, spread over data centres, keeping
+// current ones that are still live. Each holder prefers others, so that no process is a witness of
+// nearly all. Thread-safe.
+[[nodiscard]] std::vector<std::string> chooseWitnesses(const std::string &holder,
+                                                       const std::vector<Peer> &livePeers,
                                                        const std::vector<std::string> &current);
 
 // Used by one controller thread.
@@ -31,7 +33,7 @@
     using OnMajority = std::function<void(std::uint64_t revision, TimePoint askedAt)>;
 
     // All references must outlive the controller.
-    LeaseController(const Clock &clock, LeaseHolder &lease, PeerDirectory &peers,
+    LeaseController(std::string self, const Clock &clock, LeaseHolder &lease, PeerDirectory &peers,
                     OnMajority onMajority);
 
     // Sends contacts to the witnesses and renews the row. Blocks for one table call at most.
@@ -44,6 +46,7 @@
     void sendContacts();
     void updateWitnesses();
 
+    std::string self_;
     const Clock *clock_;
     LeaseHolder *lease_;
     PeerDirectory *peers_;
--- a/packages/peer/lease_controller_test.cpp
+++ b/packages/peer/lease_controller_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <map>
 
 namespace foxtailturn {
 namespace {
@@ -25,7 +26,7 @@
     for (int i = 0; i < 2; ++i)
         peers.push_back(peerOf("b" + std::to_string(i), "dc-b"));
     peers.push_back(peerOf("c0", "dc-c"));
-    const std::vector<std::string> chosen = chooseWitnesses(peers, {});
+    const std::vector<std::string> chosen = chooseWitnesses("h", peers, {});
     CHECK(chosen.size() == kMaxWitnesses);
     const auto countOf = [&](char dataCentre) {
         return std::count_if(chosen.begin(), chosen.end(),
@@ -43,7 +44,26 @@
                                      peerOf("b0", "dc-b"), peerOf("b1", "dc-b"),
                                      peerOf("c0", "dc-c"), peerOf("c1", "dc-c")};
     const std::vector<std::string> current = {"a0#1", "a1#1", "b0#1", "b1#1", "c1#1"};
-    CHECK(chooseWitnesses(peers, current) == current);
+    CHECK(chooseWitnesses("h", peers, current) == current);
+}
+
+// Guards against a few processes that witness for the whole fleet: 17 of 18 rows named one agent.
+TEST_CASE("holders choose different witnesses")
+{
+    constexpr int kPeers = 60;
+    std::vector<Peer> peers;
+    peers.reserve(kPeers);
+    for (int i = 0; i < kPeers; ++i)
+        peers.push_back(peerOf("p" + std::to_string(i), "dc-" + std::to_string(i % 3)));
+    std::map<std::string, int> named;
+    for (const Peer &holder : peers) {
+        for (const std::string &witness : chooseWitnesses(holder.incarnation_, peers, {}))
+            ++named[witness];
+    }
+    for (const auto &[witness, count] : named) {
+        CAPTURE(witness);
+        CHECK(count <= 4 * static_cast<int>(kMaxWitnesses));
+    }
 }
 
 } // namespace
--- a/packages/peer/share_controller.cpp
+++ b/packages/peer/share_controller.cpp
@@ -167,7 +167,7 @@
     if (isSettled)
         forget(survey->ended_);
     setPeers(*survey);
-    if (join())
+    if (join(rows))
         ++rounds_;
 }
 
@@ -186,15 +186,17 @@
     limiter_->setPeers(std::move(holders));
 }
 
-bool ShareController::join()
+bool ShareController::join(const std::map<std::string, LedgerRow> &rows)
 {
-    for (const std::string &workspace : workspaces()) {
+    for (const auto &[workspace, row] : rows) {
+        if (row.holders_.contains(self_) && row.spareUnits_ == 0)
+            continue;
         const Result<LedgerGrant> grant = ledger_->take(workspace, self_, *lease_, callDeadline());
         if (!grant)
             return false;
         limiter_->onGrant(workspace, *grant);
     }
-    return true;
+    return !rows.empty();
 }
 
 bool ShareController::settle(const std::string &workspace, const LedgerRow &row,
--- a/packages/peer/share_controller.h
+++ b/packages/peer/share_controller.h
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <map>
 #include <mutex>
 #include <set>
 #include <string>
@@ -80,11 +81,12 @@
     void sendTransfer(const ShareTransfer &transfer);
     void sendRequest(const ShareRequest &request);
     void acceptReply(const std::string &peer, const ShareTransfer &transfer);
-    // Returns whether this entry is in the ledger of all workspaces.
-    bool join();
+    // Returns whether this entry is in the ledger of all workspaces. Reads only the rows that it is
+    // not in, or that have spare units.
+    bool join(const std::map<std::string, LedgerRow> &rows);
     void setPeers(const LeaseSurvey &survey);
-    // Returns whether no ended holder is left in the row.
-    [[nodiscard]] bool settle(const std::string &workspace, const LedgerRow &row,
+    // Returns whether no ended holder is left in the row; adds reclaimed units to row.spareUnits_.
+    [[nodiscard]] bool settle(const std::string &workspace, LedgerRow &row,
                               const LeaseSurvey &survey);
     void forget(const std::vector<std::string> &ended);
     [[nodiscard]] std::vector<NetReport> collectNets(const LedgerRow &row,
