entry: refuse deep and hiding bodies, bound both token fields; test filters

Four faults in the handling of a request's body and errors, found by reading the code for the new tests, which guard against each of them: - A body nested very deep crashed the process, because Json::dump() recurses (500,000 levels, a body of 1 MB: segmentation fault in the test). Depth above 100 is refused as BadRequest. - With max_completion_tokens present, max_tokens was neither checked nor reserved, so an engine that obeys it could answer beyond the reservation. The larger field counts, and max_tokens is always sent. - A key written with JSON escapes passed KeyFilter, and the rewritten body showed it to the target in plain. The rewritten body is checked too. - BurstExceeded answered 503 with Retry-After 1, although no waiting helps. It answers 400.

--- a/packages/entry/error_response.cpp
+++ b/packages/entry/error_response.cpp
@@ -24,6 +24,8 @@
 constexpr std::array kRules = {
     StatusRule{ErrorCode::BadRequest, 400, kInvalidRequest},
     StatusRule{ErrorCode::IdempotencyKeyMissing, 400, kInvalidRequest},
+    // Larger than the workspace's burst: no waiting helps, so it must not answer 503.
+    StatusRule{ErrorCode::BurstExceeded, 400, kInvalidRequest},
     StatusRule{ErrorCode::Unauthenticated, 401, "authentication_error"},
     StatusRule{ErrorCode::KeyWithdrawn, 401, "authentication_error"},
     StatusRule{ErrorCode::Forbidden, 403, "permission_error"},
--- a/packages/entry/filters.cpp
+++ b/packages/entry/filters.cpp
@@ -14,6 +14,10 @@
 constexpr std::string_view kEnginePathStart = "/v1/";
 constexpr std::size_t kMaxIdempotencyKeyBytes = 255;
 constexpr std::int64_t kMaxChoices = 16;
+constexpr const char *kMaxTokens = "max_tokens";
+constexpr const char *kMaxCompletionTokens = "max_completion_tokens";
+// Json::dump() recurses once per level; bodies of callers are far below this depth.
+constexpr int kMaxBodyDepth = 100;
 // A plain service has no tokens; one token bounds the rate of calls.
 constexpr std::uint64_t kServiceTokens = 1;
 
@@ -29,6 +33,20 @@
                             context.targetBody_));
 }
 
+// Returns the body; a discarded value when it is not valid JSON or is nested too deep.
+Json parseBody(const std::string &text)
+{
+    bool tooDeep = false;
+    const auto keepShallow = [&tooDeep](int depth, Json::parse_event_t, const Json &) {
+        tooDeep = tooDeep || depth > kMaxBodyDepth;
+        return !tooDeep;
+    };
+    Json body = Json::parse(text, keepShallow, false);
+    if (tooDeep)
+        return Json(Json::value_t::discarded);
+    return body;
+}
+
 // Reads an optional positive whole number.
 Result<std::int64_t> countField(const Json &body, const char *name, std::int64_t fallback,
                                 std::int64_t max)
@@ -41,19 +59,34 @@
     return it->get<std::int64_t>();
 }
 
+// Returns the most tokens of one answer and writes the bound into the body. An engine may obey
+// either field, so the larger one counts and max_tokens is always sent.
+Result<std::int64_t> boundOneAnswer(Json &body, const Route &route)
+{
+    std::int64_t bound = 0;
+    for (const char *field : {kMaxTokens, kMaxCompletionTokens}) {
+        const Result<std::int64_t> tokens = countField(body, field, 0, route.maxTokens_);
+        if (!tokens)
+            return tokens;
+        bound = std::max(bound, *tokens);
+    }
+    if (bound == 0)
+        bound = route.maxTokens_;
+    if (!body.contains(kMaxTokens) || body[kMaxTokens].is_null())
+        body[kMaxTokens] = bound;
+    return bound;
+}
+
 // Returns the most tokens of all answers of the request and writes the bound into the body.
 Result<std::uint64_t> boundAnswer(Json &body, const Route &route)
 {
-    const char *field =
-        body.contains("max_completion_tokens") ? "max_completion_tokens" : "max_tokens";
-    const Result<std::int64_t> tokens = countField(body, field, route.maxTokens_, route.maxTokens_);
+    const Result<std::int64_t> tokens = boundOneAnswer(body, route);
     const Result<std::int64_t> choices = countField(body, "n", 1, kMaxChoices);
     const Result<std::int64_t> best = countField(body, "best_of", 1, kMaxChoices);
     for (const Result<std::int64_t> *field : {&tokens, &choices, &best}) {
         if (!*field)
             return tl::unexpected(field->error());
     }
-    body[field] = *tokens;
     return static_cast<std::uint64_t>(*tokens * std::max(*choices, *best));
 }
 
@@ -110,7 +143,7 @@
     if (context.route_->kind_ == RouteKind::Model) {
         if (context.workspace_ == nullptr)
             return notRun(ErrorCode::Unauthenticated, "model routes need an API key");
-        Json body = Json::parse(context.request_.body_, nullptr, false);
+        Json body = parseBody(context.request_.body_);
         if (!body.is_object() || !body.contains("model") || !body["model"].is_string())
             return notRun(ErrorCode::BadRequest, "body must be JSON with a field model");
         const Result<const AdapterVersion *> adapter = context.configuration_->resolveModel(
@@ -131,6 +164,9 @@
         if (context.streaming_)
             body["stream_options"] = {{"include_usage", true}};
         context.targetBody_ = body.dump();
+        // The dump resolves JSON escapes, which can hide the key from KeyFilter.
+        if (containsSecret(context.targetBody_, callerKeyOf(context.request_.headers_).secret_))
+            return notRun(ErrorCode::BadRequest, "API key must not stand in the body");
         const std::size_t start = context.targetPath_.find(kEnginePathStart);
         if (start != std::string::npos)
             context.targetPath_.erase(0, start);
--- a/packages/entry/token_limiter.h
+++ b/packages/entry/token_limiter.h
@@ -32,7 +32,7 @@
     virtual ~TokenLimiter() = default;
 
     // Reserves tokens, asking peers for some before it refuses. Errors, all NotRun: RateLimited
-    // with retryAt_, BadRequest when the request is larger than the workspace's burst,
+    // with retryAt_, BurstExceeded when the request is larger than the workspace's burst,
     // LeaseExpired while this entry may not spend. Thread-safe.
     [[nodiscard]] virtual Result<std::unique_ptr<TokenReservation>>
     reserve(const std::string &workspace, std::uint64_t tokens, TimePoint deadline) = 0;
