--- a/packages/entry/entry_server.cpp
+++ b/packages/entry/entry_server.cpp
@@ -65,8 +65,8 @@
         response.set_header("Retry-After", std::to_string(*http.retryAfterSeconds_));
 }
 
-// httplib listens with a backlog of 5 and SO_REUSEPORT: a burst of connections would be dropped, and
-// two processes could share a port unnoticed.
+// httplib listens with a backlog of 5 and SO_REUSEPORT: a burst of connections would be dropped,
+// and two processes could share a port unnoticed.
 class CallerHttpServer final : public httplib::Server
 {
 public:
--- a/packages/peer/share_controller.cpp
+++ b/packages/peer/share_controller.cpp
@@ -213,8 +213,7 @@
 bool ShareController::join()
 {
     for (const std::string &workspace : workspaces()) {
-        const Result<LedgerGrant> grant
-            = ledger_->take(workspace, self_, *lease_, callDeadline());
+        const Result<LedgerGrant> grant = ledger_->take(workspace, self_, *lease_, callDeadline());
         if (!grant)
             return false;
         limiter_->onGrant(workspace, *grant);
@@ -230,13 +229,13 @@
         return true;
     if (ended.contains(self_))
         return false;
-    const NetRequest request {workspace, {ended.begin(), ended.end()}};
-    const Result<Settlement> settled
-        = ledger_->settle(workspace, ended, collectNets(row, request), callDeadline());
+    const NetRequest request{workspace, {ended.begin(), ended.end()}};
+    const Result<Settlement> settled =
+        ledger_->settle(workspace, ended, collectNets(row, request), callDeadline());
     if (!settled || !settled->missing_.empty())
         return false;
-    kLog.info(concat("shares are reclaimed, workspace=", workspace,
-                     " units=", settled->reclaimedUnits_));
+    kLog.info(
+        concat("shares are reclaimed, workspace=", workspace, " units=", settled->reclaimedUnits_));
     return true;
 }
 
