--- a/packages/agent/answer_buffer_test.cpp
+++ b/packages/agent/answer_buffer_test.cpp
@@ -56,7 +56,9 @@
          }},
         {"too large, then finished",
          [](AnswerBuffer &answer) {
-             CHECK(!answer.append(std::string(20'000'000, 'x')));
+             std::string tooLarge;
+             tooLarge.resize(20'000'000);
+             CHECK(!answer.append(tooLarge));
              answer.finish(1);
          }},
     };
