--- a/packages/peer/share_controller.cpp
+++ b/packages/peer/share_controller.cpp
@@ -162,7 +162,7 @@
     if (!survey)
         return;
     bool isSettled = true;
-    for (const auto &[workspace, row] : rows)
+    for (auto &[workspace, row] : rows)
         isSettled = settle(workspace, row, *survey) && isSettled;
     if (isSettled)
         forget(survey->ended_);
@@ -199,7 +199,7 @@
     return !rows.empty();
 }
 
-bool ShareController::settle(const std::string &workspace, const LedgerRow &row,
+bool ShareController::settle(const std::string &workspace, LedgerRow &row,
                              const LeaseSurvey &survey)
 {
     const std::set<std::string> ended = endedHolders(row, survey.live_);
@@ -212,6 +212,7 @@
         ledger_->settle(workspace, ended, collectNets(row, request), callDeadline());
     if (!settled || !settled->missing_.empty())
         return false;
+    row.spareUnits_ += settled->reclaimedUnits_;
     kLog.info(
         concat("shares are reclaimed, workspace=", workspace, " units=", settled->reclaimedUnits_));
     return true;
