Read the engine's slots again after a change of the fencing number

Cause: an agent that lost its lease and got a new one kept its view of the slots. Another agent may have evicted adapters in between, so a request could have run without its adapter. Found by review. Change: with a new number nothing that needs an adapter is admitted or loaded before a list that was ordered under this number. The test of a stale number now also expects this list first. Ruled out: a re-read on each gap in the lease (a short store outage with the same number would stop admission although no other agent can have acted).

--- a/packages/adapters/agent_core.cpp
+++ b/packages/adapters/agent_core.cpp
@@ -123,7 +123,7 @@
         refuseAllWaiting(*closed);
         return std::exchange(decisions_, {});
     }
-    fencing_ = *fencing;
+    useFencing(*fencing);
     admit(now);
     orderRetries();
     if (listRead_)
@@ -132,6 +132,16 @@
     return std::exchange(decisions_, {});
 }
 
+void AgentCore::useFencing(FencingNumber fencing)
+{
+    if (fencing == fencing_)
+        return;
+    // Another agent may have given orders since the last number, so its slots are read first.
+    fencing_ = fencing;
+    listRead_ = false;
+    requestList();
+}
+
 bool AgentCore::isRunnable(const AdapterId &adapter) const
 {
     return adapter.empty() || (listRead_ && cache_.state(adapter) == SlotState::Resident);
@@ -325,9 +335,9 @@
     listing_ = false;
     if (result) {
         cache_.reconcile(*result, order.mark_, now);
-        listRead_ = true;
+        listRead_ = listRead_ || order.fencing_ == fencing_;
     }
-    const bool soon = !result || cache_.needsList();
+    const bool soon = !listRead_ || !result || cache_.needsList();
     listAt_ = now + (soon ? settings_.listRetry_ : settings_.listInterval_);
 }
 
--- a/packages/adapters/agent_core.h
+++ b/packages/adapters/agent_core.h
@@ -128,7 +128,8 @@
 
     // Returns all decisions that the events so far allow. Admitted requests run from now on.
     // fencing: the agent's fencing number while its lease is held, else nullopt, in which case
-    // waiting requests are refused and no order is given.
+    // waiting requests are refused and no order is given. After a change of the number nothing
+    // that needs an adapter is admitted or loaded before the engine's list was read again.
     [[nodiscard]] AgentDecisions decide(TimePoint now, std::optional<FencingNumber> fencing);
 
     // Returns the time at which decide() must be called even without an event: the earliest
@@ -161,6 +162,7 @@
 
     // Why nothing may be admitted or ordered now; nullopt if it may.
     [[nodiscard]] std::optional<Error> closedBecause(std::optional<FencingNumber> fencing) const;
+    void useFencing(FencingNumber fencing);
     void refuse(const WorkRequest &request, Error error);
     void refuseAllWaiting(const Error &error);
     void refuseWaitersOf(const AdapterId &adapter, TimePoint now);
--- a/packages/adapters/agent_core_test.cpp
+++ b/packages/adapters/agent_core_test.cpp
@@ -146,7 +146,45 @@
         {.id_ = "4", .workspace_ = "w", .adapter_ = named("a"), .deadline_ = TimePoint::max()},
         driver.now_);
     driver.decide(kFencing + 1);
-    CHECK(driver.orders_.size() == 1);
+    REQUIRE(driver.orders_.size() == 1);
+    CHECK(driver.orders_[0].kind_ == EngineOrder::Kind::List);
+    driver.core_.listDone(driver.orders_[0], std::vector<EngineAdapter>{}, driver.now_);
+    driver.orders_.clear();
+    driver.decide(kFencing + 1);
+    REQUIRE(driver.orders_.size() == 1);
+    CHECK(driver.orders_[0].kind_ == EngineOrder::Kind::Load);
+    CHECK(driver.orders_[0].fencing_ == kFencing + 1);
+}
+
+// Guards against work on an adapter that another agent evicted while this one had no lease, and
+// against a list from before that time.
+TEST_CASE("a new fencing number reads the engine's slots before anything runs")
+{
+    Driver driver({.slots_ = 2});
+    driver.submit("1", "a");
+    driver.answer();
+    driver.finish("1");
+    driver.core_.requestList();
+    driver.decide();
+    REQUIRE(driver.orders_.size() == 1);
+    const EngineOrder oldList = driver.orders_[0];
+    driver.orders_.clear();
+    driver.core_.submit(
+        {.id_ = "2", .workspace_ = "w", .adapter_ = named("a"), .deadline_ = TimePoint::max()},
+        driver.now_);
+    driver.decide(kFencing + 1);
+    driver.core_.listDone(oldList, std::vector<EngineAdapter>{{named("a"), 0}}, driver.now_);
+    driver.decide(kFencing + 1);
+    CHECK(!driver.isAdmitted("2"));
+    driver.now_ += std::chrono::milliseconds(500);
+    driver.decide(kFencing + 1);
+    REQUIRE(driver.orders_.size() == 1);
+    driver.core_.listDone(driver.orders_[0], std::vector<EngineAdapter>{}, driver.now_);
+    driver.orders_.clear();
+    driver.decide(kFencing + 1);
+    CHECK(!driver.isAdmitted("2"));
+    REQUIRE(driver.orders_.size() == 1);
+    CHECK(driver.orders_[0].kind_ == EngineOrder::Kind::Load);
 }
 
 // Guards against a cold adapter that never gets a slot while busy ones keep theirs in use.
