Learn of a grant whose answer was lost from the row

Cause: since the second read of the ledger row is skipped, an entry whose take() answer was lost would never have learned of its units.

--- a/packages/peer/share_controller.cpp
+++ b/packages/peer/share_controller.cpp
@@ -189,8 +189,12 @@
 bool ShareController::join(const std::map<std::string, LedgerRow> &rows)
 {
     for (const auto &[workspace, row] : rows) {
-        if (row.holders_.contains(self_) && row.spareUnits_ == 0)
+        const auto own = row.holders_.find(self_);
+        if (own != row.holders_.end() && row.spareUnits_ == 0) {
+            // The answer to an earlier take may have been lost; the row tells what it took.
+            limiter_->onGrant(workspace, {own->second.takenUnits_, false});
             continue;
+        }
         const Result<LedgerGrant> grant = ledger_->take(workspace, self_, *lease_, callDeadline());
         if (!grant)
             return false;
