--- a/packages/peer/lease_controller_test.cpp
+++ b/packages/peer/lease_controller_test.cpp
@@ -60,9 +60,9 @@
         for (const std::string &witness : chooseWitnesses(holder.incarnation_, peers, {}))
             ++named[witness];
     }
-    for (const auto &[witness, count] : named) {
-        CAPTURE(witness);
-        CHECK(count <= 4 * static_cast<int>(kMaxWitnesses));
+    for (const auto &entry : named) {
+        CAPTURE(entry.first);
+        CHECK(entry.second <= 4 * static_cast<int>(kMaxWitnesses));
     }
 }
 
