--- a/packages/adapters/agent_scheduler.cpp
+++ b/packages/adapters/agent_scheduler.cpp
@@ -177,8 +177,11 @@
     while (!stopped_) {
         pump();
         const TimePoint now = clock_.now();
-        const TimePoint wake = std::min(core_.nextWake(), now + kLongestSleep);
-        controlWake_.wait_for(lock, std::max(wake - now, kShortestSleep));
+        // Bounded before the subtraction: work that is due at once has the smallest time point, and
+        // its distance to now would overflow.
+        const TimePoint wake =
+            std::clamp(core_.nextWake(), now + kShortestSleep, now + kLongestSleep);
+        controlWake_.wait_for(lock, wake - now);
     }
 }
 
--- a/packages/agent/model_answer.cpp
+++ b/packages/agent/model_answer.cpp
@@ -41,8 +41,9 @@
     if (buffer_->isCancelled())
         return false;
     if (status_ != kOk) {
-        refusal_.append(
-            data.substr(0, kMaxRefusalBytes - std::min(kMaxRefusalBytes, refusal_.size())));
+        refusalTooLarge_ = refusalTooLarge_ || refusal_.size() + data.size() > kMaxRefusalBytes;
+        if (!refusalTooLarge_)
+            refusal_.append(data);
         return true;
     }
     const std::string passed = check_.feed(data);
@@ -82,6 +83,9 @@
     if (status_ >= kServerErrors)
         return outcomeUnknown(ErrorCode::TargetFailed,
                               concat("engine failed with status ", status_));
+    if (refusalTooLarge_)
+        return outcomeUnknown(ErrorCode::TargetFailed,
+                              concat("engine refused with status ", status_, " and a large body"));
     if (!pass(refusal_))
         return outcomeUnknown(ErrorCode::Cancelled, "request was cancelled");
     return 0;
--- a/packages/agent/model_answer.h
+++ b/packages/agent/model_answer.h
@@ -42,6 +42,7 @@
     int status_ = 0;
     std::string contentType_;
     std::string refusal_; // body of an answer that is no success
+    bool refusalTooLarge_ = false;
     bool headSet_ = false;
 };
 
--- a/packages/entry/caller_key.cpp
+++ b/packages/entry/caller_key.cpp
@@ -4,6 +4,8 @@
 #include <array>
 #include <cctype>
 
+#include "base/json.h"
+
 namespace foxtailturn {
 
 namespace {
@@ -84,6 +86,24 @@
     return kept;
 }
 
+bool bodyContainsSecret(std::string_view body, std::string_view secret)
+{
+    if (containsSecret(body, secret))
+        return true;
+    if (secret.empty() || body.find('\\') == std::string_view::npos)
+        return false;
+    // The parser resolves the escapes of each key and text. Values are not kept; containers must
+    // be, or their content would not be shown.
+    bool isFound = false;
+    const auto look = [&](int, Json::parse_event_t event, const Json &value) {
+        isFound = isFound
+            || (value.is_string() && containsSecret(value.get_ref<const std::string &>(), secret));
+        return event != Json::parse_event_t::value;
+    };
+    (void)Json::parse(body, look, false);
+    return isFound;
+}
+
 bool containsSecret(std::string_view text, std::string_view secret)
 {
     if (secret.empty())
--- a/packages/entry/caller_key.h
+++ b/packages/entry/caller_key.h
@@ -27,6 +27,10 @@
 // Returns the query without parameters that carry a key by name or by value. Thread-safe.
 [[nodiscard]] std::string queryWithoutKey(std::string_view query, std::string_view secret);
 
+// Returns whether a body holds the secret, as it is, percent-encoded or written with JSON escapes.
+// An empty secret is held by no body. Thread-safe.
+[[nodiscard]] bool bodyContainsSecret(std::string_view body, std::string_view secret);
+
 // Returns whether text holds the secret, as it is or percent-encoded. An empty secret is held by
 // no text. Thread-safe.
 [[nodiscard]] bool containsSecret(std::string_view text, std::string_view secret);
--- a/packages/entry/caller_key_test.cpp
+++ b/packages/entry/caller_key_test.cpp
@@ -52,5 +52,25 @@
     CHECK(!containsSecret("nothing", ""));
 }
 
+// Guards against a key that reaches a plain service in an escaped form.
+TEST_CASE("bodyContainsSecret sees through JSON escapes")
+{
+    struct Case
+    {
+        const char *body_;
+        bool contains_;
+    };
+    const Case cases[] = {
+        {R"({"note": "\u0073\u0033cret"})", true}, {R"({"a": [{"b": "x s3\u0063ret y"}]})", true},
+        {R"({"s3\u0063ret": 1})", true},           {R"(["s3\u0063ret"])", true},
+        {R"({"note": "\u0073"})", false},          {R"(not json \u0073)", false},
+    };
+    for (const Case &c : cases) {
+        CAPTURE(c.body_);
+        CHECK(bodyContainsSecret(c.body_, "s3cret") == c.contains_);
+    }
+    CHECK(bodyContainsSecret(R"({"k": "s3cret"})", "s3cret"));
+}
+
 } // namespace
 } // namespace foxtailturn
--- a/packages/entry/entry_server.cpp
+++ b/packages/entry/entry_server.cpp
@@ -1,16 +1,12 @@
 #include "entry/entry_server.h"
 
-#include <algorithm>
 #include <atomic>
-#include <cctype>
 #include <thread>
 #include <utility>
 
-#include <httplib.h>
-
-#include "base/hash.h"
 #include "base/json.h"
 #include "base/log.h"
+#include "entry/caller_http.h"
 #include "entry/error_response.h"
 #include "entry/live_request.h"
 
@@ -20,69 +16,9 @@
 
 const Logger kLog("entry");
 
-constexpr auto kReadTimeout = std::chrono::seconds(10);
-constexpr auto kWriteTimeout = std::chrono::seconds(10);
-constexpr auto kIdleTimeout = std::chrono::seconds(5);
-constexpr std::size_t kMaxRequestsPerConnection = 1'000;
 constexpr auto kStopPollInterval = std::chrono::milliseconds(20);
-constexpr const char *kJsonType = "application/json";
-constexpr const char *kAnyPath = ".*";
 constexpr std::string_view kModelsPath = "/v1/models";
 
-HeaderMap toHeaders(const httplib::Headers &headers)
-{
-    HeaderMap map;
-    for (const auto &[name, value] : headers) {
-        std::string lower = name;
-        std::transform(lower.begin(), lower.end(), lower.begin(),
-                       [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-        map.emplace(std::move(lower), value);
-    }
-    return map;
-}
-
-CallerRequest toCaller(const httplib::Request &request)
-{
-    CallerRequest caller;
-    caller.id_ = randomId();
-    caller.method_ = request.method;
-    const std::size_t query = request.target.find('?');
-    caller.path_ = request.target.substr(0, query);
-    if (query != std::string::npos)
-        caller.query_ = request.target.substr(query + 1);
-    caller.headers_ = toHeaders(request.headers);
-    caller.body_ = request.body;
-    return caller;
-}
-
-void writeError(const Error &error, const std::string &requestId, TimePoint now,
-                httplib::Response &response)
-{
-    const HttpError http = toHttpError(error, requestId, now);
-    response.status = http.status_;
-    response.set_content(http.body_, kJsonType);
-    if (http.retryAfterSeconds_)
-        response.set_header("Retry-After", std::to_string(*http.retryAfterSeconds_));
-}
-
-// httplib listens with a backlog of 5 and SO_REUSEPORT: a burst of connections would be dropped,
-// and two processes could share a port unnoticed.
-class CallerHttpServer final : public httplib::Server
-{
-public:
-    bool bind(const std::string &host, int port)
-    {
-        set_socket_options([](socket_t fd) {
-            const int on = 1;
-            setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-        });
-        return bind_to_port(host, port) && ::listen(svr_sock_, kBacklog) == 0;
-    }
-
-private:
-    static constexpr int kBacklog = 1'024;
-};
-
 } // namespace
 
 class EntryServer::Impl
@@ -99,25 +35,12 @@
         , retries_(&retries)
         , configuration_(std::move(configuration))
     {
-        const std::size_t threads = settings_.maxConnections_;
-        server_.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
-        server_.set_tcp_nodelay(true);
-        server_.set_read_timeout(kReadTimeout);
-        server_.set_write_timeout(kWriteTimeout);
-        server_.set_keep_alive_timeout(kIdleTimeout.count());
-        server_.set_keep_alive_max_count(kMaxRequestsPerConnection);
-        server_.set_payload_max_length(settings_.maxBodyBytes_);
-        const auto handler = [this](const httplib::Request &request, httplib::Response &response) {
+        server_.configure(settings_);
+        server_.handleAll([this](const httplib::Request &request, httplib::Response &response) {
             handle(request, response);
-        };
-        server_.Get(kAnyPath, handler);
-        server_.Post(kAnyPath, handler);
-        server_.Put(kAnyPath, handler);
-        server_.Delete(kAnyPath, handler);
-        server_.Patch(kAnyPath, handler);
-        server_.Options(kAnyPath, handler);
+        });
         server_.set_error_handler([this](const httplib::Request &, httplib::Response &response) {
-            nameServerError(response);
+            nameServerError(response, clock_->now());
         });
     }
 
@@ -206,7 +129,7 @@
             data.push_back({{"id", concat(adapter->adapter_, "@", adapter->version_)},
                             {"object", "model"},
                             {"root", adapter->baseModel_}});
-        response.set_content(Json{{"object", "list"}, {"data", data}}.dump(), kJsonType);
+        response.set_content(Json{{"object", "list"}, {"data", data}}.dump(), kJsonContentType);
         live->end(0);
     }
 
@@ -288,20 +211,6 @@
             response.set_header("X-Idempotent-Replay", "true");
     }
 
-    // Gives failures that httplib found itself the form of all others.
-    void nameServerError(httplib::Response &response)
-    {
-        if (!response.body.empty())
-            return;
-        const bool isTooLarge = response.status == 413;
-        const int status = response.status;
-        const Error error{isTooLarge ? ErrorCode::PayloadTooLarge : ErrorCode::BadRequest,
-                          Execution::NotRun,
-                          isTooLarge ? "body is too large" : "request can not be read"};
-        writeError(error, randomId(), clock_->now(), response);
-        response.status = status;
-    }
-
     EntryServerSettings settings_;
     const Clock *clock_;
     const FilterChain *chain_;
--- a/packages/entry/filters.cpp
+++ b/packages/entry/filters.cpp
@@ -129,7 +129,7 @@
         context.key_ = match->key_;
         context.workspace_ = match->workspace_;
     }
-    if (containsSecret(request.body_, caller.secret_)
+    if (bodyContainsSecret(request.body_, caller.secret_)
         || containsSecret(request.path_, caller.secret_))
         return notRun(ErrorCode::BadRequest, "API key must not stand in the path or the body");
     context.targetPath_ = withQuery(request.path_, queryWithoutKey(request.query_, caller.secret_));
