--- a/packages/entry/caller_key.cpp
+++ b/packages/entry/caller_key.cpp
@@ -100,7 +100,7 @@
             || (value.is_string() && containsSecret(value.get_ref<const std::string &>(), secret));
         return event != Json::parse_event_t::value;
     };
-    (void)Json::parse(body, look, false);
+    [[maybe_unused]] const Json containers = Json::parse(body, look, false);
     return isFound;
 }
 
