Read the mutations of a model from its comparisons

Cause: the script looked for a heading that two of the four models do not have, and ended without a word.

--- a/tools/check-specs.sh
+++ b/tools/check-specs.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Checks every model in spec/: spin must find no error in it, and must find one in each mutation
-# (MUTATION=1 up to the largest number that the model's head names).
+# (MUTATION=1 up to the largest number that the model compares it with). A model without one fails.
 set -euo pipefail
 shopt -s inherit_errexit
 cd "$(dirname "$0")/.."
@@ -30,8 +30,9 @@
   errors=$(count_errors "$model" 0)
   [ "$errors" = 0 ] || { echo "$model: $errors errors" >&2; exit 1; }
   echo "$model: no errors"
-  mutations=$(grep -oE 'MUTATION=[0-9]+:' "$model" | tr -dc '0-9\n' | sort -n | tail -1)
-  for mutation in $(seq 1 "${mutations:-1}"); do
+  mutations=$(grep -oE 'MUTATION (==|!=) [0-9]+' "$model" | tr -dc '0-9\n' | sort -n | tail -1 || true)
+  [ -n "$mutations" ] || { echo "$model: has no mutation" >&2; exit 1; }
+  for mutation in $(seq 1 "$mutations"); do
     errors=$(count_errors "$model" "$mutation")
     [ "${errors:-0}" != 0 ] || { echo "$model: MUTATION=$mutation found no error" >&2; exit 1; }
     echo "$model: MUTATION=$mutation refuted"
