Give the entry units before its loss is tested

Cause: test_a_paused_entry failed once in make check: the first entry held no units, so the condition 'the other entry has all units' was true at once, the pause lasted a moment and the lease was still valid, so the answer 200 was right. The check itself is unchanged; the setup now makes sure that the paused or killed entry holds units, which also makes both tests stricter. Ruled out: spending after the lease (the pause was shorter than the lease).

--- a/testing/process_test.py
+++ b/testing/process_test.py
@@ -486,9 +486,18 @@
         fleet.register("entry-1", "entry", peer, "dc-a")
         fleet.wait_until(lambda: status() == 200, "the listed entry is ready", 5)
 
+    def give_units_to_the_first_entry(self, fleet):
+        """Without units of its own, the loss of the entry would leave nothing to reclaim."""
+        def has_units():
+            fleet.chat(0, "restorersr1")
+            shares = fleet.state("entry-1")["shares"]
+            return any(share["units"] > 0 for share in shares)
+        fleet.wait_until(has_units, "the first entry holds units", 10)
+
     def test_a_killed_entry_gives_its_shares_back(self):
         # Design 5.1: units of a dead holder return through the ledger.
         fleet = self.fleet()
+        self.give_units_to_the_first_entry(fleet)
         fleet.processes["entry-1"].kill()
 
         def reclaimed():
@@ -500,6 +509,7 @@
     def test_a_paused_entry_spends_nothing_after_its_lease(self):
         # Invariant 6: the paused process wakes fenced.
         fleet = self.fleet()
+        self.give_units_to_the_first_entry(fleet)
         fleet.processes["entry-1"].pause()
 
         def reclaimed():
