--- a/testing/capacity.py
+++ b/testing/capacity.py
@@ -88,7 +88,7 @@
         super().register(name, role, address, data_centre, state)
 
     def pid(self, name):
-        return self.processes[name].child.pid
+        return self.processes[name].pid
 
     def relay_stats(self):
         return {name: call(port, "GET", "/stats").json() for name, port in self.controls.items()}
