Make the test of hidden keys fail when nothing reaches the target

The test did not look at the answers of its calls, and both rounds used the same idempotency key, so the second booking was a replay: the count of 0 credentials could not fail for it. It now requires 201 and 200 and that each form reached the service. Nothing is loosened.

--- a/testing/process_test.py
+++ b/testing/process_test.py
@@ -110,11 +110,19 @@
     def test_no_target_sees_a_key(self):
         # Invariant 4.
         port = self.fleet.ports["entry-1"]
-        for headers in ({"Authorization": "Bearer " + KEY}, {"x-api-key": KEY}):
+        before = self.fleet.stats("service-1")
+        forms = ({"Authorization": "Bearer " + KEY}, {"x-api-key": KEY})
+        for index, headers in enumerate(forms):
             headers["Cookie"] = "key=" + KEY
-            headers["Idempotency-Key"] = "seen-" + str(len(headers)) + headers.get("x-api-key", "")[:0]
-            call(port, "POST", f"/bookings?api_key={KEY}&slot=1", {"slot": 1}, headers)
-            call(port, "GET", f"/registers/9?x={KEY}", headers=headers)
+            headers["Idempotency-Key"] = f"seen-{index}"
+            booked = call(port, "POST", f"/bookings?api_key={KEY}&slot=1", {"slot": 1}, headers)
+            self.assertEqual(booked.status, 201, booked.body)
+            found = call(port, "GET", f"/registers/9?x={KEY}", headers=headers)
+            self.assertEqual(found.status, 200, found.body)
+        # Both forms reached the target; otherwise the counts below would prove nothing.
+        after = self.fleet.stats("service-1")
+        self.assertEqual(after["executions"], before["executions"] + len(forms))
+        self.assertEqual(after["look_ups"], before["look_ups"] + len(forms))
         refused = self.fleet.post(0, "/bookings", {"note": KEY}, KEY, {"Idempotency-Key": "n"})
         self.assertEqual((refused.status, refused.error()["execution"]), (400, "not_run"))
         for target in ("service-1", "engine-1", "engine-2"):
