storage: rename the package platform, which the adapter's folder needs

The adapter to the users' platform lives in platform/. Two things of the same name would stand side by side, so the interfaces to table service, object store and membership, with the project's own client for them, are now the package storage.

--- a/examples/embed_limiter/main.cpp
+++ b/examples/embed_limiter/main.cpp
@@ -6,7 +6,7 @@
 #include "lease/lease_holder.h"
 #include "limiter/limiter.h"
 #include "limiter/share_ledger.h"
-#include "platform/memory_platform.h"
+#include "storage/memory_platform.h"
 
 using namespace foxtailturn;
 
--- a/packages/agent/target_lease.h
+++ b/packages/agent/target_lease.h
@@ -12,7 +12,7 @@
 #include "adapters/engine_orders.h"
 #include "base/clock.h"
 #include "lease/lease_holder.h"
-#include "platform/platform.h"
+#include "storage/platform.h"
 
 namespace foxtailturn {
 
--- a/packages/claims/claim_store.h
+++ b/packages/claims/claim_store.h
@@ -26,7 +26,7 @@
 #include "claims/claim.h"
 #include "claims/claim_limits.h"
 #include "claims/pending_claims.h"
-#include "platform/platform.h"
+#include "storage/platform.h"
 
 namespace foxtailturn {
 
--- a/packages/claims/claims_fault_testing.h
+++ b/packages/claims/claims_fault_testing.h
@@ -12,7 +12,7 @@
 #include <doctest/doctest.h>
 
 #include "claims/once_executor.h"
-#include "platform/memory_platform.h"
+#include "storage/memory_platform.h"
 
 namespace foxtailturn {
 
--- a/packages/claims/claims_testing.h
+++ b/packages/claims/claims_testing.h
@@ -7,7 +7,7 @@
 #include "base/wall_clock.h"
 #include "claims/claim_store.h"
 #include "claims/once_executor.h"
-#include "platform/memory_platform.h"
+#include "storage/memory_platform.h"
 
 namespace foxtailturn {
 
--- a/packages/config/config_follower.h
+++ b/packages/config/config_follower.h
@@ -25,7 +25,7 @@
 #include "base/error.h"
 #include "config/configuration.h"
 #include "config/revision_row.h"
-#include "platform/platform.h"
+#include "storage/platform.h"
 
 namespace foxtailturn {
 
--- a/packages/config/config_follower_test.cpp
+++ b/packages/config/config_follower_test.cpp
@@ -8,7 +8,7 @@
 #include "base/hash.h"
 #include "config/config_store.h"
 #include "config/test_content.h"
-#include "platform/memory_platform.h"
+#include "storage/memory_platform.h"
 
 namespace foxtailturn {
 namespace {
--- a/packages/config/config_store_test.cpp
+++ b/packages/config/config_store_test.cpp
@@ -7,7 +7,7 @@
 
 #include "base/hash.h"
 #include "config/test_content.h"
-#include "platform/memory_platform.h"
+#include "storage/memory_platform.h"
 
 namespace foxtailturn {
 namespace {
--- a/packages/ctl/ctl_test.cpp
+++ b/packages/ctl/ctl_test.cpp
@@ -9,7 +9,7 @@
 #include <httplib.h>
 
 #include "base/hash.h"
-#include "platform/memory_platform.h"
+#include "storage/memory_platform.h"
 
 namespace foxtailturn {
 namespace {
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -28,7 +28,7 @@
 #include "peer/lease_controller.h"
 #include "peer/peer_directory.h"
 #include "peer/peer_server.h"
-#include "platform/http_platform.h"
+#include "storage/http_platform.h"
 
 namespace grpc {
 class Server;
--- a/packages/entry/heartbeats.h
+++ b/packages/entry/heartbeats.h
@@ -14,8 +14,8 @@
 
 #include "base/clock.h"
 #include "entry/agent_links.h"
-#include "platform/platform.h"
 #include "routing/target_directory.h"
+#include "storage/platform.h"
 
 namespace foxtailturn {
 
--- a/packages/lease/lease_row.h
+++ b/packages/lease/lease_row.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "platform/platform.h"
+#include "storage/platform.h"
 
 namespace foxtailturn {
 
--- a/packages/lease/lease_test.cpp
+++ b/packages/lease/lease_test.cpp
@@ -5,7 +5,7 @@
 #include "lease/lease_holder.h"
 #include "lease/lease_reclaimer.h"
 #include "lease/witness_log.h"
-#include "platform/memory_platform.h"
+#include "storage/memory_platform.h"
 
 namespace foxtailturn {
 namespace {
--- a/packages/limiter/share_ledger.h
+++ b/packages/limiter/share_ledger.h
@@ -26,7 +26,7 @@
 
 #include "lease/lease_row.h"
 #include "limiter/token_share.h"
-#include "platform/platform.h"
+#include "storage/platform.h"
 
 namespace foxtailturn {
 
--- a/packages/limiter/test_faults.h
+++ b/packages/limiter/test_faults.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "limiter/token_bucket.h"
-#include "platform/memory_platform.h"
+#include "storage/memory_platform.h"
 
 namespace foxtailturn {
 
--- a/packages/peer/peer_directory.h
+++ b/packages/peer/peer_directory.h
@@ -16,7 +16,7 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "platform/platform.h"
+#include "storage/platform.h"
 #include "wire/channel.h"
 
 namespace foxtailturn {
--- a/packages/retry/quarantine_rows.h
+++ b/packages/retry/quarantine_rows.h
@@ -11,8 +11,8 @@
 #include <vector>
 
 #include "base/wall_clock.h"
-#include "platform/platform.h"
 #include "retry/suspect_record.h"
+#include "storage/platform.h"
 
 namespace foxtailturn {
 
--- a/packages/retry/quarantine_rows_test.cpp
+++ b/packages/retry/quarantine_rows_test.cpp
@@ -2,7 +2,7 @@
 
 #include <doctest/doctest.h>
 
-#include "platform/memory_platform.h"
+#include "storage/memory_platform.h"
 
 namespace foxtailturn {
 namespace {
--- a/packages/platform/http_platform.cpp
+++ b/packages/storage/http_platform.cpp
@@ -1,10 +1,10 @@
-#include "platform/http_platform.h"
+#include "storage/http_platform.h"
 
 #include <charconv>
 
 #include "base/json.h"
 #include "base/log.h"
-#include "platform/http_transport.h"
+#include "storage/http_transport.h"
 
 namespace foxtailturn {
 
--- a/packages/platform/http_platform.h
+++ b/packages/storage/http_platform.h
@@ -19,7 +19,7 @@
 #include <memory>
 
 #include "base/clock.h"
-#include "platform/platform.h"
+#include "storage/platform.h"
 
 namespace foxtailturn {
 
--- a/packages/platform/http_platform_test.cpp
+++ b/packages/storage/http_platform_test.cpp
@@ -1,8 +1,8 @@
-#include "platform/http_platform.h"
+#include "storage/http_platform.h"
 
 #include <doctest/doctest.h>
 
-#include "platform/http_transport.h"
+#include "storage/http_transport.h"
 #include "stub_lib/platform_stub.h"
 
 namespace foxtailturn {
--- a/packages/platform/http_transport.cpp
+++ b/packages/storage/http_transport.cpp
@@ -1,11 +1,11 @@
-#include "platform/http_transport.h"
+#include "storage/http_transport.h"
 
 #include <algorithm>
 
 #include <httplib.h>
 
 #include "base/log.h"
-#include "platform/http_platform.h"
+#include "storage/http_platform.h"
 
 namespace foxtailturn {
 
--- a/packages/platform/memory_platform.cpp
+++ b/packages/storage/memory_platform.cpp
@@ -1,4 +1,4 @@
-#include "platform/memory_platform.h"
+#include "storage/memory_platform.h"
 
 #include <utility>
 
--- a/packages/platform/memory_platform.h
+++ b/packages/storage/memory_platform.h
@@ -10,7 +10,7 @@
 #include <map>
 #include <mutex>
 
-#include "platform/platform.h"
+#include "storage/platform.h"
 
 namespace foxtailturn {
 
--- a/testing/stub_lib/engine_stub.cpp
+++ b/testing/stub_lib/engine_stub.cpp
@@ -6,7 +6,7 @@
 #include <unistd.h>
 
 #include "base/log.h"
-#include "platform/http_transport.h"
+#include "storage/http_transport.h"
 
 namespace foxtailturn {
 
--- a/testing/stub_lib/platform_stub.h
+++ b/testing/stub_lib/platform_stub.h
@@ -18,7 +18,7 @@
 #include <map>
 #include <mutex>
 
-#include "platform/memory_platform.h"
+#include "storage/memory_platform.h"
 #include "stub_lib/stub_server.h"
 #include "stub_lib/weight_store.h"
 
