--- /dev/null
+++ b/packages/gateway/admin_port.cpp
@@ -0,0 +1,133 @@
+#include "gateway/admin_port.h"
+
+#include "gateway/byte_stream.h"
+#include "gateway/target_connection.h"
+#include "http1/message_parser.h"
+
+namespace foxtailturn {
+
+namespace {
+
+constexpr std::size_t kMaxHeaderBytes = 8192;
+constexpr Duration kIdleTime = std::chrono::seconds(30);
+
+} // namespace
+
+class AdminPort::Connection final : public std::enable_shared_from_this<Connection>, MessageSink
+{
+public:
+    Connection(AdminPort &port, asio::ip::tcp::socket socket)
+        : port_(port)
+        , stream_(ByteStream::create(std::move(socket)))
+        , parser_(MessageKind::Request, kMaxHeaderBytes, *this)
+        , timer_(port.context_)
+    { }
+
+    void start()
+    {
+        const auto self = shared_from_this();
+        stream_->start([self](std::string_view data) { self->onData(data); },
+                       [self](const asio::error_code &) { self->timer_.cancel(); });
+        armTimer();
+    }
+
+private:
+    void armTimer()
+    {
+        timer_.expires_after(kIdleTime);
+        timer_.async_wait([self = shared_from_this()](const asio::error_code &why) {
+            if (!why)
+                self->stream_->close();
+        });
+    }
+
+    void onData(std::string_view data)
+    {
+        while (!data.empty() && stream_->isOpen()) {
+            data.remove_prefix(parser_.feed(data));
+            if (parser_.error()) {
+                timer_.cancel();
+                stream_->close();
+                return;
+            }
+            if (parser_.isComplete()) {
+                parser_.next();
+                answer();
+            }
+        }
+    }
+
+    void answer()
+    {
+        armTimer();
+        const std::string path = head_.target_.substr(0, head_.target_.find('?'));
+        const auto handler = port_.handlers_.find(path);
+        const AdminAnswer answer =
+            handler == port_.handlers_.end() ? AdminAnswer{404, "not found\n"} : handler->second();
+        MessageHead out;
+        out.status_ = answer.status_;
+        out.add("Content-Type", answer.type_);
+        out.add("Content-Length", std::to_string(answer.body_.size()));
+        if (!head_.keepsAlive_)
+            out.add("Connection", "close");
+        stream_->send(responseText(out) + (head_.method_ == "HEAD" ? "" : answer.body_));
+        if (!head_.keepsAlive_) {
+            timer_.cancel();
+            stream_->finish();
+        }
+    }
+
+    void onHead(MessageHead head) override { head_ = std::move(head); }
+    void onBody(std::string_view) override { }
+    void onMessageEnd() override { }
+
+    AdminPort &port_;
+    std::shared_ptr<ByteStream> stream_;
+    MessageParser parser_;
+    asio::steady_timer timer_;
+    MessageHead head_;
+};
+
+AdminPort::AdminPort(asio::io_context &context)
+    : context_(context)
+{ }
+
+void AdminPort::serve(const std::string &path, Handler handler)
+{
+    handlers_[path] = std::move(handler);
+}
+
+Result<void> AdminPort::listen(const std::string &address)
+{
+    const Result<asio::ip::tcp::endpoint> endpoint = endpointOf(address);
+    if (!endpoint)
+        return tl::unexpected(endpoint.error());
+    auto acceptor = std::make_shared<asio::ip::tcp::acceptor>(context_);
+    asio::error_code why;
+    acceptor->open(endpoint->protocol(), why);
+    if (!why)
+        acceptor->set_option(asio::socket_base::reuse_address(true), why);
+    if (!why)
+        acceptor->bind(*endpoint, why);
+    if (!why)
+        acceptor->listen(asio::socket_base::max_listen_connections, why);
+    if (why)
+        return notRun(ErrorCode::InvalidSettings,
+                      "cannot listen on " + address + ": " + why.message());
+    accept(acceptor);
+    return {};
+}
+
+void AdminPort::accept(const std::shared_ptr<asio::ip::tcp::acceptor> &acceptor)
+{
+    acceptor->async_accept(
+        [this, acceptor](const asio::error_code &why, asio::ip::tcp::socket socket) {
+            if (!acceptor->is_open())
+                return;
+            if (!why)
+                std::make_shared<Connection>(*this, std::move(socket))->start();
+            accept(acceptor);
+        });
+}
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/gateway/admin_port.h
@@ -0,0 +1,50 @@
+#pragma once
+
+// A small HTTP server for readiness, metrics and the state dump, on the event loop.
+//
+//     AdminPort admin(context);
+//     admin.serve("/state", [] { return AdminAnswer{200, "{}"}; });
+//     admin.listen("10.0.0.5:8090");
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include <asio.hpp>
+
+#include "base/error.h"
+
+namespace foxtailturn {
+
+struct AdminAnswer
+{
+    int status_ = 200;
+    std::string body_;
+    std::string type_ = "text/plain; charset=utf-8";
+};
+
+// Not thread-safe.
+class AdminPort
+{
+public:
+    using Handler = std::function<AdminAnswer()>;
+
+    // context must outlive the port.
+    explicit AdminPort(asio::io_context &context);
+
+    // Answers GET requests for a path; other paths get 404.
+    void serve(const std::string &path, Handler handler);
+
+    // May be called for several addresses. Error: InvalidSettings when the address can't be used.
+    [[nodiscard]] Result<void> listen(const std::string &address);
+
+private:
+    class Connection;
+
+    void accept(const std::shared_ptr<asio::ip::tcp::acceptor> &acceptor);
+
+    asio::io_context &context_;
+    std::map<std::string, Handler, std::less<>> handlers_;
+};
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/gateway/agent_messages.h
@@ -0,0 +1,68 @@
+#pragma once
+
+// Messages between an entry and the process beside an engine (the sidecar): JSON, one a line.
+//
+//     link.send(encode(LoadRequest{"m/a1", 3, "i-1", 8}));
+//     AgentMessage message = decodeAgentMessage(line);
+//
+// A sidecar reports its engine's load to each entry that is connected, and takes requests to load
+// adapters. A line that can't be read is ignored by the receiver, so that versions can be mixed.
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "gateway/codec.h"
+
+namespace foxtailturn {
+
+// An entry wants an adapter, or a model, on the engine.
+struct LoadRequest
+{
+    std::string name_; // MODEL/ADAPTER or MODEL
+    std::int64_t version_ = 0; // least version; 0 for any
+    std::string instance_; // the engine's incarnation that the entry knows
+    int adapterSlots_ = 0; // of the engine
+
+    bool operator==(const LoadRequest &) const = default;
+};
+
+// An entry begins or ends a request that uses an adapter.
+struct UseNotice
+{
+    std::string name_;
+    bool isBegin_ = true;
+
+    bool operator==(const UseNotice &) const = default;
+};
+
+// The sidecar could not load an adapter: all slots are in use, or the engine did not obey.
+struct LoadRefusal
+{
+    std::string name_;
+
+    bool operator==(const LoadRefusal &) const = default;
+};
+
+// What a line holds; at most one member is set.
+struct AgentMessage
+{
+    std::optional<LoadRequest> load_;
+    std::optional<UseNotice> use_;
+    std::optional<LoadRefusal> refusal_;
+    std::optional<EngineReport> report_;
+};
+
+// Each returns one line with its end. Thread-safe.
+[[nodiscard]] std::string encode(const LoadRequest &request);
+[[nodiscard]] std::string encode(const UseNotice &notice);
+[[nodiscard]] std::string encode(const LoadRefusal &refusal);
+[[nodiscard]] std::string encode(const EngineReport &report);
+
+// Returns what a line holds; nothing is set for a line that is no message. Thread-safe.
+[[nodiscard]] AgentMessage decodeAgentMessage(std::string_view line);
+
+// Cuts whole lines from the front of a buffer. Thread-safe.
+[[nodiscard]] std::vector<std::string> takeLines(std::string &buffer);
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/gateway/byte_stream.cpp
@@ -0,0 +1,175 @@
+#include "gateway/byte_stream.h"
+
+#include <array>
+
+namespace foxtailturn {
+
+namespace {
+
+constexpr std::size_t kReadBytes = 65'536;
+
+std::array<char, kReadBytes> &readBuffer()
+{
+    thread_local std::array<char, kReadBytes> buffer;
+    return buffer;
+}
+
+} // namespace
+
+ByteStream::ByteStream(asio::ip::tcp::socket socket)
+    : socket_(std::move(socket))
+{
+    asio::error_code ignored; // a connection that is gone shows on the first read
+    socket_.non_blocking(true, ignored);
+    socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+std::shared_ptr<ByteStream> ByteStream::create(asio::ip::tcp::socket socket)
+{
+    return std::shared_ptr<ByteStream>(new ByteStream(std::move(socket)));
+}
+
+void ByteStream::start(DataHandler onData, CloseHandler onClose)
+{
+    onData_ = std::move(onData);
+    onClose_ = std::move(onClose);
+    waitReadable();
+}
+
+void ByteStream::resume()
+{
+    if (!isPaused_)
+        return;
+    isPaused_ = false;
+    waitReadable();
+}
+
+void ByteStream::waitReadable()
+{
+    if (isReading_ || isPaused_ || isFinishing_ || !isOpen())
+        return;
+    isReading_ = true;
+    socket_.async_wait(asio::ip::tcp::socket::wait_read,
+                       [self = shared_from_this()](const asio::error_code &why) {
+                           self->isReading_ = false;
+                           if (why)
+                               self->fail(why);
+                           else
+                               self->read();
+                       });
+}
+
+void ByteStream::read()
+{
+    while (isOpen() && !isPaused_ && !isFinishing_) {
+        asio::error_code why;
+        const std::size_t size = socket_.read_some(asio::buffer(readBuffer()), why);
+        if (why == asio::error::would_block)
+            break;
+        if (why) {
+            fail(why);
+            return;
+        }
+        if (onData_)
+            onData_(std::string_view(readBuffer().data(), size));
+        if (size < kReadBytes)
+            break; // the next wait tells whether there is more
+    }
+    waitReadable();
+}
+
+void ByteStream::send(std::string data)
+{
+    if (!isOpen() || data.empty() || isFinishing_)
+        return;
+    queuedBytes_ += data.size();
+    queue_.push_back(std::move(data));
+    if (!isWriting_)
+        write();
+}
+
+void ByteStream::write()
+{
+    while (!queue_.empty() && isOpen()) {
+        const std::string &front = queue_.front();
+        asio::error_code why;
+        const std::size_t size =
+            socket_.write_some(asio::buffer(front.data() + offset_, front.size() - offset_), why);
+        if (why && why != asio::error::would_block) {
+            // Deferred, so that no handler runs within send().
+            asio::post(socket_.get_executor(),
+                       [self = shared_from_this(), why] { self->fail(why); });
+            return;
+        }
+        offset_ += size;
+        queuedBytes_ -= size;
+        if (offset_ == front.size()) {
+            queue_.pop_front();
+            offset_ = 0;
+            continue;
+        }
+        isWriting_ = true;
+        socket_.async_wait(asio::ip::tcp::socket::wait_write,
+                           [self = shared_from_this()](const asio::error_code &failure) {
+                               self->isWriting_ = false;
+                               if (failure) {
+                                   self->fail(failure);
+                                   return;
+                               }
+                               self->write();
+                               if (self->queue_.empty() && self->onDrain_)
+                                   self->onDrain_();
+                           });
+        return;
+    }
+    if (queue_.empty() && isFinishing_)
+        close();
+}
+
+void ByteStream::finish()
+{
+    isFinishing_ = true;
+    if (queue_.empty()) {
+        asio::error_code ignored; // closed anyway
+        socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        close();
+    }
+}
+
+void ByteStream::close()
+{
+    if (!isOpen())
+        return;
+    asio::error_code ignored; // nothing can be done about a failed close
+    socket_.close(ignored);
+    queue_.clear();
+    queuedBytes_ = 0;
+    // Handlers may be running now, so they are destroyed later.
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        self->onData_ = nullptr;
+        self->onClose_ = nullptr;
+        self->onDrain_ = nullptr;
+    });
+}
+
+void ByteStream::reset()
+{
+    if (!isOpen())
+        return;
+    asio::error_code ignored; // the close below ends the connection in any case
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
+void ByteStream::fail(const asio::error_code &why)
+{
+    if (!isOpen())
+        return;
+    const CloseHandler onClose = std::move(onClose_);
+    onClose_ = nullptr;
+    close();
+    if (onClose)
+        onClose(why);
+}
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/gateway/caller_connection.cpp
@@ -0,0 +1,312 @@
+#include "gateway/caller_connection.h"
+
+#include <algorithm>
+
+namespace foxtailturn {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kHardHeaderLimit = 81'920; // before a configuration names one
+constexpr std::size_t kMostUnread = 65'536; // pipelined bytes that wait for the answer under way
+constexpr Duration kDiscardTime = milliseconds(1000); // lets the caller read a final refusal
+constexpr Duration kAcceptPause = milliseconds(50); // after a failed accept, such as no descriptor
+
+CallerLimits limitsOf(const Gateway &gateway)
+{
+    return gateway.config() ? gateway.config()->limits_ : CallerLimits();
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(CallerListener &listener, Gateway &gateway,
+                                   asio::ip::tcp::socket socket)
+    : listener_(listener)
+    , gateway_(gateway)
+    , stream_(ByteStream::create(std::move(socket)))
+    , parser_(MessageKind::Request, std::min(kHardHeaderLimit, limitsOf(gateway).maxHeaderBytes_),
+              *this)
+    , timer_(gateway.context())
+{ }
+
+void CallerConnection::start()
+{
+    stream_->onDrain([weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->relay_)
+            self->relay_->onAnswerDrained();
+    });
+    stream_->start(
+        [weak = weak_from_this()](std::string_view data) {
+            if (const auto self = weak.lock())
+                self->onData(data);
+        },
+        [weak = weak_from_this()](const asio::error_code &) {
+            if (const auto self = weak.lock())
+                self->onClosed();
+        });
+    armTimer(limitsOf(gateway_).idleTimeout_, false);
+}
+
+void CallerConnection::armTimer(Duration wait, bool isForHeader)
+{
+    timer_.expires_after(wait);
+    timer_.async_wait([weak = weak_from_this(), isForHeader](const asio::error_code &why) {
+        const auto self = weak.lock();
+        if (why || !self || self->relay_)
+            return;
+        if (isForHeader && !self->isDiscarding_)
+            self->refuseAndClose(408, ErrorCode::DeadlineExceeded);
+        else
+            self->close();
+    });
+}
+
+void CallerConnection::onData(std::string_view data)
+{
+    if (isDiscarding_)
+        return;
+    unread_ += data;
+    if (relay_) {
+        if (unread_.size() > kMostUnread)
+            stream_->pause();
+        return;
+    }
+    readRequests();
+}
+
+void CallerConnection::readRequests()
+{
+    const auto self = shared_from_this();
+    if (isReading_)
+        return; // an answer was given at once; the loop below goes on
+    isReading_ = true;
+    while (!unread_.empty() && !relay_ && !isDiscarding_ && stream_->isOpen()) {
+        const bool isNew = !parser_.isInMessage();
+        if (isNew) {
+            receivedAt_ = gateway_.now();
+            armTimer(limitsOf(gateway_).headerTimeout_, true);
+        }
+        const std::size_t used = parser_.feed(unread_);
+        unread_.erase(0, used);
+        if (isDiscarding_)
+            break;
+        if (parser_.error()) {
+            const bool isLong = parser_.error()->code_ == ErrorCode::PayloadTooLarge;
+            refuseAndClose(isLong ? 431 : 400, parser_.error()->code_);
+            break;
+        }
+        if (parser_.isComplete()) {
+            parser_.next();
+            beginRequest();
+        }
+    }
+    isReading_ = false;
+}
+
+void CallerConnection::onHead(MessageHead head)
+{
+    hasHead_ = true;
+    keepsAlive_ = head.keepsAlive_;
+    head_ = std::move(head);
+    body_.clear();
+    const std::size_t limit = limitsOf(gateway_).maxBodyBytes_;
+    if (head_.contentLength_.value_or(0) > limit) {
+        refuseAndClose(413, ErrorCode::PayloadTooLarge);
+        return;
+    }
+    if (head_.contentLength_)
+        body_.reserve(*head_.contentLength_);
+    const std::string *expect = head_.find("Expect");
+    if (expect != nullptr && equalsIgnoringCase(*expect, "100-continue"))
+        stream_->send("HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+void CallerConnection::onBody(std::string_view data)
+{
+    if (isDiscarding_)
+        return;
+    if (body_.size() + data.size() > limitsOf(gateway_).maxBodyBytes_) {
+        refuseAndClose(413, ErrorCode::PayloadTooLarge);
+        return;
+    }
+    body_ += data;
+}
+
+void CallerConnection::onMessageEnd() { }
+
+void CallerConnection::beginRequest()
+{
+    timer_.cancel();
+    hasHead_ = false;
+    if (head_.count("Host") != 1) {
+        refuseAndClose(400, ErrorCode::BadRequest);
+        return;
+    }
+    auto admission = gateway_.admit(head_, std::move(body_), receivedAt_);
+    body_ = std::string();
+    if (Refusal *refusal = std::get_if<Refusal>(&admission)) {
+        refuse(std::move(*refusal));
+        return;
+    }
+    relay_ = std::make_shared<Relay>(gateway_, std::move(std::get<AdmittedRequest>(admission)),
+                                     static_cast<AnswerSink &>(*this));
+    // The relay may answer at once and be replaced meanwhile.
+    const std::shared_ptr<Relay> relay = relay_;
+    relay->start();
+}
+
+void CallerConnection::refuse(Refusal refusal)
+{
+    gateway_.countAnswer(nullptr, refusal.status_, refusal.code_);
+    refusal.closes_ = closesAfterAnswer();
+    stream_->send(gateway_.codec().refusal(refusal));
+    endAnswer();
+}
+
+void CallerConnection::refuseAndClose(int status, ErrorCode code)
+{
+    gateway_.countAnswer(nullptr, status, errorName(code));
+    gateway_.log().write(LogDetail::Full, "refused",
+                         {{"request", ""}, {"status", status}, {"code", errorName(code)}});
+    isDiscarding_ = true;
+    // Closing with unread bytes would reset the connection before the caller reads the refusal, so
+    // what still comes is read and dropped for a while.
+    stream_->send(
+        gateway_.codec().refusal({status, "", std::string(errorName(code)), std::nullopt, true}));
+    armTimer(kDiscardTime, false);
+}
+
+void CallerConnection::sendAnswer(std::string bytes)
+{
+    stream_->send(std::move(bytes));
+}
+
+void CallerConnection::endAnswer()
+{
+    relay_.reset();
+    if (closesAfterAnswer()) {
+        listener_.connections_.erase(shared_from_this());
+        timer_.cancel();
+        stream_->finish();
+        return;
+    }
+    stream_->resume();
+    armTimer(limitsOf(gateway_).idleTimeout_, false);
+    if (!unread_.empty())
+        asio::post(gateway_.context(), [weak = weak_from_this()] {
+            const auto self = weak.lock();
+            if (self && !self->relay_)
+                self->readRequests();
+        });
+}
+
+void CallerConnection::breakAnswer()
+{
+    relay_.reset();
+    listener_.connections_.erase(shared_from_this());
+    timer_.cancel();
+    stream_->reset();
+}
+
+bool CallerConnection::closesAfterAnswer() const
+{
+    return !keepsAlive_ || listener_.isDraining();
+}
+
+std::size_t CallerConnection::unsentBytes() const
+{
+    return stream_->queuedBytes();
+}
+
+void CallerConnection::onClosed()
+{
+    close();
+}
+
+void CallerConnection::drain()
+{
+    if (isIdle() && !parser_.isInMessage() && unread_.empty())
+        close();
+}
+
+void CallerConnection::close()
+{
+    const auto self = shared_from_this();
+    timer_.cancel();
+    if (relay_) {
+        const std::shared_ptr<Relay> relay = relay_;
+        relay_.reset();
+        relay->cancel();
+    }
+    stream_->close();
+    listener_.connections_.erase(self);
+}
+
+CallerListener::CallerListener(Gateway &gateway)
+    : gateway_(gateway)
+    , acceptor_(gateway.context())
+    , acceptTimer_(gateway.context())
+{ }
+
+Result<void> CallerListener::listen(const std::string &address)
+{
+    const Result<asio::ip::tcp::endpoint> endpoint = endpointOf(address);
+    if (!endpoint)
+        return tl::unexpected(endpoint.error());
+    asio::error_code why;
+    acceptor_.open(endpoint->protocol(), why);
+    if (!why)
+        acceptor_.set_option(asio::socket_base::reuse_address(true), why);
+    if (!why)
+        acceptor_.bind(*endpoint, why);
+    if (!why)
+        acceptor_.listen(asio::socket_base::max_listen_connections, why);
+    if (why)
+        return notRun(ErrorCode::InvalidSettings,
+                      "cannot listen on " + address + ": " + why.message());
+    accept();
+    return {};
+}
+
+void CallerListener::accept()
+{
+    acceptor_.async_accept([this](const asio::error_code &why, asio::ip::tcp::socket socket) {
+        if (!acceptor_.is_open())
+            return;
+        if (why) {
+            gateway_.log().write(LogDetail::Full, "accept_failed", {{"what", why.message()}});
+            acceptTimer_.expires_after(kAcceptPause);
+            acceptTimer_.async_wait([this](const asio::error_code &stopped) {
+                if (!stopped)
+                    accept();
+            });
+            return;
+        }
+        auto connection = std::make_shared<CallerConnection>(*this, gateway_, std::move(socket));
+        connections_.insert(connection);
+        connection->start();
+        accept();
+    });
+}
+
+void CallerListener::drain()
+{
+    isDraining_ = true;
+}
+
+void CallerListener::closeIdle()
+{
+    const std::set<std::shared_ptr<CallerConnection>> connections = connections_;
+    for (const std::shared_ptr<CallerConnection> &connection : connections)
+        connection->drain();
+}
+
+void CallerListener::stopAccepting()
+{
+    asio::error_code ignored; // closed anyway
+    acceptor_.close(ignored);
+}
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/gateway/caller_connection.h
@@ -0,0 +1,106 @@
+#pragma once
+
+// A caller's connection: reads requests one after the other, hands each to a Relay, writes answers.
+//
+//     CallerListener listener(gateway);
+//     listener.listen("10.0.0.5:8080");
+//     listener.drain();     // graceful shutdown: answers carry "Connection: close"
+
+#include <memory>
+#include <set>
+
+#include "gateway/gateway.h"
+#include "http1/message_parser.h"
+
+namespace foxtailturn {
+
+class CallerListener;
+
+// Not thread-safe.
+class CallerConnection final : public std::enable_shared_from_this<CallerConnection>,
+                               MessageSink,
+                               AnswerSink
+{
+public:
+    // listener and gateway must outlive the connection.
+    CallerConnection(CallerListener &listener, Gateway &gateway, asio::ip::tcp::socket socket);
+
+    void start();
+
+    // Closes the connection if no request is under way, otherwise after its answer.
+    void drain();
+
+    // Closes the connection and breaks off what is under way.
+    void close();
+
+    [[nodiscard]] bool isIdle() const { return !relay_ && !hasHead_; }
+
+private:
+    void onData(std::string_view data);
+    void onClosed();
+    void readRequests();
+    void beginRequest();
+    void refuse(Refusal refusal);
+    void refuseAndClose(int status, ErrorCode code);
+    void armTimer(Duration wait, bool isForHeader);
+
+    void onHead(MessageHead head) override;
+    void onBody(std::string_view data) override;
+    void onMessageEnd() override;
+
+    void sendAnswer(std::string bytes) override;
+    void endAnswer() override;
+    void breakAnswer() override;
+    [[nodiscard]] bool closesAfterAnswer() const override;
+    [[nodiscard]] std::size_t unsentBytes() const override;
+
+    CallerListener &listener_;
+    Gateway &gateway_;
+    std::shared_ptr<ByteStream> stream_;
+    MessageParser parser_;
+    asio::steady_timer timer_;
+    std::string unread_; // bytes behind the request under way
+    MessageHead head_;
+    std::string body_;
+    bool hasHead_ = false;
+    bool keepsAlive_ = true;
+    bool isDiscarding_ = false; // after a final refusal: what the caller still sends is ignored
+    bool isReading_ = false; // within readRequests()
+    TimePoint receivedAt_{};
+    std::shared_ptr<Relay> relay_;
+};
+
+// Accepts callers. Not thread-safe.
+class CallerListener
+{
+public:
+    explicit CallerListener(Gateway &gateway);
+
+    // Error: InvalidSettings when the address can't be used.
+    [[nodiscard]] Result<void> listen(const std::string &address);
+
+    // Begins the graceful shutdown; connections close after their next answer.
+    void drain();
+    [[nodiscard]] bool isDraining() const { return isDraining_; }
+
+    // Closes connections without a request under way.
+    void closeIdle();
+
+    // Accepts no further connections.
+    void stopAccepting();
+
+    [[nodiscard]] std::size_t connections() const { return connections_.size(); }
+
+private:
+    friend class CallerConnection;
+
+    void accept();
+
+    Gateway &gateway_;
+    asio::ip::tcp::acceptor acceptor_;
+    asio::steady_timer acceptTimer_;
+    std::set<std::shared_ptr<CallerConnection>> connections_;
+    bool isDraining_ = false;
+};
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/gateway/codec.h
@@ -0,0 +1,239 @@
+#pragma once
+
+// How an outside platform spells what the gateway and the sidecar exchange with callers, targets
+// and the store. The gateway decides; a codec only translates. platform/ has the one for the users'
+// platform.
+//
+//     Result<CallerRequest> request = codec.decodeRequest(head);
+//     std::string text = codec.targetHead(head, call, body.size());
+//     TargetReply reply = codec.decodeReply(responseHead);
+//
+// A codec holds no state: all calls are thread-safe.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/error.h"
+#include "gateway/serving_config.h"
+#include "http1/message.h"
+
+namespace foxtailturn {
+
+// A part of a prompt that several requests may share.
+struct PromptPart
+{
+    std::string id_;
+    std::int64_t tokens_ = 0;
+
+    bool operator==(const PromptPart &) const = default;
+};
+
+// What a caller says about its request.
+struct CallerRequest
+{
+    std::string id_;
+    std::string host_;
+    std::string key_;
+    std::optional<Duration> timeLeft_; // how long the caller will wait
+    std::string model_; // empty for plain services
+    std::string adapter_; // empty for the base model
+    std::optional<std::int64_t> tokens_; // prompt plus the most that may be generated
+    std::int64_t promptTokens_ = 0;
+    std::vector<PromptPart> prefix_;
+    std::optional<std::string> lastEventId_;
+
+    bool operator==(const CallerRequest &) const = default;
+};
+
+// What the gateway adds to a request for one target.
+struct TargetCall
+{
+    Duration timeLeft_{};
+    std::string instance_; // any other instance must reject the request
+    std::string workspace_; // empty on public routes
+    std::optional<std::string> lastEventId_; // overrides the caller's
+    std::optional<int> priority_;
+
+    bool operator==(const TargetCall &) const = default;
+};
+
+// What a target's response head says.
+struct TargetReply
+{
+    std::string requestId_; // of the request that it answers; empty if not said
+    std::string instance_;
+    bool isSigned_ = false; // a target's own answer carries its signature
+    bool isNotRun_ = false; // the target promises that it did not run the request
+    bool isOtherInstance_ = false; // not run either: another instance or weight version
+    std::optional<Duration> idleTimeout_; // how long the target keeps an idle connection
+
+    bool operator==(const TargetReply &) const = default;
+};
+
+// The gateway's own final answer.
+struct Refusal
+{
+    int status_ = 503;
+    std::string requestId_;
+    std::string code_; // name of the ErrorCode, for people
+    std::optional<Duration> retryAfter_; // when a retry can succeed
+    bool closes_ = false; // no further request on this connection
+
+    bool operator==(const Refusal &) const = default;
+};
+
+// An HTTP call of the gateway's own, to the store or to a target.
+struct HttpCall
+{
+    std::string method_;
+    std::string target_;
+    std::string body_;
+    std::string instance_ = {}; // the instance that must answer; empty for any
+
+    bool operator==(const HttpCall &) const = default;
+};
+
+// A row of the store. version_ grows with each change of any row.
+struct StoreRow
+{
+    std::string table_;
+    std::string part_;
+    std::string key_;
+    std::string value_;
+    std::int64_t version_ = 0;
+    bool isRemoved_ = false;
+
+    bool operator==(const StoreRow &) const = default;
+};
+
+struct StoreRows
+{
+    std::vector<StoreRow> rows_;
+    std::int64_t version_ = 0; // newest version of the store
+    bool isTruncated_ = false;
+
+    bool operator==(const StoreRows &) const = default;
+};
+
+// A write that applies if each expected row still has its version (0: is absent).
+struct StoreWrite
+{
+    std::vector<StoreRow> expected_; // table, part, key and version
+    std::vector<StoreRow> puts_; // table, part, key and value
+
+    bool operator==(const StoreWrite &) const = default;
+};
+
+enum class TargetPhase { Ready, Draining };
+
+// A model on a target with its adapters and their versions.
+struct HostedModel
+{
+    std::string name_;
+    std::map<std::string, std::int64_t> adapters_; // version by adapter name
+
+    bool operator==(const HostedModel &) const = default;
+};
+
+// A target as it describes itself in the store.
+struct TargetRecord
+{
+    std::string instance_;
+    std::string service_;
+    std::string address_; // IP:port
+    std::string dataCentre_;
+    int slots_ = 1;
+    TargetPhase phase_ = TargetPhase::Ready;
+    std::int64_t bornMs_ = 0; // wall clock of its start
+    std::vector<HostedModel> models_;
+
+    bool operator==(const TargetRecord &) const = default;
+};
+
+// A newer version of an adapter that has to be served from now on.
+struct AdapterVersion
+{
+    std::string model_;
+    std::string adapter_;
+    std::int64_t version_ = 0;
+
+    bool operator==(const AdapterVersion &) const = default;
+};
+
+// An engine's own report of its load.
+struct EngineReport
+{
+    std::int64_t bornMs_ = 0;
+    std::int64_t sequence_ = 0; // orders accepted
+    bool isBusy_ = false; // an order is being carried out
+    bool isDraining_ = false;
+    int queued_ = 0;
+    int running_ = 0;
+    int prefilling_ = 0; // running requests without an event so far
+    std::int64_t kvUsed_ = 0; // tokens that can not yield
+    std::int64_t kvTotal_ = 0;
+    std::vector<HostedModel> models_;
+    std::vector<std::string> loading_; // MODEL/ADAPTER
+
+    bool operator==(const EngineReport &) const = default;
+};
+
+enum class OrderKind { Load, Unload };
+
+// An order to an engine. The holder with the largest fencing token is obeyed.
+struct EngineOrder
+{
+    OrderKind kind_ = OrderKind::Load;
+    std::string model_;
+    std::string adapter_; // empty: the model itself
+    std::string instance_; // the instance that must carry it out
+    std::string holder_;
+    std::int64_t fencingToken_ = 0;
+    std::optional<std::int64_t> expectedSequence_;
+
+    bool operator==(const EngineOrder &) const = default;
+};
+
+class PlatformCodec
+{
+public:
+    virtual ~PlatformCodec() = default;
+
+    // Callers. Error: BadRequest when a field is malformed or given twice.
+    [[nodiscard]] virtual Result<CallerRequest> decodeRequest(const MessageHead &head) const = 0;
+    [[nodiscard]] virtual std::string refusal(const Refusal &refusal) const = 0;
+    [[nodiscard]] virtual std::string readyTarget() const = 0;
+
+    // Targets. targetHead() is the head of the forwarded request with its framing.
+    [[nodiscard]] virtual std::string targetHead(const MessageHead &head, const TargetCall &call,
+                                                 std::size_t bodyBytes) const = 0;
+    [[nodiscard]] virtual TargetReply decodeReply(const MessageHead &head) const = 0;
+
+    // Engines. Error: Internal when the body is no report.
+    [[nodiscard]] virtual HttpCall reportCall() const = 0;
+    [[nodiscard]] virtual Result<EngineReport> decodeReport(std::string_view body) const = 0;
+    [[nodiscard]] virtual HttpCall orderCall(const EngineOrder &order) const = 0;
+
+    // Store calls. Error of decodeRows(): StoreUnavailable when the body is no answer.
+    [[nodiscard]] virtual HttpCall readCall(const std::string &table, const std::string &part,
+                                            const std::string &from) const = 0;
+    [[nodiscard]] virtual HttpCall followCall(const std::string &table, std::int64_t after,
+                                              Duration wait) const = 0;
+    [[nodiscard]] virtual HttpCall writeCall(const StoreWrite &write) const = 0;
+    [[nodiscard]] virtual Result<StoreRows> decodeRows(std::string_view body) const = 0;
+    [[nodiscard]] virtual std::string callHead(const HttpCall &call,
+                                               const std::string &host) const = 0;
+
+    // Rows that the operator and the targets write. nullopt: not a row of that kind, or malformed.
+    [[nodiscard]] virtual std::string operatorTable() const = 0;
+    [[nodiscard]] virtual std::string targetTable() const = 0;
+    [[nodiscard]] virtual std::optional<ServingConfig> decodeConfig(const StoreRow &row) const = 0;
+    [[nodiscard]] virtual std::optional<AdapterVersion>
+    decodeAdapterVersion(const StoreRow &row) const = 0;
+    [[nodiscard]] virtual std::optional<TargetRecord> decodeTarget(const StoreRow &row) const = 0;
+};
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/gateway/entry_node.h
@@ -0,0 +1,81 @@
+#pragma once
+
+// An entry: the gateway with its connections to callers, targets, the store and the sidecars.
+//
+//     EntryNode entry(context, codec, settings);
+//     Result<void> started = entry.start();
+//     context.run();             // until stop() has finished its work
+
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "gateway/admin_port.h"
+#include "gateway/agent_link.h"
+#include "gateway/caller_connection.h"
+#include "gateway/gateway.h"
+#include "gateway/node_settings.h"
+#include "gateway/store_client.h"
+
+namespace foxtailturn {
+
+// Not thread-safe: all calls come from the thread that runs the context.
+class EntryNode
+{
+public:
+    // context and codec must outlive the node.
+    EntryNode(asio::io_context &context, const PlatformCodec &codec, const NodeSettings &settings);
+
+    // Error: InvalidSettings when an address can't be used.
+    [[nodiscard]] Result<void> start();
+
+    // Takes changed settings. Addresses that are listened on stay as they are.
+    void reload(const NodeSettings &settings);
+
+    // Graceful shutdown: not ready at once, requests under way finish, then onStopped is called.
+    void stop(std::function<void()> onStopped);
+
+private:
+    void onOperatorRows(const std::vector<StoreRow> &rows);
+    void onTargetRows(const std::vector<StoreRow> &rows, bool isSnapshot);
+    void syncLinks();
+    void linkTarget(const Target &target);
+    void onAgentMessage(const std::string &engine, const AgentMessage &message);
+    void scheduleRound(Duration wait);
+    void round();
+    void onRoundRows(const StoreAnswer &answer);
+    void writeRound(StoreWrite write);
+    void takeSuspects(const std::vector<StoreRow> &rows);
+    void tick();
+    void waitForEnd();
+    [[nodiscard]] bool isReady() const;
+    [[nodiscard]] std::string agentAddress(const std::string &engine) const;
+
+    asio::io_context &context_;
+    const PlatformCodec &codec_;
+    NodeSettings settings_;
+    SystemClock clock_;
+    SystemWallClock wallClock_;
+    EventLog log_;
+    MetricRegistry metrics_;
+    StoreClient store_;
+    Gateway gateway_;
+    CallerListener callers_;
+    AdminPort admin_;
+    TableWatch operatorWatch_;
+    TableWatch targetWatch_;
+    std::map<std::string, std::shared_ptr<AgentLink>> links_; // by the engine's address
+    std::map<std::string, SuspectRecord> suspectReports_; // to be written, by fingerprint
+    std::map<std::string, std::int64_t> suspectVersions_; // row versions, by fingerprint
+    asio::steady_timer roundTimer_;
+    asio::steady_timer tickTimer_;
+    asio::steady_timer stopTimer_;
+    TimePoint startedAt_;
+    TimePoint acceptUntil_ = TimePoint::max();
+    TimePoint stopUntil_ = TimePoint::max();
+    std::function<void()> onStopped_;
+    bool isStopping_ = false;
+    bool isRoundUnderWay_ = false;
+};
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/gateway/event_splitter.cpp
@@ -0,0 +1,66 @@
+#include "gateway/event_splitter.h"
+
+#include <charconv>
+
+namespace foxtailturn {
+
+namespace {
+
+// Returns the offset behind the empty line that ends the first event; npos if there is none yet.
+std::size_t endOfEvent(std::string_view text)
+{
+    const std::size_t plain = text.find("\n\n");
+    const std::size_t carriage = text.find("\r\n\r\n");
+    if (plain == std::string_view::npos && carriage == std::string_view::npos)
+        return std::string_view::npos;
+    constexpr std::size_t kPlainLength = 2;
+    constexpr std::size_t kCarriageLength = 4;
+    return plain < carriage ? plain + kPlainLength : carriage + kCarriageLength;
+}
+
+std::string idOf(std::string_view event)
+{
+    constexpr std::string_view kField = "id:";
+    std::size_t begin = 0;
+    while (begin < event.size()) {
+        const std::size_t end = std::min(event.find('\n', begin), event.size());
+        std::string_view line = event.substr(begin, end - begin);
+        begin = end + 1;
+        if (!line.starts_with(kField))
+            continue;
+        line.remove_prefix(kField.size());
+        if (line.starts_with(' '))
+            line.remove_prefix(1);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        return std::string(line);
+    }
+    return "";
+}
+
+} // namespace
+
+std::vector<StreamEvent> EventSplitter::feed(std::string_view data)
+{
+    std::vector<StreamEvent> events;
+    rest_ += data;
+    std::string_view text = rest_;
+    for (std::size_t end = endOfEvent(text); end != std::string_view::npos;
+         end = endOfEvent(text)) {
+        events.push_back({std::string(text.substr(0, end)), idOf(text.substr(0, end))});
+        text.remove_prefix(end);
+    }
+    rest_.erase(0, rest_.size() - text.size());
+    return events;
+}
+
+std::optional<std::int64_t> eventNumber(std::string_view id)
+{
+    std::int64_t number = 0;
+    const auto [end, problem] = std::from_chars(id.data(), id.data() + id.size(), number);
+    if (problem != std::errc() || end != id.data() + id.size() || id.empty())
+        return std::nullopt;
+    return number;
+}
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/gateway/gateway.cpp
@@ -0,0 +1,360 @@
+#include "gateway/gateway.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "base/hash.h"
+
+namespace foxtailturn {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kSuspectMemory = seconds(60); // a crash counts this long
+constexpr Duration kBreakWindow = milliseconds(300); // breaks this close come from one crash
+constexpr Duration kBreakMemory = seconds(2); // until a refused connection tells of the crash
+constexpr std::size_t kMostBreaks = 256;
+constexpr Duration kNoConfigRetry = milliseconds(500);
+constexpr Duration kQuarantineRetry = seconds(5);
+// A declared adapter version is served in its older form for this time, while it loads.
+constexpr Duration kOldVersionUse = milliseconds(2500);
+constexpr Duration kAskAgain = seconds(2); // an unanswered load order
+
+std::string fingerprintOf(const std::string &workspace, const MessageHead &head,
+                          const std::string &body)
+{
+    constexpr std::uint64_t kSecondSeed = 0x9e3779b97f4a7c15; // two hashes, against collisions
+    const std::uint64_t first = hash64(body, hash64(head.target_, hash64(workspace)));
+    const std::uint64_t second = hash64(body, hash64(head.target_, kSecondSeed));
+    return std::to_string(first) + "-" + std::to_string(second);
+}
+
+std::string routeKindName(RouteKind kind)
+{
+    switch (kind) {
+    case RouteKind::Idempotent:
+        return "idempotent";
+    case RouteKind::NonIdempotent:
+        return "non_idempotent";
+    case RouteKind::Stream:
+        return "stream";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+Gateway::Gateway(const GatewayParts &parts, const EntryIdentity &identity)
+    : parts_(parts)
+    , identity_(identity)
+    , pool_(parts.context_, parts.codec_, parts.clock_)
+    , shares_(identity.name_, parts.clock_)
+    , budget_(parts.clock_, {.percent_ = identity.retryPercent_, .floor_ = identity.retryFloor_})
+    , quarantine_(identity.name_ + "-" + randomId(), {parts.clock_, parts.wallClock_},
+                  kSuspectMemory)
+    , randomState_(hash64(randomId()))
+    , firstEvent_(parts.metrics_.latency("foxtailturn_first_event_seconds",
+                                         "time from the request's head to the first event"))
+{ }
+
+bool Gateway::configure(ServingConfig config)
+{
+    if (config_ && config.revision_ <= config_->revision_)
+        return false;
+    config_ = std::make_shared<const ServingConfig>(std::move(config));
+    shares_.configure(*config_);
+    for (const auto &[name, service] : config_->services_)
+        placements_.try_emplace(name);
+    parts_.log_.write(LogDetail::Full, "configuration_in_force",
+                      {{"revision", config_->revision_},
+                       {"routes", config_->routes_.size()},
+                       {"workspaces", config_->workspaces_.size()}});
+    parts_.metrics_.gauge("foxtailturn_configuration_revision", "revision in force")
+        .set(config_->revision_);
+    return true;
+}
+
+double Gateway::jitter()
+{
+    randomState_ = hash64(
+        std::string_view(reinterpret_cast<const char *>(&randomState_), sizeof(randomState_)));
+    return static_cast<double>(randomState_) / static_cast<double>(UINT64_MAX);
+}
+
+Refusal Gateway::refusal(int status, ErrorCode code, const std::string &requestId,
+                         std::optional<Duration> retryAfter)
+{
+    if (parts_.log_.admits(LogDetail::Full, "refused")) {
+        nlohmann::json fields = {
+            {"request", requestId}, {"status", status}, {"code", errorName(code)}};
+        if (retryAfter)
+            fields["retry_after_us"] = retryAfter->count();
+        parts_.log_.write(LogDetail::Full, "refused", std::move(fields));
+    }
+    return {status, requestId, std::string(errorName(code)), retryAfter};
+}
+
+std::variant<AdmittedRequest, Refusal> Gateway::admit(const MessageHead &head, std::string body,
+                                                      TimePoint receivedAt)
+{
+    const Result<CallerRequest> decoded = parts_.codec_.decodeRequest(head);
+    if (!decoded)
+        return refusal(400, ErrorCode::BadRequest, "", std::nullopt);
+    AdmittedRequest request;
+    request.caller_ = *decoded;
+    const std::string &id = request.caller_.id_;
+    if (!config_)
+        return refusal(503, ErrorCode::StoreUnavailable, id, kNoConfigRetry);
+    request.config_ = config_;
+    const std::string_view target = head.target_;
+    const std::string_view path = target.substr(0, target.find('?'));
+    request.route_ = config_->findRoute(request.caller_.host_, path);
+    if (request.route_ == nullptr)
+        return refusal(404, ErrorCode::RouteNotFound, id, std::nullopt);
+    const Route &route = *request.route_;
+    request.priority_ = route.priority_;
+    const Workspace *workspace = nullptr;
+    if (config_->needsKeys_ && !route.isPublic_) {
+        workspace = config_->findWorkspace(request.caller_.key_);
+        if (workspace == nullptr)
+            return refusal(401, ErrorCode::Unauthenticated, id, std::nullopt);
+        request.workspace_ = workspace->name_;
+        request.priority_ = workspace->priority_.value_or(route.priority_);
+    }
+    request.fingerprint_ = fingerprintOf(request.workspace_, head, body);
+    if (!quarantine_.admit(request.fingerprint_).map([](Standing) { return true; }).value_or(false))
+        return refusal(503, ErrorCode::Quarantined, id, kQuarantineRetry);
+    request.service_ = backendFor(route, hash64(id));
+    if (!config_->services_.contains(request.service_))
+        return refusal(503, ErrorCode::NoTarget, id, kNoConfigRetry);
+    if (workspace != nullptr) {
+        const TokenQuota &quota = workspace->quota_;
+        request.charge_ =
+            quota.countsTokens_ ? request.caller_.tokens_.value_or(quota.plainTokens_) : 1;
+        const Result<void> admitted = shares_.admit(request.workspace_, request.charge_);
+        if (!admitted) {
+            const bool isLimit = admitted.error().code_ == ErrorCode::RateLimited;
+            const TimePoint retryAt = admitted.error().retryAt_.value_or(now() + seconds(1));
+            return refusal(isLimit ? 429 : 503, admitted.error().code_, id,
+                           std::max<Duration>(retryAt - now(), milliseconds(50)));
+        }
+    }
+    budget_.onRequest(request.service_);
+    request.receivedAt_ = receivedAt;
+    request.deadline_ =
+        receivedAt + std::min(route.timeout_, request.caller_.timeLeft_.value_or(route.timeout_));
+    request.head_ = head;
+    request.body_ = std::move(body);
+    if (parts_.log_.admits(LogDetail::Sampled, "admitted"))
+        parts_.log_.write(LogDetail::Sampled, "admitted",
+                          {{"request", id},
+                           {"route", route.name_},
+                           {"route_kind", routeKindName(route.kind_)},
+                           {"service", request.service_},
+                           {"workspace", request.workspace_},
+                           {"charge", request.charge_},
+                           {"revision", config_->revision_}});
+    return request;
+}
+
+PlacementChoice Gateway::choose(const std::string &service, const PlacementRequest &request)
+{
+    PlacementRequest complete = request;
+    complete.dataCentre_ = identity_.dataCentre_;
+    complete.leastVersion_ = leastVersion(adapterName(request.model_, request.adapter_));
+    return placements_[service].choose(book_.ofService(service, now()), complete, now());
+}
+
+std::int64_t Gateway::leastVersion(const std::string &name) const
+{
+    const auto it = versions_.find(name);
+    if (it == versions_.end() || now() < it->second.requiredFrom_)
+        return 0;
+    return it->second.version_;
+}
+
+void Gateway::declareVersion(const AdapterVersion &version)
+{
+    DeclaredVersion &declared = versions_[adapterName(version.model_, version.adapter_)];
+    if (version.version_ <= declared.version_)
+        return;
+    declared = {version.version_, now() + kOldVersionUse};
+    parts_.log_.write(LogDetail::Full, "adapter_version_declared",
+                      {{"adapter", adapterName(version.model_, version.adapter_)},
+                       {"version", version.version_}});
+    tendTargets();
+}
+
+void Gateway::askLoad(Target &target, const std::string &model, const std::string &adapter)
+{
+    const std::string name = adapterName(model, adapter);
+    const auto asked = target.loadsAsked_.find(name);
+    if (asked != target.loadsAsked_.end() && now() - asked->second < kAskAgain)
+        return;
+    target.loadsAsked_[name] = now();
+    const auto declared = versions_.find(name);
+    if (loadRequest_)
+        loadRequest_(target, model, adapter,
+                     declared == versions_.end() ? 0 : declared->second.version_);
+}
+
+void Gateway::onLoadRefused(const std::string &address, const std::string &name)
+{
+    for (Target *target : book_.all()) {
+        if (target->record_.address_ == address && target->loadsAsked_.contains(name))
+            target->loadsAsked_[name] = now() - Placement::kLoadPatience;
+    }
+    retryWaiting();
+}
+
+void Gateway::noteUse(const Target &target, const std::string &name, bool isBegin)
+{
+    if (useNotice_ && !name.empty())
+        useNotice_(target, name, isBegin);
+}
+
+void Gateway::onReport(const std::string &address, const EngineReport &report)
+{
+    Target *target = book_.report(address, report, now());
+    if (target == nullptr)
+        return;
+    std::erase_if(target->loadsAsked_, [&](const auto &asked) {
+        const std::string &name = asked.first;
+        const std::size_t slash = std::min(name.find('/'), name.size());
+        const std::string adapter = name.substr(std::min(slash + 1, name.size()));
+        const std::optional<std::int64_t> version =
+            target->versionOf(name.substr(0, slash), adapter);
+        const auto declared = versions_.find(name);
+        return version && (declared == versions_.end() || *version >= declared->second.version_);
+    });
+    retryWaiting();
+}
+
+void Gateway::tendTargets()
+{
+    if (!config_)
+        return;
+    std::map<std::string, int> copies; // by service and model
+    for (Target *target : book_.all()) {
+        for (const HostedModel &model : target->report_.models_)
+            ++copies[target->record_.service_ + "/" + model.name_];
+    }
+    for (Target *target : book_.all()) {
+        const auto service = config_->services_.find(target->record_.service_);
+        if (service == config_->services_.end() || !service->second.engine_
+            || !target->isAgentLinked_ || !target->hasReport()
+            || target->record_.phase_ != TargetPhase::Ready)
+            continue;
+        const std::vector<std::string> &models = service->second.engine_->models_;
+        if (target->report_.models_.empty() && !models.empty()) {
+            const auto scarcest = std::min_element(
+                models.begin(), models.end(), [&](const std::string &a, const std::string &b) {
+                    return copies[service->first + "/" + a] < copies[service->first + "/" + b];
+                });
+            askLoad(*target, *scarcest, "");
+        }
+        for (const HostedModel &model : target->report_.models_) {
+            for (const auto &[adapter, version] : model.adapters_) {
+                const auto declared = versions_.find(adapterName(model.name_, adapter));
+                if (declared != versions_.end() && version < declared->second.version_)
+                    askLoad(*target, model.name_, adapter);
+            }
+        }
+    }
+}
+
+void Gateway::retryWaiting()
+{
+    const std::set<std::shared_ptr<Relay>> waiting = waiting_;
+    for (const std::shared_ptr<Relay> &relay : waiting)
+        relay->retryPlacement();
+}
+
+void Gateway::noteBreak(const std::string &instance, const std::string &fingerprint)
+{
+    breaks_.push_back({instance, fingerprint, now()});
+    if (breaks_.size() > kMostBreaks)
+        breaks_.pop_front();
+    const TimePoint since = now() - kBreakWindow;
+    const auto together = std::count_if(breaks_.begin(), breaks_.end(), [&](const Break &entry) {
+        return entry.instance_ == instance && entry.at_ >= since;
+    });
+    if (together > 1)
+        markCrash(instance, since);
+}
+
+void Gateway::noteUnreachable(const std::string &instance)
+{
+    markCrash(instance, now() - kBreakMemory);
+}
+
+void Gateway::markCrash(const std::string &instance, TimePoint since)
+{
+    const Target *target = book_.find(instance);
+    const std::string crashId =
+        instance + "@" + std::to_string(target == nullptr ? 0 : target->record_.bornMs_);
+    for (const Break &entry : breaks_) {
+        if (entry.instance_ != instance || entry.at_ < since)
+            continue;
+        const SuspectRecord record = quarantine_.crashed(entry.fingerprint_, crashId);
+        if (record.standing() == Standing::Clear)
+            continue;
+        parts_.log_.write(LogDetail::Full, "suspect",
+                          {{"fingerprint", entry.fingerprint_},
+                           {"target", instance},
+                           {"crashes", record.crashes_.size()}});
+        if (suspectReport_)
+            suspectReport_(record);
+    }
+}
+
+void Gateway::noteCompleted(const std::string &fingerprint)
+{
+    const std::optional<SuspectRecord> record = quarantine_.completed(fingerprint);
+    if (record && suspectReport_)
+        suspectReport_(*record);
+}
+
+void Gateway::countAnswer(const AdmittedRequest *request, int status, std::string_view reason)
+{
+    const std::string kind = request == nullptr ? "none" : routeKindName(request->route_->kind_);
+    parts_.metrics_
+        .counter("foxtailturn_requests_total", "answered requests",
+                 {{"route_kind", kind},
+                  {"status", std::to_string(status)},
+                  {"reason", std::string(reason)}})
+        .add();
+}
+
+nlohmann::json Gateway::state()
+{
+    nlohmann::json targets = nlohmann::json::array();
+    for (Target *target : book_.all()) {
+        targets.push_back({{"instance", target->record_.instance_},
+                           {"service", target->record_.service_},
+                           {"address", target->record_.address_},
+                           {"draining", target->record_.phase_ == TargetPhase::Draining},
+                           {"listed", target->usableUntil_ == TimePoint::max()},
+                           {"suspect", target->isSuspect(now())},
+                           {"agent", target->isAgentLinked_},
+                           {"in_flight", target->inFlight_},
+                           {"running", target->report_.running_},
+                           {"queued", target->report_.queued_}});
+    }
+    nlohmann::json shares = nlohmann::json::object();
+    if (config_) {
+        for (const Workspace &workspace : config_->workspaces_)
+            shares[workspace.name_] = shares_.unitsOf(workspace.name_);
+    }
+    return {{"name", identity_.name_},
+            {"revision", config_ ? config_->revision_ : 0},
+            {"targets", targets},
+            {"quota_units", shares},
+            {"waiting", waiting_.size()},
+            {"connections_opened", pool_.opened()},
+            {"connections_reused", pool_.reused()}};
+}
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/gateway/node_settings.cpp
@@ -0,0 +1,74 @@
+#include "gateway/node_settings.h"
+
+#include <fstream>
+#include <sstream>
+
+#include "base/json.h"
+
+namespace foxtailturn {
+
+namespace {
+
+constexpr int kLastPort = 65'535;
+constexpr std::int64_t kMostGraceSeconds = 3600;
+
+tl::unexpected<Error> invalid(std::string message)
+{
+    return notRun(ErrorCode::InvalidSettings, std::move(message));
+}
+
+} // namespace
+
+Result<NodeSettings> NodeSettings::read(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file)
+        return invalid("cannot read the settings file " + path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parse(text.str(), path);
+}
+
+Result<NodeSettings> NodeSettings::parse(std::string_view text, const std::string &source)
+{
+    const Result<Json> json = parseJson(text, source);
+    if (!json)
+        return invalid(json.error().message_);
+    if (!json->is_object())
+        return invalid(source + ": not an object");
+    JsonObject object(*json, source);
+    NodeSettings settings;
+    settings.name_ = object.string("name");
+    const std::string role = object.string("role");
+    settings.ip_ = object.string("ip");
+    settings.dataCentre_ = object.string("data_centre", "");
+    settings.callerAddress_ = object.string("caller_address", "");
+    settings.readyAddress_ = object.string("ready_address", "");
+    settings.peerPort_ =
+        static_cast<int>(object.integer("peer_port", {.min_ = 1, .max_ = kLastPort}));
+    settings.metricsPort_ =
+        static_cast<int>(object.integer("metrics_port", {.min_ = 0, .max_ = kLastPort}, 0));
+    settings.engineAddress_ = object.string("engine_address", "");
+    settings.storeAddress_ = object.string("store_address", "");
+    settings.stopGrace_ = std::chrono::seconds(
+        object.integer("stop_grace_s", {.min_ = 0, .max_ = kMostGraceSeconds}, 8));
+    constexpr int kAll = 100;
+    settings.retryPercent_ =
+        static_cast<int>(object.integer("retry_percent", {.min_ = 0, .max_ = kAll}, 15));
+    if (role == "entry")
+        settings.role_ = NodeRole::Entry;
+    else if (role == "sidecar")
+        settings.role_ = NodeRole::Sidecar;
+    else
+        object.fail("role", "must be entry or sidecar");
+    if (settings.role_ == NodeRole::Entry
+        && (settings.callerAddress_.empty() || settings.storeAddress_.empty()))
+        object.fail("caller_address", "an entry needs caller_address and store_address");
+    if (settings.role_ == NodeRole::Sidecar && settings.engineAddress_.empty())
+        object.fail("engine_address", "a sidecar needs engine_address");
+    if (object.error())
+        return invalid(object.error()->message_);
+    return settings;
+}
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/gateway/node_settings.h
@@ -0,0 +1,43 @@
+#pragma once
+
+// Settings of a process on an outside platform: JSON with comments, in the product's own words. The
+// platform renders the file from the template in platform/.
+//
+//     Result<NodeSettings> settings = NodeSettings::read("/etc/foxtailturn.json");
+
+#include <string>
+
+#include "base/clock.h"
+#include "base/error.h"
+
+namespace foxtailturn {
+
+enum class NodeRole { Entry, Sidecar };
+
+struct NodeSettings
+{
+    std::string name_; // of the VM
+    NodeRole role_ = NodeRole::Entry;
+    std::string ip_;
+    std::string dataCentre_;
+    std::string callerAddress_; // entries: where callers connect
+    std::string readyAddress_; // entries: readiness, metrics and state
+    int peerPort_ = 0; // sidecars listen here for entries, on every VM
+    int metricsPort_ = 0; // readiness of sidecars, metrics and state; 0 for none
+    std::string engineAddress_; // sidecars: the engine beside them
+    std::string storeAddress_;
+    Duration stopGrace_ = std::chrono::seconds(8); // from SIGTERM to SIGKILL
+    int retryPercent_ = 15; // attempts beyond the first per 100 requests of a service
+
+    // Reads a settings file. Unknown fields are ignored, since a platform may add some. Error:
+    // InvalidSettings, with file and field.
+    [[nodiscard]] static Result<NodeSettings> read(const std::string &path);
+
+    // Parses the text of a file; source names it in errors.
+    [[nodiscard]] static Result<NodeSettings> parse(std::string_view text,
+                                                    const std::string &source);
+
+    bool operator==(const NodeSettings &) const = default;
+};
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/gateway/quota_shares.h
@@ -0,0 +1,167 @@
+#pragma once
+
+// A workspace's rate and burst, divided among the entries by a ledger in the store.
+//
+//     QuotaShares shares("entry-1", clock);
+//     shares.configure(config);
+//     Result<void> admitted = shares.admit("w1", 2'000);       // RateLimited with retryAt_
+//     if (std::optional<StoreWrite> write = shares.plan(rows)) // about once a second
+//         store.write(*write, [&](WriteOutcome outcome) { shares.settle(outcome); });
+//
+// Each workspace has one row with the units of each entry; their sum never exceeds kTotalUnits. An
+// entry lowers its own units before it writes them and raises them only after the store's
+// acknowledgement, so the units in use never exceed those in the row. Units follow demand within
+// two rounds. Spending needs no store: an outage leaves every entry with its last units.
+//
+// Units of an entry that has not written for kReclaimAfter are taken by the others. An entry that
+// could not write for kSpendFor spends nothing, so a frozen or cut off one never adds to them.
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "gateway/codec.h"
+
+namespace foxtailturn {
+
+// Table and part of the rows that entries share.
+constexpr const char *kFleetTable = "foxtailturn";
+constexpr const char *kFleetPart = "fleet";
+
+enum class WriteOutcome {
+    Applied,
+    Conflict, // certainly not applied
+    Unknown, // may be applied now or later, if its condition still holds
+};
+
+// One entry's part of one workspace's quota. Not thread-safe.
+class QuotaShare
+{
+public:
+    // Time in which the demand follows a change to two thirds.
+    static constexpr Duration kDemandWindow = std::chrono::seconds(2);
+
+    explicit QuotaShare(TimePoint now)
+        : refilledAt_(now)
+        , measuredAt_(now)
+    { }
+
+    void setQuota(const TokenQuota &quota, TimePoint now);
+    void setUnits(std::int64_t units, TimePoint now);
+    [[nodiscard]] std::int64_t units() const { return units_; }
+
+    // Takes the charge if the level holds it. A charge above the capacity needs a full level and
+    // leaves a debt: a small share must not refuse a large request for good.
+    [[nodiscard]] bool take(std::int64_t charge, TimePoint now);
+
+    // Gives back a charge whose request certainly did not run.
+    void giveBack(std::int64_t charge, TimePoint now);
+
+    // Returns when take() can succeed; nullopt when the share has no units.
+    [[nodiscard]] std::optional<TimePoint> availableAt(std::int64_t charge, TimePoint now);
+
+    // Counts a charge that was asked for, admitted or not.
+    void count(std::int64_t charge, TimePoint now);
+
+    // Returns the tokens asked for per second of late.
+    [[nodiscard]] double demand(TimePoint now);
+
+private:
+    [[nodiscard]] double rate() const; // tokens per second
+    [[nodiscard]] double capacity() const;
+    void refill(TimePoint now);
+    void decay(TimePoint now);
+
+    TokenQuota quota_;
+    std::int64_t units_ = 0;
+    double level_ = 0; // tokens; negative is a debt
+    TimePoint refilledAt_;
+    double demand_ = 0; // tokens per second
+    TimePoint measuredAt_;
+};
+
+// All workspaces of one entry. Not thread-safe.
+class QuotaShares
+{
+public:
+    static constexpr std::int64_t kTotalUnits = 1'000'000;
+    // Beyond any pause that a VM survives; shorter than the time that an operator needs to notice
+    // refusals after a VM was lost for good.
+    static constexpr Duration kReclaimAfter = std::chrono::seconds(60);
+    static constexpr Duration kSpendFor = std::chrono::seconds(50);
+    static constexpr Duration kWriteEvery = std::chrono::seconds(12); // at least
+
+    // holder names this entry's VM; the clock must outlive this object.
+    QuotaShares(std::string holder, const Clock &clock);
+
+    // Takes the quotas of a configuration.
+    void configure(const ServingConfig &config);
+
+    // Charges a request. Error: RateLimited, with the time of the next attempt.
+    [[nodiscard]] Result<void> admit(const std::string &workspace, std::int64_t charge);
+    void giveBack(const std::string &workspace, std::int64_t charge);
+
+    // Works out the next write from the rows of kFleetTable/kFleetPart; nullopt if none is needed.
+    // Units that shrink are given up at once. Precondition: the last write was settled.
+    [[nodiscard]] std::optional<StoreWrite> plan(const std::vector<StoreRow> &rows);
+
+    // Tells the outcome of the last planned write.
+    void settle(WriteOutcome outcome);
+
+    // Returns whether some share is too small for its demand, so that a round soon pays.
+    [[nodiscard]] bool wantsRound();
+
+    // Returns whether each workspace with a quota has units.
+    [[nodiscard]] bool hasUnits() const;
+
+    [[nodiscard]] std::int64_t unitsOf(const std::string &workspace) const;
+
+private:
+    struct Entry
+    {
+        std::int64_t units_ = 0;
+        std::int64_t demand_ = 0; // tokens per second
+        std::int64_t beat_ = 0; // changes with each write of the entry
+    };
+
+    using Holders = std::map<std::string, Entry>;
+
+    struct Seen
+    {
+        std::int64_t beat_ = 0;
+        TimePoint since_{};
+    };
+
+    struct Ledger
+    {
+        explicit Ledger(TimePoint now)
+            : share_(now)
+        { }
+
+        TokenQuota quota_;
+        QuotaShare share_;
+        TimePoint spendUntil_{}; // by the last acknowledged write
+        TimePoint writeAt_{}; // next write that keeps the units alive
+        std::int64_t unresolvedVersion_ = -1; // row version that an unanswered write expected
+        std::map<std::string, Seen> seen_; // other entries
+        std::int64_t planned_ = -1; // units in the write under way; -1: not in it
+        std::int64_t plannedVersion_ = 0;
+        bool isShort_ = false; // wants more units than it has
+    };
+
+    static Holders decode(const std::string &value);
+    static std::string encode(const Holders &holders);
+    void dropSilent(Ledger &ledger, Holders &holders) const;
+    [[nodiscard]] std::int64_t wantedUnits(Ledger &ledger, const Holders &holders) const;
+    [[nodiscard]] std::optional<Holders> planLedger(Ledger &ledger, Holders holders,
+                                                    std::int64_t version);
+
+    std::string holder_;
+    const Clock &clock_;
+    std::map<std::string, Ledger> ledgers_; // by workspace
+    TimePoint sentAt_{}; // of the write under way
+};
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/gateway/relay.cpp
@@ -0,0 +1,569 @@
+#include "gateway/relay.h"
+
+#include <algorithm>
+
+#include "gateway/gateway.h"
+
+namespace foxtailturn {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A target gets its own deadline; its own answer about that may come this much later.
+constexpr Duration kDeadlineGrace = milliseconds(120);
+constexpr Duration kConnectTime = milliseconds(400); // a SYN or its answer may be lost once
+constexpr Duration kAdapterWait = milliseconds(2500); // from the first placement
+constexpr int kMostSends = 5; // attempts, of which all but maxAttempts_ certainly did not run
+constexpr std::size_t kMostHeld = 262'144; // bytes of an answer that are collected
+constexpr std::size_t kPauseAbove = 262'144; // unsent bytes towards the caller
+// Silence after which a repeatable request is tried elsewhere.
+constexpr Duration kLeastSilence = milliseconds(250);
+constexpr Duration kMostPlainSilence = milliseconds(600);
+constexpr Duration kStreamSilence = milliseconds(1200); // of a stream whose engine is not heard
+constexpr Duration kBusyStreamSilence = milliseconds(3200); // of one whose engine reports its load
+constexpr Duration kFreshReport = milliseconds(800);
+constexpr Duration kShortRetry = milliseconds(250);
+constexpr int kServerError = 500;
+
+} // namespace
+
+Relay::Relay(Gateway &gateway, AdmittedRequest request, AnswerSink &answer)
+    : gateway_(gateway)
+    , request_(std::move(request))
+    , answer_(answer)
+    , timer_(gateway.context())
+{ }
+
+Relay::~Relay()
+{
+    leaveTarget();
+}
+
+PlacementRequest Relay::placementRequest() const
+{
+    PlacementRequest placement;
+    const auto service = request_.config_->services_.find(request_.service_);
+    placement.isEngine_ = service != request_.config_->services_.end()
+        && service->second.engine_.has_value() && !request_.caller_.model_.empty();
+    placement.model_ = request_.caller_.model_;
+    placement.adapter_ = request_.caller_.adapter_;
+    placement.promptTokens_ = request_.caller_.promptTokens_;
+    placement.prefix_ = request_.caller_.prefix_;
+    placement.excluded_ = tried_;
+    return placement;
+}
+
+void Relay::start()
+{
+    place();
+}
+
+void Relay::place()
+{
+    if (isEnded_)
+        return;
+    const TimePoint now = gateway_.now();
+    if (now >= request_.deadline_) {
+        giveUp(ErrorCode::DeadlineExceeded);
+        return;
+    }
+    const PlacementChoice choice = gateway_.choose(request_.service_, placementRequest());
+    if (choice.target_ == nullptr) {
+        giveUp(ErrorCode::NoTarget);
+        return;
+    }
+    if (choice.needsLoad_) {
+        if (waitUntil_ == TimePoint{})
+            waitUntil_ = now + kAdapterWait;
+        if (now >= waitUntil_) {
+            giveUp(ErrorCode::AdapterLoadFailed);
+            return;
+        }
+        gateway_.askLoad(*choice.target_, request_.caller_.model_, request_.caller_.adapter_);
+        if (!isWaiting_) {
+            isWaiting_ = true;
+            gateway_.addWaiting(shared_from_this());
+        }
+        armTimer();
+        return;
+    }
+    if (isWaiting_) {
+        isWaiting_ = false;
+        gateway_.removeWaiting(shared_from_this());
+    }
+    if (runs_ == 0 && now + choice.expected_ >= request_.deadline_) {
+        giveUp(ErrorCode::Overloaded);
+        return;
+    }
+    if (gateway_.log().admits(LogDetail::Sampled, "sent")) {
+        nlohmann::json passed = nlohmann::json::object();
+        for (const PlacementCandidate &candidate : choice.candidates_) {
+            if (!candidate.reason_.empty())
+                passed[candidate.instance_] = candidate.reason_;
+        }
+        gateway_.log().write(
+            LogDetail::Sampled, "sent",
+            {{"request", request_.caller_.id_},
+             {"target", choice.target_->record_.instance_},
+             {"attempt", sends_ + 1},
+             {"expected_us", choice.expected_.count()},
+             {"considered", choice.candidates_.size()},
+             {"running", choice.target_->report_.running_},
+             {"queued", choice.target_->report_.queued_},
+             {"report_age_us",
+              choice.target_->hasReport() ? (now - choice.target_->reportedAt_).count() : -1},
+             {"passed_over", std::move(passed)}});
+    }
+    send(*choice.target_);
+}
+
+void Relay::send(Target &target)
+{
+    const TimePoint now = gateway_.now();
+    const PlacementRequest placement = placementRequest();
+    instance_ = target.record_.instance_;
+    tried_.push_back(instance_);
+    ++sends_;
+    sentAt_ = now;
+    progressAt_ = now;
+    hasFirstEvent_ = false;
+    use_ = ReplyUse::None;
+    held_.clear();
+    splitter_.clear();
+    wasAlone_ = target.pendingCount_ == 0 && target.report_.prefilling_ == 0;
+    uncachedTokens_ = request_.caller_.promptTokens_
+        - gateway_.placement(request_.service_).keptTokens(instance_, placement);
+    ++target.inFlight_;
+    ++target.pendingCount_;
+    target.pendingPrompt_ += uncachedTokens_;
+    if (!request_.caller_.adapter_.empty())
+        gateway_.noteUse(target, adapterName(request_.caller_.model_, request_.caller_.adapter_),
+                         true);
+    TargetCall call;
+    call.timeLeft_ = request_.deadline_ - now;
+    call.instance_ = instance_;
+    call.workspace_ = request_.workspace_;
+    if (!lastEventId_.empty())
+        call.lastEventId_ = lastEventId_;
+    call.priority_ = std::min(request_.priority_, 9);
+    std::string text = gateway_.codec().targetHead(request_.head_, call, request_.body_.size());
+    text += request_.body_;
+    const TimePoint connectDeadline = std::min(now + kConnectTime, request_.deadline_);
+    // A retry goes to a new connection: the old ones may have gone silent together.
+    connection_ = sends_ > 1 ? gateway_.pool().open(target.record_.address_, connectDeadline)
+                             : gateway_.pool().acquire(target.record_.address_, connectDeadline);
+    armTimer();
+    connection_->exchange(std::move(text), request_.caller_.id_, request_.head_.method_ == "HEAD",
+                          *this);
+}
+
+void Relay::leaveTarget()
+{
+    if (instance_.empty())
+        return;
+    Target *target = gateway_.book().find(instance_);
+    if (target != nullptr) {
+        --target->inFlight_;
+        if (!hasFirstEvent_) {
+            --target->pendingCount_;
+            target->pendingPrompt_ -= uncachedTokens_;
+        }
+        if (!request_.caller_.adapter_.empty())
+            gateway_.noteUse(
+                *target, adapterName(request_.caller_.model_, request_.caller_.adapter_), false);
+    }
+    instance_.clear();
+    if (connection_) {
+        connection_->abandon();
+        connection_.reset();
+    }
+}
+
+Duration Relay::silenceLimit() const
+{
+    const Route &route = *request_.route_;
+    if (!route.isRepeatable())
+        return Duration::max();
+    if (route.kind_ == RouteKind::Idempotent)
+        return std::clamp<Duration>(route.objective_ * 2, kLeastSilence, kMostPlainSilence);
+    const Target *target = gateway_.book().find(instance_);
+    const bool isHeard = target != nullptr && gateway_.now() - target->reportedAt_ < kFreshReport;
+    return isHeard ? kBusyStreamSilence : kStreamSilence;
+}
+
+void Relay::armTimer()
+{
+    TimePoint at = request_.deadline_ + kDeadlineGrace;
+    if (isWaiting_)
+        at = std::min(at, waitUntil_);
+    const Duration silence = silenceLimit();
+    if (connection_ && silence != Duration::max())
+        at = std::min(at, progressAt_ + silence);
+    timer_.expires_after(std::max(at - gateway_.now(), Duration::zero()));
+    timer_.async_wait([weak = weak_from_this()](const asio::error_code &why) {
+        const std::shared_ptr<Relay> self = weak.lock();
+        if (!why && self && !self->isEnded_)
+            self->onTimer();
+    });
+}
+
+void Relay::onTimer()
+{
+    const TimePoint now = gateway_.now();
+    if (now >= request_.deadline_ + kDeadlineGrace) {
+        if (connection_ && runs_ == 0)
+            ++runs_; // it may be running
+        leaveTarget();
+        giveUp(ErrorCode::DeadlineExceeded);
+        return;
+    }
+    if (isWaiting_) {
+        place();
+        if (!isEnded_ && isWaiting_)
+            armTimer();
+        return;
+    }
+    const Duration silence = silenceLimit();
+    if (connection_ && silence != Duration::max() && now >= progressAt_ + silence) {
+        const bool isLastAttempt = runs_ + 1 >= request_.route_->maxAttempts_;
+        if (!isLastAttempt && gateway_.tryRetry(request_.service_)) {
+            if (Target *target = gateway_.book().find(instance_))
+                gateway_.book().failed(*target, now);
+            // Connections go silent together when something on the way has lost track of them.
+            gateway_.pool().dropAll();
+            ++runs_;
+            leaveTarget();
+            again("silent target");
+            return;
+        }
+        progressAt_ = now; // nothing better to do than to wait on
+    }
+    armTimer();
+}
+
+void Relay::cancel()
+{
+    if (isEnded_)
+        return;
+    isEnded_ = true;
+    timer_.cancel();
+    if (isWaiting_)
+        gateway_.removeWaiting(shared_from_this());
+    if (sends_ == 0)
+        gateway_.shares().giveBack(request_.workspace_, request_.charge_);
+    leaveTarget();
+    gateway_.countAnswer(&request_, 0, "caller_left");
+    if (gateway_.log().admits(LogDetail::Full, "broken_off"))
+        gateway_.log().write(LogDetail::Full, "broken_off",
+                             {{"request", request_.caller_.id_},
+                              {"by", "caller"},
+                              {"sends", sends_},
+                              {"events", events_}});
+}
+
+void Relay::retryPlacement()
+{
+    if (isWaiting())
+        place();
+}
+
+void Relay::onAnswerDrained()
+{
+    if (connection_)
+        connection_->resume();
+}
+
+void Relay::again(std::string_view why)
+{
+    gateway_.log().write(LogDetail::Full, lastEventId_.empty() ? "resent" : "resumed",
+                         {{"request", request_.caller_.id_},
+                          {"why", why},
+                          {"sends", sends_},
+                          {"runs", runs_},
+                          {"last_event", lastEventId_}});
+    place();
+}
+
+bool Relay::mayRepeat(std::string_view why)
+{
+    const bool isAllowed = request_.route_->isRepeatable() && runs_ < request_.route_->maxAttempts_
+        && sends_ < kMostSends && gateway_.now() < request_.deadline_;
+    if (!isAllowed)
+        return false;
+    if (gateway_.tryRetry(request_.service_))
+        return true;
+    gateway_.log().write(LogDetail::Full, "retry_budget_exhausted",
+                         {{"request", request_.caller_.id_}, {"why", why}});
+    return false;
+}
+
+void Relay::refuse(int status, ErrorCode code, std::optional<Duration> retryAfter)
+{
+    if (isEnded_)
+        return;
+    isEnded_ = true;
+    timer_.cancel();
+    if (isWaiting_)
+        gateway_.removeWaiting(shared_from_this());
+    leaveTarget();
+    if (runs_ == 0)
+        gateway_.shares().giveBack(request_.workspace_, request_.charge_);
+    gateway_.countAnswer(&request_, status, errorName(code));
+    nlohmann::json fields = {{"request", request_.caller_.id_},
+                             {"status", status},
+                             {"code", errorName(code)},
+                             {"sends", sends_},
+                             {"runs", runs_},
+                             {"events", events_},
+                             {"elapsed_us", (gateway_.now() - request_.receivedAt_).count()}};
+    if (retryAfter)
+        fields["retry_after_us"] = retryAfter->count();
+    gateway_.log().write(LogDetail::Full, isForwarding_ ? "broken_off" : "refused",
+                         std::move(fields));
+    if (isForwarding_) {
+        answer_.breakAnswer();
+        return;
+    }
+    Refusal refusal{status, request_.caller_.id_, std::string(errorName(code)), retryAfter,
+                    answer_.closesAfterAnswer()};
+    answer_.sendAnswer(gateway_.codec().refusal(refusal));
+    answer_.endAnswer();
+}
+
+void Relay::giveUp(ErrorCode code)
+{
+    const bool isLate = code == ErrorCode::DeadlineExceeded;
+    if (runs_ > 0) {
+        refuse(isLate ? 504 : 502, isLate ? code : ErrorCode::TargetFailed, std::nullopt);
+        return;
+    }
+    const Duration spread = std::chrono::duration_cast<Duration>(kShortRetry * gateway_.jitter());
+    refuse(503, code, kShortRetry + spread);
+}
+
+void Relay::end()
+{
+    isEnded_ = true;
+    timer_.cancel();
+    gateway_.countAnswer(&request_, replyHead_.status_, "target");
+    if (gateway_.log().admits(LogDetail::Sampled, "answered"))
+        gateway_.log().write(
+            LogDetail::Sampled, "answered",
+            {{"request", request_.caller_.id_},
+             {"status", replyHead_.status_},
+             {"target", tried_.empty() ? "" : tried_.back()},
+             {"sends", sends_},
+             {"events", events_},
+             {"first_us", events_ > 0 ? (firstEventAt_ - request_.receivedAt_).count() : -1},
+             {"elapsed_us", (gateway_.now() - request_.receivedAt_).count()}});
+    answer_.endAnswer();
+}
+
+void Relay::onReplyHead(const MessageHead &head, const TargetReply &reply)
+{
+    progressAt_ = gateway_.now();
+    reply_ = reply;
+    if (reply.isNotRun_) {
+        use_ = ReplyUse::Drop;
+        return;
+    }
+    const bool isSuccess = head.status_ >= 200 && head.status_ < 300;
+    const bool isGenuine =
+        reply.isSigned_ && (!isSuccess || head.find("Content-Encoding") == nullptr);
+    if (!isGenuine) {
+        // Not the target's own answer, whatever it says: the request may have run.
+        onExchangeFailure(Error{ErrorCode::TargetFailed, Execution::OutcomeUnknown,
+                                "the answer is not signed by the target"});
+        return;
+    }
+    isStreamReply_ = isSuccess && request_.route_->kind_ == RouteKind::Stream;
+    if (isForwarding_ && !isStreamReply_) {
+        onExchangeFailure(Error{ErrorCode::TargetFailed, Execution::OutcomeUnknown,
+                                "the target did not go on with the stream"});
+        return;
+    }
+    const bool isFailure = head.status_ >= kServerError && !isForwarding_;
+    if (isFailure && runs_ + 1 < request_.route_->maxAttempts_ && request_.route_->isRepeatable()
+        && gateway_.tryRetry(request_.service_)) {
+        use_ = ReplyUse::Drop;
+        return;
+    }
+    if (isForwarding_) {
+        use_ = ReplyUse::Forward;
+        return;
+    }
+    replyHead_ = head;
+    use_ = isStreamReply_ ? ReplyUse::Forward : ReplyUse::Hold;
+    if (use_ == ReplyUse::Forward)
+        beginForwarding(head, std::nullopt);
+}
+
+void Relay::beginForwarding(const MessageHead &head, std::optional<std::size_t> length)
+{
+    MessageHead out;
+    out.status_ = head.status_;
+    out.fields_ = forwardableFields(head);
+    if (answer_.closesAfterAnswer())
+        out.add("Connection", "close");
+    isChunked_ = !length.has_value();
+    if (isChunked_)
+        out.add("Transfer-Encoding", "chunked");
+    else
+        out.add("Content-Length", std::to_string(*length));
+    isForwarding_ = true;
+    answer_.sendAnswer(responseText(out));
+}
+
+void Relay::firstEvent()
+{
+    if (hasFirstEvent_)
+        return;
+    hasFirstEvent_ = true;
+    Target *target = gateway_.book().find(instance_);
+    if (target != nullptr) {
+        --target->pendingCount_;
+        target->pendingPrompt_ -= uncachedTokens_;
+        gateway_.book().succeeded(*target);
+    }
+    Placement &placement = gateway_.placement(request_.service_);
+    const TimePoint now = gateway_.now();
+    if (wasAlone_ && isStreamReply_)
+        placement.observePrefill(uncachedTokens_, now - sentAt_);
+    if (!request_.caller_.prefix_.empty())
+        placement.remember(instance_, placementRequest(), now);
+}
+
+void Relay::onReplyBody(std::string_view data)
+{
+    progressAt_ = gateway_.now();
+    switch (use_) {
+    case ReplyUse::None:
+    case ReplyUse::Drop:
+        return;
+    case ReplyUse::Hold:
+        firstEvent();
+        held_ += data;
+        if (held_.size() > kMostHeld) {
+            beginForwarding(replyHead_, std::nullopt);
+            use_ = ReplyUse::Forward;
+            forward(held_);
+            held_.clear();
+        }
+        return;
+    case ReplyUse::Forward:
+        firstEvent();
+        if (isStreamReply_)
+            forwardEvents(data);
+        else
+            forward(data);
+        return;
+    }
+}
+
+void Relay::forwardEvents(std::string_view data)
+{
+    std::string text;
+    for (const StreamEvent &event : splitter_.feed(data)) {
+        const std::optional<std::int64_t> number = eventNumber(event.id_);
+        const std::optional<std::int64_t> last = eventNumber(lastEventId_);
+        if (number && last && *number <= *last)
+            continue; // the caller has it already
+        if (!event.id_.empty())
+            lastEventId_ = event.id_;
+        if (events_ == 0) {
+            firstEventAt_ = gateway_.now();
+            gateway_.countFirstEvent(firstEventAt_ - request_.receivedAt_);
+        }
+        ++events_;
+        text += event.text_;
+    }
+    forward(text);
+}
+
+void Relay::forward(std::string_view data)
+{
+    if (data.empty())
+        return;
+    answer_.sendAnswer(isChunked_ ? chunkText(data) : std::string(data));
+    if (answer_.unsentBytes() > kPauseAbove && connection_)
+        connection_->pause();
+}
+
+void Relay::onReplyEnd()
+{
+    const std::shared_ptr<Relay> self = shared_from_this();
+    connection_.reset(); // it is idle or closed now
+    if (use_ == ReplyUse::Drop && reply_.isNotRun_) {
+        const bool isOther = reply_.isOtherInstance_;
+        if (Target *target = gateway_.book().find(instance_); target != nullptr && isOther)
+            target->loadsAsked_.erase(
+                adapterName(request_.caller_.model_, request_.caller_.adapter_));
+        leaveTarget();
+        if (sends_ < kMostSends && gateway_.now() < request_.deadline_
+            && gateway_.tryRetry(request_.service_))
+            again(isOther ? "another instance or version" : "the target did not run it");
+        else
+            giveUp(isOther ? ErrorCode::WrongAdapter : ErrorCode::Overloaded);
+        return;
+    }
+    ++runs_;
+    if (use_ == ReplyUse::Drop) {
+        leaveTarget();
+        again("server error");
+        return;
+    }
+    firstEvent();
+    leaveTarget();
+    gateway_.noteCompleted(request_.fingerprint_);
+    if (use_ == ReplyUse::Hold) {
+        beginForwarding(replyHead_, held_.size());
+        forward(held_);
+    } else {
+        forward(splitter_.rest());
+        if (isChunked_)
+            answer_.sendAnswer(std::string(kLastChunk));
+    }
+    end();
+}
+
+void Relay::onExchangeFailure(const Error &error)
+{
+    const std::shared_ptr<Relay> self = shared_from_this();
+    if (isEnded_)
+        return;
+    failAttempt(error);
+}
+
+void Relay::failAttempt(const Error &error)
+{
+    const std::string instance = instance_;
+    const bool wasSent = error.execution_ == Execution::OutcomeUnknown;
+    if (Target *target = gateway_.book().find(instance))
+        gateway_.book().failed(*target, gateway_.now());
+    leaveTarget();
+    gateway_.log().write(LogDetail::Full, "attempt_failed",
+                         {{"request", request_.caller_.id_},
+                          {"target", instance},
+                          {"code", errorName(error.code_)},
+                          {"execution", executionName(error.execution_)},
+                          {"what", error.message_},
+                          {"events", events_}});
+    if (!wasSent) {
+        gateway_.noteUnreachable(instance);
+        if (sends_ < kMostSends)
+            again("connect failed");
+        else
+            giveUp(ErrorCode::NoTarget);
+        return;
+    }
+    ++runs_;
+    if (error.code_ == ErrorCode::ConnectionLost)
+        gateway_.noteBreak(instance, request_.fingerprint_);
+    if (mayRepeat(error.message_))
+        again("connection broke");
+    else
+        giveUp(ErrorCode::TargetFailed);
+}
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/gateway/serving_config.h
@@ -0,0 +1,141 @@
+#pragma once
+
+// What an entry serves, as immutable values: routes, services, workspaces and their limits.
+//
+//     ServingConfig config = ...;                      // decoded by the platform's codec
+//     const Route *route = config.findRoute("a.example", "/reports/17");
+//     const Workspace *workspace = config.findWorkspace(key);
+//
+// A new revision is a new value; requests under way keep the one they began with.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace foxtailturn {
+
+enum class RouteKind {
+    Idempotent, // may run more than once
+    NonIdempotent, // runs at most once
+    Stream, // events; at most once unless the route is resumable
+};
+
+// One of the services that share a route's requests.
+struct RouteBackend
+{
+    std::string service_;
+    int weight_ = 1;
+
+    bool operator==(const RouteBackend &) const = default;
+};
+
+struct Route
+{
+    std::string name_;
+    std::string host_;
+    std::string prefix_; // begins and ends with a slash
+    RouteKind kind_ = RouteKind::NonIdempotent;
+    Duration timeout_{}; // longest time that a request may be kept waiting
+    Duration objective_{}; // time to the answer or first event that earns full credit
+    Duration pauseObjective_{}; // longest pause between events that is still on time; 0 if unset
+    int priority_ = 5; // 0 is the most urgent
+    int maxAttempts_ = 1; // targets that may run one request
+    bool isPublic_ = false; // needs no key
+    bool isResumable_ = false; // a stream may go on at another target
+    std::vector<RouteBackend> backends_;
+
+    // Returns whether a request may run again after an attempt with an unknown outcome.
+    [[nodiscard]] bool isRepeatable() const
+    {
+        return kind_ == RouteKind::Idempotent || (kind_ == RouteKind::Stream && isResumable_);
+    }
+
+    bool operator==(const Route &) const = default;
+};
+
+// What the model engines of a service have in common.
+struct EngineProfile
+{
+    int slots_ = 1; // requests in one batch
+    int adapterSlots_ = 0;
+    std::int64_t kvCapacity_ = 0; // tokens
+    std::vector<std::string> models_;
+
+    bool operator==(const EngineProfile &) const = default;
+};
+
+struct Service
+{
+    std::string name_;
+    std::string healthPath_;
+    int maxConnections_ = 0; // per target, from all callers; 0 is unlimited
+    std::optional<EngineProfile> engine_; // absent for plain services
+
+    bool operator==(const Service &) const = default;
+};
+
+// Rate and burst of a workspace over the whole fleet; a rate of 0 is no limit.
+struct TokenQuota
+{
+    std::int64_t rate_ = 0; // tokens, or requests, per second
+    std::int64_t burst_ = 0;
+    bool countsTokens_ = false;
+    std::int64_t plainTokens_ = 1; // charge of a request that names no tokens
+
+    bool operator==(const TokenQuota &) const = default;
+};
+
+struct Workspace
+{
+    std::string name_;
+    std::optional<int> priority_; // goes before the route's
+    TokenQuota quota_;
+
+    bool operator==(const Workspace &) const = default;
+};
+
+// Bounds on what a caller may send and how long it may take.
+struct CallerLimits
+{
+    std::size_t maxHeaderBytes_ = 16'384;
+    std::size_t maxBodyBytes_ = 4'194'304;
+    Duration headerTimeout_ = std::chrono::seconds(3);
+    Duration idleTimeout_ = std::chrono::seconds(15);
+
+    bool operator==(const CallerLimits &) const = default;
+};
+
+struct ServingConfig
+{
+    std::int64_t revision_ = 0;
+    std::vector<Route> routes_;
+    std::map<std::string, Service> services_;
+    std::vector<Workspace> workspaces_;
+    std::map<std::string, std::size_t, std::less<>> workspaceByKey_; // index into workspaces_
+    bool needsKeys_ = false; // whether routes that are not public need a key
+    CallerLimits limits_;
+    std::map<std::string, std::vector<std::size_t>, std::less<>> routesByHost_; // longest first
+
+    // Fills routesByHost_ from routes_. Call once, after decoding.
+    void indexRoutes();
+
+    // Returns the route with the longest prefix that begins the path; null if none does. Safe from
+    // several threads.
+    [[nodiscard]] const Route *findRoute(std::string_view host, std::string_view path) const;
+
+    // Returns the workspace that holds the key; null if none does. Safe from several threads.
+    [[nodiscard]] const Workspace *findWorkspace(std::string_view key) const;
+
+    bool operator==(const ServingConfig &) const = default;
+};
+
+// Returns the service that a request of this route goes to. point selects among split backends: the
+// same point always gives the same one. Precondition: the route has backends. Thread-safe.
+[[nodiscard]] const std::string &backendFor(const Route &route, std::uint64_t point);
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/gateway/store_client.cpp
@@ -0,0 +1,249 @@
+#include "gateway/store_client.h"
+
+#include <algorithm>
+
+namespace foxtailturn {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kConnectTime = milliseconds(400);
+constexpr Duration kReadTime = milliseconds(1200); // an answer takes some milliseconds when calm
+constexpr Duration kFollowSlack = milliseconds(500); // beyond the time that the store may wait
+constexpr Duration kFirstPause = milliseconds(100); // after a failure; doubles
+constexpr Duration kLongestPause = milliseconds(600); // an outage's end is noticed this late
+constexpr int kMostDoublings = 3;
+constexpr int kOk = 200;
+constexpr int kHistoryGone = 410;
+
+} // namespace
+
+// One call with its timer; keeps itself alive until its handler has run.
+class StoreClient::Call final : public std::enable_shared_from_this<Call>, ExchangeSink
+{
+public:
+    Call(StoreClient &client, Handler handler)
+        : client_(client)
+        , handler_(std::move(handler))
+        , timer_(client.context_)
+        , startedAt_(client.now())
+    { }
+
+    void start(const HttpCall &call, Duration timeout)
+    {
+        self_ = shared_from_this();
+        method_ = call.method_;
+        connection_ = client_.pool_.acquire(client_.address_, client_.now() + kConnectTime);
+        timer_.expires_after(timeout);
+        timer_.async_wait([weak = weak_from_this()](const asio::error_code &why) {
+            const auto self = weak.lock();
+            if (why || !self)
+                return;
+            // Other connections to the store may have gone silent at the same time.
+            self->client_.pool_.drop(self->client_.address_);
+            self->finish();
+        });
+        connection_->exchange(client_.codec_.callHead(call, client_.address_) + call.body_, "",
+                              false, *this);
+    }
+
+private:
+    void onReplyHead(const MessageHead &head, const TargetReply &) override
+    {
+        status_ = head.status_;
+    }
+
+    void onReplyBody(std::string_view data) override { body_ += data; }
+
+    void onReplyEnd() override
+    {
+        connection_.reset();
+        isWhole_ = true;
+        finish();
+    }
+
+    void onExchangeFailure(const Error &) override { finish(); }
+
+    void finish()
+    {
+        const std::shared_ptr<Call> self = std::move(self_);
+        self_ = nullptr;
+        if (!self)
+            return;
+        timer_.cancel();
+        if (connection_)
+            connection_->abandon();
+        connection_.reset();
+        StoreAnswer answer;
+        if (isWhole_)
+            answer = {status_, std::move(body_)};
+        client_.metrics_
+            .counter("foxtailturn_store_calls_total", "calls to the store",
+                     {{"method", method_}, {"status", std::to_string(answer.status_)}})
+            .add();
+        client_.metrics_.latency("foxtailturn_store_call_seconds", "time of a store call")
+            .record(client_.now() - startedAt_);
+        handler_(answer);
+    }
+
+    StoreClient &client_;
+    Handler handler_;
+    asio::steady_timer timer_;
+    TimePoint startedAt_;
+    std::string method_;
+    std::shared_ptr<TargetConnection> connection_;
+    std::shared_ptr<Call> self_;
+    int status_ = 0;
+    std::string body_;
+    bool isWhole_ = false;
+};
+
+StoreClient::StoreClient(asio::io_context &context, const PlatformCodec &codec, const Clock &clock,
+                         MetricRegistry &metrics, std::string address)
+    : context_(context)
+    , codec_(codec)
+    , clock_(clock)
+    , metrics_(metrics)
+    , pool_(context, codec, clock)
+    , address_(std::move(address))
+{ }
+
+void StoreClient::call(const HttpCall &call, Duration timeout, Handler handler)
+{
+    std::make_shared<Call>(*this, std::move(handler))->start(call, timeout);
+}
+
+TableWatch::TableWatch(StoreClient &store, EventLog &log, TableWatchSettings settings,
+                       Handler handler)
+    : store_(store)
+    , log_(log)
+    , settings_(std::move(settings))
+    , handler_(std::move(handler))
+    , timer_(store.context())
+{ }
+
+void TableWatch::start()
+{
+    pages_.clear();
+    pageVersion_ = 0;
+    read("");
+}
+
+void TableWatch::stop()
+{
+    isStopped_ = true;
+    timer_.cancel();
+    alive_.reset();
+}
+
+void TableWatch::read(const std::string &from)
+{
+    store_.call(store_.codec().readCall(settings_.table_, "", from), kReadTime,
+                [this, weak = std::weak_ptr<int>(alive_)](const StoreAnswer &answer) {
+                    if (!weak.expired())
+                        onRead(answer);
+                });
+}
+
+void TableWatch::onRead(const StoreAnswer &answer)
+{
+    Result<StoreRows> rows = store_.codec().decodeRows(answer.body_);
+    if (answer.status_ != kOk || !rows) {
+        failed(answer);
+        return;
+    }
+    // All pages must show one moment. A store that is behind what was seen before would take the
+    // table back.
+    const bool isOtherMoment = !pages_.empty() && rows->version_ != pageVersion_;
+    if (rows->version_ < version_ || isOtherMoment) {
+        failed(answer);
+        return;
+    }
+    pageVersion_ = rows->version_;
+    pages_.insert(pages_.end(), std::make_move_iterator(rows->rows_.begin()),
+                  std::make_move_iterator(rows->rows_.end()));
+    if (rows->isTruncated_ && !rows->rows_.empty()) {
+        read(pages_.back().key_ + '\0');
+        return;
+    }
+    version_ = rows->version_;
+    if (failures_ > 0 || !isLoaded_)
+        log_.write(LogDetail::Full, "store_regained",
+                   {{"table", settings_.table_}, {"version", version_}, {"rows", pages_.size()}});
+    failures_ = 0;
+    isLoaded_ = true;
+    freshAt_ = store_.now();
+    const std::vector<StoreRow> all = std::move(pages_);
+    pages_.clear();
+    handler_(all, true);
+    pause(settings_.pause_, [this] { follow(); });
+}
+
+void TableWatch::follow()
+{
+    store_.call(store_.codec().followCall(settings_.table_, version_, settings_.wait_),
+                settings_.wait_ + kFollowSlack,
+                [this, weak = std::weak_ptr<int>(alive_)](const StoreAnswer &answer) {
+                    if (!weak.expired())
+                        onFollow(answer);
+                });
+}
+
+void TableWatch::onFollow(const StoreAnswer &answer)
+{
+    if (answer.status_ == kHistoryGone) {
+        log_.write(LogDetail::Full, "store_history_gone",
+                   {{"table", settings_.table_}, {"after", version_}});
+        start();
+        return;
+    }
+    const Result<StoreRows> rows = store_.codec().decodeRows(answer.body_);
+    if (answer.status_ != kOk || !rows) {
+        failed(answer);
+        return;
+    }
+    if (failures_ > 0)
+        log_.write(LogDetail::Full, "store_regained", {{"table", settings_.table_}});
+    failures_ = 0;
+    freshAt_ = store_.now();
+    std::vector<StoreRow> changed;
+    for (const StoreRow &row : rows->rows_) {
+        if (row.version_ > version_)
+            changed.push_back(row);
+    }
+    version_ = std::max(version_, rows->version_);
+    if (!changed.empty())
+        handler_(changed, false);
+    pause(settings_.pause_, [this] { follow(); });
+}
+
+void TableWatch::failed(const StoreAnswer &answer)
+{
+    ++failures_;
+    if (failures_ == 1)
+        log_.write(LogDetail::Full, "store_lost",
+                   {{"table", settings_.table_}, {"status", answer.status_}});
+    pages_.clear();
+    const Duration wait =
+        std::min(kFirstPause * (1 << std::min(failures_, kMostDoublings)), kLongestPause);
+    pause(wait, [this] {
+        if (isLoaded_ && pageVersion_ <= version_ && pageVersion_ != 0)
+            follow();
+        else
+            start();
+    });
+}
+
+void TableWatch::pause(Duration duration, std::function<void()> next)
+{
+    if (isStopped_)
+        return;
+    timer_.expires_after(duration);
+    timer_.async_wait([next = std::move(next)](const asio::error_code &why) {
+        if (!why)
+            next();
+    });
+}
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/gateway/target_book.cpp
@@ -0,0 +1,161 @@
+#include "gateway/target_book.h"
+
+#include <algorithm>
+
+namespace foxtailturn {
+
+namespace {
+
+// First suspicion; about twice the time in which a live target answers a new connection.
+constexpr Duration kFirstSuspicion = std::chrono::milliseconds(250);
+// A crashed engine is back after a few seconds; probing it less often would waste it.
+constexpr Duration kLongestSuspicion = std::chrono::seconds(2);
+constexpr int kMostDoublings = 3;
+constexpr Duration kForgetAfter = std::chrono::seconds(30); // unlisted targets
+
+} // namespace
+
+std::string adapterName(const std::string &model, const std::string &adapter)
+{
+    return adapter.empty() ? model : model + "/" + adapter;
+}
+
+std::optional<std::int64_t> Target::versionOf(const std::string &model,
+                                              const std::string &adapter) const
+{
+    const std::vector<HostedModel> &models = hasReport() ? report_.models_ : record_.models_;
+    for (const HostedModel &hosted : models) {
+        if (hosted.name_ != model)
+            continue;
+        if (adapter.empty())
+            return 0;
+        const auto it = hosted.adapters_.find(adapter);
+        if (it != hosted.adapters_.end() && !isLoading(adapterName(model, adapter)))
+            return it->second;
+    }
+    return std::nullopt;
+}
+
+bool Target::hostsModel(const std::string &model) const
+{
+    return versionOf(model, "").has_value();
+}
+
+bool Target::isLoading(const std::string &name) const
+{
+    return std::find(report_.loading_.begin(), report_.loading_.end(), name)
+        != report_.loading_.end();
+}
+
+bool TargetBook::list(const TargetRecord &record, TimePoint now)
+{
+    std::unique_ptr<Target> &slot = targets_[record.instance_];
+    const bool isRestarted = slot && slot->record_.bornMs_ != record.bornMs_;
+    if (!slot)
+        slot = std::make_unique<Target>();
+    if (isRestarted) {
+        // The same id with another start: what was known of the old incarnation is void. Own
+        // requests there are still counted until they end.
+        slot->report_ = EngineReport();
+        slot->reportedAt_ = TimePoint{};
+        slot->loadsAsked_.clear();
+        slot->failuresInRow_ = 0;
+        slot->suspectUntil_ = now;
+    }
+    const TargetRecord &old = slot->record_;
+    const bool isChanged = isRestarted || old.phase_ != record.phase_
+        || old.address_ != record.address_ || old.service_ != record.service_
+        || slot->usableUntil_ != TimePoint::max();
+    slot->record_ = record;
+    slot->usableUntil_ = TimePoint::max();
+    return isChanged;
+}
+
+void TargetBook::unlist(const std::string &instance, TimePoint now)
+{
+    const auto it = targets_.find(instance);
+    if (it == targets_.end() || it->second->usableUntil_ != TimePoint::max())
+        return;
+    const bool wasDraining = it->second->record_.phase_ == TargetPhase::Draining;
+    it->second->usableUntil_ = wasDraining ? now : now + kUnlistedUse;
+}
+
+void TargetBook::keepOnly(const std::vector<std::string> &instances, TimePoint now)
+{
+    for (const auto &[instance, target] : targets_) {
+        if (std::find(instances.begin(), instances.end(), instance) == instances.end())
+            unlist(instance, now);
+    }
+}
+
+Target *TargetBook::report(const std::string &address, const EngineReport &report, TimePoint now)
+{
+    for (const auto &[instance, target] : targets_) {
+        if (target->record_.address_ != address || target->record_.bornMs_ != report.bornMs_)
+            continue;
+        target->report_ = report;
+        target->reportedAt_ = now;
+        return target.get();
+    }
+    return nullptr;
+}
+
+void TargetBook::setAgentLinked(const std::string &address, bool isLinked)
+{
+    for (const auto &[instance, target] : targets_) {
+        if (target->record_.address_ != address)
+            continue;
+        target->isAgentLinked_ = isLinked;
+        if (!isLinked)
+            target->loadsAsked_.clear();
+    }
+}
+
+void TargetBook::succeeded(Target &target)
+{
+    target.failuresInRow_ = 0;
+    target.suspectUntil_ = TimePoint{};
+}
+
+void TargetBook::failed(Target &target, TimePoint now)
+{
+    const int doublings = std::min(target.failuresInRow_, kMostDoublings);
+    ++target.failuresInRow_;
+    target.suspectUntil_ = now + std::min(kFirstSuspicion * (1 << doublings), kLongestSuspicion);
+}
+
+std::vector<Target *> TargetBook::ofService(const std::string &service, TimePoint now)
+{
+    std::vector<Target *> list;
+    for (const auto &[instance, target] : targets_) {
+        if (target->record_.service_ == service && target->record_.phase_ == TargetPhase::Ready
+            && !target->report_.isDraining_ && now < target->usableUntil_)
+            list.push_back(target.get());
+    }
+    return list;
+}
+
+Target *TargetBook::find(const std::string &instance)
+{
+    const auto it = targets_.find(instance);
+    return it == targets_.end() ? nullptr : it->second.get();
+}
+
+std::vector<Target *> TargetBook::all()
+{
+    std::vector<Target *> list;
+    for (const auto &[instance, target] : targets_)
+        list.push_back(target.get());
+    return list;
+}
+
+void TargetBook::sweep(TimePoint now)
+{
+    std::erase_if(targets_, [now](const auto &entry) {
+        const Target &target = *entry.second;
+        return target.usableUntil_ != TimePoint::max() && target.usableUntil_ + kForgetAfter < now
+            && target.inFlight_ == 0;
+    });
+}
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/gateway/target_connection.cpp
@@ -0,0 +1,308 @@
+#include "gateway/target_connection.h"
+
+#include <algorithm>
+
+namespace foxtailturn {
+
+namespace {
+
+constexpr std::size_t kMaxReplyHeaderBytes = 65'536; // a target's header is trusted to be small
+// An idle connection is used for this part of the time that the target announces, so that a request
+// seldom crosses the target's close.
+constexpr int kIdleUseNumerator = 1;
+constexpr int kIdleUseDenominator = 2;
+// For targets that announce nothing; shorter than the idle timeouts customary for HTTP servers.
+constexpr Duration kDefaultIdleTimeout = std::chrono::seconds(4);
+
+} // namespace
+
+Result<asio::ip::tcp::endpoint> endpointOf(const std::string &address)
+{
+    const std::size_t colon = address.rfind(':');
+    asio::error_code why;
+    const auto ip = asio::ip::make_address(address.substr(0, std::min(colon, address.size())), why);
+    const int port = colon == std::string::npos ? 0 : std::atoi(address.c_str() + colon + 1);
+    constexpr int kLastPort = 65'535;
+    if (why || port < 1 || port > kLastPort)
+        return notRun(ErrorCode::InvalidSettings, "not an address IP:port: " + address);
+    return asio::ip::tcp::endpoint(ip, static_cast<std::uint16_t>(port));
+}
+
+TargetConnection::TargetConnection(ConnectionPool &pool, std::string address,
+                                   TimePoint connectDeadline)
+    : pool_(pool)
+    , address_(std::move(address))
+    , socket_(pool.context_)
+    , connectTimer_(pool.context_)
+{
+    connectTimer_.expires_after(std::max(connectDeadline - pool.clock_.now(), Duration::zero()));
+}
+
+void TargetConnection::connect()
+{
+    const auto endpoint = endpointOf(address_);
+    if (!endpoint) {
+        asio::post(pool_.context_, [self = shared_from_this()] {
+            self->onConnected(asio::error::invalid_argument);
+        });
+        return;
+    }
+    connectTimer_.async_wait([self = shared_from_this()](const asio::error_code &why) {
+        if (why || self->stream_ || self->isClosed_)
+            return;
+        asio::error_code ignored; // the connect handler reports the failure
+        self->socket_.close(ignored);
+    });
+    socket_.async_connect(*endpoint, [self = shared_from_this()](const asio::error_code &why) {
+        self->onConnected(why);
+    });
+}
+
+void TargetConnection::onConnected(const asio::error_code &why)
+{
+    connectTimer_.cancel();
+    if (isClosed_)
+        return;
+    if (why) {
+        fail(ErrorCode::ConnectionLost, "connect failed: " + why.message());
+        return;
+    }
+    parser_ = std::make_unique<MessageParser>(MessageKind::Response, kMaxReplyHeaderBytes,
+                                              static_cast<MessageSink &>(*this));
+    stream_ = ByteStream::create(std::move(socket_));
+    stream_->start(
+        [self = shared_from_this()](std::string_view data) { self->onData(data); },
+        [self = shared_from_this()](const asio::error_code &reason) { self->onClosed(reason); });
+    if (isPauseWanted_)
+        stream_->pause();
+    sendRequest();
+}
+
+void TargetConnection::exchange(std::string text, std::string requestId, bool expectsNoBody,
+                                ExchangeSink &sink)
+{
+    request_ = std::move(text);
+    requestId_ = std::move(requestId);
+    expectsNoBody_ = expectsNoBody;
+    sink_ = &sink;
+    isSent_ = false;
+    isSkipping_ = false;
+    isDone_ = false;
+    keepsAlive_ = true;
+    ++exchanges_;
+    sendRequest();
+}
+
+void TargetConnection::sendRequest()
+{
+    if (!stream_ || sink_ == nullptr || request_.empty())
+        return;
+    isSent_ = true;
+    if (expectsNoBody_)
+        parser_->expectNoBody();
+    stream_->send(std::move(request_));
+    request_.clear();
+}
+
+void TargetConnection::pause()
+{
+    isPauseWanted_ = true;
+    if (stream_)
+        stream_->pause();
+}
+
+void TargetConnection::resume()
+{
+    isPauseWanted_ = false;
+    if (stream_)
+        stream_->resume();
+}
+
+void TargetConnection::abandon()
+{
+    sink_ = nullptr;
+    isClosed_ = true;
+    connectTimer_.cancel();
+    asio::error_code ignored; // closed anyway
+    if (stream_)
+        stream_->close();
+    else
+        socket_.close(ignored);
+}
+
+bool TargetConnection::isUsable(TimePoint now) const
+{
+    return !isClosed_ && stream_ && stream_->isOpen() && now < usableUntil_;
+}
+
+void TargetConnection::onData(std::string_view data)
+{
+    const std::shared_ptr<TargetConnection> self = shared_from_this();
+    while (!data.empty() && !isClosed_) {
+        if (sink_ == nullptr) {
+            abandon(); // bytes that belong to no request
+            return;
+        }
+        data.remove_prefix(parser_->feed(data));
+        if (isClosed_)
+            return; // the sink gave the exchange up
+        if (parser_->error()) {
+            fail(ErrorCode::TargetFailed, "the answer is no HTTP: " + parser_->error()->message_);
+            return;
+        }
+        if (!parser_->isComplete())
+            continue;
+        parser_->next();
+        if (!isDone_)
+            continue; // an answer to another request was skipped
+        if (!data.empty())
+            keepsAlive_ = false; // bytes behind the answer belong to no request
+        completeExchange();
+        return;
+    }
+}
+
+void TargetConnection::completeExchange()
+{
+    ExchangeSink *sink = sink_;
+    sink_ = nullptr;
+    const bool isUnsent = stream_->queuedBytes() > 0;
+    if (!keepsAlive_ || isUnsent) {
+        // With request bytes still to send, the connection goes on until the target has them all.
+        isClosed_ = true;
+        if (isUnsent)
+            stream_->finish();
+        else
+            stream_->close();
+    } else {
+        const Duration idle = (idleTimeout_ > Duration::zero() ? idleTimeout_ : kDefaultIdleTimeout)
+            * kIdleUseNumerator / kIdleUseDenominator;
+        usableUntil_ = pool_.clock_.now() + idle;
+        pool_.release(shared_from_this());
+    }
+    sink->onReplyEnd();
+}
+
+void TargetConnection::onClosed(const asio::error_code &why)
+{
+    if (isClosed_)
+        return;
+    if (sink_ != nullptr && why == asio::error::eof) {
+        const std::shared_ptr<TargetConnection> self = shared_from_this();
+        parser_->finish();
+        if (isDone_ && !parser_->error()) {
+            keepsAlive_ = false;
+            completeExchange();
+            return;
+        }
+    }
+    fail(ErrorCode::ConnectionLost, "connection lost: " + why.message());
+}
+
+void TargetConnection::fail(ErrorCode code, const std::string &message)
+{
+    ExchangeSink *sink = sink_;
+    const bool wasSent = isSent_;
+    abandon();
+    if (sink != nullptr)
+        sink->onExchangeFailure(
+            Error{code, wasSent ? Execution::OutcomeUnknown : Execution::NotRun, message});
+}
+
+void TargetConnection::onHead(MessageHead head)
+{
+    constexpr int kFirstFinalStatus = 200;
+    const TargetReply reply = pool_.codec_.decodeReply(head);
+    isSkipping_ =
+        head.status_ < kFirstFinalStatus || (!requestId_.empty() && reply.requestId_ != requestId_);
+    if (isSkipping_)
+        return;
+    keepsAlive_ = head.keepsAlive_;
+    if (reply.idleTimeout_)
+        idleTimeout_ = *reply.idleTimeout_;
+    if (sink_ != nullptr)
+        sink_->onReplyHead(head, reply);
+}
+
+void TargetConnection::onBody(std::string_view data)
+{
+    if (!isSkipping_ && sink_ != nullptr)
+        sink_->onReplyBody(data);
+}
+
+void TargetConnection::onMessageEnd()
+{
+    isDone_ = !isSkipping_;
+}
+
+ConnectionPool::ConnectionPool(asio::io_context &context, const PlatformCodec &codec,
+                               const Clock &clock)
+    : context_(context)
+    , codec_(codec)
+    , clock_(clock)
+{ }
+
+std::shared_ptr<TargetConnection> ConnectionPool::acquire(const std::string &address,
+                                                          TimePoint connectDeadline)
+{
+    const auto it = idle_.find(address);
+    while (it != idle_.end() && !it->second.empty()) {
+        const std::shared_ptr<TargetConnection> connection = it->second.back();
+        it->second.pop_back();
+        if (connection->isUsable(clock_.now())) {
+            ++reused_;
+            return connection;
+        }
+        connection->abandon();
+    }
+    return open(address, connectDeadline);
+}
+
+std::shared_ptr<TargetConnection> ConnectionPool::open(const std::string &address,
+                                                       TimePoint connectDeadline)
+{
+    ++opened_;
+    auto connection = std::make_shared<TargetConnection>(*this, address, connectDeadline);
+    connection->connect();
+    return connection;
+}
+
+void ConnectionPool::release(const std::shared_ptr<TargetConnection> &connection)
+{
+    idle_[connection->address()].push_back(connection);
+}
+
+void ConnectionPool::drop(const std::string &address)
+{
+    const auto it = idle_.find(address);
+    if (it == idle_.end())
+        return;
+    for (const auto &connection : it->second)
+        connection->abandon();
+    idle_.erase(it);
+}
+
+void ConnectionPool::dropAll()
+{
+    for (const auto &[address, connections] : idle_) {
+        for (const auto &connection : connections)
+            connection->abandon();
+    }
+    idle_.clear();
+}
+
+void ConnectionPool::dropExpired()
+{
+    const TimePoint now = clock_.now();
+    for (auto it = idle_.begin(); it != idle_.end();) {
+        std::erase_if(it->second, [now](const std::shared_ptr<TargetConnection> &connection) {
+            if (connection->isUsable(now))
+                return false;
+            connection->abandon();
+            return true;
+        });
+        it = it->second.empty() ? idle_.erase(it) : std::next(it);
+    }
+}
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/gateway/target_connection.h
@@ -0,0 +1,138 @@
+#pragma once
+
+// A client connection that carries one HTTP exchange at a time, and a pool of idle ones.
+//
+//     ConnectionPool pool(context, codec, clock);
+//     auto connection = pool.acquire("10.0.0.7:8080", connectDeadline);
+//     connection->exchange(headAndBody, requestId, sink);
+//     // later, in the sink: onReplyHead, onReplyBody..., onReplyEnd or onExchangeFailure
+//
+// Answers that name another request than the one under way are skipped: a faulty target may send
+// one late or twice. Bytes on an idle connection close it.
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+#include "gateway/byte_stream.h"
+#include "gateway/codec.h"
+#include "http1/message_parser.h"
+
+namespace foxtailturn {
+
+// Receives the answer of one exchange. After onReplyEnd() or onExchangeFailure() nothing follows.
+class ExchangeSink
+{
+public:
+    virtual ~ExchangeSink() = default;
+
+    virtual void onReplyHead(const MessageHead &head, const TargetReply &reply) = 0;
+    virtual void onReplyBody(std::string_view data) = 0;
+    virtual void onReplyEnd() = 0;
+
+    // The error's execution tells whether the target can have seen the request.
+    virtual void onExchangeFailure(const Error &error) = 0;
+};
+
+class ConnectionPool;
+
+// Not thread-safe: belongs to the loop's thread.
+class TargetConnection final : public std::enable_shared_from_this<TargetConnection>, MessageSink
+{
+public:
+    // Begins to connect; the attempt fails at connectDeadline. The pool must outlive it.
+    TargetConnection(ConnectionPool &pool, std::string address, TimePoint connectDeadline);
+
+    // Sends a request and reports to sink. An empty requestId accepts any answer. Preconditions:
+    // no exchange is under way; sink outlives the exchange or abandon() is called.
+    void exchange(std::string text, std::string requestId, bool expectsNoBody, ExchangeSink &sink);
+
+    // Ends the exchange without reporting and closes, so that the target drops the request.
+    void abandon();
+
+    // Slows the target down while the caller can't take more.
+    void pause();
+    void resume();
+
+    [[nodiscard]] const std::string &address() const { return address_; }
+    [[nodiscard]] bool isReused() const { return exchanges_ > 1; }
+    [[nodiscard]] bool isUsable(TimePoint now) const;
+
+private:
+    friend class ConnectionPool;
+
+    void connect();
+    void onConnected(const asio::error_code &why);
+    void sendRequest();
+    void onData(std::string_view data);
+    void onClosed(const asio::error_code &why);
+    void fail(ErrorCode code, const std::string &message);
+    void completeExchange();
+
+    void onHead(MessageHead head) override;
+    void onBody(std::string_view data) override;
+    void onMessageEnd() override;
+
+    ConnectionPool &pool_;
+    std::string address_;
+    asio::ip::tcp::socket socket_;
+    asio::steady_timer connectTimer_;
+    std::shared_ptr<ByteStream> stream_;
+    std::unique_ptr<MessageParser> parser_;
+    ExchangeSink *sink_ = nullptr;
+    std::string request_; // until it is sent
+    std::string requestId_;
+    bool expectsNoBody_ = false;
+    bool isSent_ = false; // whether a byte of the request may have left
+    bool isSkipping_ = false; // reading an answer to another request
+    bool isDone_ = false; // the answer to this exchange has ended
+    bool keepsAlive_ = true;
+    bool isClosed_ = false;
+    bool isPauseWanted_ = false;
+    TimePoint usableUntil_ = TimePoint::max(); // idle connections are closed by the target
+    Duration idleTimeout_{}; // as the target announced it
+    int exchanges_ = 0;
+};
+
+// Idle connections by address. Not thread-safe.
+class ConnectionPool
+{
+public:
+    // All references must outlive the pool.
+    ConnectionPool(asio::io_context &context, const PlatformCodec &codec, const Clock &clock);
+
+    // Returns an idle connection that can still be used, or a new one.
+    [[nodiscard]] std::shared_ptr<TargetConnection> acquire(const std::string &address,
+                                                            TimePoint connectDeadline);
+
+    // Returns a new connection, for requests that must not meet a connection that has gone silent.
+    [[nodiscard]] std::shared_ptr<TargetConnection> open(const std::string &address,
+                                                         TimePoint connectDeadline);
+
+    // Closes the idle connections of an address, of all addresses, or those that passed their time.
+    void drop(const std::string &address);
+    void dropAll();
+    void dropExpired();
+
+    [[nodiscard]] std::uint64_t opened() const { return opened_; }
+    [[nodiscard]] std::uint64_t reused() const { return reused_; }
+
+private:
+    friend class TargetConnection;
+
+    void release(const std::shared_ptr<TargetConnection> &connection);
+
+    asio::io_context &context_;
+    const PlatformCodec &codec_;
+    const Clock &clock_;
+    std::unordered_map<std::string, std::vector<std::shared_ptr<TargetConnection>>> idle_;
+    std::uint64_t opened_ = 0;
+    std::uint64_t reused_ = 0;
+};
+
+// Returns the endpoint of IP:port text. Error: InvalidSettings. Thread-safe.
+[[nodiscard]] Result<asio::ip::tcp::endpoint> endpointOf(const std::string &address);
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/http1/message_parser_test.cpp
@@ -0,0 +1,120 @@
+#include "http1/message_parser.h"
+
+#include <doctest/doctest.h>
+
+namespace foxtailturn {
+
+namespace {
+
+struct Recorder final : MessageSink
+{
+    void onHead(MessageHead head) override { head_ = std::move(head); }
+    void onBody(std::string_view data) override { body_ += data; }
+    void onMessageEnd() override { ++ended_; }
+
+    MessageHead head_;
+    std::string body_;
+    int ended_ = 0;
+};
+
+constexpr std::size_t kHeaderLimit = 200;
+
+} // namespace
+
+// Guards against smuggling: what one side takes for a body the other could take for a request.
+TEST_CASE("requests with ambiguous framing are errors")
+{
+    const std::string cases[] = {
+        "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        "CONNECT a:1 HTTP/1.1\r\n\r\n",
+        "GET / HTTP/1.1\r\nbad header\r\n\r\n",
+    };
+    for (const std::string &text : cases) {
+        CAPTURE(text);
+        Recorder recorder;
+        MessageParser parser(MessageKind::Request, kHeaderLimit, recorder);
+        parser.feed(text);
+        REQUIRE(parser.error());
+        CHECK(parser.error()->code_ == ErrorCode::BadRequest);
+    }
+}
+
+// Guards against reading a second request as part of the first.
+TEST_CASE("pipelined requests are read one at a time")
+{
+    const std::string text =
+        "POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nhiGET /b HTTP/1.1\r\n\r\n";
+    Recorder recorder;
+    MessageParser parser(MessageKind::Request, kHeaderLimit, recorder);
+    const std::size_t used = parser.feed(text);
+    CHECK(parser.isComplete());
+    CHECK(recorder.head_.target_ == "/a");
+    CHECK(recorder.body_ == "hi");
+    parser.next();
+    parser.feed(std::string_view(text).substr(used));
+    CHECK(parser.isComplete());
+    CHECK(recorder.head_.target_ == "/b");
+    CHECK(recorder.ended_ == 2);
+}
+
+// Guards against a header split over reads being counted or joined wrongly.
+TEST_CASE("a request in single bytes gives the same head")
+{
+    const std::string text = "POST /x/y?z=1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: "
+                             "chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+    Recorder recorder;
+    MessageParser parser(MessageKind::Request, kHeaderLimit, recorder);
+    for (const char c : text)
+        CHECK(parser.feed(std::string_view(&c, 1)) == 1);
+    CHECK(parser.isComplete());
+    CHECK(recorder.head_.target_ == "/x/y?z=1");
+    CHECK(*recorder.head_.find("host") == "a");
+    CHECK(recorder.head_.isChunked_);
+    CHECK(recorder.body_ == "abc");
+}
+
+// Guards against unbounded memory for a header without end.
+TEST_CASE("a header over the limit is PayloadTooLarge")
+{
+    Recorder recorder;
+    MessageParser parser(MessageKind::Request, kHeaderLimit, recorder);
+    parser.feed("GET / HTTP/1.1\r\nA: " + std::string(kHeaderLimit, 'x'));
+    REQUIRE(parser.error());
+    CHECK(parser.error()->code_ == ErrorCode::PayloadTooLarge);
+}
+
+// Guards against a truncated answer that looks whole, and a whole one that looks truncated.
+TEST_CASE("a response without a length ends with its connection")
+{
+    Recorder recorder;
+    MessageParser parser(MessageKind::Response, kHeaderLimit, recorder);
+    parser.feed("HTTP/1.1 200 OK\r\n\r\nab");
+    CHECK(parser.endsWithConnection());
+    CHECK_FALSE(parser.isComplete());
+    parser.finish();
+    CHECK(parser.isComplete());
+
+    parser.next();
+    parser.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab");
+    CHECK_FALSE(parser.endsWithConnection());
+    parser.finish();
+    REQUIRE(parser.error());
+}
+
+// Guards against forwarding fields of one connection to the next.
+TEST_CASE("hop-by-hop fields and those that Connection names are not forwarded")
+{
+    MessageHead head;
+    head.add("Connection", "close, X-Hop");
+    head.add("X-Hop", "1");
+    head.add("Keep-Alive", "timeout=5");
+    head.add("Content-Length", "4");
+    head.add("X-Kept", "2");
+    CHECK(forwardableFields(head) == std::vector<HeaderField>{{"X-Kept", "2"}});
+}
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/sidecar/sidecar_node.cpp
@@ -0,0 +1,331 @@
+#include "sidecar/sidecar_node.h"
+
+#include <algorithm>
+
+namespace foxtailturn {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kCallTime = milliseconds(500); // the engine is on the same VM
+constexpr Duration kCalmPoll = milliseconds(120);
+constexpr Duration kActivePoll = milliseconds(20); // while an adapter is on its way
+constexpr Duration kIdlePoll = milliseconds(400); // without an entry that listens
+constexpr Duration kPublishEvery = milliseconds(200); // loads alone; adapters go out at once
+constexpr Duration kFlushEvery = milliseconds(1000);
+constexpr std::size_t kMostUnsent = 65'536; // an entry that does not read is dropped
+constexpr std::size_t kMostBuffered = 65'536; // a line without end
+
+std::int64_t wallMillis(const WallClock &clock)
+{
+    return std::chrono::duration_cast<milliseconds>(clock.now().time_since_epoch()).count();
+}
+
+OrderOutcome outcomeOf(int status)
+{
+    switch (status) {
+    case 200:
+    case 202:
+        return OrderOutcome::Accepted;
+    case 412:
+        return OrderOutcome::StaleToken;
+    case 421:
+        return OrderOutcome::OtherInstance;
+    case 0:
+        return OrderOutcome::Unknown;
+    default:
+        return OrderOutcome::Rejected;
+    }
+}
+
+} // namespace
+
+// One call to the engine; keeps itself alive until its handler has run.
+class SidecarNode::EngineCall final : public std::enable_shared_from_this<EngineCall>, ExchangeSink
+{
+public:
+    using Handler = std::function<void(int status, const std::string &body)>;
+
+    EngineCall(SidecarNode &node, Handler handler)
+        : node_(node)
+        , handler_(std::move(handler))
+        , timer_(node.context_)
+    { }
+
+    void start(const HttpCall &call)
+    {
+        self_ = shared_from_this();
+        const std::string &address = node_.settings_.engineAddress_;
+        connection_ = node_.pool_.acquire(address, node_.clock_.now() + kCallTime);
+        timer_.expires_after(kCallTime);
+        timer_.async_wait([weak = weak_from_this()](const asio::error_code &why) {
+            const auto self = weak.lock();
+            if (why || !self)
+                return;
+            self->node_.pool_.drop(self->node_.settings_.engineAddress_);
+            self->finish();
+        });
+        connection_->exchange(node_.codec_.callHead(call, address) + call.body_, "", false, *this);
+    }
+
+private:
+    void onReplyHead(const MessageHead &head, const TargetReply &) override
+    {
+        status_ = head.status_;
+    }
+
+    void onReplyBody(std::string_view data) override { body_ += data; }
+
+    void onReplyEnd() override
+    {
+        connection_.reset();
+        isWhole_ = true;
+        finish();
+    }
+
+    void onExchangeFailure(const Error &) override { finish(); }
+
+    void finish()
+    {
+        const std::shared_ptr<EngineCall> self = std::move(self_);
+        self_ = nullptr;
+        if (!self)
+            return;
+        timer_.cancel();
+        if (connection_)
+            connection_->abandon();
+        connection_.reset();
+        handler_(isWhole_ ? status_ : 0, body_);
+    }
+
+    SidecarNode &node_;
+    Handler handler_;
+    asio::steady_timer timer_;
+    std::shared_ptr<TargetConnection> connection_;
+    std::shared_ptr<EngineCall> self_;
+    int status_ = 0;
+    std::string body_;
+    bool isWhole_ = false;
+};
+
+struct SidecarNode::EntryLink
+{
+    std::shared_ptr<ByteStream> stream_;
+    std::string buffer_;
+};
+
+SidecarNode::SidecarNode(asio::io_context &context, const PlatformCodec &codec,
+                         const NodeSettings &settings)
+    : context_(context)
+    , codec_(codec)
+    , settings_(settings)
+    , log_(settings.name_, wallClock_, writeStandardOutput)
+    , pool_(context, codec, clock_)
+    , admin_(context)
+    , acceptor_(context)
+    , pollTimer_(context)
+    , keeper_(settings.name_, wallMillis(wallClock_))
+{ }
+
+SidecarNode::~SidecarNode() = default;
+
+Result<void> SidecarNode::start()
+{
+    const std::string address = settings_.ip_ + ":" + std::to_string(settings_.peerPort_);
+    const Result<asio::ip::tcp::endpoint> endpoint = endpointOf(address);
+    if (!endpoint)
+        return tl::unexpected(endpoint.error());
+    asio::error_code why;
+    acceptor_.open(endpoint->protocol(), why);
+    if (!why)
+        acceptor_.set_option(asio::socket_base::reuse_address(true), why);
+    if (!why)
+        acceptor_.bind(*endpoint, why);
+    if (!why)
+        acceptor_.listen(asio::socket_base::max_listen_connections, why);
+    if (why)
+        return notRun(ErrorCode::InvalidSettings,
+                      "cannot listen on " + address + ": " + why.message());
+    admin_.serve("/state", [this] {
+        const nlohmann::json state = {{"name", settings_.name_},
+                                      {"engine", engineState_},
+                                      {"entries", entries_.size()},
+                                      {"report", nlohmann::json::parse(encode(report_))}};
+        return AdminAnswer{200, state.dump(2) + "\n", "application/json"};
+    });
+    if (settings_.metricsPort_ != 0) {
+        const std::string admin = settings_.ip_ + ":" + std::to_string(settings_.metricsPort_);
+        if (Result<void> listening = admin_.listen(admin); !listening)
+            return listening;
+    }
+    log_.write(LogDetail::Full, "started", {{"role", "sidecar"}});
+    accept();
+    poll();
+    return {};
+}
+
+void SidecarNode::stop(std::function<void()> onStopped)
+{
+    log_.write(LogDetail::Full, "stopped", nlohmann::json::object());
+    log_.flush();
+    onStopped();
+}
+
+void SidecarNode::accept()
+{
+    acceptor_.async_accept([this](const asio::error_code &why, asio::ip::tcp::socket socket) {
+        if (!acceptor_.is_open())
+            return;
+        if (!why) {
+            const int entry = nextEntry_++;
+            auto link = std::make_shared<EntryLink>();
+            link->stream_ = ByteStream::create(std::move(socket));
+            entries_[entry] = link;
+            link->stream_->start([this, entry](std::string_view data) { onEntryData(entry, data); },
+                                 [this, entry](const asio::error_code &) { dropEntry(entry); });
+            if (hasReport_)
+                link->stream_->send(encode(report_));
+        }
+        accept();
+    });
+}
+
+void SidecarNode::dropEntry(int entry)
+{
+    const auto it = entries_.find(entry);
+    if (it == entries_.end())
+        return;
+    it->second->stream_->close();
+    entries_.erase(it);
+    keeper_.forgetEntry(entry, clock_.now());
+}
+
+void SidecarNode::onEntryData(int entry, std::string_view data)
+{
+    const auto it = entries_.find(entry);
+    if (it == entries_.end())
+        return;
+    it->second->buffer_ += data;
+    if (it->second->buffer_.size() > kMostBuffered) {
+        dropEntry(entry);
+        return;
+    }
+    const TimePoint now = clock_.now();
+    bool isWanted = false;
+    for (const std::string &line : takeLines(it->second->buffer_)) {
+        const AgentMessage message = decodeAgentMessage(line);
+        if (message.use_)
+            keeper_.use(entry, *message.use_, now);
+        if (message.load_) {
+            keeper_.want(*message.load_, now);
+            isWanted = true;
+        }
+    }
+    if (isWanted && !isCalling_)
+        poll();
+}
+
+void SidecarNode::poll()
+{
+    if (isCalling_)
+        return;
+    isCalling_ = true;
+    pollTimer_.cancel();
+    std::make_shared<EngineCall>(*this, [this](int status, const std::string &body) {
+        isCalling_ = false;
+        onReport(status, body);
+    })->start(codec_.reportCall());
+}
+
+void SidecarNode::onReport(int status, const std::string &body)
+{
+    const Result<EngineReport> report = codec_.decodeReport(body);
+    const std::string state = status == 200 && report ? "reachable" : "unreachable";
+    if (state != engineState_)
+        log_.write(LogDetail::Full, "engine_" + state, {{"status", status}});
+    engineState_ = state;
+    if (state != "reachable") {
+        schedulePoll();
+        return;
+    }
+    const bool isNews = !hasReport_ || report->models_ != report_.models_
+        || report->loading_ != report_.loading_ || report->bornMs_ != report_.bornMs_
+        || report->isDraining_ != report_.isDraining_;
+    report_ = *report;
+    hasReport_ = true;
+    const TimePoint now = clock_.now();
+    keeper_.onReport(report_, now);
+    if (isNews || now >= publishAt_)
+        publish();
+    if (now >= flushAt_) {
+        log_.flush();
+        flushAt_ = now + kFlushEvery;
+    }
+    giveOrder();
+}
+
+void SidecarNode::giveOrder()
+{
+    const TimePoint now = clock_.now();
+    const std::optional<EngineOrder> order = keeper_.next(now);
+    for (const std::string &name : keeper_.takeRefused(now)) {
+        log_.write(LogDetail::Full, "load_refused", {{"adapter", name}});
+        for (const auto &[entry, link] : entries_)
+            link->stream_->send(encode(LoadRefusal{name}));
+    }
+    if (!order) {
+        schedulePoll();
+        return;
+    }
+    isCalling_ = true;
+    std::make_shared<EngineCall>(*this, [this, order = *order](int status, const std::string &) {
+        isCalling_ = false;
+        log_.write(LogDetail::Full, "order",
+                   {{"operation", order.kind_ == OrderKind::Load ? "load" : "unload"},
+                    {"model", order.model_},
+                    {"adapter", order.adapter_},
+                    {"token", order.fencingToken_},
+                    {"sequence", order.expectedSequence_.value_or(-1)},
+                    {"status", status}});
+        onOrderAnswer(status);
+    })->start(codec_.orderCall(*order));
+}
+
+void SidecarNode::onOrderAnswer(int status)
+{
+    keeper_.onAnswer(outcomeOf(status), clock_.now());
+    if (outcomeOf(status) == OrderOutcome::Accepted)
+        poll();
+    else
+        schedulePoll();
+}
+
+void SidecarNode::schedulePoll()
+{
+    const Duration wait = keeper_.isActive() ? kActivePoll
+        : entries_.empty()                   ? kIdlePoll
+                                             : kCalmPoll;
+    pollTimer_.expires_after(wait);
+    pollTimer_.async_wait([this](const asio::error_code &why) {
+        if (!why)
+            poll();
+    });
+}
+
+void SidecarNode::publish()
+{
+    publishAt_ = clock_.now() + kPublishEvery;
+    const std::string line = encode(report_);
+    std::vector<int> stuck;
+    for (const auto &[entry, link] : entries_) {
+        if (link->stream_->queuedBytes() > kMostUnsent)
+            stuck.push_back(entry);
+        else
+            link->stream_->send(line);
+    }
+    for (const int entry : stuck)
+        dropEntry(entry);
+}
+
+} // namespace foxtailturn
--- /dev/null
+++ b/packages/sidecar/sidecar_node.h
@@ -0,0 +1,72 @@
+#pragma once
+
+// The process beside one engine: reads its load, gives it orders, reports to entries.
+//
+//     SidecarNode sidecar(context, codec, settings);
+//     Result<void> started = sidecar.start();
+//     context.run();
+
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "base/event_log.h"
+#include "gateway/admin_port.h"
+#include "gateway/byte_stream.h"
+#include "gateway/node_settings.h"
+#include "gateway/target_connection.h"
+#include "sidecar/adapter_keeper.h"
+
+namespace foxtailturn {
+
+// Not thread-safe: all calls come from the thread that runs the context.
+class SidecarNode
+{
+public:
+    // context and codec must outlive the node.
+    SidecarNode(asio::io_context &context, const PlatformCodec &codec,
+                const NodeSettings &settings);
+    ~SidecarNode();
+
+    // Error: InvalidSettings when an address can't be used.
+    [[nodiscard]] Result<void> start();
+
+    // Ends at once: no request passes through this process.
+    void stop(std::function<void()> onStopped);
+
+private:
+    class EngineCall;
+    struct EntryLink;
+
+    void accept();
+    void onEntryData(int entry, std::string_view data);
+    void dropEntry(int entry);
+    void poll();
+    void onReport(int status, const std::string &body);
+    void giveOrder();
+    void onOrderAnswer(int status);
+    void schedulePoll();
+    void publish();
+
+    asio::io_context &context_;
+    const PlatformCodec &codec_;
+    NodeSettings settings_;
+    SystemClock clock_;
+    SystemWallClock wallClock_;
+    EventLog log_;
+    ConnectionPool pool_;
+    AdminPort admin_;
+    asio::ip::tcp::acceptor acceptor_;
+    asio::steady_timer pollTimer_;
+    AdapterKeeper keeper_;
+    std::map<int, std::shared_ptr<EntryLink>> entries_;
+    int nextEntry_ = 1;
+    EngineReport report_;
+    bool hasReport_ = false;
+    bool isCalling_ = false;
+    TimePoint publishAt_{};
+    TimePoint flushAt_{};
+    std::string engineState_ = "unknown";
+};
+
+} // namespace foxtailturn
