gateway: reset abandoned exchanges; share loads and quota more evenly

An exchange that is given up is now reset, which discards what the link holds.

Entries asked different engines for the same adapter. They now see loads that are about to be ordered, prefer the same engine, learn the load time, and weigh the adapter that would be dropped. Quota shares may run a bounded debt. Copies of an adapter are renewed one at a time.

--- a/packages/base/event_log.cpp
+++ b/packages/base/event_log.cpp
@@ -70,7 +70,7 @@
     append(fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
-void EventLog::append(std::string line)
+void EventLog::append(std::string_view line)
 {
     if (queue_.size() + line.size() + 1 > kMostQueuedBytes) {
         ++dropped_;
--- a/packages/base/event_log.h
+++ b/packages/base/event_log.h
@@ -69,7 +69,7 @@
         std::uint64_t leftOut_ = 0;
     };
 
-    void append(std::string line);
+    void append(std::string_view line);
     void drain();
 
     std::string process_;
--- a/packages/gateway/agent_messages.cpp
+++ b/packages/gateway/agent_messages.cpp
@@ -23,6 +23,12 @@
     return it != json.end() && it->is_number_integer() ? it->get<std::int64_t>() : 0;
 }
 
+double numberOf(const Json &json, const char *name)
+{
+    const auto it = json.find(name);
+    return it != json.end() && it->is_number() ? it->get<double>() : 0;
+}
+
 int countOf(const Json &json, const char *name)
 {
     constexpr std::int64_t kMost = 1'000'000'000;
@@ -88,8 +94,9 @@
     return line({{"refused", refusal.name_}});
 }
 
-std::string encode(const EngineReport &report)
+std::string encode(const SidecarReport &sidecar)
 {
+    const EngineReport &report = sidecar.engine_;
     Json models = Json::object();
     for (const HostedModel &model : report.models_) {
         models[model.name_] = Json::object();
@@ -107,7 +114,8 @@
                    {"kv_used", report.kvUsed_},
                    {"kv_total", report.kvTotal_},
                    {"models", std::move(models)},
-                   {"loading", report.loading_}}}});
+                   {"loading", report.loading_},
+                   {"eviction_cost", sidecar.evictionCost_}}}});
 }
 
 AgentMessage decodeAgentMessage(std::string_view line)
@@ -130,7 +138,8 @@
     } else if (json.contains("refused")) {
         message.refusal_ = LoadRefusal{textOf(json, "refused")};
     } else if (json.contains("report") && json["report"].is_object()) {
-        message.report_ = decodeReport(json["report"]);
+        const Json &report = json["report"];
+        message.report_ = SidecarReport{decodeReport(report), numberOf(report, "eviction_cost")};
     }
     return message;
 }
--- a/packages/gateway/agent_messages.h
+++ b/packages/gateway/agent_messages.h
@@ -50,14 +50,14 @@
     std::optional<LoadRequest> load_;
     std::optional<UseNotice> use_;
     std::optional<LoadRefusal> refusal_;
-    std::optional<EngineReport> report_;
+    std::optional<SidecarReport> report_;
 };
 
 // Each returns one line with its end. Thread-safe.
 [[nodiscard]] std::string encode(const LoadRequest &request);
 [[nodiscard]] std::string encode(const UseNotice &notice);
 [[nodiscard]] std::string encode(const LoadRefusal &refusal);
-[[nodiscard]] std::string encode(const EngineReport &report);
+[[nodiscard]] std::string encode(const SidecarReport &report);
 
 // Returns what a line holds; nothing is set for a line that is no message. Thread-safe.
 [[nodiscard]] AgentMessage decodeAgentMessage(std::string_view line);
--- a/packages/gateway/codec.h
+++ b/packages/gateway/codec.h
@@ -181,6 +181,15 @@
     bool operator==(const EngineReport &) const = default;
 };
 
+// An engine's report with what the process beside it knows.
+struct SidecarReport
+{
+    EngineReport engine_; // loading_ includes adapters that are about to be ordered
+    double evictionCost_ = 0; // expected uses of the adapter that a further load would drop
+
+    bool operator==(const SidecarReport &) const = default;
+};
+
 enum class OrderKind { Load, Unload };
 
 // An order to an engine. The holder with the largest fencing token is obeyed.
--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -12,7 +12,7 @@
 constexpr Duration kTick = milliseconds(500);
 // Rounds of the quota ledger. A calm one is a read; shares follow demand within two rounds.
 constexpr Duration kCalmRound = milliseconds(1500);
-constexpr Duration kShortRound = milliseconds(400); // while a share is too small
+constexpr Duration kShortRound = milliseconds(700); // while a share is too small
 constexpr Duration kStoreTime = milliseconds(1000);
 // Records of targets change with each heartbeat; collecting them saves calls. Well within the bound
 // for draining targets.
@@ -45,7 +45,8 @@
     , gateway_(partsOf(context, codec, clock_, wallClock_, log_, metrics_),
                {.name_ = settings.name_ + "@" + settings.ip_,
                 .dataCentre_ = settings.dataCentre_,
-                .retryPercent_ = settings.retryPercent_})
+                .retryPercent_ = settings.retryPercent_,
+                .quotaTolerance_ = settings.quotaTolerance_})
     , callers_(gateway_)
     , admin_(context)
     , operatorWatch_(store_, log_, {.table_ = codec.operatorTable(), .pause_ = kOperatorPause},
@@ -275,10 +276,10 @@
         scheduleRound(gateway_.shares().wantsRound() ? kShortRound : kCalmRound);
         return;
     }
-    writeRound(std::move(write));
+    writeRound(write);
 }
 
-void EntryNode::writeRound(StoreWrite write)
+void EntryNode::writeRound(const StoreWrite &write)
 {
     isRoundUnderWay_ = true;
     store_.call(codec_.writeCall(write), kStoreTime, [this](const StoreAnswer &answer) {
--- a/packages/gateway/entry_node.h
+++ b/packages/gateway/entry_node.h
@@ -44,7 +44,7 @@
     void scheduleRound(Duration wait);
     void round();
     void onRoundRows(const StoreAnswer &answer);
-    void writeRound(StoreWrite write);
+    void writeRound(const StoreWrite &write);
     void takeSuspects(const std::vector<StoreRow> &rows);
     void tick();
     void waitForEnd();
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -50,7 +50,7 @@
     : parts_(parts)
     , identity_(identity)
     , pool_(parts.context_, parts.codec_, parts.clock_)
-    , shares_(identity.name_, parts.clock_)
+    , shares_(identity.name_, parts.clock_, identity.quotaTolerance_)
     , budget_(parts.clock_, {.percent_ = identity.retryPercent_, .floor_ = identity.retryFloor_})
     , quarantine_(identity.name_ + "-" + randomId(), {parts.clock_, parts.wallClock_},
                   kSuspectMemory)
@@ -215,11 +215,12 @@
         useNotice_(target, name, isBegin);
 }
 
-void Gateway::onReport(const std::string &address, const EngineReport &report)
+void Gateway::onReport(const std::string &address, const SidecarReport &report)
 {
-    Target *target = book_.report(address, report, now());
+    Target *target = book_.report(address, report.engine_, now());
     if (target == nullptr)
         return;
+    target->evictionCost_ = report.evictionCost_;
     std::erase_if(target->loadsAsked_, [&](const auto &asked) {
         const std::string &name = asked.first;
         const std::size_t slash = std::min(name.find('/'), name.size());
@@ -227,8 +228,13 @@
         const std::optional<std::int64_t> version =
             target->versionOf(name.substr(0, slash), adapter);
         const auto declared = versions_.find(name);
-        return version && (declared == versions_.end() || *version >= declared->second.version_);
+        const bool isThere =
+            version && (declared == versions_.end() || *version >= declared->second.version_);
+        if (isThere && !adapter.empty())
+            placements_[target->record_.service_].observeLoad(now() - asked.second);
+        return isThere;
     });
+    renewAdapters();
     retryWaiting();
 }
 
@@ -255,12 +261,33 @@
                 });
             askLoad(*target, *scarcest, "");
         }
-        for (const HostedModel &model : target->report_.models_) {
-            for (const auto &[adapter, version] : model.adapters_) {
-                const auto declared = versions_.find(adapterName(model.name_, adapter));
-                if (declared != versions_.end() && version < declared->second.version_)
-                    askLoad(*target, model.name_, adapter);
-            }
+    }
+    renewAdapters();
+}
+
+void Gateway::renewAdapters()
+{
+    // A replacement waits for the adapter's runs and keeps new ones off meanwhile, so the copies
+    // are renewed one after the other until the new version is required.
+    const std::vector<Target *> targets = book_.all();
+    for (const auto &[name, declared] : versions_) {
+        const std::size_t slash = std::min(name.find('/'), name.size());
+        const std::string model = name.substr(0, slash);
+        const std::string adapter = name.substr(std::min(slash + 1, name.size()));
+        const bool isRequired = now() >= declared.requiredFrom_;
+        const bool isUnderWay =
+            std::any_of(targets.begin(), targets.end(), [&name = name](const Target *target) {
+                return target->isAgentLinked_ && target->isLoading(name);
+            });
+        if (isUnderWay && !isRequired)
+            continue;
+        for (Target *target : targets) {
+            const std::optional<std::int64_t> version = target->versionOf(model, adapter);
+            if (!version || *version >= declared.version_ || !target->isAgentLinked_)
+                continue;
+            askLoad(*target, model, adapter);
+            if (!isRequired)
+                break;
         }
     }
 }
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -37,6 +37,7 @@
     std::string dataCentre_;
     int retryPercent_ = 15; // attempts beyond the first per 100 requests of a service
     int retryFloor_ = 3; // that are allowed in each window besides
+    std::int64_t quotaTolerance_ = 0; // tokens; see QuotaShares
 };
 
 // Objects that outlive the gateway.
@@ -86,7 +87,7 @@
     void noteUse(const Target &target, const std::string &adapterName, bool isBegin);
 
     // A report from beside an engine.
-    void onReport(const std::string &address, const EngineReport &report);
+    void onReport(const std::string &address, const SidecarReport &report);
 
     // Asks the agents of targets that host no model to load one, and for adapters' new versions.
     void tendTargets();
@@ -149,6 +150,7 @@
     [[nodiscard]] Refusal refusal(int status, ErrorCode code, const std::string &requestId,
                                   std::optional<Duration> retryAfter);
     [[nodiscard]] std::int64_t leastVersion(const std::string &name) const;
+    void renewAdapters();
     void markCrash(const std::string &instance, TimePoint since);
 
     GatewayParts parts_;
--- a/packages/gateway/node_settings.cpp
+++ b/packages/gateway/node_settings.cpp
@@ -52,6 +52,7 @@
     settings.storeAddress_ = object.string("store_address", "");
     settings.stopGrace_ = std::chrono::seconds(
         object.integer("stop_grace_s", {.min_ = 0, .max_ = kMostGraceSeconds}, 8));
+    settings.quotaTolerance_ = object.integer("quota_tolerance", {.min_ = 0}, 0);
     constexpr int kAll = 100;
     settings.retryPercent_ =
         static_cast<int>(object.integer("retry_percent", {.min_ = 0, .max_ = kAll}, 15));
--- a/packages/gateway/node_settings.h
+++ b/packages/gateway/node_settings.h
@@ -27,6 +27,7 @@
     std::string engineAddress_; // sidecars: the engine beside them
     std::string storeAddress_;
     Duration stopGrace_ = std::chrono::seconds(8); // from SIGTERM to SIGKILL
+    std::int64_t quotaTolerance_ = 0; // tokens by which a workspace may exceed its quota
     int retryPercent_ = 15; // attempts beyond the first per 100 requests of a service
 
     // Reads a settings file. Unknown fields are ignored, since a platform may add some. Error:
--- a/packages/gateway/placement.cpp
+++ b/packages/gateway/placement.cpp
@@ -18,6 +18,12 @@
 constexpr Duration kPerRun = std::chrono::microseconds(700); // slow-down by each running request
 constexpr milliseconds kPerQueued(60); // a waiting request delays ours by about its prompt
 constexpr milliseconds kPerRank(25); // spreads adapters over targets that cost about the same
+// Makes entries that do not know of each other's requests ask the same target for an adapter.
+constexpr milliseconds kLoadRank(250);
+constexpr milliseconds kEviction(200); // for each expected use of the adapter that is dropped
+constexpr double kLoadLearnWeight = 0.2; // of a new sample of the load time
+constexpr milliseconds kShortestLoad(50);
+constexpr milliseconds kLongestLoad(2000);
 constexpr milliseconds kOtherDataCentre(2);
 constexpr milliseconds kMemoryShort(400); // a preemption or a wait for memory
 constexpr double kMemoryFull = 0.92; // of the KV capacity
@@ -88,17 +94,26 @@
         && static_cast<double>(report.kvUsed_ + request.promptTokens_)
             > kMemoryFull * static_cast<double>(report.kvTotal_))
         time += kMemoryShort;
-    if (!holdsAdapter(target, request)) {
-        const auto asked = target.loadsAsked_.find(adapterName(request.model_, request.adapter_));
-        if (asked == target.loadsAsked_.end())
-            time += kLoadTime;
-        else if (now - asked->second > kLoadPatience)
-            time += kLoadTime * 3;
-        else
-            time += std::max<Duration>(kLoadTime - (now - asked->second), Duration::zero()) / 2;
-    }
-    time += std::chrono::duration_cast<Duration>(kPerRank * rankOf(target, request));
-    return time;
+    if (!holdsAdapter(target, request))
+        return time + loadTime(target, request, now);
+    return time + std::chrono::duration_cast<Duration>(kPerRank * rankOf(target, request));
+}
+
+Duration Placement::loadTime(const Target &target, const PlacementRequest &request,
+                             TimePoint now) const
+{
+    const std::string name = adapterName(request.model_, request.adapter_);
+    const auto asked = target.loadsAsked_.find(name);
+    const bool isAsked = asked != target.loadsAsked_.end();
+    if (isAsked && now - asked->second > kLoadPatience)
+        return loadTime_ * 3; // it failed there
+    if (isAsked || target.isLoading(name))
+        return loadTime_ / 3; // on its way
+    // A load keeps the weight store busy and drops another adapter, which may soon be wanted again.
+    const auto spread = std::chrono::duration_cast<Duration>(kLoadRank * rankOf(target, request));
+    const auto eviction =
+        std::chrono::duration_cast<Duration>(kEviction * std::min(target.evictionCost_, 2.0));
+    return loadTime_ + spread + eviction;
 }
 
 PlacementChoice Placement::choose(const std::vector<Target *> &targets,
@@ -144,6 +159,12 @@
     tokensPerMilli_ += kLearnWeight * (rate - tokensPerMilli_);
 }
 
+void Placement::observeLoad(Duration elapsed)
+{
+    const Duration sample = std::clamp<Duration>(elapsed, kShortestLoad, kLongestLoad);
+    loadTime_ += std::chrono::duration_cast<Duration>(kLoadLearnWeight * (sample - loadTime_));
+}
+
 void Placement::remember(const std::string &instance, const PlacementRequest &request,
                          TimePoint now)
 {
--- a/packages/gateway/placement.h
+++ b/packages/gateway/placement.h
@@ -55,9 +55,9 @@
 class Placement
 {
 public:
-    // Expected time of a load, with the wait for its order. An adapter takes about 250 ms while few
-    // are on their way.
-    static constexpr Duration kLoadTime = std::chrono::milliseconds(350);
+    // Expected time of a load before any was seen. An adapter takes about 250 ms while few are on
+    // their way.
+    static constexpr Duration kFirstLoadTime = std::chrono::milliseconds(300);
     // After this time an asked load counts as failed and another target is considered.
     static constexpr Duration kLoadPatience = std::chrono::milliseconds(1500);
 
@@ -68,6 +68,9 @@
     // other prompt of ours.
     void observePrefill(std::int64_t tokens, Duration elapsed);
 
+    // Learns from the time between asking for an adapter and seeing it there.
+    void observeLoad(Duration elapsed);
+
     // Remembers that a target has read a prompt.
     void remember(const std::string &instance, const PlacementRequest &request, TimePoint now);
 
@@ -85,7 +88,11 @@
                                       TimePoint now) const;
     [[nodiscard]] Duration promptTime(std::int64_t tokens) const;
 
+    [[nodiscard]] Duration loadTime(const Target &target, const PlacementRequest &request,
+                                    TimePoint now) const;
+
     double tokensPerMilli_ = 30; // prefill rate; learned
+    Duration loadTime_ = kFirstLoadTime; // learned
     std::unordered_map<std::uint64_t, std::map<std::string, TimePoint>> kept_; // by prefix
 };
 
--- a/packages/gateway/quota_shares.cpp
+++ b/packages/gateway/quota_shares.cpp
@@ -64,7 +64,7 @@
 {
     refill(now);
     const auto tokens = static_cast<double>(charge);
-    if (units_ == 0 || level_ < std::min(tokens, capacity()))
+    if (units_ == 0 || level_ < std::min(tokens - tolerance_, capacity()))
         return false;
     level_ -= tokens;
     return true;
@@ -81,7 +81,7 @@
     refill(now);
     if (rate() <= 0)
         return std::nullopt;
-    const double missing = std::min(static_cast<double>(charge), capacity()) - level_;
+    const double missing = std::min(static_cast<double>(charge) - tolerance_, capacity()) - level_;
     const std::chrono::duration<double> wait(std::max(missing, 0.0) / rate());
     return now + std::chrono::ceil<Duration>(wait);
 }
@@ -104,9 +104,10 @@
     return demand_;
 }
 
-QuotaShares::QuotaShares(std::string holder, const Clock &clock)
+QuotaShares::QuotaShares(std::string holder, const Clock &clock, std::int64_t tolerance)
     : holder_(std::move(holder))
     , clock_(clock)
+    , tolerance_(tolerance)
 { }
 
 void QuotaShares::configure(const ServingConfig &config)
@@ -210,6 +211,8 @@
         ledger.unresolvedVersion_ = -1;
         ledger.share_.setUnits(own.units_, now);
     }
+    constexpr std::int64_t kUsedPart = 2; // half of the tolerance stays for races and refills
+    ledger.share_.setTolerance(tolerance_ / kUsedPart / static_cast<std::int64_t>(holders.size()));
     const std::int64_t wanted = wantedUnits(ledger, holders);
     std::int64_t others = 0;
     for (const auto &[name, entry] : holders)
--- a/packages/gateway/quota_shares.h
+++ b/packages/gateway/quota_shares.h
@@ -50,10 +50,14 @@
 
     void setQuota(const TokenQuota &quota, TimePoint now);
     void setUnits(std::int64_t units, TimePoint now);
+
+    // Sets the tokens by which the level may fall below zero. A debt is paid from the refill, so
+    // the rate holds over time; it lets a small share serve two large requests in a row.
+    void setTolerance(std::int64_t tokens) { tolerance_ = static_cast<double>(tokens); }
     [[nodiscard]] std::int64_t units() const { return units_; }
 
-    // Takes the charge if the level holds it. A charge above the capacity needs a full level and
-    // leaves a debt: a small share must not refuse a large request for good.
+    // Takes the charge if level and tolerance hold it. A charge above both needs a full level and
+    // leaves a larger debt: a small share must not refuse a large request for good.
     [[nodiscard]] bool take(std::int64_t charge, TimePoint now);
 
     // Gives back a charge whose request certainly did not run.
@@ -76,6 +80,7 @@
 
     TokenQuota quota_;
     std::int64_t units_ = 0;
+    double tolerance_ = 0; // tokens
     double level_ = 0; // tokens; negative is a debt
     TimePoint refilledAt_;
     double demand_ = 0; // tokens per second
@@ -93,8 +98,10 @@
     static constexpr Duration kSpendFor = std::chrono::seconds(50);
     static constexpr Duration kWriteEvery = std::chrono::seconds(12); // at least
 
-    // holder names this entry's VM; the clock must outlive this object.
-    QuotaShares(std::string holder, const Clock &clock);
+    // holder names this entry's VM; the clock must outlive this object. tolerance is the excess in
+    // tokens that the deployment grants a workspace in a window for being counted in many places;
+    // the entries use half of it together.
+    QuotaShares(std::string holder, const Clock &clock, std::int64_t tolerance = 0);
 
     // Takes the quotas of a configuration.
     void configure(const ServingConfig &config);
@@ -160,6 +167,7 @@
 
     std::string holder_;
     const Clock &clock_;
+    std::int64_t tolerance_; // tokens, of all entries together
     std::map<std::string, Ledger> ledgers_; // by workspace
     TimePoint sentAt_{}; // of the write under way
 };
--- a/packages/gateway/target_book.h
+++ b/packages/gateway/target_book.h
@@ -30,6 +30,7 @@
     EngineReport report_;
     TimePoint reportedAt_{}; // zero: no report yet
     bool isAgentLinked_ = false; // a process beside it takes load orders
+    double evictionCost_ = 0; // expected uses of the adapter that a further load would drop
 
     int inFlight_ = 0; // own requests
     std::int64_t pendingPrompt_ = 0; // own prompt tokens whose first event has not come
--- a/packages/gateway/target_connection.cpp
+++ b/packages/gateway/target_connection.cpp
@@ -120,11 +120,16 @@
 
 void TargetConnection::abandon()
 {
+    // Bytes that a broken link holds up are delivered after an orderly close, long after the caller
+    // has left; a reset discards them.
+    const bool isUnderWay = sink_ != nullptr && isSent_;
     sink_ = nullptr;
     isClosed_ = true;
     connectTimer_.cancel();
     asio::error_code ignored; // closed anyway
-    if (stream_)
+    if (stream_ && isUnderWay)
+        stream_->reset();
+    else if (stream_)
         stream_->close();
     else
         socket_.close(ignored);
--- a/packages/sidecar/adapter_keeper.cpp
+++ b/packages/sidecar/adapter_keeper.cpp
@@ -1,6 +1,8 @@
 #include "sidecar/adapter_keeper.h"
 
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 #include "gateway/target_book.h"
 
@@ -8,6 +10,8 @@
 
 namespace {
 
+constexpr double kPopularitySeconds = 10; // a use counts for about this long
+constexpr std::size_t kMostPopularities = 2000;
 constexpr std::int64_t kTokenStep = 1000; // beyond a token that another process may have used
 
 std::pair<std::string, std::string> splitName(const std::string &name)
@@ -78,6 +82,8 @@
     slots_ = request.adapterSlots_;
     Want &want = wants_[request.name_];
     const std::int64_t version = std::max(want.request_.version_, request.version_);
+    if (want.since_ == TimePoint{})
+        want.since_ = now;
     want.request_ = request;
     want.request_.version_ = version;
     want.until_ = now + kWantFor;
@@ -89,6 +95,8 @@
 void AdapterKeeper::use(int entry, const UseNotice &notice, TimePoint now)
 {
     lastUse_[notice.name_] = now;
+    if (notice.isBegin_)
+        countUse(notice.name_, now);
     int &count = uses_[notice.name_][entry];
     count = std::max(0, count + (notice.isBegin_ ? 1 : -1));
     if (count == 0)
@@ -106,10 +114,53 @@
     }
 }
 
+double AdapterKeeper::popularity(const std::string &name, TimePoint now) const
+{
+    const auto it = popularity_.find(name);
+    if (it == popularity_.end())
+        return 0;
+    const double age = std::chrono::duration<double>(now - it->second.at_).count();
+    return it->second.uses_ * std::exp(-age / kPopularitySeconds);
+}
+
+void AdapterKeeper::countUse(const std::string &name, TimePoint now)
+{
+    constexpr double kForgotten = 0.05;
+    if (popularity_.size() > kMostPopularities)
+        std::erase_if(popularity_,
+                      [&](const auto &entry) { return popularity(entry.first, now) < kForgotten; });
+    popularity_[name] = Popularity{popularity(name, now) + 1, now};
+}
+
+std::vector<const AdapterKeeper::Want *> AdapterKeeper::wantsByAge() const
+{
+    std::vector<const Want *> list;
+    for (const auto &[name, want] : wants_)
+        list.push_back(&want);
+    std::stable_sort(list.begin(), list.end(),
+                     [](const Want *a, const Want *b) { return a->since_ < b->since_; });
+    return list;
+}
+
+SidecarReport AdapterKeeper::summary(TimePoint now) const
+{
+    SidecarReport summary{report_};
+    for (const auto &[name, want] : wants_) {
+        if (!isLoading(name))
+            summary.engine_.loading_.push_back(name);
+    }
+    if (slots_ > 0 && occupied() + wants_.size() >= static_cast<std::size_t>(slots_)) {
+        constexpr double kAllInUse = 10;
+        const std::optional<std::string> dropped = victim(now);
+        summary.evictionCost_ = dropped ? popularity(*dropped, now) : kAllInUse;
+    }
+    return summary;
+}
+
 std::optional<std::string> AdapterKeeper::victim(TimePoint now) const
 {
-    std::optional<std::string> oldest;
-    TimePoint oldestUse = TimePoint::max();
+    std::optional<std::string> coldest;
+    double leastUses = std::numeric_limits<double>::max();
     for (const HostedModel &model : report_.models_) {
         for (const auto &[adapter, version] : model.adapters_) {
             const std::string name = adapterName(model.name_, adapter);
@@ -119,13 +170,14 @@
             const TimePoint at = used == lastUse_.end() ? TimePoint{} : used->second;
             if (at + kKeepAfterUse > now && at != TimePoint{})
                 continue;
-            if (at < oldestUse) {
-                oldestUse = at;
-                oldest = name;
+            const double uses = popularity(name, now);
+            if (uses < leastUses) {
+                leastUses = uses;
+                coldest = name;
             }
         }
     }
-    return oldest;
+    return coldest;
 }
 
 EngineOrder AdapterKeeper::order(OrderKind kind, const std::string &name) const
@@ -147,7 +199,8 @@
         refused_.push_back(it->first);
         it = wants_.erase(it);
     }
-    for (const auto &[name, want] : wants_) {
+    for (const Want *want : wantsByAge()) {
+        const std::string &name = want->request_.name_;
         const auto [model, adapter] = splitName(name);
         const HostedModel *host = hosted(model);
         if (host == nullptr) {
--- a/packages/sidecar/adapter_keeper.h
+++ b/packages/sidecar/adapter_keeper.h
@@ -63,6 +63,10 @@
     // Returns the requests that could not be met, once.
     [[nodiscard]] std::vector<std::string> takeRefused(TimePoint now);
 
+    // Returns the report for the entries: with the adapters that are about to be ordered and the
+    // expected uses of the one that a further load would drop.
+    [[nodiscard]] SidecarReport summary(TimePoint now) const;
+
     // Returns whether an order or a load is under way, so that reports should be read often.
     [[nodiscard]] bool isActive() const;
 
@@ -72,14 +76,25 @@
     struct Want
     {
         LoadRequest request_;
+        TimePoint since_{};
         TimePoint until_{};
     };
 
+    // Uses of late: each counts less as time passes.
+    struct Popularity
+    {
+        double uses_ = 0;
+        TimePoint at_{};
+    };
+
     [[nodiscard]] const HostedModel *hosted(const std::string &model) const;
     [[nodiscard]] bool isMet(const Want &want) const;
     [[nodiscard]] bool isLoading(const std::string &name) const;
     [[nodiscard]] std::size_t occupied() const;
     [[nodiscard]] std::optional<std::string> victim(TimePoint now) const;
+    [[nodiscard]] double popularity(const std::string &name, TimePoint now) const;
+    void countUse(const std::string &name, TimePoint now);
+    [[nodiscard]] std::vector<const Want *> wantsByAge() const;
     [[nodiscard]] EngineOrder order(OrderKind kind, const std::string &name) const;
 
     std::string holder_;
@@ -91,6 +106,7 @@
     std::map<std::string, Want> wants_; // by adapter name
     std::map<std::string, std::map<int, int>> uses_; // adapter name, entry, requests
     std::map<std::string, TimePoint> lastUse_;
+    std::map<std::string, Popularity> popularity_;
     std::vector<std::string> refused_;
 };
 
--- a/packages/sidecar/sidecar_node.cpp
+++ b/packages/sidecar/sidecar_node.cpp
@@ -148,10 +148,11 @@
         return notRun(ErrorCode::InvalidSettings,
                       "cannot listen on " + address + ": " + why.message());
     admin_.serve("/state", [this] {
-        const nlohmann::json state = {{"name", settings_.name_},
-                                      {"engine", engineState_},
-                                      {"entries", entries_.size()},
-                                      {"report", nlohmann::json::parse(encode(report_))}};
+        const nlohmann::json state = {
+            {"name", settings_.name_},
+            {"engine", engineState_},
+            {"entries", entries_.size()},
+            {"report", nlohmann::json::parse(encode(keeper_.summary(clock_.now())))}};
         return AdminAnswer{200, state.dump(2) + "\n", "application/json"};
     });
     if (settings_.metricsPort_ != 0) {
@@ -165,7 +166,7 @@
     return {};
 }
 
-void SidecarNode::stop(std::function<void()> onStopped)
+void SidecarNode::stop(const std::function<void()> &onStopped)
 {
     log_.write(LogDetail::Full, "stopped", nlohmann::json::object());
     log_.flush();
@@ -185,7 +186,7 @@
             link->stream_->start([this, entry](std::string_view data) { onEntryData(entry, data); },
                                  [this, entry](const asio::error_code &) { dropEntry(entry); });
             if (hasReport_)
-                link->stream_->send(encode(report_));
+                link->stream_->send(encode(keeper_.summary(clock_.now())));
         }
         accept();
     });
@@ -222,6 +223,8 @@
             isWanted = true;
         }
     }
+    if (isWanted && hasReport_)
+        publish(); // so that other entries do not ask elsewhere for the same adapter
     if (isWanted && !isCalling_)
         poll();
 }
@@ -316,7 +319,7 @@
 void SidecarNode::publish()
 {
     publishAt_ = clock_.now() + kPublishEvery;
-    const std::string line = encode(report_);
+    const std::string line = encode(keeper_.summary(clock_.now()));
     std::vector<int> stuck;
     for (const auto &[entry, link] : entries_) {
         if (link->stream_->queuedBytes() > kMostUnsent)
--- a/packages/sidecar/sidecar_node.h
+++ b/packages/sidecar/sidecar_node.h
@@ -32,7 +32,7 @@
     [[nodiscard]] Result<void> start();
 
     // Ends at once: no request passes through this process.
-    void stop(std::function<void()> onStopped);
+    void stop(const std::function<void()> &onStopped);
 
 private:
     class EngineCall;
