--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -204,7 +204,7 @@
 {
     for (Target *target : book_.all()) {
         if (target->record_.address_ == address && target->loadsAsked_.contains(name))
-            target->loadsAsked_[name] = now() - Placement::kLoadPatience;
+            target->loadsAsked_[name] = now() - placements_[target->record_.service_].loadPatience();
     }
     retryWaiting();
 }
--- a/packages/gateway/placement.cpp
+++ b/packages/gateway/placement.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds kLoadRank(250);
 constexpr milliseconds kEviction(200); // for each expected use of the adapter that is dropped
 constexpr double kLoadLearnWeight = 0.2; // of a new sample of the load time
+constexpr milliseconds kLeastPatience(600);
+constexpr milliseconds kMostPatience(1500);
 constexpr milliseconds kShortestLoad(50);
 constexpr milliseconds kLongestLoad(2000);
 constexpr milliseconds kOtherDataCentre(2);
@@ -105,7 +107,7 @@
     const std::string name = adapterName(request.model_, request.adapter_);
     const auto asked = target.loadsAsked_.find(name);
     const bool isAsked = asked != target.loadsAsked_.end();
-    if (isAsked && now - asked->second > kLoadPatience)
+    if (isAsked && now - asked->second > loadPatience())
         return loadTime_ * 3; // it failed there
     if (isAsked || target.isLoading(name))
         return loadTime_ / 3; // on its way
@@ -159,6 +161,11 @@
     tokensPerMilli_ += kLearnWeight * (rate - tokensPerMilli_);
 }
 
+Duration Placement::loadPatience() const
+{
+    return std::clamp<Duration>(loadTime_ * 3, kLeastPatience, kMostPatience);
+}
+
 void Placement::observeLoad(Duration elapsed)
 {
     const Duration sample = std::clamp<Duration>(elapsed, kShortestLoad, kLongestLoad);
--- a/packages/gateway/placement.h
+++ b/packages/gateway/placement.h
@@ -58,8 +58,9 @@
     // Expected time of a load before any was seen. An adapter takes about 250 ms while few are on
     // their way.
     static constexpr Duration kFirstLoadTime = std::chrono::milliseconds(300);
-    // After this time an asked load counts as failed and another target is considered.
-    static constexpr Duration kLoadPatience = std::chrono::milliseconds(1500);
+    // Returns the time after which an asked load counts as failed, so that another target is
+    // considered.
+    [[nodiscard]] Duration loadPatience() const;
 
     [[nodiscard]] PlacementChoice choose(const std::vector<Target *> &targets,
                                          const PlacementRequest &request, TimePoint now) const;
--- a/packages/sidecar/sidecar_node.cpp
+++ b/packages/sidecar/sidecar_node.cpp
@@ -9,6 +9,9 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kCallTime = milliseconds(500); // the engine is on the same VM
+// An order is answered within a few milliseconds or not at all; it can be given again, since the
+// count of accepted orders that it carries makes the second copy void.
+constexpr Duration kOrderTime = milliseconds(120);
 constexpr Duration kCalmPoll = milliseconds(120);
 constexpr Duration kActivePoll = milliseconds(20); // while an adapter is on its way
 constexpr Duration kIdlePoll = milliseconds(400); // without an entry that listens
@@ -53,12 +56,12 @@
         , timer_(node.context_)
     { }
 
-    void start(const HttpCall &call)
+    void start(const HttpCall &call, Duration timeout)
     {
         self_ = shared_from_this();
         const std::string &address = node_.settings_.engineAddress_;
         connection_ = node_.pool_.acquire(address, node_.clock_.now() + kCallTime);
-        timer_.expires_after(kCallTime);
+        timer_.expires_after(timeout);
         timer_.async_wait([weak = weak_from_this()](const asio::error_code &why) {
             const auto self = weak.lock();
             if (why || !self)
@@ -238,7 +241,7 @@
     std::make_shared<EngineCall>(*this, [this](int status, const std::string &body) {
         isCalling_ = false;
         onReport(status, body);
-    })->start(codec_.reportCall());
+    })->start(codec_.reportCall(), kCallTime);
 }
 
 void SidecarNode::onReport(int status, const std::string &body)
@@ -292,7 +295,7 @@
                     {"sequence", order.expectedSequence_.value_or(-1)},
                     {"status", status}});
         onOrderAnswer(status);
-    })->start(codec_.orderCall(*order));
+    })->start(codec_.orderCall(*order), kOrderTime);
 }
 
 void SidecarNode::onOrderAnswer(int status)
