--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -106,6 +106,7 @@
             LogDetail::Sampled, "sent",
             {{"request", request_.caller_.id_},
              {"target", choice.target_->record_.instance_},
+             {"adapter", adapterName(request_.caller_.model_, request_.caller_.adapter_)},
              {"attempt", sends_ + 1},
              {"expected_us", choice.expected_.count()},
              {"considered", choice.candidates_.size()},
--- a/packages/sidecar/sidecar_node.cpp
+++ b/packages/sidecar/sidecar_node.cpp
@@ -163,7 +163,8 @@
         if (Result<void> listening = admin_.listen(admin); !listening)
             return listening;
     }
-    log_.write(LogDetail::Full, "started", {{"role", "sidecar"}});
+    log_.write(LogDetail::Full, "started",
+               {{"role", "sidecar"}, {"engine", settings_.engineAddress_}});
     accept();
     poll();
     return {};
