sidecar: keep an adapter that has just arrived for the requests that wait for it

Nothing used it yet and its last use was the load request, 500 ms and more before. Orders that are carried out late were ruled out: each unload in question was answered 200 at the time of the 421. The arrival now counts as a use.

--- a/packages/sidecar/adapter_keeper.cpp
+++ b/packages/sidecar/adapter_keeper.cpp
@@ -27,7 +27,7 @@
     , token_(firstToken)
 { }
 
-void AdapterKeeper::onReport(const EngineReport &report, TimePoint)
+void AdapterKeeper::onReport(const EngineReport &report, TimePoint now)
 {
     if (report.bornMs_ != report_.bornMs_) {
         // Another incarnation holds and knows nothing of before.
@@ -36,7 +36,12 @@
     }
     report_ = report;
     hasFreshReport_ = true;
-    std::erase_if(wants_, [this](const auto &entry) { return isMet(entry.second); });
+    std::erase_if(wants_, [&](const auto &entry) {
+        if (!isMet(entry.second))
+            return false;
+        lastUse_[entry.first] = now; // the requests that wait for it are about to come
+        return true;
+    });
 }
 
 const HostedModel *AdapterKeeper::hosted(const std::string &model) const
