base, gateway, sidecar: tests of the decisions; numbers out of range are typed errors

Cause of the first: the new packages had landed with tests of http1 and the log only. Found by them: parseJson() and others threw for a number such as 1e400 (the known fault of foxtailturnctl validate, exit 134). All parsers of outside text now go through parseJson() or parseUntrustedJson(); a caller's body that can't be checked for the key counts as holding it. Also found: wishes that came before the first report of an engine were dropped.

The new packages live in namespace foxtailturn::gateway, since types of the gRPC entry have the same names.

--- a/packages/agent/answer_check.cpp
+++ b/packages/agent/answer_check.cpp
@@ -83,7 +83,7 @@
 
 void AnswerCheck::readObject(std::string_view text)
 {
-    const Json json = Json::parse(text, nullptr, false);
+    const Json json = parseUntrustedJson(text);
     if (!json.is_object())
         return;
     const auto model = json.find("model");
--- a/packages/agent/executor.cpp
+++ b/packages/agent/executor.cpp
@@ -53,7 +53,7 @@
 
 bool isStreaming(const std::string &body)
 {
-    const Json json = Json::parse(body, nullptr, false);
+    const Json json = parseUntrustedJson(body);
     return json.is_object() && json.value("stream", false);
 }
 
--- a/packages/agent/http_engine_orders.cpp
+++ b/packages/agent/http_engine_orders.cpp
@@ -93,13 +93,13 @@
     const Result<std::string> models = get("/v1/models", deadline);
     if (!models)
         return tl::unexpected(models.error());
-    const Json json = Json::parse(*models, nullptr, false);
+    const Json json = parseUntrustedJson(*models);
     if (!json.is_object() || !json.contains("data") || !json["data"].is_array())
         return notRun(ErrorCode::TargetFailed, "engine's model list can not be read");
     const Result<std::string> load = get("/load", deadline);
     if (!load)
         return tl::unexpected(load.error());
-    const Json report = Json::parse(*load, nullptr, false);
+    const Json report = parseUntrustedJson(*load);
     if (!report.is_object())
         return notRun(ErrorCode::TargetFailed, "engine's load report can not be read");
     std::vector<EngineAdapter> adapters;
--- a/packages/base/json.cpp
+++ b/packages/base/json.cpp
@@ -21,6 +21,19 @@
         const auto line = 1 + std::count(text.begin(), text.begin() + static_cast<long>(end), '\n');
         return notRun(ErrorCode::InvalidConfiguration,
                       concat(source, ":", line, ": not valid JSON: ", e.what()));
+    } catch (const Json::exception &e) {
+        // A number out of range; the library gives no position.
+        return notRun(ErrorCode::InvalidConfiguration,
+                      concat(source, ": not valid JSON: ", e.what()));
+    }
+}
+
+Json parseUntrustedJson(std::string_view text, const Json::parser_callback_t &filter)
+{
+    try {
+        return Json::parse(text, filter, false);
+    } catch (const Json::exception &) {
+        return Json(Json::value_t::discarded);
     }
 }
 
--- a/packages/base/json.h
+++ b/packages/base/json.h
@@ -30,6 +30,13 @@
 // column. Error: InvalidConfiguration. Thread-safe.
 [[nodiscard]] Result<Json> parseJson(std::string_view text, std::string_view source);
 
+// Parses JSON from outside without comments. Returns a discarded value (is_discarded()) for any
+// text that is not valid or holds a number out of range, for which the library throws even when its
+// exceptions for syntax are off. filter may leave parts out, as the library's callback does.
+// Thread-safe.
+[[nodiscard]] Json parseUntrustedJson(std::string_view text,
+                                      const Json::parser_callback_t &filter = nullptr);
+
 // Inclusive bounds of an integer field.
 struct IntegerRange
 {
--- a/packages/base/json_test.cpp
+++ b/packages/base/json_test.cpp
@@ -39,5 +39,19 @@
     CHECK(broken.error().message_.rfind("f:2:", 0) == 0);
 }
 
+// Guards against an uncaught exception: the library throws for a number out of range although its
+// exceptions are off (foxtailturnctl validate ended with exit code 134).
+TEST_CASE("numbers out of range are errors like any other")
+{
+    const Result<Json> config = parseJson("{\"a\": 1e400}", "f");
+    REQUIRE(!config);
+    CHECK(config.error().code_ == ErrorCode::InvalidConfiguration);
+    for (const char *text : {"1e400", "[1e400]", "{\"a\": -1e999}", "{", ""}) {
+        CAPTURE(text);
+        CHECK(parseUntrustedJson(text).is_discarded());
+    }
+    CHECK(parseUntrustedJson("[1]").size() == 1);
+}
+
 } // namespace
 } // namespace foxtailturn
--- a/packages/ctl/admin_client.cpp
+++ b/packages/ctl/admin_client.cpp
@@ -48,7 +48,7 @@
     const Result<std::string> body = send(address, "GET", "/state", "");
     if (!body)
         return tl::unexpected(body.error());
-    Json json = Json::parse(*body, nullptr, false);
+    Json json = parseUntrustedJson(*body);
     if (!json.is_object())
         return notRun(ErrorCode::ConnectionLost, concat(address, " answered without a state"));
     return json;
--- a/packages/ctl/ctl_test.cpp
+++ b/packages/ctl/ctl_test.cpp
@@ -108,6 +108,11 @@
     CHECK(f.code({"valdate", f.file_}) == 2);
     CHECK(f.code({"validate"}) == 2);
     CHECK(f.code({"validate", "no-such-file"}) == 2);
+    const std::string huge = f.file_ + ".huge";
+    std::ofstream(huge) << R"({"revision": 1e400})";
+    CHECK(f.code({"validate", huge}) == 1); // used to end in an uncaught exception
+    std::ofstream(huge) << "{";
+    CHECK(f.code({"validate", huge}) == 1);
     CHECK(f.code({"validate", f.file_}) == 0);
     CHECK(f.code({"render", f.file_}) == 0);
     CHECK(f.code({"diff", f.file_}) == 0);
--- a/packages/daemon/admin_server.cpp
+++ b/packages/daemon/admin_server.cpp
@@ -114,7 +114,7 @@
 
     void withdraw(const httplib::Request &request, httplib::Response &response)
     {
-        const Json body = Json::parse(request.body, nullptr, false);
+        const Json body = parseUntrustedJson(request.body);
         const Json keys = body.is_object() ? body.value("keys", Json()) : Json();
         std::vector<std::string> ids;
         for (const Json &key : keys) {
--- a/packages/daemon/node_main.cpp
+++ b/packages/daemon/node_main.cpp
@@ -7,7 +7,7 @@
 #include "gateway/entry_node.h"
 #include "sidecar/sidecar_node.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 namespace {
 
@@ -94,4 +94,4 @@
     });
 }
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/daemon/node_main.h
+++ b/packages/daemon/node_main.h
@@ -9,7 +9,7 @@
 
 #include "gateway/codec.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 // Serves until SIGTERM and returns the exit code: 0 after a graceful shutdown, 2 for settings that
 // can't be used. SIGHUP reads the settings file again. Must be called once, from the main thread.
@@ -18,4 +18,4 @@
 // Checks a settings file; prints the problem and returns 2, or returns 0.
 [[nodiscard]] int checkNodeSettings(const std::string &settingsPath);
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/entry/caller_key.cpp
+++ b/packages/entry/caller_key.cpp
@@ -100,7 +100,11 @@
             || (value.is_string() && containsSecret(value.get_ref<const std::string &>(), secret));
         return event != Json::parse_event_t::value;
     };
-    [[maybe_unused]] const Json containers = Json::parse(body, look, false);
+    try {
+        [[maybe_unused]] const Json containers = Json::parse(body, look, false);
+    } catch (const Json::exception &) {
+        return true; // a number out of range ends the parse, so the rest can't be checked
+    }
     return isFound;
 }
 
--- a/packages/entry/filters.cpp
+++ b/packages/entry/filters.cpp
@@ -41,7 +41,7 @@
         tooDeep = tooDeep || depth > kMaxBodyDepth;
         return !tooDeep;
     };
-    Json body = Json::parse(text, keepShallow, false);
+    Json body = parseUntrustedJson(text, keepShallow);
     if (tooDeep)
         return Json(Json::value_t::discarded);
     return body;
--- a/packages/gateway/admin_port.cpp
+++ b/packages/gateway/admin_port.cpp
@@ -4,7 +4,7 @@
 #include "gateway/target_connection.h"
 #include "http1/message_parser.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 namespace {
 
@@ -130,4 +130,4 @@
         });
 }
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/admin_port.h
+++ b/packages/gateway/admin_port.h
@@ -14,7 +14,7 @@
 
 #include "base/error.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 struct AdminAnswer
 {
@@ -47,4 +47,4 @@
     std::map<std::string, Handler, std::less<>> handlers_;
 };
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/agent_link.cpp
+++ b/packages/gateway/agent_link.cpp
@@ -4,7 +4,7 @@
 
 #include "gateway/target_connection.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 namespace {
 
@@ -138,4 +138,4 @@
     stream_->send(std::move(line));
 }
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/agent_link.h
+++ b/packages/gateway/agent_link.h
@@ -17,7 +17,7 @@
 #include "gateway/agent_messages.h"
 #include "gateway/byte_stream.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 // Not thread-safe.
 class AgentLink : public std::enable_shared_from_this<AgentLink>
@@ -60,4 +60,4 @@
     bool isStopped_ = false;
 };
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/agent_messages.cpp
+++ b/packages/gateway/agent_messages.cpp
@@ -2,7 +2,7 @@
 
 #include "base/json.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 namespace {
 
@@ -121,13 +121,7 @@
 AgentMessage decodeAgentMessage(std::string_view line)
 {
     AgentMessage message;
-    Json json;
-    // A number out of range throws even without exceptions for syntax.
-    try {
-        json = Json::parse(line, nullptr, false);
-    } catch (const Json::exception &) {
-        return message;
-    }
+    const Json json = parseUntrustedJson(line);
     if (!json.is_object())
         return message;
     if (json.contains("load")) {
@@ -157,4 +151,4 @@
     return lines;
 }
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/agent_messages.h
+++ b/packages/gateway/agent_messages.h
@@ -14,7 +14,7 @@
 
 #include "gateway/codec.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 // An entry wants an adapter, or a model, on the engine.
 struct LoadRequest
@@ -65,4 +65,4 @@
 // Cuts whole lines from the front of a buffer. Thread-safe.
 [[nodiscard]] std::vector<std::string> takeLines(std::string &buffer);
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/byte_stream.cpp
+++ b/packages/gateway/byte_stream.cpp
@@ -2,7 +2,7 @@
 
 #include <array>
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 namespace {
 
@@ -172,4 +172,4 @@
         onClose(why);
 }
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/byte_stream.h
+++ b/packages/gateway/byte_stream.h
@@ -17,7 +17,7 @@
 
 #include <asio.hpp>
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 // Not thread-safe: all calls come from the loop's thread. Handlers run from the loop or from
 // resume(), never from send().
@@ -77,4 +77,4 @@
     bool isFinishing_ = false;
 };
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/caller_connection.cpp
+++ b/packages/gateway/caller_connection.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 namespace {
 
@@ -309,4 +309,4 @@
     acceptor_.close(ignored);
 }
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/caller_connection.h
+++ b/packages/gateway/caller_connection.h
@@ -12,7 +12,7 @@
 #include "gateway/gateway.h"
 #include "http1/message_parser.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 class CallerListener;
 
@@ -103,4 +103,4 @@
     bool isDraining_ = false;
 };
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/codec.h
+++ b/packages/gateway/codec.h
@@ -20,7 +20,7 @@
 #include "gateway/serving_config.h"
 #include "http1/message.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 // A part of a prompt that several requests may share.
 struct PromptPart
@@ -245,4 +245,4 @@
     [[nodiscard]] virtual std::optional<TargetRecord> decodeTarget(const StoreRow &row) const = 0;
 };
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 namespace {
 
@@ -375,4 +375,4 @@
     });
 }
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/entry_node.h
+++ b/packages/gateway/entry_node.h
@@ -17,7 +17,7 @@
 #include "gateway/node_settings.h"
 #include "gateway/store_client.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 // Not thread-safe: all calls come from the thread that runs the context.
 class EntryNode
@@ -78,4 +78,4 @@
     bool isRoundUnderWay_ = false;
 };
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/event_splitter.cpp
+++ b/packages/gateway/event_splitter.cpp
@@ -2,7 +2,7 @@
 
 #include <charconv>
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 namespace {
 
@@ -63,4 +63,4 @@
     return number;
 }
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/event_splitter.h
+++ b/packages/gateway/event_splitter.h
@@ -16,7 +16,7 @@
 #include <string_view>
 #include <vector>
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 struct StreamEvent
 {
@@ -43,4 +43,4 @@
 // Returns the number of an event id; nullopt if it is none. Thread-safe.
 [[nodiscard]] std::optional<std::int64_t> eventNumber(std::string_view id);
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -5,7 +5,7 @@
 
 #include "base/hash.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 namespace {
 
@@ -204,7 +204,8 @@
 {
     for (Target *target : book_.all()) {
         if (target->record_.address_ == address && target->loadsAsked_.contains(name))
-            target->loadsAsked_[name] = now() - placements_[target->record_.service_].loadPatience();
+            target->loadsAsked_[name] =
+                now() - placements_[target->record_.service_].loadPatience();
     }
     retryWaiting();
 }
@@ -384,4 +385,4 @@
             {"connections_reused", pool_.reused()}};
 }
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -28,7 +28,7 @@
 #include "retry/quarantine.h"
 #include "retry/retry_budget.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 // What the gateway knows of the entry that it runs in.
 struct EntryIdentity
@@ -172,4 +172,4 @@
     LatencyMetric &firstEvent_;
 };
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/node_settings.cpp
+++ b/packages/gateway/node_settings.cpp
@@ -5,7 +5,7 @@
 
 #include "base/json.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 namespace {
 
@@ -72,4 +72,4 @@
     return settings;
 }
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/node_settings.h
+++ b/packages/gateway/node_settings.h
@@ -10,7 +10,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 enum class NodeRole { Entry, Sidecar };
 
@@ -41,4 +41,4 @@
     bool operator==(const NodeSettings &) const = default;
 };
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/placement.cpp
+++ b/packages/gateway/placement.cpp
@@ -4,7 +4,7 @@
 
 #include "base/hash.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 namespace {
 
@@ -208,4 +208,4 @@
     return std::min(tokens, request.promptTokens_);
 }
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/placement.h
+++ b/packages/gateway/placement.h
@@ -19,7 +19,7 @@
 #include "base/clock.h"
 #include "gateway/target_book.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 struct PlacementRequest
 {
@@ -97,4 +97,4 @@
     std::unordered_map<std::uint64_t, std::map<std::string, TimePoint>> kept_; // by prefix
 };
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/quota_shares.cpp
+++ b/packages/gateway/quota_shares.cpp
@@ -5,7 +5,7 @@
 
 #include "base/json.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 namespace {
 
@@ -147,7 +147,7 @@
 QuotaShares::Holders QuotaShares::decode(const std::string &value)
 {
     Holders holders;
-    const Json json = Json::parse(value, nullptr, false);
+    const Json json = parseUntrustedJson(value);
     if (!json.is_object())
         return holders;
     for (const auto &[name, entry] : json.items()) {
@@ -304,4 +304,4 @@
     return it == ledgers_.end() ? 0 : it->second.share_.units();
 }
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/quota_shares.h
+++ b/packages/gateway/quota_shares.h
@@ -24,7 +24,7 @@
 #include "base/clock.h"
 #include "gateway/codec.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 // Table and part of the rows that entries share.
 constexpr const char *kFleetTable = "foxtailturn";
@@ -172,4 +172,4 @@
     TimePoint sentAt_{}; // of the write under way
 };
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- /dev/null
+++ b/packages/gateway/quota_shares_test.cpp
@@ -0,0 +1,257 @@
+#include "gateway/quota_shares.h"
+
+#include <memory>
+#include <random>
+
+#include <doctest/doctest.h>
+
+namespace foxtailturn::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::int64_t kRate = 100'000;
+constexpr std::int64_t kBurst = 100'000;
+
+ServingConfig configOf(std::int64_t rate = kRate, std::int64_t burst = kBurst)
+{
+    ServingConfig config;
+    config.workspaces_ = {Workspace{"w", std::nullopt, TokenQuota{rate, burst, true, 200}}};
+    return config;
+}
+
+// A store of rows with conditional writes; a write may be kept and applied later.
+class FakeStore
+{
+public:
+    [[nodiscard]] std::vector<StoreRow> rows() const
+    {
+        std::vector<StoreRow> list;
+        for (const auto &[key, row] : rows_)
+            list.push_back(row);
+        return list;
+    }
+
+    bool apply(const StoreWrite &write)
+    {
+        for (const StoreRow &expected : write.expected_) {
+            const auto it = rows_.find(expected.key_);
+            if ((it == rows_.end() ? 0 : it->second.version_) != expected.version_)
+                return false;
+        }
+        ++version_;
+        for (StoreRow row : write.puts_) {
+            row.version_ = version_;
+            rows_[row.key_] = row;
+        }
+        return true;
+    }
+
+    void delay(const StoreWrite &write) { late_.push_back(write); }
+
+    void applyLate()
+    {
+        for (const StoreWrite &write : late_)
+            apply(write);
+        late_.clear();
+    }
+
+private:
+    std::map<std::string, StoreRow> rows_;
+    std::vector<StoreWrite> late_;
+    std::int64_t version_ = 0;
+};
+
+void round(QuotaShares &shares, FakeStore &store)
+{
+    if (const std::optional<StoreWrite> write = shares.plan(store.rows()))
+        shares.settle(store.apply(*write) ? WriteOutcome::Applied : WriteOutcome::Conflict);
+}
+
+struct Fleet
+{
+    explicit Fleet(int count, std::int64_t tolerance = 0)
+    {
+        for (int i = 0; i < count; ++i) {
+            entries_.push_back(
+                std::make_unique<QuotaShares>("e" + std::to_string(i), clock_, tolerance));
+            entries_.back()->configure(configOf());
+        }
+    }
+
+    void rounds(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            for (const auto &entry : entries_)
+                round(*entry, store_);
+            clock_.advance(milliseconds(500));
+        }
+    }
+
+    [[nodiscard]] std::int64_t sum() const
+    {
+        std::int64_t total = 0;
+        for (const auto &entry : entries_)
+            total += entry->unitsOf("w");
+        return total;
+    }
+
+    ManualClock clock_;
+    FakeStore store_;
+    std::vector<std::unique_ptr<QuotaShares>> entries_;
+};
+
+} // namespace
+
+// Guards against an entry that starts without a share and refuses its callers.
+TEST_CASE("entries that start together have all units within a few rounds")
+{
+    Fleet fleet(4);
+    fleet.rounds(8);
+    CHECK(fleet.sum() <= QuotaShares::kTotalUnits);
+    CHECK(fleet.sum() > QuotaShares::kTotalUnits * 9 / 10);
+    for (const auto &entry : fleet.entries_)
+        CHECK(entry->unitsOf("w") > QuotaShares::kTotalUnits / 8);
+}
+
+// Guards against wrongful refusals where all traffic of a workspace comes to one entry.
+TEST_CASE("units follow the demand")
+{
+    Fleet fleet(4);
+    fleet.rounds(8);
+    for (int i = 0; i < 40; ++i) {
+        for (int k = 0; k < 8; ++k)
+            static_cast<void>(fleet.entries_[0]->admit("w", 5'000));
+        fleet.rounds(1);
+    }
+    CHECK(fleet.entries_[0]->unitsOf("w") > QuotaShares::kTotalUnits * 7 / 10);
+    CHECK(fleet.sum() <= QuotaShares::kTotalUnits);
+}
+
+// Guards against spending beyond the quota when the store loses answers, applies writes late or
+// conflicts: the units in use never exceed the whole, and all that is admitted in a window stays
+// within rate and burst.
+TEST_CASE("random store faults never raise the sum of the units")
+{
+    for (unsigned seed = 1; seed <= 60; ++seed) {
+        CAPTURE(seed);
+        std::mt19937 random(seed);
+        const auto chance = [&random](unsigned percent) { return random() % 100 < percent; };
+        Fleet fleet(5);
+        double admitted = 0;
+        const TimePoint start = fleet.clock_.now();
+        for (int step = 0; step < 400; ++step) {
+            fleet.clock_.advance(milliseconds(random() % 100));
+            if (chance(10))
+                fleet.store_.applyLate();
+            QuotaShares &entry = *fleet.entries_[random() % fleet.entries_.size()];
+            if (entry.admit("w", 1'000))
+                admitted += 1'000;
+            if (!chance(40))
+                continue;
+            const std::optional<StoreWrite> write = entry.plan(fleet.store_.rows());
+            if (!write)
+                continue;
+            if (chance(20)) {
+                fleet.store_.delay(*write);
+                entry.settle(WriteOutcome::Unknown);
+            } else if (chance(20)) {
+                fleet.store_.apply(*write);
+                entry.settle(WriteOutcome::Unknown);
+            } else {
+                entry.settle(fleet.store_.apply(*write) ? WriteOutcome::Applied
+                                                        : WriteOutcome::Conflict);
+            }
+            REQUIRE(fleet.sum() <= QuotaShares::kTotalUnits);
+        }
+        const double elapsed = std::chrono::duration<double>(fleet.clock_.now() - start).count();
+        CHECK(admitted <= kRate * elapsed + kBurst);
+    }
+}
+
+// Guards against a frozen or cut off entry that spends units which others have taken over.
+TEST_CASE("an entry that can not write stops before its units are reclaimed")
+{
+    Fleet fleet(2);
+    fleet.rounds(8);
+    QuotaShares &frozen = *fleet.entries_[0];
+    QuotaShares &live = *fleet.entries_[1];
+    CHECK(frozen.admit("w", 10));
+    bool wasBoth = false;
+    for (int i = 0; i < 200; ++i) {
+        fleet.clock_.advance(milliseconds(500));
+        round(live, fleet.store_);
+        const bool hasAll = live.unitsOf("w") > QuotaShares::kTotalUnits * 9 / 10;
+        const Result<void> spent = frozen.admit("w", 10);
+        wasBoth = wasBoth || (hasAll && spent);
+    }
+    CHECK_FALSE(wasBoth);
+    CHECK(live.unitsOf("w") > QuotaShares::kTotalUnits * 9 / 10);
+    const Result<void> refused = frozen.admit("w", 10);
+    REQUIRE_FALSE(refused);
+    CHECK(refused.error().code_ == ErrorCode::LeaseExpired);
+}
+
+// Guards against refusals during a store outage that is shorter than kSpendFor.
+TEST_CASE("spending needs no store")
+{
+    Fleet fleet(2);
+    fleet.rounds(8);
+    fleet.clock_.advance(seconds(30));
+    CHECK(fleet.entries_[0]->admit("w", 10));
+}
+
+// Guards against a large request that a small share refuses for good, and against a debt that is
+// not paid back.
+TEST_CASE("a charge above the capacity needs a full level and leaves a debt")
+{
+    ManualClock clock;
+    QuotaShare share(clock.now());
+    share.setQuota({1'000, 1'000, true, 1}, clock.now());
+    share.setUnits(QuotaShares::kTotalUnits / 2, clock.now());
+    CHECK_FALSE(share.take(5'000, clock.now()));
+    clock.advance(seconds(1));
+    CHECK(share.take(5'000, clock.now()));
+    CHECK_FALSE(share.take(1, clock.now()));
+    clock.advance(seconds(8));
+    CHECK_FALSE(share.take(1, clock.now()));
+    clock.advance(seconds(2));
+    CHECK(share.take(1, clock.now()));
+}
+
+// Guards against a retry time that comes too early for the request.
+TEST_CASE("the retry time of a refusal is when the share can serve it")
+{
+    ManualClock clock;
+    QuotaShare share(clock.now());
+    share.setQuota({1'000, 1'000, true, 1}, clock.now());
+    share.setUnits(QuotaShares::kTotalUnits, clock.now());
+    clock.advance(seconds(1));
+    CHECK(share.take(900, clock.now()));
+    CHECK_FALSE(share.take(500, clock.now()));
+    const std::optional<TimePoint> at = share.availableAt(500, clock.now());
+    REQUIRE(at);
+    CHECK(*at == clock.now() + milliseconds(400));
+    clock.advance(milliseconds(400));
+    CHECK(share.take(500, clock.now()));
+}
+
+// Guards against rows of another writer that would give an entry more than all there is.
+TEST_CASE("malformed rows give nothing away")
+{
+    ManualClock clock;
+    for (const std::string value :
+         {"", "x", "[1]", R"({"e0":{"units":99000000}})", R"({"e0":{"units":"1"},"e1":7})"}) {
+        CAPTURE(value);
+        QuotaShares shares("e0", clock);
+        shares.configure(configOf());
+        const std::vector<StoreRow> rows = {{kFleetTable, kFleetPart, "quota/w", value, 3, false}};
+        if (shares.plan(rows))
+            shares.settle(WriteOutcome::Applied);
+        CHECK(shares.unitsOf("w") <= QuotaShares::kTotalUnits);
+    }
+}
+
+} // namespace foxtailturn::gateway
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -4,7 +4,7 @@
 
 #include "gateway/gateway.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 namespace {
 
@@ -567,4 +567,4 @@
         giveUp(ErrorCode::TargetFailed);
 }
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -23,7 +23,7 @@
 #include "gateway/placement.h"
 #include "gateway/target_connection.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 class Gateway;
 
@@ -152,4 +152,4 @@
     TimePoint firstEventAt_{};
 };
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/serving_config.cpp
+++ b/packages/gateway/serving_config.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 namespace {
 
@@ -64,4 +64,4 @@
     return route.backends_.back().service_;
 }
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/serving_config.h
+++ b/packages/gateway/serving_config.h
@@ -17,7 +17,7 @@
 
 #include "base/clock.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 enum class RouteKind {
     Idempotent, // may run more than once
@@ -138,4 +138,4 @@
 // same point always gives the same one. Precondition: the route has backends. Thread-safe.
 [[nodiscard]] const std::string &backendFor(const Route &route, std::uint64_t point);
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- /dev/null
+++ b/packages/gateway/serving_config_test.cpp
@@ -0,0 +1,83 @@
+#include "gateway/serving_config.h"
+
+#include <map>
+
+#include <doctest/doctest.h>
+
+namespace foxtailturn::gateway {
+
+namespace {
+
+Route route(std::string host, std::string prefix, std::string name)
+{
+    Route made;
+    made.host_ = std::move(host);
+    made.prefix_ = std::move(prefix);
+    made.name_ = std::move(name);
+    made.backends_ = {{"s", 1}};
+    return made;
+}
+
+} // namespace
+
+// Guards against a request that goes to the service of a shorter or foreign prefix.
+TEST_CASE("the longest prefix of the host wins")
+{
+    ServingConfig config;
+    config.routes_ = {route("a.example", "/x/", "short"), route("a.example", "/x/y/", "long"),
+                      route("b.example", "/", "other")};
+    config.indexRoutes();
+    struct Case
+    {
+        std::string host_;
+        std::string path_;
+        std::string route_; // empty: none
+    };
+    const Case cases[] = {
+        {"a.example", "/x/1", "short"},
+        {"a.example", "/x/y/1", "long"},
+        {"A.Example:8080", "/x/y/", "long"},
+        {"a.example", "/x", ""},
+        {"a.example", "/xy/", ""},
+        {"b.example", "/x/y/", "other"},
+        {"c.example", "/x/", ""},
+    };
+    for (const Case &c : cases) {
+        CAPTURE(c.host_ + c.path_);
+        const Route *found = config.findRoute(c.host_, c.path_);
+        CHECK((found == nullptr ? "" : found->name_) == c.route_);
+    }
+}
+
+// Guards against a split that ignores its weights or sends requests to a part of weight 0.
+TEST_CASE("split backends get their weights")
+{
+    Route split = route("a", "/", "r");
+    split.backends_ = {{"big", 90}, {"none", 0}, {"small", 10}};
+    std::map<std::string, int> counts;
+    constexpr int kPoints = 1000;
+    for (int point = 0; point < kPoints; ++point)
+        ++counts[backendFor(split, static_cast<std::uint64_t>(point))];
+    CHECK(counts["big"] == 900);
+    CHECK(counts["small"] == 100);
+    CHECK(counts["none"] == 0);
+    split.backends_ = {{"only", 0}};
+    CHECK(backendFor(split, 7) == "only");
+}
+
+// Guards against a second run of what may run once.
+TEST_CASE("only idempotent routes and resumable streams are repeatable")
+{
+    Route r = route("a", "/", "r");
+    CHECK_FALSE(r.isRepeatable());
+    r.kind_ = RouteKind::Stream;
+    CHECK_FALSE(r.isRepeatable());
+    r.isResumable_ = true;
+    CHECK(r.isRepeatable());
+    r.kind_ = RouteKind::NonIdempotent;
+    CHECK_FALSE(r.isRepeatable());
+    r.kind_ = RouteKind::Idempotent;
+    CHECK(r.isRepeatable());
+}
+
+} // namespace foxtailturn::gateway
--- a/packages/gateway/store_client.cpp
+++ b/packages/gateway/store_client.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 namespace {
 
@@ -246,4 +246,4 @@
     });
 }
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/store_client.h
+++ b/packages/gateway/store_client.h
@@ -17,7 +17,7 @@
 #include "gateway/codec.h"
 #include "gateway/target_connection.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 // The answer to a store call. status_ 0: no answer came, a write may have been applied or may be
 // applied later.
@@ -107,4 +107,4 @@
     TimePoint freshAt_{};
 };
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/target_book.cpp
+++ b/packages/gateway/target_book.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 namespace {
 
@@ -158,4 +158,4 @@
     });
 }
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/target_book.h
+++ b/packages/gateway/target_book.h
@@ -16,7 +16,7 @@
 #include "base/clock.h"
 #include "gateway/codec.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 // Names an adapter on a target: MODEL/ADAPTER, or MODEL alone.
 [[nodiscard]] std::string adapterName(const std::string &model, const std::string &adapter);
@@ -95,4 +95,4 @@
     std::map<std::string, std::unique_ptr<Target>> targets_; // by instance
 };
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- /dev/null
+++ b/packages/gateway/target_book_test.cpp
@@ -0,0 +1,109 @@
+#include "gateway/target_book.h"
+
+#include <doctest/doctest.h>
+
+namespace foxtailturn::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+TargetRecord record(std::string instance, std::int64_t born = 1)
+{
+    TargetRecord made;
+    made.instance_ = std::move(instance);
+    made.service_ = "s";
+    made.address_ = "10.0.0.1:80";
+    made.bornMs_ = born;
+    return made;
+}
+
+EngineReport reportOf(std::int64_t born)
+{
+    EngineReport report;
+    report.bornMs_ = born;
+    report.models_ = {{"m", {{"a1", 3}}}};
+    return report;
+}
+
+const TimePoint kStart = TimePoint(std::chrono::hours(1));
+
+} // namespace
+
+// Guards against a restarted engine that is believed to hold what it held before.
+TEST_CASE("a restart under the same id voids what was known")
+{
+    TargetBook book;
+    book.list(record("i", 1), kStart);
+    REQUIRE(book.report("10.0.0.1:80", reportOf(1), kStart) != nullptr);
+    CHECK(book.find("i")->versionOf("m", "a1") == 3);
+    book.find("i")->loadsAsked_["m/a2"] = kStart;
+    CHECK(book.list(record("i", 2), kStart));
+    CHECK_FALSE(book.find("i")->versionOf("m", "a1"));
+    CHECK(book.find("i")->loadsAsked_.empty());
+    CHECK(book.report("10.0.0.1:80", reportOf(1), kStart) == nullptr); // late, of the old one
+}
+
+// Guards against requests to a target that announced its leaving, and against taking live ones out
+// when the store dropped their records during its own outage.
+TEST_CASE("leaving targets are out at once, vanished ones after a time")
+{
+    TargetBook book;
+    book.list(record("calm"), kStart);
+    TargetRecord leaving = record("leaving");
+    book.list(leaving, kStart);
+    leaving.phase_ = TargetPhase::Draining;
+    book.list(leaving, kStart);
+    CHECK(book.ofService("s", kStart).size() == 1);
+    book.unlist("calm", kStart);
+    book.unlist("leaving", kStart);
+    CHECK(book.ofService("s", kStart + TargetBook::kUnlistedUse - milliseconds(1)).size() == 1);
+    CHECK(book.ofService("s", kStart + TargetBook::kUnlistedUse).empty());
+    book.list(record("calm"), kStart + milliseconds(2000));
+    CHECK(book.ofService("s", kStart + milliseconds(2000)).size() == 1);
+}
+
+// Guards against a target that stays in use although a full read of the table lacks it.
+TEST_CASE("keepOnly unlists the others")
+{
+    TargetBook book;
+    book.list(record("a"), kStart);
+    book.list(record("b"), kStart);
+    book.keepOnly({"b"}, kStart);
+    const auto later = kStart + std::chrono::seconds(5);
+    REQUIRE(book.ofService("s", later).size() == 1);
+    CHECK(book.ofService("s", later).front()->record_.instance_ == "b");
+    book.sweep(kStart + std::chrono::seconds(60));
+    CHECK(book.all().size() == 1);
+}
+
+// Guards against a failed target that is avoided for ever, or not at all.
+TEST_CASE("suspicion grows with failures in a row and ends with a success")
+{
+    TargetBook book;
+    book.list(record("a"), kStart);
+    Target &target = *book.find("a");
+    book.failed(target, kStart);
+    CHECK(target.isSuspect(kStart));
+    CHECK_FALSE(target.isSuspect(kStart + milliseconds(250)));
+    for (int i = 0; i < 10; ++i)
+        book.failed(target, kStart);
+    CHECK(target.isSuspect(kStart + milliseconds(1900)));
+    CHECK_FALSE(target.isSuspect(kStart + milliseconds(2000)));
+    book.succeeded(target);
+    CHECK_FALSE(target.isSuspect(kStart));
+}
+
+// Guards against a request that is sent for an adapter while it is being replaced.
+TEST_CASE("an adapter that is loading is not there")
+{
+    TargetBook book;
+    book.list(record("a"), kStart);
+    EngineReport report = reportOf(1);
+    report.loading_ = {"m/a1"};
+    book.report("10.0.0.1:80", report, kStart);
+    CHECK_FALSE(book.find("a")->versionOf("m", "a1"));
+    CHECK(book.find("a")->hostsModel("m"));
+}
+
+} // namespace foxtailturn::gateway
--- a/packages/gateway/target_connection.cpp
+++ b/packages/gateway/target_connection.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 namespace {
 
@@ -310,4 +310,4 @@
     }
 }
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/gateway/target_connection.h
+++ b/packages/gateway/target_connection.h
@@ -20,7 +20,7 @@
 #include "gateway/codec.h"
 #include "http1/message_parser.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 // Receives the answer of one exchange. After onReplyEnd() or onExchangeFailure() nothing follows.
 class ExchangeSink
@@ -135,4 +135,4 @@
 // Returns the endpoint of IP:port text. Error: InvalidSettings. Thread-safe.
 [[nodiscard]] Result<asio::ip::tcp::endpoint> endpointOf(const std::string &address);
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- /dev/null
+++ b/packages/gateway/target_connection_test.cpp
@@ -0,0 +1,266 @@
+#include "gateway/target_connection.h"
+
+#include <doctest/doctest.h>
+
+namespace foxtailturn::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Reads the fields "Id" and "Kept" only; the gateway's other calls are not used here.
+class PlainCodec final : public PlatformCodec
+{
+public:
+    Result<CallerRequest> decodeRequest(const MessageHead &) const override { return {}; }
+    std::string refusal(const Refusal &) const override { return ""; }
+    std::string readyTarget() const override { return "/"; }
+    std::string targetHead(const MessageHead &, const TargetCall &, std::size_t) const override
+    {
+        return "";
+    }
+    TargetReply decodeReply(const MessageHead &head) const override
+    {
+        TargetReply reply;
+        if (const std::string *id = head.find("Id"))
+            reply.requestId_ = *id;
+        return reply;
+    }
+    HttpCall reportCall() const override { return {}; }
+    Result<EngineReport> decodeReport(std::string_view) const override { return {}; }
+    HttpCall orderCall(const EngineOrder &) const override { return {}; }
+    HttpCall readCall(const std::string &, const std::string &, const std::string &) const override
+    {
+        return {};
+    }
+    HttpCall followCall(const std::string &, std::int64_t, Duration) const override { return {}; }
+    HttpCall writeCall(const StoreWrite &) const override { return {}; }
+    Result<StoreRows> decodeRows(std::string_view) const override { return {}; }
+    std::string callHead(const HttpCall &, const std::string &) const override { return ""; }
+    std::string operatorTable() const override { return "o"; }
+    std::string targetTable() const override { return "t"; }
+    std::optional<ServingConfig> decodeConfig(const StoreRow &) const override { return {}; }
+    std::optional<AdapterVersion> decodeAdapterVersion(const StoreRow &) const override
+    {
+        return {};
+    }
+    std::optional<TargetRecord> decodeTarget(const StoreRow &) const override { return {}; }
+};
+
+struct Recorder final : ExchangeSink
+{
+    void onReplyHead(const MessageHead &head, const TargetReply &) override
+    {
+        status_ = head.status_;
+    }
+    void onReplyBody(std::string_view data) override { body_ += data; }
+    void onReplyEnd() override { ++ends_; }
+    void onExchangeFailure(const Error &error) override { error_ = error; }
+
+    int status_ = 0;
+    std::string body_;
+    int ends_ = 0;
+    std::optional<Error> error_;
+};
+
+// A target that a test plays by hand, on loopback.
+struct Fixture
+{
+    Fixture()
+        : acceptor_(context_, {asio::ip::make_address("127.0.0.1"), 0})
+        , peer_(context_)
+        , pool_(context_, codec_, clock_)
+        , address_("127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()))
+    { }
+
+    std::shared_ptr<TargetConnection> connect()
+    {
+        auto connection = pool_.acquire(address_, clock_.now() + std::chrono::seconds(2));
+        return connection;
+    }
+
+    void accept() { peer_ = acceptor_.accept(); }
+
+    // Runs the loop until the condition holds, for two seconds at most.
+    template <typename Condition>
+    bool runUntil(Condition condition)
+    {
+        const TimePoint until = clock_.now() + std::chrono::seconds(2);
+        while (!condition() && clock_.now() < until) {
+            context_.restart();
+            context_.run_for(milliseconds(5));
+        }
+        return condition();
+    }
+
+    void reply(const std::string &text) { asio::write(peer_, asio::buffer(text)); }
+
+    std::string readRequest()
+    {
+        runUntil([this] { return peer_.available() > 0; });
+        std::string text(peer_.available(), '\0');
+        asio::read(peer_, asio::buffer(text));
+        return text;
+    }
+
+    asio::io_context context_;
+    SystemClock clock_;
+    PlainCodec codec_;
+    asio::ip::tcp::acceptor acceptor_;
+    asio::ip::tcp::socket peer_;
+    ConnectionPool pool_;
+    std::string address_;
+};
+
+constexpr const char *kAnswer = "HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+TEST_CASE("a connection is kept and used again")
+{
+    Fixture fixture;
+    Recorder recorder;
+    fixture.connect()->exchange("GET / HTTP/1.1\r\n\r\n", "7", false, recorder);
+    fixture.accept();
+    CHECK(fixture.readRequest() == "GET / HTTP/1.1\r\n\r\n");
+    fixture.reply(kAnswer);
+    CHECK(fixture.runUntil([&] { return recorder.ends_ == 1; }));
+    CHECK(recorder.body_ == "ok");
+    Recorder second;
+    fixture.connect()->exchange("GET /2 HTTP/1.1\r\n\r\n", "7", false, second);
+    CHECK(fixture.readRequest() == "GET /2 HTTP/1.1\r\n\r\n");
+    CHECK(fixture.pool_.opened() == 1);
+    CHECK(fixture.pool_.reused() == 1);
+}
+
+// Guards against another request's answer: a faulty target sends one late, where the next answer is
+// expected.
+TEST_CASE("an answer with another id is skipped")
+{
+    Fixture fixture;
+    Recorder recorder;
+    fixture.connect()->exchange("GET / HTTP/1.1\r\n\r\n", "7", false, recorder);
+    fixture.accept();
+    fixture.readRequest();
+    fixture.reply("HTTP/1.1 500 No\r\nId: 6\r\nContent-Length: 3\r\n\r\nbad");
+    fixture.reply(kAnswer);
+    CHECK(fixture.runUntil([&] { return recorder.ends_ == 1; }));
+    CHECK(recorder.status_ == 200);
+    CHECK(recorder.body_ == "ok");
+}
+
+// Guards against the use of a connection on which bytes arrived that belong to no request.
+TEST_CASE("bytes behind an answer end the connection")
+{
+    Fixture fixture;
+    Recorder recorder;
+    fixture.connect()->exchange("GET / HTTP/1.1\r\n\r\n", "7", false, recorder);
+    fixture.accept();
+    fixture.readRequest();
+    fixture.reply(std::string(kAnswer) + kAnswer);
+    CHECK(fixture.runUntil([&] { return recorder.ends_ == 1; }));
+    Recorder second;
+    fixture.connect()->exchange("GET /2 HTTP/1.1\r\n\r\n", "7", false, second);
+    CHECK(fixture.pool_.opened() == 2);
+}
+
+// Guards against work that reaches a target after its caller has left: bytes that a cut link holds
+// up are delivered after an orderly close, but not after a reset (hunt-a942-15).
+TEST_CASE("an exchange that is given up resets its connection")
+{
+    Fixture fixture;
+    Recorder recorder;
+    const auto connection = fixture.connect();
+    connection->exchange("GET / HTTP/1.1\r\n\r\n", "7", false, recorder);
+    fixture.accept();
+    fixture.readRequest();
+    connection->abandon();
+    char byte = 0;
+    asio::error_code why;
+    fixture.peer_.read_some(asio::buffer(&byte, 1), why);
+    CHECK(why == asio::error::connection_reset);
+    CHECK_FALSE(recorder.error_);
+}
+
+// Guards against "not run" for a request that may have run, and the reverse.
+TEST_CASE("a failure tells whether the target can have seen the request")
+{
+    Fixture fixture;
+    Recorder sent;
+    fixture.connect()->exchange("GET / HTTP/1.1\r\n\r\n", "7", false, sent);
+    fixture.accept();
+    fixture.readRequest();
+    fixture.peer_.close();
+    CHECK(fixture.runUntil([&] { return sent.error_.has_value(); }));
+    CHECK(sent.error_->execution_ == Execution::OutcomeUnknown);
+
+    fixture.acceptor_.close();
+    Recorder unsent;
+    fixture.connect()->exchange("GET / HTTP/1.1\r\n\r\n", "7", false, unsent);
+    CHECK(fixture.runUntil([&] { return unsent.error_.has_value(); }));
+    CHECK(unsent.error_->execution_ == Execution::NotRun);
+}
+
+// Guards against a truncated answer that looks whole.
+TEST_CASE("a broken answer is a failure, one without length ends with its connection")
+{
+    struct Case
+    {
+        std::string answer_;
+        bool isWhole_;
+    };
+    const Case cases[] = {
+        {"HTTP/1.1 200 OK\r\nId: 7\r\nContent-Length: 5\r\n\r\nab", false},
+        {"HTTP/1.1 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", false},
+        {"HTTP/1.1 200 OK\r\nId: 7\r\n\r\nab", true},
+        {"not http at all\r\n\r\n", false},
+    };
+    for (const Case &c : cases) {
+        CAPTURE(c.answer_);
+        Fixture fixture;
+        Recorder recorder;
+        fixture.connect()->exchange("GET / HTTP/1.1\r\n\r\n", "7", false, recorder);
+        fixture.accept();
+        fixture.readRequest();
+        fixture.reply(c.answer_);
+        fixture.peer_.shutdown(asio::ip::tcp::socket::shutdown_send);
+        CHECK(fixture.runUntil([&] { return recorder.ends_ + recorder.error_.has_value() > 0; }));
+        CHECK((recorder.ends_ == 1) == c.isWhole_);
+    }
+}
+
+// Guards against bytes of the next request where a target still expects the rest of a body: it may
+// answer before it has read a long one.
+TEST_CASE("after an early answer the body is sent to its end")
+{
+    Fixture fixture;
+    Recorder recorder;
+    const std::string body(8'000'000, 'x');
+    fixture.connect()->exchange("POST / HTTP/1.1\r\n\r\n" + body, "7", false, recorder);
+    fixture.accept();
+    fixture.runUntil([&] { return fixture.peer_.available() > 0; });
+    fixture.reply(kAnswer);
+    CHECK(fixture.runUntil([&] { return recorder.ends_ == 1; }));
+    std::size_t received = 0;
+    std::vector<char> buffer(1'000'000);
+    fixture.runUntil([&] {
+        asio::error_code why;
+        while (fixture.peer_.available() > 0)
+            received += fixture.peer_.read_some(asio::buffer(buffer), why);
+        return received >= body.size();
+    });
+    CHECK(received == body.size() + std::string("POST / HTTP/1.1\r\n\r\n").size());
+    fixture.connect();
+    CHECK(fixture.pool_.opened() == 2);
+}
+
+TEST_CASE("addresses are IP and port")
+{
+    CHECK(endpointOf("10.0.0.1:80"));
+    for (const std::string bad : {"", "10.0.0.1", "host:80", "10.0.0.1:0", "10.0.0.1:99999"}) {
+        CAPTURE(bad);
+        CHECK_FALSE(endpointOf(bad));
+    }
+}
+
+} // namespace foxtailturn::gateway
--- a/packages/sidecar/adapter_keeper.cpp
+++ b/packages/sidecar/adapter_keeper.cpp
@@ -6,7 +6,7 @@
 
 #include "gateway/target_book.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 namespace {
 
@@ -29,12 +29,13 @@
 
 void AdapterKeeper::onReport(const EngineReport &report, TimePoint now)
 {
-    if (report.bornMs_ != report_.bornMs_) {
+    if (isKnown_ && report.bornMs_ != report_.bornMs_) {
         // Another incarnation holds and knows nothing of before.
         wants_.clear();
         lastUse_.clear();
     }
     report_ = report;
+    isKnown_ = true;
     hasFreshReport_ = true;
     std::erase_if(wants_, [&](const auto &entry) {
         if (!isMet(entry.second))
@@ -263,4 +264,4 @@
     return !wants_.empty() || !report_.loading_.empty();
 }
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/sidecar/adapter_keeper.h
+++ b/packages/sidecar/adapter_keeper.h
@@ -20,7 +20,7 @@
 #include "gateway/agent_messages.h"
 #include "gateway/codec.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 enum class OrderOutcome {
     Accepted, // carried out now or done already
@@ -100,6 +100,7 @@
     std::string holder_;
     std::int64_t token_;
     EngineReport report_;
+    bool isKnown_ = false; // whether there was a report
     bool hasFreshReport_ = false;
     std::string instance_; // as the entries know the engine
     int slots_ = 0;
@@ -110,4 +111,4 @@
     std::vector<std::string> refused_;
 };
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/sidecar/sidecar_node.cpp
+++ b/packages/sidecar/sidecar_node.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 namespace {
 
@@ -335,4 +335,4 @@
         dropEntry(entry);
 }
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
--- a/packages/sidecar/sidecar_node.h
+++ b/packages/sidecar/sidecar_node.h
@@ -17,7 +17,7 @@
 #include "gateway/target_connection.h"
 #include "sidecar/adapter_keeper.h"
 
-namespace foxtailturn {
+namespace foxtailturn::gateway {
 
 // Not thread-safe: all calls come from the thread that runs the context.
 class SidecarNode
@@ -69,4 +69,4 @@
     std::string engineState_ = "unknown";
 };
 
-} // namespace foxtailturn
+} // namespace foxtailturn::gateway
