gateway: of two targets at one address the one born last counts; restart rounds at once

Ruled out: lost adapters (the refused requests named instances that were gone). And 13 requests were marked as suspects by resets of single connections; a crash breaks all exchanges of its target. Each has a test in target_book_test but the round's delay.

--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -12,6 +12,7 @@
 constexpr Duration kTick = milliseconds(500);
 // Rounds of the quota ledger. A calm one is a read; shares follow demand within two rounds.
 constexpr Duration kCalmRound = milliseconds(1500);
+constexpr Duration kFirstRound = milliseconds(150); // until each workspace has a share
 constexpr Duration kShortRound = milliseconds(700); // while a share is too small
 constexpr Duration kStoreTime = milliseconds(1000);
 // Records of targets change with each heartbeat; collecting them saves calls. Well within the bound
@@ -236,6 +237,13 @@
         gateway_.onLoadRefused(engine, message.refusal_->name_);
 }
 
+Duration EntryNode::nextRound()
+{
+    if (!gateway_.shares().hasUnits())
+        return kFirstRound;
+    return gateway_.shares().wantsRound() ? kShortRound : kCalmRound;
+}
+
 void EntryNode::scheduleRound(Duration wait)
 {
     if (isRoundUnderWay_)
@@ -273,7 +281,7 @@
             {kFleetTable, kFleetPart, key, "", suspectVersions_[fingerprint]});
     }
     if (write.puts_.empty()) {
-        scheduleRound(gateway_.shares().wantsRound() ? kShortRound : kCalmRound);
+        scheduleRound(nextRound());
         return;
     }
     writeRound(write);
@@ -293,8 +301,8 @@
             suspectReports_.clear();
         else
             log_.write(LogDetail::Full, "fleet_write_failed", {{"status", answer.status_}});
-        const bool isSoon = answer.status_ == kConflict || gateway_.shares().wantsRound();
-        scheduleRound(isSoon ? kShortRound : kCalmRound);
+        scheduleRound(answer.status_ == kConflict ? std::min(nextRound(), kShortRound)
+                                                  : nextRound());
     });
 }
 
--- a/packages/gateway/entry_node.h
+++ b/packages/gateway/entry_node.h
@@ -41,6 +41,7 @@
     void syncLinks();
     void linkTarget(const Target &target);
     void onAgentMessage(const std::string &engine, const AgentMessage &message);
+    [[nodiscard]] Duration nextRound();
     void scheduleRound(Duration wait);
     void round();
     void onRoundRows(const StoreAnswer &answer);
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -251,7 +251,7 @@
     for (Target *target : book_.all()) {
         const auto service = config_->services_.find(target->record_.service_);
         if (service == config_->services_.end() || !service->second.engine_
-            || !target->isAgentLinked_ || !target->hasReport()
+            || !target->isAgentLinked_ || !target->hasReport() || target->isSuperseded_
             || target->record_.phase_ != TargetPhase::Ready)
             continue;
         const std::vector<std::string> &models = service->second.engine_->models_;
@@ -284,7 +284,8 @@
             continue;
         for (Target *target : targets) {
             const std::optional<std::int64_t> version = target->versionOf(model, adapter);
-            if (!version || *version >= declared.version_ || !target->isAgentLinked_)
+            if (!version || *version >= declared.version_ || !target->isAgentLinked_
+                || target->isSuperseded_)
                 continue;
             askLoad(*target, model, adapter);
             if (!isRequired)
@@ -305,6 +306,10 @@
     breaks_.push_back({instance, fingerprint, now()});
     if (breaks_.size() > kMostBreaks)
         breaks_.pop_front();
+    // A crash breaks all exchanges of the target. While others go on, single ones were reset.
+    const Target *target = book_.find(instance);
+    if (target != nullptr && target->inFlight_ > 0)
+        return;
     const TimePoint since = now() - kBreakWindow;
     const auto together = std::count_if(breaks_.begin(), breaks_.end(), [&](const Break &entry) {
         return entry.instance_ == instance && entry.at_ >= since;
@@ -365,6 +370,7 @@
                            {"address", target->record_.address_},
                            {"draining", target->record_.phase_ == TargetPhase::Draining},
                            {"listed", target->usableUntil_ == TimePoint::max()},
+                           {"superseded", target->isSuperseded_},
                            {"suspect", target->isSuspect(now())},
                            {"agent", target->isAgentLinked_},
                            {"in_flight", target->inFlight_},
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -497,9 +497,12 @@
     connection_.reset(); // it is idle or closed now
     if (use_ == ReplyUse::Drop && reply_.isNotRun_) {
         const bool isOther = reply_.isOtherInstance_;
-        if (Target *target = gateway_.book().find(instance_); target != nullptr && isOther)
+        if (Target *target = gateway_.book().find(instance_); target != nullptr && isOther) {
             target->loadsAsked_.erase(
                 adapterName(request_.caller_.model_, request_.caller_.adapter_));
+            if (!reply_.instance_.empty() && reply_.instance_ != instance_)
+                gateway_.book().supersede(*target);
+        }
         leaveTarget();
         if (sends_ < kMostSends && gateway_.now() < request_.deadline_
             && gateway_.tryRetry(request_.service_))
--- a/packages/gateway/target_book.cpp
+++ b/packages/gateway/target_book.cpp
@@ -66,11 +66,37 @@
     const bool isChanged = isRestarted || old.phase_ != record.phase_
         || old.address_ != record.address_ || old.service_ != record.service_
         || slot->usableUntil_ != TimePoint::max();
+    const std::string oldAddress = old.address_;
     slot->record_ = record;
     slot->usableUntil_ = TimePoint::max();
+    if (isRestarted)
+        slot->isSuperseded_ = false;
+    if (oldAddress != record.address_)
+        findNewest(oldAddress);
+    findNewest(record.address_);
     return isChanged;
 }
 
+void TargetBook::findNewest(const std::string &address)
+{
+    // A target that starts again under a new id leaves its old record behind until its heartbeats
+    // are missed. Only the last one that was born can answer at the address.
+    std::int64_t newest = 0;
+    for (const auto &[instance, target] : targets_) {
+        if (target->record_.address_ == address && target->usableUntil_ == TimePoint::max())
+            newest = std::max(newest, target->record_.bornMs_);
+    }
+    for (const auto &[instance, target] : targets_) {
+        if (target->record_.address_ == address && target->record_.bornMs_ < newest)
+            target->isSuperseded_ = true;
+    }
+}
+
+void TargetBook::supersede(Target &target)
+{
+    target.isSuperseded_ = true;
+}
+
 void TargetBook::unlist(const std::string &instance, TimePoint now)
 {
     const auto it = targets_.find(instance);
@@ -91,6 +117,8 @@
 Target *TargetBook::report(const std::string &address, const EngineReport &report, TimePoint now)
 {
     for (const auto &[instance, target] : targets_) {
+        if (target->record_.address_ == address && target->record_.bornMs_ < report.bornMs_)
+            target->isSuperseded_ = true;
         if (target->record_.address_ != address || target->record_.bornMs_ != report.bornMs_)
             continue;
         target->report_ = report;
@@ -129,7 +157,7 @@
     std::vector<Target *> list;
     for (const auto &[instance, target] : targets_) {
         if (target->record_.service_ == service && target->record_.phase_ == TargetPhase::Ready
-            && !target->report_.isDraining_ && now < target->usableUntil_)
+            && !target->report_.isDraining_ && !target->isSuperseded_ && now < target->usableUntil_)
             list.push_back(target.get());
     }
     return list;
--- a/packages/gateway/target_book.h
+++ b/packages/gateway/target_book.h
@@ -26,6 +26,8 @@
 {
     TargetRecord record_;
     TimePoint usableUntil_ = TimePoint::max(); // set when its record was removed from the store
+    // Another incarnation was seen at its address. Its own record stays listed for some seconds.
+    bool isSuperseded_ = false;
 
     EngineReport report_;
     TimePoint reportedAt_{}; // zero: no report yet
@@ -65,6 +67,9 @@
     // Adds or updates a target. Returns whether anything but its adapters changed.
     bool list(const TargetRecord &record, TimePoint now);
 
+    // Notes that another instance answers at the target's address.
+    void supersede(Target &target);
+
     // Notes that the store has no record of the target any more.
     void unlist(const std::string &instance, TimePoint now);
 
@@ -92,6 +97,8 @@
     void sweep(TimePoint now);
 
 private:
+    void findNewest(const std::string &address);
+
     std::map<std::string, std::unique_ptr<Target>> targets_; // by instance
 };
 
--- a/packages/gateway/target_book_test.cpp
+++ b/packages/gateway/target_book_test.cpp
@@ -106,4 +106,32 @@
     CHECK(book.find("a")->hostsModel("m"));
 }
 
+// Guards against requests to the record that a restarted target left behind: after a power failure
+// of all VMs, 177 requests were refused because each engine was listed twice (incident af1d).
+TEST_CASE("of two records with one address the one born last counts")
+{
+    TargetBook book;
+    book.list(record("old", 1), kStart);
+    book.report("10.0.0.1:80", reportOf(1), kStart);
+    book.list(record("new", 2), kStart);
+    REQUIRE(book.ofService("s", kStart).size() == 1);
+    CHECK(book.ofService("s", kStart).front()->record_.instance_ == "new");
+    book.list(record("old", 1), kStart); // a late heartbeat of the old one
+    CHECK(book.ofService("s", kStart).size() == 1);
+}
+
+// Guards against the same before the new record is there: the process beside the engine tells
+// first.
+TEST_CASE("a report of a later incarnation takes the earlier one out")
+{
+    TargetBook book;
+    book.list(record("old", 1), kStart);
+    CHECK(book.report("10.0.0.1:80", reportOf(2), kStart) == nullptr);
+    CHECK(book.ofService("s", kStart).empty());
+    book.list(record("old", 2), kStart); // started again under the same id
+    CHECK(book.ofService("s", kStart).size() == 1);
+    book.supersede(*book.find("old"));
+    CHECK(book.ofService("s", kStart).empty());
+}
+
 } // namespace foxtailturn::gateway
