gateway: rounds at once until the first write is acknowledged

A conflict is now followed by a round after 60 ms, and an entry counts as able to spend only after its own write.

--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -13,6 +13,7 @@
 // Rounds of the quota ledger. A calm one is a read; shares follow demand within two rounds.
 constexpr Duration kCalmRound = milliseconds(1500);
 constexpr Duration kFirstRound = milliseconds(150); // until each workspace has a share
+constexpr Duration kConflictRound = milliseconds(60); // another entry wrote in between
 constexpr Duration kShortRound = milliseconds(700); // while a share is too small
 constexpr Duration kStoreTime = milliseconds(1000);
 // Records of targets change with each heartbeat; collecting them saves calls. Well within the bound
@@ -124,7 +125,7 @@
 {
     if (isStopping_ || !gateway_.config() || !targetWatch_.isLoaded())
         return false;
-    return const_cast<Gateway &>(gateway_).shares().hasUnits()
+    return const_cast<Gateway &>(gateway_).shares().canSpend()
         || clock_.now() - startedAt_ > kUnitsPatience;
 }
 
@@ -140,7 +141,7 @@
     if (!isChanged)
         return;
     syncLinks();
-    if (!gateway_.shares().hasUnits())
+    if (!gateway_.shares().canSpend())
         scheduleRound(Duration::zero());
 }
 
@@ -239,7 +240,7 @@
 
 Duration EntryNode::nextRound()
 {
-    if (!gateway_.shares().hasUnits())
+    if (!gateway_.shares().canSpend())
         return kFirstRound;
     return gateway_.shares().wantsRound() ? kShortRound : kCalmRound;
 }
@@ -301,8 +302,7 @@
             suspectReports_.clear();
         else
             log_.write(LogDetail::Full, "fleet_write_failed", {{"status", answer.status_}});
-        scheduleRound(answer.status_ == kConflict ? std::min(nextRound(), kShortRound)
-                                                  : nextRound());
+        scheduleRound(answer.status_ == kConflict ? kConflictRound : nextRound());
     });
 }
 
--- a/packages/gateway/quota_shares.cpp
+++ b/packages/gateway/quota_shares.cpp
@@ -291,10 +291,13 @@
     });
 }
 
-bool QuotaShares::hasUnits() const
+bool QuotaShares::canSpend() const
 {
-    return std::all_of(ledgers_.begin(), ledgers_.end(), [](const auto &entry) {
-        return entry.second.quota_.rate_ == 0 || entry.second.share_.units() > 0;
+    const TimePoint now = clock_.now();
+    return std::all_of(ledgers_.begin(), ledgers_.end(), [now](const auto &entry) {
+        const Ledger &ledger = entry.second;
+        return ledger.quota_.rate_ == 0
+            || (ledger.share_.units() > 0 && now < ledger.spendUntil_);
     });
 }
 
--- a/packages/gateway/quota_shares.h
+++ b/packages/gateway/quota_shares.h
@@ -120,8 +120,8 @@
     // Returns whether some share is too small for its demand, so that a round soon pays.
     [[nodiscard]] bool wantsRound();
 
-    // Returns whether each workspace with a quota has units.
-    [[nodiscard]] bool hasUnits() const;
+    // Returns whether each workspace with a quota has units that were written in time.
+    [[nodiscard]] bool canSpend() const;
 
     [[nodiscard]] std::int64_t unitsOf(const std::string &workspace) const;
 
--- a/packages/gateway/quota_shares_test.cpp
+++ b/packages/gateway/quota_shares_test.cpp
@@ -203,6 +203,24 @@
     CHECK(fleet.entries_[0]->admit("w", 10));
 }
 
+// Guards against an entry that reports ready, or waits for its next calm round, while it still has to
+// refuse: units read from the row may be spent only after a write of this process.
+TEST_CASE("a restarted entry can spend after its first write")
+{
+    Fleet fleet(2);
+    fleet.rounds(8);
+    QuotaShares restarted("e0", fleet.clock_);
+    restarted.configure(configOf());
+    const std::optional<StoreWrite> write = restarted.plan(fleet.store_.rows());
+    REQUIRE(write);
+    CHECK(restarted.unitsOf("w") > 0);
+    CHECK_FALSE(restarted.canSpend());
+    restarted.settle(WriteOutcome::Conflict);
+    CHECK_FALSE(restarted.canSpend());
+    round(restarted, fleet.store_);
+    CHECK(restarted.canSpend());
+}
+
 // Guards against a large request that a small share refuses for good, and against a debt that is
 // not paid back.
 TEST_CASE("a charge above the capacity needs a full level and leaves a debt")
