gateway: a pool of quota units for single charges; ctl: explain and state

Ruled out: units in the wrong place (they follow the demand within two rounds), a wrong sum.

foxtailturnctl explain tells a request's story from logs, foxtailturnctl state prints a dump.

--- a/packages/ctl/command.cpp
+++ b/packages/ctl/command.cpp
@@ -24,7 +24,7 @@
 std::vector<Command> allCommands()
 {
     std::vector<Command> commands = revisionCommands();
-    for (const auto *group : {&keyCommands(), &fleetCommands()})
+    for (const auto *group : {&keyCommands(), &fleetCommands(), &logCommands()})
         commands.insert(commands.end(), group->begin(), group->end());
     return commands;
 }
@@ -39,7 +39,8 @@
             continue;
         const Arguments arguments(words.begin() + static_cast<std::ptrdiff_t>(name.size()),
                                   words.end());
-        if (arguments.size() != command.argumentCount_)
+        const bool isTooMany = arguments.size() > command.argumentCount_ && !command.takesMore_;
+        if (arguments.size() < command.argumentCount_ || isTooMany)
             return failureReport(
                 ExitCode::Usage,
                 concat("usage: foxtailturnctl ", command.name_, " ", command.arguments_));
--- a/packages/ctl/command.h
+++ b/packages/ctl/command.h
@@ -54,6 +54,7 @@
     std::size_t argumentCount_;
     bool needsPlatform_;
     Report (*run_)(CommandContext &, const Arguments &);
+    bool takesMore_ = false; // any number of further arguments
 };
 
 // Returns the commands for files and revisions, for keys, and for processes and claims.
@@ -61,6 +62,9 @@
 [[nodiscard]] const std::vector<Command> &keyCommands();
 [[nodiscard]] const std::vector<Command> &fleetCommands();
 
+// Returns the commands that read logs and state dumps.
+[[nodiscard]] const std::vector<Command> &logCommands();
+
 // Runs the command that the words name. An unknown command or a wrong number of arguments gives
 // ExitCode::Usage.
 [[nodiscard]] Report runCommand(CommandContext &context, const Arguments &words);
--- a/packages/ctl/ctl_test.cpp
+++ b/packages/ctl/ctl_test.cpp
@@ -113,6 +113,11 @@
     CHECK(f.code({"validate", huge}) == 1); // used to end in an uncaught exception
     std::ofstream(huge) << "{";
     CHECK(f.code({"validate", huge}) == 1);
+    std::remove(huge.c_str());
+    CHECK(f.code({"explain"}) == 2);
+    CHECK(f.code({"explain", "r", "no-such-file"}) == 2);
+    CHECK(f.code({"explain", "r", f.file_, f.file_}) == 1); // no line of that request
+    CHECK(f.code({"state"}) == 2);
     CHECK(f.code({"validate", f.file_}) == 0);
     CHECK(f.code({"render", f.file_}) == 0);
     CHECK(f.code({"diff", f.file_}) == 0);
--- /dev/null
+++ b/packages/ctl/explain_test.cpp
@@ -0,0 +1,91 @@
+#include "ctl/explain.h"
+
+#include <doctest/doctest.h>
+
+namespace foxtailturn {
+
+namespace {
+
+constexpr const char *kSent =
+    R"({"kind":"sent","process":"e1","request":"r","target":"t1","time_us":1000})";
+constexpr const char *kFailed =
+    R"({"kind":"attempt_failed","process":"e1","request":"r","target":"t1","time_us":2000,)"
+    R"("what":"connection lost","execution":"outcome_unknown"})";
+
+} // namespace
+
+// Guards against a cause that names something else than what the lines say.
+TEST_CASE("the cause of each kind of end is named")
+{
+    struct Case
+    {
+        std::string log_;
+        std::string cause_; // a part of it
+    };
+    const std::string sent = std::string(kSent) + "\n";
+    const std::string failed = sent + kFailed + "\n";
+    const Case cases[] = {
+        {R"({"kind":"refused","request":"r","code":"rate_limited","workspace":"w","charge":9,)"
+         R"("units":250000,"demand":70,"retry_after_us":40000,"time_us":1})"
+         "\n",
+         "over the rate of workspace w"},
+        {failed
+             + R"({"kind":"refused","request":"r","code":"target_failed","time_us":3000})"
+               "\n",
+         "target t1 failed: connection lost; execution outcome_unknown"},
+        {failed
+             + R"({"kind":"broken_off","request":"r","code":"target_failed","events":3,)"
+               R"("time_us":3000})"
+               "\n"
+               R"({"kind":"target_gone","target":"t1","time_us":4000})"
+               "\n",
+         "broke off after 3 events: the attempt at target t1 failed: connection lost; execution "
+         "outcome_unknown; the target was gone"},
+        {sent
+             + R"({"kind":"broken_off","request":"r","by":"caller","events":2,"time_us":9})"
+               "\n",
+         "the caller left after 2 events"},
+        {sent
+             + R"({"kind":"answered","request":"r","status":200,"elapsed_us":5000,"time_us":9})"
+               "\n",
+         "answered with 200 after 5 ms"},
+        {sent, "no end of this request"},
+    };
+    for (const Case &c : cases) {
+        CAPTURE(c.log_);
+        LogReader reader;
+        reader.read("f", c.log_);
+        const Explanation explanation = reader.explain("r");
+        CHECK(explanation.cause_.find(c.cause_) != std::string::npos);
+        CHECK(reader.problems().empty());
+    }
+}
+
+TEST_CASE("lines of several logs are put in order of time")
+{
+    LogReader reader;
+    reader.read("b", std::string("prefix 12.5 ") + kFailed + "\n");
+    reader.read("a", std::string(kSent) + "\n");
+    const Explanation explanation = reader.explain("r");
+    REQUIRE(explanation.lines_.size() == 2);
+    CHECK(explanation.lines_[0].kind_ == "sent");
+    CHECK(explanation.lines_[1].kind_ == "attempt_failed");
+}
+
+// Guards against a story that looks complete although lines are missing.
+TEST_CASE("missing lines are told")
+{
+    LogReader reader;
+    reader.read("f",
+                std::string("{broken}\nplain text\n")
+                    + R"({"kind":"left_out","process":"e1","of":"sent","lines":7})" + "\n"
+                    + R"({"kind":"answered","request":"r","sta)");
+    REQUIRE(reader.problems().size() == 3);
+    CHECK(reader.problems()[0] == "f: e1 left out 7 lines of kind sent");
+    CHECK(reader.problems()[1] == "f: cut off in line 4");
+    CHECK(reader.problems()[2] == "f: 1 lines can't be read");
+    CHECK(reader.explain("r").lines_.empty());
+    CHECK(reader.explain("r").cause_.empty());
+}
+
+} // namespace foxtailturn
--- a/packages/gateway/codec.h
+++ b/packages/gateway/codec.h
@@ -113,6 +113,7 @@
 {
     std::vector<StoreRow> rows_;
     std::int64_t version_ = 0; // newest version of the store
+    std::int64_t nowMs_ = 0; // steady clock of the store
     bool isTruncated_ = false;
 
     bool operator==(const StoreRows &) const = default;
--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -9,7 +9,7 @@
 using std::chrono::milliseconds;
 
 constexpr const char *kSuspectPrefix = "suspect/"; // key of a row of kFleetTable
-constexpr Duration kTick = milliseconds(500);
+constexpr Duration kTick = milliseconds(250);
 // Rounds of the quota ledger. A calm one is a read; shares follow demand within two rounds.
 constexpr Duration kCalmRound = milliseconds(1500);
 constexpr Duration kFirstRound = milliseconds(150); // until each workspace has a share
@@ -80,6 +80,7 @@
         if (link != links_.end())
             link->second->send(encode(UseNotice{name, isBegin}));
     });
+    gateway_.setRoundRequest([this] { scheduleRound(Duration::zero()); });
     gateway_.setSuspectReport([this](const SuspectRecord &record) {
         suspectReports_.insert_or_assign(record.fingerprint_, record);
         scheduleRound(Duration::zero());
@@ -240,6 +241,8 @@
 
 Duration EntryNode::nextRound()
 {
+    if (gateway_.shares().hasGrantRequests())
+        return Duration::zero();
     if (!gateway_.shares().canSpend())
         return kFirstRound;
     return gateway_.shares().wantsRound() ? kShortRound : kCalmRound;
@@ -270,11 +273,12 @@
     isRoundUnderWay_ = false;
     const Result<StoreRows> rows = codec_.decodeRows(answer.body_);
     if (answer.status_ != kOk || !rows) {
+        gateway_.shares().expireGrants();
         scheduleRound(kCalmRound);
         return;
     }
     takeSuspects(rows->rows_);
-    StoreWrite write = gateway_.shares().plan(rows->rows_).value_or(StoreWrite());
+    StoreWrite write = gateway_.shares().plan(*rows).value_or(StoreWrite());
     for (const auto &[fingerprint, record] : suspectReports_) {
         const std::string key = kSuspectPrefix + fingerprint;
         write.puts_.push_back({kFleetTable, kFleetPart, key, record.toJson()});
@@ -328,6 +332,7 @@
 
 void EntryNode::tick()
 {
+    gateway_.shares().expireGrants();
     gateway_.pool().dropExpired();
     gateway_.book().sweep(clock_.now());
     gateway_.tendTargets();
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -130,16 +130,8 @@
     if (!config_->services_.contains(request.service_))
         return refusal(503, ErrorCode::NoTarget, id, kNoConfigRetry);
     if (workspace != nullptr) {
-        const TokenQuota &quota = workspace->quota_;
-        request.charge_ =
-            quota.countsTokens_ ? request.caller_.tokens_.value_or(quota.plainTokens_) : 1;
-        const Result<void> admitted = shares_.admit(request.workspace_, request.charge_);
-        if (!admitted) {
-            const bool isLimit = admitted.error().code_ == ErrorCode::RateLimited;
-            const TimePoint retryAt = admitted.error().retryAt_.value_or(now() + seconds(1));
-            return refusal(isLimit ? 429 : 503, admitted.error().code_, id,
-                           std::max<Duration>(retryAt - now(), milliseconds(50)));
-        }
+        if (std::optional<Refusal> refused = chargeQuota(request, *workspace))
+            return *refused;
     }
     budget_.onRequest(request.service_);
     request.receivedAt_ = receivedAt;
@@ -159,6 +151,39 @@
     return request;
 }
 
+std::optional<Refusal> Gateway::chargeQuota(AdmittedRequest &request, const Workspace &workspace)
+{
+    const TokenQuota &quota = workspace.quota_;
+    request.charge_ =
+        quota.countsTokens_ ? request.caller_.tokens_.value_or(quota.plainTokens_) : 1;
+    const Result<void> admitted = shares_.admit(request.workspace_, request.charge_);
+    if (admitted)
+        return std::nullopt;
+    const bool isLimit = admitted.error().code_ == ErrorCode::RateLimited;
+    if (isLimit && shares_.mayGrant(request.workspace_, request.charge_)) {
+        request.needsGrant_ = true;
+        return std::nullopt;
+    }
+    const TimePoint retryAt = admitted.error().retryAt_.value_or(now() + seconds(1));
+    parts_.log_.write(LogDetail::Full, "over_quota",
+                      {{"request", request.caller_.id_},
+                       {"workspace", request.workspace_},
+                       {"charge", request.charge_},
+                       {"units", shares_.unitsOf(request.workspace_)},
+                       {"demand", shares_.demandOf(request.workspace_)},
+                       {"rate", quota.rate_},
+                       {"revision", config_->revision_}});
+    return refusal(isLimit ? 429 : 503, admitted.error().code_, request.caller_.id_,
+                   std::max<Duration>(retryAt - now(), milliseconds(50)));
+}
+
+void Gateway::requestGrant(const AdmittedRequest &request, QuotaShares::GrantHandler handler)
+{
+    shares_.requestGrant(request.workspace_, request.charge_, std::move(handler));
+    if (roundRequest_)
+        roundRequest_();
+}
+
 PlacementChoice Gateway::choose(const std::string &service, const PlacementRequest &request)
 {
     PlacementRequest complete = request;
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -81,6 +81,12 @@
     void askLoad(Target &target, const std::string &model, const std::string &adapter);
     void onLoadRefused(const std::string &address, const std::string &adapterName);
 
+    // Hook that starts a round of the quota ledger soon, for a grant.
+    void setRoundRequest(std::function<void()> request) { roundRequest_ = std::move(request); }
+
+    // Asks the quota's pool for a charge that the entry's own share does not hold.
+    void requestGrant(const AdmittedRequest &request, QuotaShares::GrantHandler handler);
+
     // Hooks to the processes beside the engines.
     void setLoadRequest(LoadRequest request) { loadRequest_ = std::move(request); }
     void setUseNotice(UseNotice notice) { useNotice_ = std::move(notice); }
@@ -149,6 +155,8 @@
 
     [[nodiscard]] Refusal refusal(int status, ErrorCode code, const std::string &requestId,
                                   std::optional<Duration> retryAfter);
+    [[nodiscard]] std::optional<Refusal> chargeQuota(AdmittedRequest &request,
+                                                     const Workspace &workspace);
     [[nodiscard]] std::int64_t leastVersion(const std::string &name) const;
     void renewAdapters();
     void markCrash(const std::string &instance, TimePoint since);
@@ -168,6 +176,7 @@
     LoadRequest loadRequest_;
     UseNotice useNotice_;
     std::function<void(const SuspectRecord &)> suspectReport_;
+    std::function<void()> roundRequest_;
     std::uint64_t randomState_;
     LatencyMetric &firstEvent_;
 };
--- a/packages/gateway/quota_shares.cpp
+++ b/packages/gateway/quota_shares.cpp
@@ -144,26 +144,145 @@
         it->second.share_.giveBack(charge, clock_.now());
 }
 
-QuotaShares::Holders QuotaShares::decode(const std::string &value)
+bool QuotaShares::mayGrant(const std::string &workspace, std::int64_t) const
 {
-    Holders holders;
+    const auto it = ledgers_.find(workspace);
+    if (it == ledgers_.end())
+        return false;
+    const TimePoint now = clock_.now();
+    return now < it->second.spendUntil_ && now >= it->second.poolAt_;
+}
+
+void QuotaShares::requestGrant(const std::string &workspace, std::int64_t charge,
+                               GrantHandler handler)
+{
+    const TimePoint now = clock_.now();
+    Ledger &ledger = ledgers_.try_emplace(workspace, now).first->second;
+    ledger.grants_.push_back({charge, now + kGrantTime, std::move(handler)});
+}
+
+bool QuotaShares::hasGrantRequests() const
+{
+    return std::any_of(ledgers_.begin(), ledgers_.end(),
+                       [](const auto &entry) { return !entry.second.grants_.empty(); });
+}
+
+void QuotaShares::expireGrants()
+{
+    const TimePoint now = clock_.now();
+    std::vector<GrantRequest> expired;
+    for (auto &[workspace, ledger] : ledgers_) {
+        auto &grants = ledger.grants_;
+        const auto late =
+            std::stable_partition(grants.begin(), grants.end(),
+                                  [now](const GrantRequest &grant) { return now < grant.until_; });
+        expired.insert(expired.end(), std::make_move_iterator(late),
+                       std::make_move_iterator(grants.end()));
+        grants.erase(late, grants.end());
+    }
+    for (const GrantRequest &grant : expired)
+        grant.handler_(notRun(ErrorCode::RateLimited, "no grant from the quota's pool in time",
+                              now + kGrantTime));
+}
+
+double QuotaShares::poolRate(const Ledger &ledger) const
+{
+    return static_cast<double>(ledger.quota_.rate_) * static_cast<double>(kPoolUnits)
+        / static_cast<double>(kTotalUnits);
+}
+
+bool QuotaShares::planGrants(Ledger &ledger, Row &row, std::int64_t nowMs)
+{
+    constexpr double kMillisPerSecond = 1000;
+    const TimePoint now = clock_.now();
+    const double rate = poolRate(ledger);
+    const double capacity = static_cast<double>(ledger.quota_.burst_)
+        * static_cast<double>(kPoolUnits) / static_cast<double>(kTotalUnits);
+    if (!row.pool_)
+        row.pool_ = Pool{0, nowMs};
+    Pool &pool = *row.pool_;
+    const auto elapsed = static_cast<double>(std::max<std::int64_t>(nowMs - pool.atMs_, 0));
+    pool.level_ = std::min(capacity, pool.level_ + rate * elapsed / kMillisPerSecond);
+    pool.atMs_ = std::max(pool.atMs_, nowMs);
+    bool isGranted = false;
+    std::vector<GrantRequest> waiting;
+    std::vector<GrantRequest> refused;
+    for (GrantRequest &grant : ledger.grants_) {
+        const auto charge = static_cast<double>(grant.charge_);
+        const double needed = std::min(charge, capacity);
+        if (pool.level_ >= needed) {
+            pool.level_ -= charge;
+            grant.isInWrite_ = true;
+            isGranted = true;
+            waiting.push_back(std::move(grant));
+            continue;
+        }
+        if (rate > 0) {
+            const std::chrono::duration<double> wait((needed - pool.level_) / rate);
+            ledger.poolAt_ = now + std::chrono::ceil<Duration>(wait);
+        }
+        refused.push_back(std::move(grant));
+    }
+    ledger.grants_ = std::move(waiting);
+    for (const GrantRequest &grant : refused) {
+        const std::optional<TimePoint> own = ledger.share_.availableAt(grant.charge_, now);
+        grant.handler_(notRun(ErrorCode::RateLimited, "the workspace is over its rate",
+                              std::min(own.value_or(ledger.poolAt_), ledger.poolAt_)));
+    }
+    return isGranted;
+}
+
+void QuotaShares::finishGrants(Ledger &ledger, WriteOutcome outcome)
+{
+    std::vector<GrantRequest> done;
+    std::vector<GrantRequest> waiting;
+    for (GrantRequest &grant : ledger.grants_) {
+        const bool isTriedAgain = !grant.isInWrite_ || outcome == WriteOutcome::Conflict;
+        grant.isInWrite_ = false;
+        (isTriedAgain ? waiting : done).push_back(std::move(grant));
+    }
+    ledger.grants_ = std::move(waiting);
+    for (const GrantRequest &grant : done) {
+        if (outcome == WriteOutcome::Applied)
+            grant.handler_({});
+        else
+            grant.handler_(notRun(ErrorCode::RateLimited, "the pool's answer was lost",
+                                  clock_.now() + kGrantTime));
+    }
+}
+
+QuotaShares::Row QuotaShares::decode(const std::string &value)
+{
+    Row row;
     const Json json = parseUntrustedJson(value);
     if (!json.is_object())
-        return holders;
-    for (const auto &[name, entry] : json.items()) {
-        if (entry.is_object())
-            holders[name] =
-                Entry{std::clamp<std::int64_t>(integerOf(entry, "units"), 0, kTotalUnits),
-                      integerOf(entry, "demand"), integerOf(entry, "beat")};
+        return row;
+    const auto holders = json.find("holders");
+    if (holders != json.end() && holders->is_object()) {
+        for (const auto &[name, entry] : holders->items()) {
+            if (entry.is_object())
+                row.holders_[name] =
+                    Entry{std::clamp<std::int64_t>(integerOf(entry, "units"), 0, kTotalUnits),
+                          integerOf(entry, "demand"), integerOf(entry, "beat")};
+        }
+    }
+    const auto pool = json.find("pool");
+    if (pool != json.end() && pool->is_object()) {
+        const auto level = pool->find("level");
+        const bool isNumber = level != pool->end() && level->is_number();
+        row.pool_ = Pool{isNumber ? level->get<double>() : 0, integerOf(*pool, "at_ms")};
     }
-    return holders;
+    return row;
 }
 
-std::string QuotaShares::encode(const Holders &holders)
+std::string QuotaShares::encode(const Row &row)
 {
-    Json json = Json::object();
-    for (const auto &[name, entry] : holders)
-        json[name] = {{"units", entry.units_}, {"demand", entry.demand_}, {"beat", entry.beat_}};
+    Json holders = Json::object();
+    for (const auto &[name, entry] : row.holders_)
+        holders[name] = {{"units", entry.units_}, {"demand", entry.demand_}, {"beat", entry.beat_}};
+    Json json = {{"holders", std::move(holders)}};
+    if (row.pool_)
+        json["pool"] = {{"level", row.pool_->level_}, {"at_ms", row.pool_->atMs_}};
     return json.dump();
 }
 
@@ -183,7 +302,10 @@
 
 std::int64_t QuotaShares::wantedUnits(Ledger &ledger, const Holders &holders) const
 {
-    const auto rate = static_cast<double>(ledger.quota_.rate_);
+    // The entries' part of the rate; the rest is the pool's.
+    constexpr std::int64_t kOwnUnits = kTotalUnits - kPoolUnits;
+    const double rate = static_cast<double>(ledger.quota_.rate_) * static_cast<double>(kOwnUnits)
+        / static_cast<double>(kTotalUnits);
     const auto count = static_cast<double>(holders.size());
     const double floor = kFloorShare * rate / count;
     const auto weight = [floor](double demand) { return std::max(kHeadroom * demand, floor); };
@@ -194,12 +316,13 @@
             sum += weight(static_cast<double>(entry.demand_));
     }
     const double part = sum <= rate ? (own + (rate - sum) / count) / rate : own / sum;
-    return static_cast<std::int64_t>(part * static_cast<double>(kTotalUnits));
+    return static_cast<std::int64_t>(part * static_cast<double>(kOwnUnits));
 }
 
-std::optional<QuotaShares::Holders> QuotaShares::planLedger(Ledger &ledger, Holders holders,
-                                                            std::int64_t version)
+std::optional<QuotaShares::Row> QuotaShares::planLedger(Ledger &ledger, Row row,
+                                                        std::int64_t version, std::int64_t nowMs)
 {
+    Holders &holders = row.holders_;
     const TimePoint now = clock_.now();
     dropSilent(ledger, holders);
     Entry &own = holders[holder_];
@@ -217,15 +340,17 @@
     std::int64_t others = 0;
     for (const auto &[name, entry] : holders)
         others += name == holder_ ? 0 : entry.units_;
-    const std::int64_t units = std::min(wanted, std::max<std::int64_t>(kTotalUnits - others, 0));
+    const std::int64_t units =
+        std::min(wanted, std::max<std::int64_t>(kTotalUnits - kPoolUnits - others, 0));
     ledger.isShort_ = units + kLeastChange < wanted;
     const bool isChange = std::abs(units - own.units_) > kLeastChange || own.units_ == 0
-        || (units < own.units_ && others + own.units_ > kTotalUnits);
+        || (units < own.units_ && others + own.units_ > kTotalUnits - kPoolUnits);
     const auto demand = static_cast<std::int64_t>(ledger.share_.demand(now));
     // Others give up units only when they see the demand.
     const bool isDemandNews = ledger.isShort_
         && std::abs(demand - own.demand_) * kTotalUnits > ledger.quota_.rate_ * kLeastChange;
-    if (!isChange && !isDemandNews && !isUnresolved && now < ledger.writeAt_)
+    const bool isGranted = planGrants(ledger, row, nowMs);
+    if (!isChange && !isDemandNews && !isUnresolved && !isGranted && now < ledger.writeAt_)
         return std::nullopt;
     own.units_ = isChange ? units : own.units_;
     own.demand_ = demand;
@@ -233,10 +358,10 @@
     ledger.share_.setUnits(std::min(ledger.share_.units(), own.units_), now);
     ledger.planned_ = own.units_;
     ledger.plannedVersion_ = version;
-    return holders;
+    return row;
 }
 
-std::optional<StoreWrite> QuotaShares::plan(const std::vector<StoreRow> &rows)
+std::optional<StoreWrite> QuotaShares::plan(const StoreRows &rows)
 {
     sentAt_ = clock_.now();
     StoreWrite write;
@@ -245,15 +370,16 @@
         if (ledger.quota_.rate_ == 0)
             continue;
         const std::string key = kRowPrefix + workspace;
-        const auto row = std::find_if(rows.begin(), rows.end(),
+        const auto row = std::find_if(rows.rows_.begin(), rows.rows_.end(),
                                       [&key](const StoreRow &r) { return r.key_ == key; });
-        const std::int64_t version = row == rows.end() ? 0 : row->version_;
-        const std::optional<Holders> holders =
-            planLedger(ledger, row == rows.end() ? Holders() : decode(row->value_), version);
-        if (!holders)
+        const bool isThere = row != rows.rows_.end();
+        const std::int64_t version = isThere ? row->version_ : 0;
+        const std::optional<Row> next =
+            planLedger(ledger, isThere ? decode(row->value_) : Row(), version, rows.nowMs_);
+        if (!next)
             continue;
         write.expected_.push_back({kFleetTable, kFleetPart, key, "", version});
-        write.puts_.push_back({kFleetTable, kFleetPart, key, encode(*holders)});
+        write.puts_.push_back({kFleetTable, kFleetPart, key, encode(*next)});
     }
     if (write.puts_.empty())
         return std::nullopt;
@@ -275,6 +401,7 @@
             ledger.unresolvedVersion_ = std::max(ledger.unresolvedVersion_, ledger.plannedVersion_);
         }
         ledger.planned_ = -1;
+        finishGrants(ledger, outcome);
     }
 }
 
@@ -296,8 +423,7 @@
     const TimePoint now = clock_.now();
     return std::all_of(ledgers_.begin(), ledgers_.end(), [now](const auto &entry) {
         const Ledger &ledger = entry.second;
-        return ledger.quota_.rate_ == 0
-            || (ledger.share_.units() > 0 && now < ledger.spendUntil_);
+        return ledger.quota_.rate_ == 0 || (ledger.share_.units() > 0 && now < ledger.spendUntil_);
     });
 }
 
@@ -307,4 +433,11 @@
     return it == ledgers_.end() ? 0 : it->second.share_.units();
 }
 
+std::int64_t QuotaShares::demandOf(const std::string &workspace)
+{
+    const auto it = ledgers_.find(workspace);
+    return it == ledgers_.end() ? 0
+                                : static_cast<std::int64_t>(it->second.share_.demand(clock_.now()));
+}
+
 } // namespace foxtailturn::gateway
--- a/packages/gateway/quota_shares.h
+++ b/packages/gateway/quota_shares.h
@@ -13,9 +13,14 @@
 // acknowledgement, so the units in use never exceed those in the row. Units follow demand within
 // two rounds. Spending needs no store: an outage leaves every entry with its last units.
 //
+// A part of the units belongs to a pool whose level is kept in the row itself. An entry whose own
+// share is short takes single charges from it by a conditional write, so that a clump of requests
+// at one entry is not refused while the workspace as a whole is within its rate.
+//
 // Units of an entry that has not written for kReclaimAfter are taken by the others. An entry that
 // could not write for kSpendFor spends nothing, so a frozen or cut off one never adds to them.
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -97,6 +102,14 @@
     static constexpr Duration kReclaimAfter = std::chrono::seconds(60);
     static constexpr Duration kSpendFor = std::chrono::seconds(50);
     static constexpr Duration kWriteEvery = std::chrono::seconds(12); // at least
+    // Units of the pool. The entries' own part carries a workspace at its usual demand through an
+    // outage of the store.
+    static constexpr std::int64_t kPoolUnits = 350'000;
+    // A grant from the pool takes a read and a write of the store; a caller waits for it this long.
+    static constexpr Duration kGrantTime = std::chrono::milliseconds(200);
+
+    // Called once with the outcome of a grant.
+    using GrantHandler = std::function<void(const Result<void> &granted)>;
 
     // holder names this entry's VM; the clock must outlive this object. tolerance is the excess in
     // tokens that the deployment grants a workspace in a window for being counted in many places;
@@ -110,9 +123,20 @@
     [[nodiscard]] Result<void> admit(const std::string &workspace, std::int64_t charge);
     void giveBack(const std::string &workspace, std::int64_t charge);
 
+    // Returns whether the pool may hold a charge that admit() refused, as far as is known here.
+    [[nodiscard]] bool mayGrant(const std::string &workspace, std::int64_t charge) const;
+
+    // Asks the pool for a charge with the next round. handler gets RateLimited when the pool is
+    // empty or the store does not answer in time.
+    void requestGrant(const std::string &workspace, std::int64_t charge, GrantHandler handler);
+    [[nodiscard]] bool hasGrantRequests() const;
+
+    // Refuses grants whose time is over.
+    void expireGrants();
+
     // Works out the next write from the rows of kFleetTable/kFleetPart; nullopt if none is needed.
     // Units that shrink are given up at once. Precondition: the last write was settled.
-    [[nodiscard]] std::optional<StoreWrite> plan(const std::vector<StoreRow> &rows);
+    [[nodiscard]] std::optional<StoreWrite> plan(const StoreRows &rows);
 
     // Tells the outcome of the last planned write.
     void settle(WriteOutcome outcome);
@@ -125,6 +149,9 @@
 
     [[nodiscard]] std::int64_t unitsOf(const std::string &workspace) const;
 
+    // Returns the tokens asked for per second of late.
+    [[nodiscard]] std::int64_t demandOf(const std::string &workspace);
+
 private:
     struct Entry
     {
@@ -141,6 +168,28 @@
         TimePoint since_{};
     };
 
+    // The pool's level at a time of the store's clock.
+    struct Pool
+    {
+        double level_ = 0; // tokens; negative is a debt
+        std::int64_t atMs_ = 0;
+    };
+
+    // A row of the ledger.
+    struct Row
+    {
+        Holders holders_;
+        std::optional<Pool> pool_;
+    };
+
+    struct GrantRequest
+    {
+        std::int64_t charge_ = 0;
+        TimePoint until_{};
+        GrantHandler handler_;
+        bool isInWrite_ = false;
+    };
+
     struct Ledger
     {
         explicit Ledger(TimePoint now)
@@ -156,14 +205,19 @@
         std::int64_t planned_ = -1; // units in the write under way; -1: not in it
         std::int64_t plannedVersion_ = 0;
         bool isShort_ = false; // wants more units than it has
+        std::vector<GrantRequest> grants_; // oldest first
+        TimePoint poolAt_{}; // the pool holds nothing before this time
     };
 
-    static Holders decode(const std::string &value);
-    static std::string encode(const Holders &holders);
+    static Row decode(const std::string &value);
+    static std::string encode(const Row &row);
+    [[nodiscard]] double poolRate(const Ledger &ledger) const;
+    [[nodiscard]] bool planGrants(Ledger &ledger, Row &row, std::int64_t nowMs);
+    void finishGrants(Ledger &ledger, WriteOutcome outcome);
     void dropSilent(Ledger &ledger, Holders &holders) const;
     [[nodiscard]] std::int64_t wantedUnits(Ledger &ledger, const Holders &holders) const;
-    [[nodiscard]] std::optional<Holders> planLedger(Ledger &ledger, Holders holders,
-                                                    std::int64_t version);
+    [[nodiscard]] std::optional<Row> planLedger(Ledger &ledger, Row row, std::int64_t version,
+                                                std::int64_t nowMs);
 
     std::string holder_;
     const Clock &clock_;
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -24,6 +24,7 @@
 constexpr Duration kBusyStreamSilence = milliseconds(3200); // of one whose engine reports its load
 constexpr Duration kFreshReport = milliseconds(800);
 constexpr Duration kShortRetry = milliseconds(250);
+constexpr Duration kLeastRetry = milliseconds(50);
 constexpr int kServerError = 500;
 
 } // namespace
@@ -56,7 +57,28 @@
 
 void Relay::start()
 {
-    place();
+    if (!request_.needsGrant_) {
+        place();
+        return;
+    }
+    isCharged_ = false;
+    gateway_.requestGrant(request_, [weak = weak_from_this()](const Result<void> &granted) {
+        const std::shared_ptr<Relay> self = weak.lock();
+        if (self && !self->isEnded_)
+            self->onGrant(granted);
+    });
+}
+
+void Relay::onGrant(const Result<void> &granted)
+{
+    if (granted) {
+        isCharged_ = true;
+        place();
+        return;
+    }
+    const TimePoint now = gateway_.now();
+    const Duration wait = granted.error().retryAt_.value_or(now) - now;
+    refuse(429, granted.error().code_, std::max<Duration>(wait, kLeastRetry));
 }
 
 void Relay::place()
@@ -251,7 +273,7 @@
     timer_.cancel();
     if (isWaiting_)
         gateway_.removeWaiting(shared_from_this());
-    if (sends_ == 0)
+    if (sends_ == 0 && isCharged_)
         gateway_.shares().giveBack(request_.workspace_, request_.charge_);
     leaveTarget();
     gateway_.countAnswer(&request_, 0, "caller_left");
@@ -308,7 +330,7 @@
     if (isWaiting_)
         gateway_.removeWaiting(shared_from_this());
     leaveTarget();
-    if (runs_ == 0)
+    if (runs_ == 0 && isCharged_)
         gateway_.shares().giveBack(request_.workspace_, request_.charge_);
     gateway_.countAnswer(&request_, status, errorName(code));
     nlohmann::json fields = {{"request", request_.caller_.id_},
@@ -320,6 +342,12 @@
                              {"elapsed_us", (gateway_.now() - request_.receivedAt_).count()}};
     if (retryAfter)
         fields["retry_after_us"] = retryAfter->count();
+    if (code == ErrorCode::RateLimited) {
+        fields["workspace"] = request_.workspace_;
+        fields["charge"] = request_.charge_;
+        fields["units"] = gateway_.shares().unitsOf(request_.workspace_);
+        fields["demand"] = gateway_.shares().demandOf(request_.workspace_);
+    }
     gateway_.log().write(LogDetail::Full, isForwarding_ ? "broken_off" : "refused",
                          std::move(fields));
     if (isForwarding_) {
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -59,6 +59,7 @@
     std::string workspace_;
     int priority_ = 0;
     std::int64_t charge_ = 0; // taken from the workspace's quota
+    bool needsGrant_ = false; // not taken yet: the entry's own share was short
     std::string fingerprint_;
     TimePoint receivedAt_{};
     TimePoint deadline_{};
@@ -96,6 +97,7 @@
         Drop, // not run or worth another attempt
     };
 
+    void onGrant(const Result<void> &granted);
     void place();
     void send(Target &target);
     void leaveTarget();
@@ -148,6 +150,7 @@
     bool isStreamReply_ = false;
     bool hasFirstEvent_ = false;
     bool isWaiting_ = false;
+    bool isCharged_ = true; // the quota holds the request's charge
     bool isEnded_ = false;
     TimePoint firstEventAt_{};
 };
