gateway: no send after the caller's close; quota rounds for many entries

The loop of a small VM that is behind would do it: the close waits in the socket while a placement is tried again. The socket is now asked before each send (test: a closed peer is known before the loop comes to it).

With 21 entries the ledger was busy: each wrote the same rows every 150 to 700 ms, most writes met a conflict, and shares below 4% of a workspace were never adapted. Rounds now slow with the number of entries, conflicts spread, changes are measured against the own share, rows are shorter.

--- a/packages/gateway/byte_stream.cpp
+++ b/packages/gateway/byte_stream.cpp
@@ -126,6 +126,16 @@
         close();
 }
 
+bool ByteStream::hasPeerClosed()
+{
+    if (!isOpen())
+        return true;
+    char byte = 0;
+    asio::error_code why;
+    socket_.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, why);
+    return why && why != asio::error::would_block;
+}
+
 void ByteStream::finish()
 {
     isFinishing_ = true;
--- a/packages/gateway/byte_stream.h
+++ b/packages/gateway/byte_stream.h
@@ -53,6 +53,10 @@
     // Closes now with a reset, so that the peer can not take what it has for a whole message.
     void reset();
 
+    // Returns whether the peer has closed, although the loop has not come to notice it. One system
+    // call; bytes that wait to be read hide the close.
+    [[nodiscard]] bool hasPeerClosed();
+
     [[nodiscard]] bool isOpen() const { return socket_.is_open(); }
     [[nodiscard]] std::size_t queuedBytes() const { return queuedBytes_; }
 
--- a/packages/gateway/caller_connection.cpp
+++ b/packages/gateway/caller_connection.cpp
@@ -220,6 +220,11 @@
     return stream_->queuedBytes();
 }
 
+bool CallerConnection::hasCallerLeft()
+{
+    return stream_->hasPeerClosed();
+}
+
 void CallerConnection::onClosed()
 {
     close();
--- a/packages/gateway/caller_connection.h
+++ b/packages/gateway/caller_connection.h
@@ -53,6 +53,7 @@
     void breakAnswer() override;
     [[nodiscard]] bool closesAfterAnswer() const override;
     [[nodiscard]] std::size_t unsentBytes() const override;
+    [[nodiscard]] bool hasCallerLeft() override;
 
     CallerListener &listener_;
     Gateway &gateway_;
--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -13,7 +13,9 @@
 // Rounds of the quota ledger. A calm one is a read; shares follow demand within two rounds.
 constexpr Duration kCalmRound = milliseconds(1500);
 constexpr Duration kFirstRound = milliseconds(150); // until each workspace has a share
-constexpr Duration kConflictRound = milliseconds(60); // another entry wrote in between
+constexpr Duration kConflictRound = milliseconds(30); // another entry wrote in between
+constexpr Duration kConflictSpread = milliseconds(15); // for each entry that may write
+constexpr int kEntriesPerRound = 8; // twice as many entries, half as many rounds of each
 constexpr Duration kShortRound = milliseconds(700); // while a share is too small
 constexpr Duration kStoreTime = milliseconds(1000);
 // Records of targets change with each heartbeat; collecting them saves calls. Well within the bound
@@ -245,7 +247,9 @@
         return Duration::zero();
     if (!gateway_.shares().canSpend())
         return kFirstRound;
-    return gateway_.shares().wantsRound() ? kShortRound : kCalmRound;
+    // The rows grow with the entries and so do conflicts; the whole fleet's work stays in bounds.
+    const Duration round = gateway_.shares().wantsRound() ? kShortRound : kCalmRound;
+    return round * (kEntriesPerRound + gateway_.shares().entryCount()) / kEntriesPerRound;
 }
 
 void EntryNode::scheduleRound(Duration wait)
@@ -306,7 +310,10 @@
             suspectReports_.clear();
         else
             log_.write(LogDetail::Full, "fleet_write_failed", {{"status", answer.status_}});
-        scheduleRound(answer.status_ == kConflict ? kConflictRound : nextRound());
+        const Duration again = kConflictRound
+            + std::chrono::duration_cast<Duration>(kConflictSpread * gateway_.shares().entryCount()
+                                                   * gateway_.jitter());
+        scheduleRound(answer.status_ == kConflict ? again : nextRound());
     });
 }
 
--- a/packages/gateway/quota_shares.cpp
+++ b/packages/gateway/quota_shares.cpp
@@ -12,8 +12,14 @@
 constexpr const char *kRowPrefix = "quota/";
 constexpr double kHeadroom = 1.25; // units asked for, as a multiple of the demand
 constexpr double kFloorShare = 0.15; // of an equal part, kept by an entry without demand
-// Smaller changes are not worth a write.
-constexpr std::int64_t kLeastChange = QuotaShares::kTotalUnits * 4 / 100;
+// Smaller changes are not worth a write: a part of the entry's own units, or of all.
+constexpr std::int64_t kLeastChangePercent = 15;
+constexpr std::int64_t kLeastChange = QuotaShares::kTotalUnits / 200;
+
+std::int64_t leastChange(std::int64_t units)
+{
+    return std::max(kLeastChange, units * kLeastChangePercent / 100);
+}
 
 double secondsOf(Duration duration)
 {
@@ -260,10 +266,14 @@
     const auto holders = json.find("holders");
     if (holders != json.end() && holders->is_object()) {
         for (const auto &[name, entry] : holders->items()) {
-            if (entry.is_object())
+            // [units, demand, beat]: short, since each row holds all entries.
+            const bool isEntry = entry.is_array() && entry.size() == 3
+                && std::all_of(entry.begin(), entry.end(),
+                               [](const Json &field) { return field.is_number_integer(); });
+            if (isEntry)
                 row.holders_[name] =
-                    Entry{std::clamp<std::int64_t>(integerOf(entry, "units"), 0, kTotalUnits),
-                          integerOf(entry, "demand"), integerOf(entry, "beat")};
+                    Entry{std::clamp<std::int64_t>(entry[0].get<std::int64_t>(), 0, kTotalUnits),
+                          entry[1].get<std::int64_t>(), entry[2].get<std::int64_t>()};
         }
     }
     const auto pool = json.find("pool");
@@ -279,7 +289,7 @@
 {
     Json holders = Json::object();
     for (const auto &[name, entry] : row.holders_)
-        holders[name] = {{"units", entry.units_}, {"demand", entry.demand_}, {"beat", entry.beat_}};
+        holders[name] = Json::array({entry.units_, entry.demand_, entry.beat_});
     Json json = {{"holders", std::move(holders)}};
     if (row.pool_)
         json["pool"] = {{"level", row.pool_->level_}, {"at_ms", row.pool_->atMs_}};
@@ -342,13 +352,15 @@
         others += name == holder_ ? 0 : entry.units_;
     const std::int64_t units =
         std::min(wanted, std::max<std::int64_t>(kTotalUnits - kPoolUnits - others, 0));
-    ledger.isShort_ = units + kLeastChange < wanted;
-    const bool isChange = std::abs(units - own.units_) > kLeastChange || own.units_ == 0
+    ledger.entries_ = static_cast<int>(holders.size());
+    ledger.isShort_ = units + leastChange(wanted) < wanted;
+    const bool isNew = own.beat_ == 0;
+    const bool isChange = isNew || std::abs(units - own.units_) > leastChange(wanted)
         || (units < own.units_ && others + own.units_ > kTotalUnits - kPoolUnits);
     const auto demand = static_cast<std::int64_t>(ledger.share_.demand(now));
     // Others give up units only when they see the demand.
-    const bool isDemandNews = ledger.isShort_
-        && std::abs(demand - own.demand_) * kTotalUnits > ledger.quota_.rate_ * kLeastChange;
+    const bool isDemandNews =
+        ledger.isShort_ && std::abs(demand - own.demand_) > std::max(own.demand_, demand) / 4;
     const bool isGranted = planGrants(ledger, row, nowMs);
     if (!isChange && !isDemandNews && !isUnresolved && !isGranted && now < ledger.writeAt_)
         return std::nullopt;
@@ -418,6 +430,14 @@
     });
 }
 
+int QuotaShares::entryCount() const
+{
+    int count = 1;
+    for (const auto &[workspace, ledger] : ledgers_)
+        count = std::max(count, ledger.entries_);
+    return count;
+}
+
 bool QuotaShares::canSpend() const
 {
     const TimePoint now = clock_.now();
--- a/packages/gateway/quota_shares.h
+++ b/packages/gateway/quota_shares.h
@@ -144,6 +144,9 @@
     // Returns whether some share is too small for its demand, so that a round soon pays.
     [[nodiscard]] bool wantsRound();
 
+    // Returns the largest number of entries that share a workspace, as of the last round.
+    [[nodiscard]] int entryCount() const;
+
     // Returns whether each workspace with a quota has units that were written in time.
     [[nodiscard]] bool canSpend() const;
 
@@ -205,6 +208,7 @@
         std::int64_t planned_ = -1; // units in the write under way; -1: not in it
         std::int64_t plannedVersion_ = 0;
         bool isShort_ = false; // wants more units than it has
+        int entries_ = 1; // in the row
         std::vector<GrantRequest> grants_; // oldest first
         TimePoint poolAt_{}; // the pool holds nothing before this time
     };
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -90,6 +90,11 @@
         giveUp(ErrorCode::DeadlineExceeded);
         return;
     }
+    // A busy loop notices a close late; the request must not reach a target after it.
+    if (answer_.hasCallerLeft()) {
+        cancel();
+        return;
+    }
     const PlacementChoice choice = gateway_.choose(request_.service_, placementRequest());
     if (choice.target_ == nullptr) {
         giveUp(ErrorCode::NoTarget);
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -45,6 +45,9 @@
     [[nodiscard]] virtual bool closesAfterAnswer() const = 0;
 
     [[nodiscard]] virtual std::size_t unsentBytes() const = 0;
+
+    // Returns whether the caller has closed its connection by now.
+    [[nodiscard]] virtual bool hasCallerLeft() = 0;
 };
 
 // A request that was admitted.
--- a/packages/gateway/target_connection_test.cpp
+++ b/packages/gateway/target_connection_test.cpp
@@ -254,6 +254,21 @@
     CHECK(fixture.pool_.opened() == 2);
 }
 
+// Guards against a request that is sent on after its caller has left, by a loop that is behind.
+TEST_CASE("a closed peer is known before the loop comes to it")
+{
+    Fixture fixture;
+    asio::ip::tcp::socket socket(fixture.context_);
+    socket.connect(fixture.acceptor_.local_endpoint());
+    fixture.accept();
+    const auto stream = ByteStream::create(std::move(socket));
+    CHECK_FALSE(stream->hasPeerClosed());
+    fixture.peer_.close();
+    CHECK(fixture.runUntil([&] { return stream->hasPeerClosed(); }));
+    stream->close();
+    CHECK(stream->hasPeerClosed());
+}
+
 TEST_CASE("addresses are IP and port")
 {
     CHECK(endpointOf("10.0.0.1:80"));
