--- a/packages/ctl/explain.cpp
+++ b/packages/ctl/explain.cpp
@@ -61,13 +61,16 @@
 {
     const std::string code = textOf(refused, "code");
     const StoryLine *failed = lastOf(lines, "attempt_failed");
-    if (code == "rate_limited")
-        return concat("refused as over the rate of workspace ", textOf(refused, "workspace"),
-                      ": the request counts ", textOf(refused, "charge"), ", this entry held ",
-                      textOf(refused, "units"),
+    if (code == "rate_limited") {
+        const StoryLine *quota = lastOf(lines, "over_quota");
+        const Json &known = quota == nullptr ? refused : quota->fields_;
+        return concat("refused as over the rate of workspace ", textOf(known, "workspace"),
+                      ": the request counts ", textOf(known, "charge"), ", this entry held ",
+                      textOf(known, "units"),
                       " millionths of the workspace's rate and was asked for ",
-                      textOf(refused, "demand"), " a second; room after ",
+                      textOf(known, "demand"), " a second; room after ",
                       millisText(refused, "retry_after_us"));
+    }
     if (code == "lease_expired")
         return "refused because the entry could not write its quota share to the store in time";
     if (failed != nullptr) {
--- a/packages/ctl/log_commands.cpp
+++ b/packages/ctl/log_commands.cpp
@@ -62,11 +62,11 @@
                                  detailsOf(line)});
     }
     if (!explanation.cause_.empty())
-        report.table_.push_back({"cause:", explanation.cause_});
+        report.table_.push_back({"", "", "cause:", explanation.cause_});
     report.json_["cause"] = explanation.cause_;
     report.json_["problems"] = reader.problems();
     for (const std::string &problem : reader.problems())
-        report.table_.push_back({"note:", problem});
+        report.table_.push_back({"", "", "note:", problem});
     return report;
 }
 
