--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -21,7 +21,7 @@
 constexpr Duration kStoreTime = milliseconds(1000);
 // Records of targets change with each heartbeat; collecting them saves calls. Well within the bound
 // for draining targets.
-constexpr Duration kTargetPause = milliseconds(900);
+constexpr Duration kTargetPause = milliseconds(500);
 constexpr Duration kOperatorPause = milliseconds(100);
 // Without units an entry still reports ready after this time: other workspaces can be served.
 constexpr Duration kUnitsPatience = std::chrono::seconds(4);
--- a/packages/gateway/quota_shares.cpp
+++ b/packages/gateway/quota_shares.cpp
@@ -13,10 +13,8 @@
 constexpr double kHeadroom = 1.25; // units asked for, as a multiple of the demand
 constexpr double kFloorShare = 0.15; // of an equal part, kept by an entry without demand
 // Smaller changes are not worth a write: a part of the entry's own units, or of all.
-constexpr std::int64_t kLeastChangePercent = 25;
-constexpr std::int64_t kLeastChange = QuotaShares::kTotalUnits / 100;
-
-constexpr std::int64_t kDemandParts = 40; // news of demand below this part of the rate can wait
+constexpr std::int64_t kLeastChangePercent = 15;
+constexpr std::int64_t kLeastChange = QuotaShares::kTotalUnits / 200;
 
 std::int64_t leastChange(std::int64_t units)
 {
@@ -361,9 +359,8 @@
         || (units < own.units_ && others + own.units_ > kTotalUnits - kPoolUnits);
     const auto demand = static_cast<std::int64_t>(ledger.share_.demand(now));
     // Others give up units only when they see the demand.
-    const std::int64_t news = std::abs(demand - own.demand_);
-    const bool isDemandNews = ledger.isShort_ && news > std::max(own.demand_, demand) / 3
-        && news * kDemandParts > ledger.quota_.rate_;
+    const bool isDemandNews = ledger.isShort_
+        && std::abs(demand - own.demand_) > std::max(own.demand_, demand) / 4;
     const bool isGranted = planGrants(ledger, row, nowMs);
     if (!isChange && !isDemandNews && !isUnresolved && !isGranted && now < ledger.writeAt_)
         return std::nullopt;
