--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -15,6 +15,7 @@
 constexpr Duration kFirstRound = milliseconds(150); // until each workspace has a share
 constexpr Duration kConflictRound = milliseconds(10); // another entry wrote in between
 constexpr Duration kConflictSpread = milliseconds(8); // for each entry that may write
+constexpr int kCacheEntries = 8;
 constexpr Duration kFleetRowsUse = std::chrono::seconds(6); // rows kept for writes without a read
 constexpr int kEntriesPerRound = 8; // twice as many entries, half as many rounds of each
 constexpr Duration kShortRound = milliseconds(700); // while a share is too small
@@ -270,8 +271,10 @@
 {
     // A grant is tried on the rows as they were last seen; if another entry has written meanwhile,
     // the store's answer brings the new ones. This saves the read in most cases.
-    const bool isCacheFresh = clock_.now() - fleetRowsAt_ < kFleetRowsUse;
-    if (gateway_.shares().hasGrantRequests() && isCacheFresh) {
+    // With many entries the rows have nearly always changed, and conflicts cost more than reads.
+    const bool isCacheUseful = clock_.now() - fleetRowsAt_ < kFleetRowsUse
+        && gateway_.shares().entryCount() <= kCacheEntries;
+    if (gateway_.shares().hasGrantRequests() && isCacheUseful) {
         writeRound();
         return;
     }
