--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,10 @@
 # make check: builds everything and runs all tests and model checks.
 BUILD ?= build
 SOURCES = $(shell git ls-files --cached --others --exclude-standard 'packages/*.h' 'packages/*.cpp' 'testing/*.h' 'testing/*.cpp' \
+	'platform/*.h' 'platform/*.cpp' ':!platform/fuzz/*' \
 	':!packages/wire/generated')
 
-.PHONY: all install-deps configure check demo format format-check lint proto spec
+.PHONY: all install-deps configure check demo format format-check fuzz lint proto spec
 
 all: configure
 	cmake --build $(BUILD)
@@ -15,13 +16,17 @@
 configure: install-deps
 	cmake -S . -B $(BUILD) -G Ninja
 
-check: all spec
+check: all spec fuzz
 	ctest --test-dir $(BUILD) --output-on-failure --no-tests=error -j 4
 
 # Checks the models in spec/ and that spin refutes their mutations.
 spec: install-deps
 	tools/check-specs.sh
 
+# Runs the decoders of the platform's messages on generated input, with a fixed seed.
+fuzz: install-deps
+	tools/fuzz.sh $(BUILD)
+
 demo: all
 	python3 -B testing/demo.py $(BUILD)
 
