--- a/packages/gateway/admin_port.cpp
+++ b/packages/gateway/admin_port.cpp
@@ -99,21 +99,9 @@
 
 Result<void> AdminPort::listen(const std::string &address)
 {
-    const Result<asio::ip::tcp::endpoint> endpoint = endpointOf(address);
-    if (!endpoint)
-        return tl::unexpected(endpoint.error());
     auto acceptor = std::make_shared<asio::ip::tcp::acceptor>(context_);
-    asio::error_code why;
-    acceptor->open(endpoint->protocol(), why);
-    if (!why)
-        acceptor->set_option(asio::socket_base::reuse_address(true), why);
-    if (!why)
-        acceptor->bind(*endpoint, why);
-    if (!why)
-        acceptor->listen(asio::socket_base::max_listen_connections, why);
-    if (why)
-        return notRun(ErrorCode::InvalidSettings,
-                      "cannot listen on " + address + ": " + why.message());
+    if (Result<void> listening = listenOn(*acceptor, address); !listening)
+        return listening;
     accept(acceptor);
     return {};
 }
--- a/packages/gateway/caller_connection.cpp
+++ b/packages/gateway/caller_connection.cpp
@@ -257,20 +257,8 @@
 
 Result<void> CallerListener::listen(const std::string &address)
 {
-    const Result<asio::ip::tcp::endpoint> endpoint = endpointOf(address);
-    if (!endpoint)
-        return tl::unexpected(endpoint.error());
-    asio::error_code why;
-    acceptor_.open(endpoint->protocol(), why);
-    if (!why)
-        acceptor_.set_option(asio::socket_base::reuse_address(true), why);
-    if (!why)
-        acceptor_.bind(*endpoint, why);
-    if (!why)
-        acceptor_.listen(asio::socket_base::max_listen_connections, why);
-    if (why)
-        return notRun(ErrorCode::InvalidSettings,
-                      "cannot listen on " + address + ": " + why.message());
+    if (Result<void> listening = listenOn(acceptor_, address); !listening)
+        return listening;
     accept();
     return {};
 }
--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -130,8 +130,7 @@
 {
     if (isStopping_ || !gateway_.config() || !targetWatch_.isLoaded())
         return false;
-    return const_cast<Gateway &>(gateway_).shares().canSpend()
-        || clock_.now() - startedAt_ > kUnitsPatience;
+    return gateway_.shares().canSpend() || clock_.now() - startedAt_ > kUnitsPatience;
 }
 
 void EntryNode::onOperatorRows(const std::vector<StoreRow> &rows)
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -127,6 +127,7 @@
     TargetBook &book() { return book_; }
     ConnectionPool &pool() { return pool_; }
     QuotaShares &shares() { return shares_; }
+    [[nodiscard]] const QuotaShares &shares() const { return shares_; }
     Quarantine &quarantine() { return quarantine_; }
     Placement &placement(const std::string &service) { return placements_[service]; }
     EventLog &log() { return parts_.log_; }
--- /dev/null
+++ b/packages/gateway/http_caller.cpp
@@ -0,0 +1,94 @@
+#include "gateway/http_caller.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace foxtailturn::gateway {
+
+namespace {
+
+constexpr Duration kConnectTime = std::chrono::milliseconds(400); // one lost packet is sent again
+
+} // namespace
+
+// One call with its timer; keeps itself alive until its handler has run.
+class HttpCaller::Call final : public std::enable_shared_from_this<Call>, ExchangeSink
+{
+public:
+    Call(HttpCaller &caller, std::string address, Handler handler)
+        : caller_(caller)
+        , address_(std::move(address))
+        , handler_(std::move(handler))
+        , timer_(caller.context_)
+    { }
+
+    void start(const HttpCall &call, Duration timeout)
+    {
+        self_ = shared_from_this();
+        connection_ =
+            caller_.pool_.acquire(address_, caller_.clock_.now() + std::min(timeout, kConnectTime));
+        timer_.expires_after(timeout);
+        timer_.async_wait([weak = weak_from_this()](const asio::error_code &why) {
+            const auto self = weak.lock();
+            if (why || !self)
+                return;
+            self->caller_.pool_.drop(self->address_);
+            self->finish();
+        });
+        connection_->exchange(caller_.codec_.callHead(call, address_) + call.body_, "", false,
+                              *this);
+    }
+
+private:
+    void onReplyHead(const MessageHead &head, const TargetReply &) override
+    {
+        answer_.status_ = head.status_;
+    }
+
+    void onReplyBody(std::string_view data) override { answer_.body_ += data; }
+
+    void onReplyEnd() override
+    {
+        connection_.reset();
+        isWhole_ = true;
+        finish();
+    }
+
+    void onExchangeFailure(const Error &) override { finish(); }
+
+    void finish()
+    {
+        const std::shared_ptr<Call> self = std::exchange(self_, nullptr);
+        if (!self)
+            return;
+        timer_.cancel();
+        if (connection_)
+            connection_->abandon();
+        connection_.reset();
+        handler_(isWhole_ ? answer_ : HttpAnswer());
+    }
+
+    HttpCaller &caller_;
+    std::string address_;
+    Handler handler_;
+    asio::steady_timer timer_;
+    std::shared_ptr<TargetConnection> connection_;
+    std::shared_ptr<Call> self_;
+    HttpAnswer answer_;
+    bool isWhole_ = false;
+};
+
+HttpCaller::HttpCaller(asio::io_context &context, const PlatformCodec &codec, const Clock &clock)
+    : context_(context)
+    , codec_(codec)
+    , clock_(clock)
+    , pool_(context, codec, clock)
+{ }
+
+void HttpCaller::call(const std::string &address, const HttpCall &call, Duration timeout,
+                      Handler handler)
+{
+    std::make_shared<Call>(*this, address, std::move(handler))->start(call, timeout);
+}
+
+} // namespace foxtailturn::gateway
--- a/packages/gateway/quota_shares.cpp
+++ b/packages/gateway/quota_shares.cpp
@@ -359,8 +359,8 @@
         || (units < own.units_ && others + own.units_ > kTotalUnits - kPoolUnits);
     const auto demand = static_cast<std::int64_t>(ledger.share_.demand(now));
     // Others give up units only when they see the demand.
-    const bool isDemandNews = ledger.isShort_
-        && std::abs(demand - own.demand_) > std::max(own.demand_, demand) / 4;
+    const bool isDemandNews =
+        ledger.isShort_ && std::abs(demand - own.demand_) > std::max(own.demand_, demand) / 4;
     const bool isGranted = planGrants(ledger, row, nowMs);
     if (!isChange && !isDemandNews && !isUnresolved && !isGranted && now < ledger.writeAt_)
         return std::nullopt;
--- a/packages/gateway/store_client.cpp
+++ b/packages/gateway/store_client.cpp
@@ -8,7 +8,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr Duration kConnectTime = milliseconds(400);
 constexpr Duration kReadTime = milliseconds(1200); // an answer takes some milliseconds when calm
 constexpr Duration kFollowSlack = milliseconds(500); // beyond the time that the store may wait
 constexpr Duration kFirstPause = milliseconds(100); // after a failure; doubles
@@ -19,99 +18,29 @@
 
 } // namespace
 
-// One call with its timer; keeps itself alive until its handler has run.
-class StoreClient::Call final : public std::enable_shared_from_this<Call>, ExchangeSink
-{
-public:
-    Call(StoreClient &client, Handler handler)
-        : client_(client)
-        , handler_(std::move(handler))
-        , timer_(client.context_)
-        , startedAt_(client.now())
-    { }
-
-    void start(const HttpCall &call, Duration timeout)
-    {
-        self_ = shared_from_this();
-        method_ = call.method_;
-        connection_ = client_.pool_.acquire(client_.address_, client_.now() + kConnectTime);
-        timer_.expires_after(timeout);
-        timer_.async_wait([weak = weak_from_this()](const asio::error_code &why) {
-            const auto self = weak.lock();
-            if (why || !self)
-                return;
-            // Other connections to the store may have gone silent at the same time.
-            self->client_.pool_.drop(self->client_.address_);
-            self->finish();
-        });
-        connection_->exchange(client_.codec_.callHead(call, client_.address_) + call.body_, "",
-                              false, *this);
-    }
-
-private:
-    void onReplyHead(const MessageHead &head, const TargetReply &) override
-    {
-        status_ = head.status_;
-    }
-
-    void onReplyBody(std::string_view data) override { body_ += data; }
-
-    void onReplyEnd() override
-    {
-        connection_.reset();
-        isWhole_ = true;
-        finish();
-    }
-
-    void onExchangeFailure(const Error &) override { finish(); }
-
-    void finish()
-    {
-        const std::shared_ptr<Call> self = std::move(self_);
-        self_ = nullptr;
-        if (!self)
-            return;
-        timer_.cancel();
-        if (connection_)
-            connection_->abandon();
-        connection_.reset();
-        StoreAnswer answer;
-        if (isWhole_)
-            answer = {status_, std::move(body_)};
-        client_.metrics_
-            .counter("foxtailturn_store_calls_total", "calls to the store",
-                     {{"method", method_}, {"status", std::to_string(answer.status_)}})
-            .add();
-        client_.metrics_.latency("foxtailturn_store_call_seconds", "time of a store call")
-            .record(client_.now() - startedAt_);
-        handler_(answer);
-    }
-
-    StoreClient &client_;
-    Handler handler_;
-    asio::steady_timer timer_;
-    TimePoint startedAt_;
-    std::string method_;
-    std::shared_ptr<TargetConnection> connection_;
-    std::shared_ptr<Call> self_;
-    int status_ = 0;
-    std::string body_;
-    bool isWhole_ = false;
-};
-
 StoreClient::StoreClient(asio::io_context &context, const PlatformCodec &codec, const Clock &clock,
                          MetricRegistry &metrics, std::string address)
     : context_(context)
     , codec_(codec)
     , clock_(clock)
     , metrics_(metrics)
-    , pool_(context, codec, clock)
+    , caller_(context, codec, clock)
     , address_(std::move(address))
 { }
 
 void StoreClient::call(const HttpCall &call, Duration timeout, Handler handler)
 {
-    std::make_shared<Call>(*this, std::move(handler))->start(call, timeout);
+    const auto counted = [this, method = call.method_, startedAt = now(),
+                          handler = std::move(handler)](const StoreAnswer &answer) {
+        metrics_
+            .counter("foxtailturn_store_calls_total", "calls to the store",
+                     {{"method", method}, {"status", std::to_string(answer.status_)}})
+            .add();
+        metrics_.latency("foxtailturn_store_call_seconds", "time of a store call")
+            .record(now() - startedAt);
+        handler(answer);
+    };
+    caller_.call(address_, call, timeout, counted);
 }
 
 TableWatch::TableWatch(StoreClient &store, EventLog &log, TableWatchSettings settings,
--- a/packages/gateway/store_client.h
+++ b/packages/gateway/store_client.h
@@ -15,17 +15,12 @@
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "gateway/codec.h"
-#include "gateway/target_connection.h"
+#include "gateway/http_caller.h"
 
 namespace foxtailturn::gateway {
 
-// The answer to a store call. status_ 0: no answer came, a write may have been applied or may be
-// applied later.
-struct StoreAnswer
-{
-    int status_ = 0;
-    std::string body_;
-};
+// status_ 0: no answer came, a write may have been applied or may be applied later.
+using StoreAnswer = HttpAnswer;
 
 // Not thread-safe. Callbacks run from the loop.
 class StoreClient
@@ -49,13 +44,11 @@
     [[nodiscard]] TimePoint now() const { return clock_.now(); }
 
 private:
-    class Call;
-
     asio::io_context &context_;
     const PlatformCodec &codec_;
     const Clock &clock_;
     MetricRegistry &metrics_;
-    ConnectionPool pool_;
+    HttpCaller caller_;
     std::string address_;
 };
 
--- a/packages/gateway/target_connection.cpp
+++ b/packages/gateway/target_connection.cpp
@@ -28,6 +28,25 @@
     return asio::ip::tcp::endpoint(ip, static_cast<std::uint16_t>(port));
 }
 
+Result<void> listenOn(asio::ip::tcp::acceptor &acceptor, const std::string &address)
+{
+    const Result<asio::ip::tcp::endpoint> endpoint = endpointOf(address);
+    if (!endpoint)
+        return tl::unexpected(endpoint.error());
+    asio::error_code why;
+    acceptor.open(endpoint->protocol(), why);
+    if (!why)
+        acceptor.set_option(asio::socket_base::reuse_address(true), why);
+    if (!why)
+        acceptor.bind(*endpoint, why);
+    if (!why)
+        acceptor.listen(asio::socket_base::max_listen_connections, why);
+    if (why)
+        return notRun(ErrorCode::InvalidSettings,
+                      "cannot listen on " + address + ": " + why.message());
+    return {};
+}
+
 TargetConnection::TargetConnection(ConnectionPool &pool, std::string address,
                                    TimePoint connectDeadline)
     : pool_(pool)
--- a/packages/gateway/target_connection.h
+++ b/packages/gateway/target_connection.h
@@ -132,6 +132,9 @@
     std::uint64_t reused_ = 0;
 };
 
+// Opens, binds and listens. Error: InvalidSettings when the address can't be used.
+[[nodiscard]] Result<void> listenOn(asio::ip::tcp::acceptor &acceptor, const std::string &address);
+
 // Returns the endpoint of IP:port text. Error: InvalidSettings. Thread-safe.
 [[nodiscard]] Result<asio::ip::tcp::endpoint> endpointOf(const std::string &address);
 
--- a/packages/sidecar/sidecar_node.cpp
+++ b/packages/sidecar/sidecar_node.cpp
@@ -44,74 +44,6 @@
 
 } // namespace
 
-// One call to the engine; keeps itself alive until its handler has run.
-class SidecarNode::EngineCall final : public std::enable_shared_from_this<EngineCall>, ExchangeSink
-{
-public:
-    using Handler = std::function<void(int status, const std::string &body)>;
-
-    EngineCall(SidecarNode &node, Handler handler)
-        : node_(node)
-        , handler_(std::move(handler))
-        , timer_(node.context_)
-    { }
-
-    void start(const HttpCall &call, Duration timeout)
-    {
-        self_ = shared_from_this();
-        const std::string &address = node_.settings_.engineAddress_;
-        connection_ = node_.pool_.acquire(address, node_.clock_.now() + kCallTime);
-        timer_.expires_after(timeout);
-        timer_.async_wait([weak = weak_from_this()](const asio::error_code &why) {
-            const auto self = weak.lock();
-            if (why || !self)
-                return;
-            self->node_.pool_.drop(self->node_.settings_.engineAddress_);
-            self->finish();
-        });
-        connection_->exchange(node_.codec_.callHead(call, address) + call.body_, "", false, *this);
-    }
-
-private:
-    void onReplyHead(const MessageHead &head, const TargetReply &) override
-    {
-        status_ = head.status_;
-    }
-
-    void onReplyBody(std::string_view data) override { body_ += data; }
-
-    void onReplyEnd() override
-    {
-        connection_.reset();
-        isWhole_ = true;
-        finish();
-    }
-
-    void onExchangeFailure(const Error &) override { finish(); }
-
-    void finish()
-    {
-        const std::shared_ptr<EngineCall> self = std::move(self_);
-        self_ = nullptr;
-        if (!self)
-            return;
-        timer_.cancel();
-        if (connection_)
-            connection_->abandon();
-        connection_.reset();
-        handler_(isWhole_ ? status_ : 0, body_);
-    }
-
-    SidecarNode &node_;
-    Handler handler_;
-    asio::steady_timer timer_;
-    std::shared_ptr<TargetConnection> connection_;
-    std::shared_ptr<EngineCall> self_;
-    int status_ = 0;
-    std::string body_;
-    bool isWhole_ = false;
-};
-
 struct SidecarNode::EntryLink
 {
     std::shared_ptr<ByteStream> stream_;
@@ -120,11 +52,10 @@
 
 SidecarNode::SidecarNode(asio::io_context &context, const PlatformCodec &codec,
                          const NodeSettings &settings)
-    : context_(context)
-    , codec_(codec)
+    : codec_(codec)
     , settings_(settings)
     , log_(settings.name_, wallClock_, writeStandardOutput)
-    , pool_(context, codec, clock_)
+    , caller_(context, codec, clock_)
     , admin_(context)
     , acceptor_(context)
     , pollTimer_(context)
@@ -136,20 +67,8 @@
 Result<void> SidecarNode::start()
 {
     const std::string address = settings_.ip_ + ":" + std::to_string(settings_.peerPort_);
-    const Result<asio::ip::tcp::endpoint> endpoint = endpointOf(address);
-    if (!endpoint)
-        return tl::unexpected(endpoint.error());
-    asio::error_code why;
-    acceptor_.open(endpoint->protocol(), why);
-    if (!why)
-        acceptor_.set_option(asio::socket_base::reuse_address(true), why);
-    if (!why)
-        acceptor_.bind(*endpoint, why);
-    if (!why)
-        acceptor_.listen(asio::socket_base::max_listen_connections, why);
-    if (why)
-        return notRun(ErrorCode::InvalidSettings,
-                      "cannot listen on " + address + ": " + why.message());
+    if (Result<void> listening = listenOn(acceptor_, address); !listening)
+        return listening;
     admin_.serve("/state", [this] {
         const nlohmann::json state = {
             {"name", settings_.name_},
@@ -239,10 +158,11 @@
         return;
     isCalling_ = true;
     pollTimer_.cancel();
-    std::make_shared<EngineCall>(*this, [this](int status, const std::string &body) {
-        isCalling_ = false;
-        onReport(status, body);
-    })->start(codec_.reportCall(), kCallTime);
+    caller_.call(settings_.engineAddress_, codec_.reportCall(), kCallTime,
+                 [this](const HttpAnswer &answer) {
+                     isCalling_ = false;
+                     onReport(answer.status_, answer.body_);
+                 });
 }
 
 void SidecarNode::onReport(int status, const std::string &body)
@@ -286,7 +206,7 @@
         return;
     }
     isCalling_ = true;
-    std::make_shared<EngineCall>(*this, [this, order = *order](int status, const std::string &) {
+    const auto onAnswer = [this, order = *order](const HttpAnswer &answer) {
         isCalling_ = false;
         log_.write(LogDetail::Full, "order",
                    {{"operation", order.kind_ == OrderKind::Load ? "load" : "unload"},
@@ -294,9 +214,10 @@
                     {"adapter", order.adapter_},
                     {"token", order.fencingToken_},
                     {"sequence", order.expectedSequence_.value_or(-1)},
-                    {"status", status}});
-        onOrderAnswer(status);
-    })->start(codec_.orderCall(*order), kOrderTime);
+                    {"status", answer.status_}});
+        onOrderAnswer(answer.status_);
+    };
+    caller_.call(settings_.engineAddress_, codec_.orderCall(*order), kOrderTime, onAnswer);
 }
 
 void SidecarNode::onOrderAnswer(int status)
--- a/packages/sidecar/sidecar_node.h
+++ b/packages/sidecar/sidecar_node.h
@@ -13,8 +13,8 @@
 #include "base/event_log.h"
 #include "gateway/admin_port.h"
 #include "gateway/byte_stream.h"
+#include "gateway/http_caller.h"
 #include "gateway/node_settings.h"
-#include "gateway/target_connection.h"
 #include "sidecar/adapter_keeper.h"
 
 namespace foxtailturn::gateway {
@@ -35,7 +35,6 @@
     void stop(const std::function<void()> &onStopped);
 
 private:
-    class EngineCall;
     struct EntryLink;
 
     void accept();
@@ -48,13 +47,12 @@
     void schedulePoll();
     void publish();
 
-    asio::io_context &context_;
     const PlatformCodec &codec_;
     NodeSettings settings_;
     SystemClock clock_;
     SystemWallClock wallClock_;
     EventLog log_;
-    ConnectionPool pool_;
+    HttpCaller caller_;
     AdminPort admin_;
     asio::ip::tcp::acceptor acceptor_;
     asio::steady_timer pollTimer_;
