sidecar: load a model only on an engine that holds none

Found by reading: a request for a second model would have been answered with an order to load it beside the first, without knowing whether both fit; an engine that is ordered more than it holds crashes. Placement passes such engines over. Two tests, which failed before.

--- a/packages/gateway/placement.cpp
+++ b/packages/gateway/placement.cpp
@@ -70,6 +70,8 @@
         return "";
     if (!target.isAgentLinked_)
         return "adapter missing, no agent to load it";
+    if (!target.hostsModel(request.model_) && !target.report_.models_.empty())
+        return "holds another model";
     return "";
 }
 
--- a/packages/gateway/placement_test.cpp
+++ b/packages/gateway/placement_test.cpp
@@ -139,6 +139,19 @@
     CHECK(placement.choose(engines.list(), requestFor("a1"), kStart).target_ == &engines.at(1));
 }
 
+// Guards against a wait for a model at an engine that is full with another one.
+TEST_CASE("an engine that holds another model is passed over")
+{
+    Engines engines(2);
+    engines.at(0).report_.models_ = {{"other", {}}};
+    const Placement placement;
+    CHECK(placement.choose(engines.list(), requestFor("a1"), kStart).target_ == &engines.at(1));
+    engines.at(1).report_.models_ = {{"other", {}}};
+    CHECK(placement.choose(engines.list(), requestFor("a1"), kStart).target_ == nullptr);
+    engines.at(1).report_.models_.clear(); // restarted empty
+    CHECK(placement.choose(engines.list(), requestFor("a1"), kStart).target_ == &engines.at(1));
+}
+
 // Guards against reading a shared prompt again although an engine keeps it.
 TEST_CASE("kept parts count as long as all parts before them are kept")
 {
--- a/packages/sidecar/adapter_keeper.cpp
+++ b/packages/sidecar/adapter_keeper.cpp
@@ -209,6 +209,8 @@
         const std::string &name = want->request_.name_;
         const auto [model, adapter] = splitName(name);
         const HostedModel *host = hosted(model);
+        if (host == nullptr && !report_.models_.empty())
+            continue; // whether two models fit is not known here, and an overfull engine crashes
         if (host == nullptr) {
             hasFreshReport_ = false;
             return order(OrderKind::Load, model);
--- a/packages/sidecar/adapter_keeper_test.cpp
+++ b/packages/sidecar/adapter_keeper_test.cpp
@@ -167,6 +167,17 @@
     CHECK_FALSE(keeper.next(kStart));
 }
 
+// Guards against an engine that crashes because a second model does not fit beside the first.
+TEST_CASE("a model is loaded only by an engine that holds none")
+{
+    Keeper keeper;
+    keeper.onReport(reportOf(1, {}), kStart);
+    keeper.want(wantOf("other/a"), kStart);
+    keeper.want(wantOf("other"), kStart);
+    CHECK_FALSE(keeper.next(kStart));
+    CHECK(keeper.takeRefused(kStart + AdapterKeeper::kWantFor).size() == 2);
+}
+
 // Guards against too many adapters on their way to one engine, and against orders while it is busy
 // or leaving.
 TEST_CASE("loads under way are bounded; busy and draining engines get no order")
