--- a/packages/gateway/agent_link.cpp
+++ b/packages/gateway/agent_link.cpp
@@ -18,10 +18,12 @@
 
 } // namespace
 
-AgentLink::AgentLink(asio::io_context &context, std::string address, Handlers handlers)
+AgentLink::AgentLink(asio::io_context &context, std::string address, Handlers handlers,
+                     Duration silence)
     : context_(context)
     , address_(std::move(address))
     , handlers_(std::move(handlers))
+    , silence_(silence)
     , socket_(context)
     , timer_(context)
 { }
@@ -60,6 +62,14 @@
     });
 }
 
+void AgentLink::armSilenceTimer()
+{
+    if (silence_ == kNoSilence)
+        timer_.cancel();
+    else
+        armTimer(silence_);
+}
+
 void AgentLink::connect()
 {
     const auto endpoint = endpointOf(address_);
@@ -99,14 +109,14 @@
             if (const auto self = weak.lock())
                 self->lost();
         });
-    armTimer(kSilence);
+    armSilenceTimer();
     handlers_.onState_(true);
 }
 
 void AgentLink::onData(std::string_view data)
 {
     const auto self = shared_from_this();
-    armTimer(kSilence);
+    armSilenceTimer();
     buffer_ += data;
     if (buffer_.size() > kMostBuffered) {
         lost();
--- a/packages/gateway/agent_messages.cpp
+++ b/packages/gateway/agent_messages.cpp
@@ -118,6 +118,19 @@
                    {"eviction_cost", sidecar.evictionCost_}}}});
 }
 
+std::string encode(const GrantRequest &request)
+{
+    return line(
+        {{"ask", request.number_}, {"workspace", request.workspace_}, {"charge", request.charge_}});
+}
+
+std::string encode(const GrantAnswer &answer)
+{
+    return line({{"grant", answer.number_},
+                 {"granted", answer.isGranted_},
+                 {"retry_after_us", answer.retryAfter_.count()}});
+}
+
 AgentMessage decodeAgentMessage(std::string_view line)
 {
     AgentMessage message;
@@ -131,6 +144,12 @@
         message.use_ = UseNotice{textOf(json, "use"), flagOf(json, "begin")};
     } else if (json.contains("refused")) {
         message.refusal_ = LoadRefusal{textOf(json, "refused")};
+    } else if (json.contains("ask")) {
+        message.grantRequest_ = GrantRequest{integerOf(json, "ask"), textOf(json, "workspace"),
+                                             countOf(json, "charge")};
+    } else if (json.contains("grant")) {
+        message.grantAnswer_ = GrantAnswer{integerOf(json, "grant"), flagOf(json, "granted"),
+                                           Duration(countOf(json, "retry_after_us"))};
     } else if (json.contains("report") && json["report"].is_object()) {
         const Json &report = json["report"];
         message.report_ = SidecarReport{decodeReport(report), numberOf(report, "eviction_cost")};
--- a/packages/gateway/agent_messages.h
+++ b/packages/gateway/agent_messages.h
@@ -1,12 +1,14 @@
 #pragma once
 
-// Messages between an entry and the process beside an engine (the sidecar): JSON, one a line.
+// Messages between an entry and the process beside an engine (the sidecar), and between entries:
+// JSON, one a line.
 //
 //     link.send(encode(LoadRequest{"m/a1", 3, "i-1", 8}));
 //     AgentMessage message = decodeAgentMessage(line);
 //
 // A sidecar reports its engine's load to each entry that is connected, and takes requests to load
-// adapters. A line that can't be read is ignored by the receiver, so that versions can be mixed.
+// adapters. An entry asks another one for a charge from a quota's pool. A line that can't be read
+// is ignored by the receiver, so that versions can be mixed.
 
 #include <optional>
 #include <string>
@@ -44,6 +46,26 @@
     bool operator==(const LoadRefusal &) const = default;
 };
 
+// An entry asks the keeper of a workspace's quota pool for a charge.
+struct GrantRequest
+{
+    std::int64_t number_ = 0; // of the request, by the asking entry
+    std::string workspace_;
+    std::int64_t charge_ = 0; // tokens
+
+    bool operator==(const GrantRequest &) const = default;
+};
+
+// The keeper's answer. A granted charge counts at the keeper, whether it is used or not.
+struct GrantAnswer
+{
+    std::int64_t number_ = 0;
+    bool isGranted_ = false;
+    Duration retryAfter_ = Duration::zero(); // of a refusal
+
+    bool operator==(const GrantAnswer &) const = default;
+};
+
 // What a line holds; at most one member is set.
 struct AgentMessage
 {
@@ -51,6 +73,8 @@
     std::optional<UseNotice> use_;
     std::optional<LoadRefusal> refusal_;
     std::optional<SidecarReport> report_;
+    std::optional<GrantRequest> grantRequest_;
+    std::optional<GrantAnswer> grantAnswer_;
 };
 
 // Each returns one line with its end. Thread-safe.
@@ -58,6 +82,8 @@
 [[nodiscard]] std::string encode(const UseNotice &notice);
 [[nodiscard]] std::string encode(const LoadRefusal &refusal);
 [[nodiscard]] std::string encode(const SidecarReport &report);
+[[nodiscard]] std::string encode(const GrantRequest &request);
+[[nodiscard]] std::string encode(const GrantAnswer &answer);
 
 // Returns what a line holds; nothing is set for a line that is no message. Thread-safe.
 [[nodiscard]] AgentMessage decodeAgentMessage(std::string_view line);
--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -8,21 +8,10 @@
 
 using std::chrono::milliseconds;
 
-constexpr const char *kSuspectPrefix = "suspect/"; // key of a row of kFleetTable
 constexpr Duration kTick = milliseconds(250);
-// Rounds of the quota ledger. A calm one is a read; shares follow demand within two rounds.
-constexpr Duration kCalmRound = milliseconds(1500);
-constexpr Duration kFirstRound = milliseconds(150); // until each workspace has a share
-constexpr Duration kConflictRound = milliseconds(10); // another entry wrote in between
-constexpr Duration kConflictSpread = milliseconds(8); // for each entry that may write
-constexpr int kCacheEntries = 8;
-constexpr Duration kFleetRowsUse = std::chrono::seconds(6); // rows kept for writes without a read
-constexpr int kEntriesPerRound = 8; // twice as many entries, half as many rounds of each
-constexpr Duration kShortRound = milliseconds(700); // while a share is too small
-constexpr Duration kStoreTime = milliseconds(1000);
-// Records of targets change with each heartbeat; collecting them saves calls. Well within the bound
-// for draining targets.
-constexpr Duration kTargetPause = milliseconds(500);
+// Records of targets change with each heartbeat; collecting them saves calls. A third of the time
+// within which a draining target must be known leaves room for a failed call.
+constexpr int kPausesPerDrainNotice = 3;
 constexpr Duration kOperatorPause = milliseconds(100);
 // Without units an entry still reports ready after this time: other workspaces can be served.
 constexpr Duration kUnitsPatience = std::chrono::seconds(4);
@@ -30,8 +19,6 @@
 constexpr Duration kBalancerNotice = milliseconds(2700);
 constexpr Duration kStopReserve = milliseconds(1000); // before the platform kills the process
 constexpr Duration kStopPoll = milliseconds(100);
-constexpr int kOk = 200;
-constexpr int kConflict = 412;
 
 GatewayParts partsOf(asio::io_context &context, const PlatformCodec &codec, const Clock &clock,
                      const WallClock &wallClock, EventLog &log, MetricRegistry &metrics)
@@ -57,11 +44,14 @@
     , admin_(context)
     , operatorWatch_(store_, log_, {.table_ = codec.operatorTable(), .pause_ = kOperatorPause},
                      [this](const std::vector<StoreRow> &rows, bool) { onOperatorRows(rows); })
-    , targetWatch_(store_, log_, {.table_ = codec.targetTable(), .pause_ = kTargetPause},
-                   [this](const std::vector<StoreRow> &rows, bool isSnapshot) {
-                       onTargetRows(rows, isSnapshot);
-                   })
-    , roundTimer_(context)
+    , targetWatch_(
+          store_, log_,
+          {.table_ = codec.targetTable(), .pause_ = settings.drainNotice_ / kPausesPerDrainNotice},
+          [this](const std::vector<StoreRow> &rows, bool isSnapshot) {
+              onTargetRows(rows, isSnapshot);
+          })
+    , rounds_(store_, log_, gateway_.shares(), gateway_.quarantine())
+    , peers_(context, clock_, log_, gateway_.shares(), settings.peerPort_)
     , tickTimer_(context)
     , stopTimer_(context)
     , startedAt_(clock_.now())
@@ -84,11 +74,12 @@
         if (link != links_.end())
             link->second->send(encode(UseNotice{name, isBegin}));
     });
-    gateway_.setRoundRequest([this] { scheduleRound(Duration::zero()); });
-    gateway_.setSuspectReport([this](const SuspectRecord &record) {
-        suspectReports_.insert_or_assign(record.fingerprint_, record);
-        scheduleRound(Duration::zero());
-    });
+    gateway_.setGrantRequest(
+        [this](const std::string &workspace, std::int64_t charge, GrantDesk::GrantHandler handler) {
+            peers_.ask(workspace, charge, std::move(handler));
+        });
+    gateway_.setSuspectReport([this](const SuspectRecord &record) { rounds_.report(record); });
+    rounds_.onRead([this] { peers_.sync(); });
 }
 
 Result<void> EntryNode::start()
@@ -109,12 +100,14 @@
         if (Result<void> listening = admin_.listen(address); !listening)
             return listening;
     }
+    if (Result<void> listening = peers_.listen(settings_.ip_); !listening)
+        return listening;
     if (Result<void> listening = callers_.listen(settings_.callerAddress_); !listening)
         return listening;
     log_.write(LogDetail::Full, "started", {{"role", "entry"}});
     operatorWatch_.start();
     targetWatch_.start();
-    scheduleRound(milliseconds(50));
+    rounds_.start();
     tick();
     return {};
 }
@@ -146,7 +139,7 @@
         return;
     syncLinks();
     if (!gateway_.shares().canSpend())
-        scheduleRound(Duration::zero());
+        rounds_.makeRound();
 }
 
 void EntryNode::onTargetRows(const std::vector<StoreRow> &rows, bool isSnapshot)
@@ -242,150 +235,8 @@
         gateway_.onLoadRefused(engine, message.refusal_->name_);
 }
 
-Duration EntryNode::nextRound()
-{
-    if (gateway_.shares().hasGrantRequests())
-        return Duration::zero();
-    if (!gateway_.shares().canSpend())
-        return kFirstRound;
-    // The rows grow with the entries and so do conflicts; the whole fleet's work stays in bounds.
-    const Duration round = gateway_.shares().wantsRound() ? kShortRound : kCalmRound;
-    return round * (kEntriesPerRound + gateway_.shares().entryCount()) / kEntriesPerRound;
-}
-
-void EntryNode::scheduleRound(Duration wait)
-{
-    if (isRoundUnderWay_)
-        return;
-    // Spread over the entries, so that their writes seldom conflict.
-    const auto spread = std::chrono::duration_cast<Duration>(wait * gateway_.jitter() / 3);
-    roundTimer_.expires_after(wait + spread);
-    roundTimer_.async_wait([this](const asio::error_code &why) {
-        if (!why)
-            round();
-    });
-}
-
-void EntryNode::round()
-{
-    // A grant is tried on the rows as they were last seen; if another entry has written meanwhile,
-    // the store's answer brings the new ones. This saves the read in most cases.
-    // With many entries the rows have nearly always changed, and conflicts cost more than reads.
-    const bool isCacheUseful = clock_.now() - fleetRowsAt_ < kFleetRowsUse
-        && gateway_.shares().entryCount() <= kCacheEntries;
-    if (gateway_.shares().hasGrantRequests() && isCacheUseful) {
-        writeRound();
-        return;
-    }
-    isRoundUnderWay_ = true;
-    store_.call(codec_.readCall(kFleetTable, kFleetPart, ""), kStoreTime,
-                [this](const StoreAnswer &answer) { onRoundRows(answer); });
-}
-
-void EntryNode::onRoundRows(const StoreAnswer &answer)
-{
-    isRoundUnderWay_ = false;
-    const Result<StoreRows> rows = codec_.decodeRows(answer.body_);
-    if (answer.status_ != kOk || !rows) {
-        gateway_.shares().expireGrants();
-        scheduleRound(kCalmRound);
-        return;
-    }
-    fleetRows_ = *rows;
-    fleetRowsAt_ = clock_.now();
-    takeSuspects(fleetRows_.rows_);
-    writeRound();
-}
-
-void EntryNode::takeFleetRows(const StoreRows &rows)
-{
-    for (const StoreRow &row : rows.rows_) {
-        const auto known =
-            std::find_if(fleetRows_.rows_.begin(), fleetRows_.rows_.end(),
-                         [&row](const StoreRow &other) { return other.key_ == row.key_; });
-        if (known == fleetRows_.rows_.end())
-            fleetRows_.rows_.push_back(row);
-        else if (known->version_ < row.version_)
-            *known = row;
-    }
-    if (rows.nowMs_ > 0) {
-        fleetRows_.nowMs_ = rows.nowMs_;
-        fleetRowsAt_ = clock_.now();
-    }
-}
-
-void EntryNode::writeRound()
-{
-    StoreRows rows = fleetRows_;
-    rows.nowMs_ += std::chrono::duration_cast<milliseconds>(clock_.now() - fleetRowsAt_).count();
-    StoreWrite write = gateway_.shares().plan(rows).value_or(StoreWrite());
-    for (const auto &[fingerprint, record] : suspectReports_) {
-        const std::string key = kSuspectPrefix + fingerprint;
-        write.puts_.push_back({kFleetTable, kFleetPart, key, record.toJson()});
-        write.expected_.push_back(
-            {kFleetTable, kFleetPart, key, "", suspectVersions_[fingerprint]});
-    }
-    if (write.puts_.empty()) {
-        scheduleRound(nextRound());
-        return;
-    }
-    isRoundUnderWay_ = true;
-    store_.call(codec_.writeCall(write), kStoreTime, [this, write](const StoreAnswer &answer) {
-        isRoundUnderWay_ = false;
-        onRoundWritten(write, answer);
-    });
-}
-
-void EntryNode::onRoundWritten(const StoreWrite &write, const StoreAnswer &answer)
-{
-    // Any answer but success and "not answered" promises that nothing was written.
-    const WriteOutcome outcome = answer.status_ == kOk ? WriteOutcome::Applied
-        : answer.status_ == 0                          ? WriteOutcome::Unknown
-                                                       : WriteOutcome::Conflict;
-    gateway_.shares().settle(outcome);
-    StoreRows rows = codec_.decodeRows(answer.body_).value_or(StoreRows());
-    if (outcome == WriteOutcome::Applied) {
-        suspectReports_.clear();
-        rows.rows_ = write.puts_;
-        for (StoreRow &row : rows.rows_)
-            row.version_ = rows.version_;
-    } else {
-        log_.write(LogDetail::Full, "fleet_write_failed", {{"status", answer.status_}});
-    }
-    takeFleetRows(rows);
-    if (answer.status_ != kConflict) {
-        scheduleRound(nextRound());
-        return;
-    }
-    takeSuspects(rows.rows_);
-    const auto spread = std::chrono::duration_cast<Duration>(
-        kConflictSpread * gateway_.shares().entryCount() * gateway_.jitter());
-    scheduleRound(kConflictRound + spread);
-}
-
-void EntryNode::takeSuspects(const std::vector<StoreRow> &rows)
-{
-    const std::string_view prefix = kSuspectPrefix;
-    for (const StoreRow &row : rows) {
-        if (!row.key_.starts_with(prefix))
-            continue;
-        const std::string fingerprint = row.key_.substr(prefix.size());
-        if (suspectVersions_[fingerprint] == row.version_)
-            continue;
-        suspectVersions_[fingerprint] = row.version_;
-        const Result<SuspectRecord> record = SuspectRecord::ofJson(row.value_);
-        if (!record || record->fingerprint_ != fingerprint)
-            continue;
-        const SuspectRecord merged = gateway_.quarantine().merge(*record);
-        const auto own = suspectReports_.find(fingerprint);
-        if (own != suspectReports_.end())
-            own->second.merge(merged);
-    }
-}
-
 void EntryNode::tick()
 {
-    gateway_.shares().expireGrants();
     gateway_.pool().dropExpired();
     gateway_.book().sweep(clock_.now());
     gateway_.tendTargets();
--- a/packages/gateway/entry_node.h
+++ b/packages/gateway/entry_node.h
@@ -14,7 +14,9 @@
 #include "gateway/agent_link.h"
 #include "gateway/caller_connection.h"
 #include "gateway/gateway.h"
+#include "gateway/ledger_rounds.h"
 #include "gateway/node_settings.h"
+#include "gateway/quota_peers.h"
 #include "gateway/store_client.h"
 
 namespace foxtailturn::gateway {
@@ -41,14 +43,6 @@
     void syncLinks();
     void linkTarget(const Target &target);
     void onAgentMessage(const std::string &engine, const AgentMessage &message);
-    [[nodiscard]] Duration nextRound();
-    void scheduleRound(Duration wait);
-    void round();
-    void onRoundRows(const StoreAnswer &answer);
-    void writeRound();
-    void onRoundWritten(const StoreWrite &write, const StoreAnswer &answer);
-    void takeFleetRows(const StoreRows &rows);
-    void takeSuspects(const std::vector<StoreRow> &rows);
     void tick();
     void waitForEnd();
     [[nodiscard]] bool isReady() const;
@@ -68,11 +62,8 @@
     TableWatch operatorWatch_;
     TableWatch targetWatch_;
     std::map<std::string, std::shared_ptr<AgentLink>> links_; // by the engine's address
-    std::map<std::string, SuspectRecord> suspectReports_; // to be written, by fingerprint
-    std::map<std::string, std::int64_t> suspectVersions_; // row versions, by fingerprint
-    StoreRows fleetRows_; // as last seen
-    TimePoint fleetRowsAt_{};
-    asio::steady_timer roundTimer_;
+    LedgerRounds rounds_;
+    QuotaPeers peers_;
     asio::steady_timer tickTimer_;
     asio::steady_timer stopTimer_;
     TimePoint startedAt_;
@@ -80,7 +71,6 @@
     TimePoint stopUntil_ = TimePoint::max();
     std::function<void()> onStopped_;
     bool isStopping_ = false;
-    bool isRoundUnderWay_ = false;
 };
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -160,7 +160,7 @@
     if (admitted)
         return std::nullopt;
     const bool isLimit = admitted.error().code_ == ErrorCode::RateLimited;
-    if (isLimit && shares_.mayGrant(request.workspace_, request.charge_)) {
+    if (isLimit && !shares_.keeperToAsk(request.workspace_).empty()) {
         request.needsGrant_ = true;
         return std::nullopt;
     }
@@ -177,11 +177,9 @@
                    std::max<Duration>(retryAt - now(), milliseconds(50)));
 }
 
-void Gateway::requestGrant(const AdmittedRequest &request, QuotaShares::GrantHandler handler)
+void Gateway::requestGrant(const AdmittedRequest &request, GrantDesk::GrantHandler handler)
 {
-    shares_.requestGrant(request.workspace_, request.charge_, std::move(handler));
-    if (roundRequest_)
-        roundRequest_();
+    grantRequest_(request.workspace_, request.charge_, std::move(handler));
 }
 
 PlacementChoice Gateway::choose(const std::string &service, const PlacementRequest &request)
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -20,6 +20,7 @@
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "gateway/codec.h"
+#include "gateway/grant_desk.h"
 #include "gateway/placement.h"
 #include "gateway/quota_shares.h"
 #include "gateway/relay.h"
@@ -81,11 +82,13 @@
     void askLoad(Target &target, const std::string &model, const std::string &adapter);
     void onLoadRefused(const std::string &address, const std::string &adapterName);
 
-    // Hook that starts a round of the quota ledger soon, for a grant.
-    void setRoundRequest(std::function<void()> request) { roundRequest_ = std::move(request); }
+    // Hook that asks the keeper of a quota's pool for a charge.
+    using GrantRequest = std::function<void(const std::string &workspace, std::int64_t charge,
+                                            GrantDesk::GrantHandler handler)>;
+    void setGrantRequest(GrantRequest request) { grantRequest_ = std::move(request); }
 
     // Asks the quota's pool for a charge that the entry's own share does not hold.
-    void requestGrant(const AdmittedRequest &request, QuotaShares::GrantHandler handler);
+    void requestGrant(const AdmittedRequest &request, GrantDesk::GrantHandler handler);
 
     // Hooks to the processes beside the engines.
     void setLoadRequest(LoadRequest request) { loadRequest_ = std::move(request); }
@@ -177,7 +180,7 @@
     LoadRequest loadRequest_;
     UseNotice useNotice_;
     std::function<void(const SuspectRecord &)> suspectReport_;
-    std::function<void()> roundRequest_;
+    GrantRequest grantRequest_;
     std::uint64_t randomState_;
     LatencyMetric &firstEvent_;
 };
--- /dev/null
+++ b/packages/gateway/grant_desk_test.cpp
@@ -0,0 +1,93 @@
+#include "gateway/grant_desk.h"
+
+#include <vector>
+
+#include <doctest/doctest.h>
+
+namespace foxtailturn::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+struct Fixture
+{
+    ManualClock clock_;
+    std::vector<std::pair<std::string, GrantRequest>> sent_;
+    GrantDesk desk_{clock_, [this](const std::string &keeper, const GrantRequest &request) {
+                        sent_.emplace_back(keeper, request);
+                    }};
+    std::vector<Result<void>> outcomes_;
+
+    void ask(const std::string &keeper = "e1")
+    {
+        desk_.ask(keeper, "w", 700,
+                  [this](const Result<void> &granted) { outcomes_.push_back(granted); });
+    }
+};
+
+} // namespace
+
+TEST_CASE("a keeper's answer ends the request it names")
+{
+    Fixture f;
+    f.ask();
+    f.ask();
+    REQUIRE(f.sent_.size() == 2);
+    CHECK(f.sent_[0].first == "e1");
+    CHECK(f.sent_[0].second == GrantRequest{1, "w", 700});
+    f.desk_.answer({2, false, milliseconds(30)});
+    REQUIRE(f.outcomes_.size() == 1);
+    REQUIRE_FALSE(f.outcomes_[0]);
+    CHECK(f.outcomes_[0].error().code_ == ErrorCode::RateLimited);
+    CHECK(f.outcomes_[0].error().retryAt_ == f.clock_.now() + milliseconds(30));
+    f.desk_.answer({1, true, Duration::zero()});
+    REQUIRE(f.outcomes_.size() == 2);
+    CHECK(f.outcomes_[1]);
+    CHECK_FALSE(f.desk_.nextExpiry());
+}
+
+// Guards against a handler that runs twice, and against an answer to nobody.
+TEST_CASE("answers that come twice or unasked are ignored")
+{
+    Fixture f;
+    f.ask();
+    f.desk_.answer({1, true, Duration::zero()});
+    f.desk_.answer({1, true, Duration::zero()});
+    f.desk_.answer({9, true, Duration::zero()});
+    CHECK(f.outcomes_.size() == 1);
+}
+
+// Guards against a caller that waits for a keeper which does not answer, and against a grant that
+// is used long after the keeper has counted it, as after a freeze.
+TEST_CASE("a request ends in time, a late grant is not used")
+{
+    Fixture f;
+    f.ask();
+    f.clock_.advance(milliseconds(50));
+    f.ask("e2");
+    CHECK(f.desk_.nextExpiry() == f.clock_.now() + GrantDesk::kGrantTime - milliseconds(50));
+    f.clock_.advance(GrantDesk::kGrantTime - milliseconds(50));
+    f.desk_.answer({1, true, Duration::zero()});
+    CHECK(f.outcomes_.empty());
+    CHECK(f.desk_.expire() == std::set<std::string>{"e1"});
+    REQUIRE(f.outcomes_.size() == 1);
+    CHECK_FALSE(f.outcomes_[0]);
+    CHECK(f.desk_.expire().empty());
+    f.desk_.answer({2, true, Duration::zero()});
+    CHECK(f.outcomes_.size() == 2);
+}
+
+// Guards against requests that are lost with a connection although a new one comes in time.
+TEST_CASE("open requests are sent again to their keeper only")
+{
+    Fixture f;
+    f.ask("e1");
+    f.ask("e2");
+    f.desk_.resend("e2");
+    REQUIRE(f.sent_.size() == 3);
+    CHECK(f.sent_[2].first == "e2");
+    CHECK(f.sent_[2].second.number_ == 2);
+}
+
+} // namespace foxtailturn::gateway
--- /dev/null
+++ b/packages/gateway/ledger_rounds.cpp
@@ -0,0 +1,183 @@
+#include "gateway/ledger_rounds.h"
+
+#include <algorithm>
+
+#include "base/hash.h"
+
+namespace foxtailturn::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char *kSuspectPrefix = "suspect/"; // key of a row of kFleetTable
+constexpr Duration kStart = milliseconds(50);
+constexpr Duration kFirstRound = milliseconds(150); // until each workspace has a share
+constexpr Duration kCalmRound = milliseconds(3000);
+constexpr Duration kShortRound = milliseconds(1500); // a share is too small, a pool has no keeper
+// Well within the time after which a pool goes to another keeper.
+constexpr Duration kKeeperRound = QuotaShares::kPoolWriteEvery;
+constexpr Duration kConflictRound = milliseconds(10); // another entry wrote in between
+constexpr Duration kConflictSpread = milliseconds(8); // for each entry that may write
+// The rows grow with the entries and so do conflicts: twice as many entries, half as many rounds of
+// each, so that the whole fleet's work stays in bounds.
+constexpr int kEntriesPerRound = 8;
+constexpr Duration kStoreTime = milliseconds(1000);
+constexpr int kOk = 200;
+constexpr int kConflict = 412;
+
+} // namespace
+
+Duration pauseBeforeRound(const RoundNeed &need)
+{
+    if (!need.canSpend_)
+        return kFirstRound;
+    const Duration round = need.wantsRound_ ? kShortRound : kCalmRound;
+    const Duration scaled = round * (kEntriesPerRound + need.entries_) / kEntriesPerRound;
+    return need.keepsPool_ ? std::min(scaled, kKeeperRound) : scaled;
+}
+
+LedgerRounds::LedgerRounds(StoreClient &store, EventLog &log, QuotaShares &shares,
+                           Quarantine &quarantine)
+    : store_(store)
+    , log_(log)
+    , shares_(shares)
+    , quarantine_(quarantine)
+    , timer_(store.context())
+    , randomState_(hash64(randomId()))
+{ }
+
+void LedgerRounds::start()
+{
+    schedule(kStart);
+}
+
+void LedgerRounds::makeRound()
+{
+    schedule(Duration::zero());
+}
+
+void LedgerRounds::report(const SuspectRecord &record)
+{
+    reports_.insert_or_assign(record.fingerprint_, record);
+    makeRound();
+}
+
+double LedgerRounds::jitter()
+{
+    randomState_ = hash64(
+        std::string_view(reinterpret_cast<const char *>(&randomState_), sizeof(randomState_)));
+    return static_cast<double>(randomState_) / static_cast<double>(UINT64_MAX);
+}
+
+Duration LedgerRounds::nextPause()
+{
+    return pauseBeforeRound({.canSpend_ = shares_.canSpend(),
+                             .wantsRound_ = shares_.wantsRound(),
+                             .keepsPool_ = shares_.keepsPool(),
+                             .entries_ = shares_.entryCount()});
+}
+
+void LedgerRounds::schedule(Duration wait)
+{
+    if (isUnderWay_)
+        return;
+    // Spread over the entries, so that their writes seldom conflict.
+    const auto spread = std::chrono::duration_cast<Duration>(wait * jitter() / 3);
+    timer_.expires_after(wait + spread);
+    timer_.async_wait([this](const asio::error_code &why) {
+        if (!why)
+            read();
+    });
+}
+
+void LedgerRounds::read()
+{
+    isUnderWay_ = true;
+    store_.call(store_.codec().readCall(kFleetTable, kFleetPart, ""), kStoreTime,
+                [this](const StoreAnswer &answer) { onRows(answer); });
+}
+
+void LedgerRounds::onRows(const StoreAnswer &answer)
+{
+    isUnderWay_ = false;
+    const Result<StoreRows> rows = store_.codec().decodeRows(answer.body_);
+    if (answer.status_ != kOk || !rows) {
+        schedule(kCalmRound);
+        return;
+    }
+    rows_ = *rows;
+    takeSuspects(rows_.rows_);
+    write();
+    if (onRead_)
+        onRead_();
+}
+
+void LedgerRounds::write()
+{
+    StoreWrite write = shares_.plan(rows_).value_or(StoreWrite());
+    for (const auto &[fingerprint, record] : reports_) {
+        const std::string key = kSuspectPrefix + fingerprint;
+        write.puts_.push_back({kFleetTable, kFleetPart, key, record.toJson()});
+        write.expected_.push_back(
+            {kFleetTable, kFleetPart, key, "", suspectVersions_[fingerprint]});
+    }
+    if (write.puts_.empty()) {
+        schedule(nextPause());
+        return;
+    }
+    isUnderWay_ = true;
+    store_.call(store_.codec().writeCall(write), kStoreTime,
+                [this, write](const StoreAnswer &answer) { onWritten(write, answer); });
+}
+
+void LedgerRounds::onWritten(const StoreWrite &write, const StoreAnswer &answer)
+{
+    isUnderWay_ = false;
+    // Any answer but success and "not answered" promises that nothing was written.
+    const WriteOutcome outcome = answer.status_ == kOk ? WriteOutcome::Applied
+        : answer.status_ == 0                          ? WriteOutcome::Unknown
+                                                       : WriteOutcome::Conflict;
+    shares_.settle(outcome);
+    const StoreRows rows = store_.codec().decodeRows(answer.body_).value_or(StoreRows());
+    if (outcome == WriteOutcome::Applied) {
+        for (const StoreRow &row : write.puts_) {
+            if (row.key_.starts_with(kSuspectPrefix))
+                suspectVersions_[row.key_.substr(std::string_view(kSuspectPrefix).size())] =
+                    rows.version_;
+        }
+        reports_.clear();
+    } else {
+        log_.write(LogDetail::Full, "fleet_write_failed", {{"status", answer.status_}});
+    }
+    if (answer.status_ != kConflict) {
+        schedule(nextPause());
+        return;
+    }
+    takeSuspects(rows.rows_);
+    const auto spread =
+        std::chrono::duration_cast<Duration>(kConflictSpread * shares_.entryCount() * jitter());
+    schedule(kConflictRound + spread);
+}
+
+void LedgerRounds::takeSuspects(const std::vector<StoreRow> &rows)
+{
+    const std::string_view prefix = kSuspectPrefix;
+    for (const StoreRow &row : rows) {
+        if (!row.key_.starts_with(prefix))
+            continue;
+        const std::string fingerprint = row.key_.substr(prefix.size());
+        if (suspectVersions_[fingerprint] == row.version_)
+            continue;
+        suspectVersions_[fingerprint] = row.version_;
+        const Result<SuspectRecord> record = SuspectRecord::ofJson(row.value_);
+        if (!record || record->fingerprint_ != fingerprint)
+            continue;
+        const SuspectRecord merged = quarantine_.merge(*record);
+        const auto own = reports_.find(fingerprint);
+        if (own != reports_.end())
+            own->second.merge(merged);
+    }
+}
+
+} // namespace foxtailturn::gateway
--- /dev/null
+++ b/packages/gateway/ledger_rounds_test.cpp
@@ -0,0 +1,35 @@
+#include "gateway/ledger_rounds.h"
+
+#include <doctest/doctest.h>
+
+namespace foxtailturn::gateway {
+
+// Guards against calls of the store that grow with the square of the fleet, and against a keeper
+// that lets its pool go because its rounds are slow.
+TEST_CASE("the pause before a round")
+{
+    using std::chrono::milliseconds;
+    struct Case
+    {
+        RoundNeed need_;
+        Duration pause_;
+    };
+    const Case cases[] = {
+        {{.canSpend_ = false, .wantsRound_ = true, .entries_ = 21}, milliseconds(150)},
+        {{.canSpend_ = true, .wantsRound_ = false, .entries_ = 8}, milliseconds(6000)},
+        {{.canSpend_ = true, .wantsRound_ = true, .entries_ = 8}, milliseconds(3000)},
+        {{.canSpend_ = true, .wantsRound_ = false, .entries_ = 24}, milliseconds(12000)},
+        {{.canSpend_ = true, .keepsPool_ = true, .entries_ = 24}, milliseconds(3000)},
+        {{.canSpend_ = true, .wantsRound_ = true, .keepsPool_ = true, .entries_ = 0},
+         milliseconds(1500)},
+    };
+    for (const Case &c : cases) {
+        CAPTURE(c.need_.entries_);
+        CHECK(pauseBeforeRound(c.need_) == c.pause_);
+    }
+    const Duration slowest =
+        pauseBeforeRound({.canSpend_ = true, .keepsPool_ = true, .entries_ = 1000});
+    CHECK(2 * slowest < QuotaShares::kPoolSpendFor); // one round may fail
+}
+
+} // namespace foxtailturn::gateway
--- /dev/null
+++ b/packages/gateway/line_server.h
@@ -0,0 +1,69 @@
+#pragma once
+
+// Accepts connections of other processes of the system and exchanges lines with them.
+//
+//     LineServer server(context);
+//     server.onLines([](int peer, const std::vector<std::string> &lines) { ... });
+//     Result<void> listening = server.listen("10.0.0.7:7600");
+//     server.sendAll("{...}\n");
+//
+// A peer that does not read, or sends a line without end, is dropped.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+#include "gateway/byte_stream.h"
+
+namespace foxtailturn::gateway {
+
+// Not thread-safe: all calls come from the thread that runs the context. Handlers run from the
+// loop, never from a call of send() or sendAll().
+class LineServer
+{
+public:
+    using LinesHandler = std::function<void(int peer, const std::vector<std::string> &lines)>;
+    using PeerHandler = std::function<void(int peer)>;
+
+    // context must outlive the server.
+    explicit LineServer(asio::io_context &context);
+
+    // Each takes the place of the last handler. Precondition: listen() was not called yet.
+    void onLines(LinesHandler handler) { onLines_ = std::move(handler); }
+    void onJoined(PeerHandler handler) { onJoined_ = std::move(handler); }
+    void onLeft(PeerHandler handler) { onLeft_ = std::move(handler); }
+
+    // Error: InvalidSettings when the address can't be used.
+    [[nodiscard]] Result<void> listen(const std::string &address);
+
+    // Sends lines that end with a line feed; to a peer that has left they are lost.
+    void send(int peer, const std::string &lines);
+    void sendAll(const std::string &lines);
+
+    // Returns the number of connected peers.
+    [[nodiscard]] std::size_t peers() const { return peers_.size(); }
+
+private:
+    struct Peer
+    {
+        std::shared_ptr<ByteStream> stream_;
+        std::string buffer_;
+        bool isStuck_ = false;
+    };
+
+    void accept();
+    void onData(int peer, std::string_view data);
+    void drop(int peer);
+
+    asio::ip::tcp::acceptor acceptor_;
+    LinesHandler onLines_;
+    PeerHandler onJoined_;
+    PeerHandler onLeft_;
+    std::map<int, std::shared_ptr<Peer>> peers_;
+    int nextPeer_ = 1;
+};
+
+} // namespace foxtailturn::gateway
--- /dev/null
+++ b/packages/gateway/line_server_test.cpp
@@ -0,0 +1,95 @@
+#include "gateway/line_server.h"
+
+#include <doctest/doctest.h>
+
+namespace foxtailturn::gateway {
+
+namespace {
+
+using asio::ip::tcp;
+
+struct Fixture
+{
+    Fixture()
+    {
+        server_.onLines([this](int peer, const std::vector<std::string> &lines) {
+            lines_.insert(lines_.end(), lines.begin(), lines.end());
+            server_.send(peer, "answer\n");
+        });
+        server_.onJoined([this](int) { ++joined_; });
+        server_.onLeft([this](int) { ++left_; });
+    }
+
+    // Runs the loop until a condition holds or five seconds have passed.
+    template <typename Condition>
+    bool runUntil(Condition condition)
+    {
+        const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+        while (!condition() && std::chrono::steady_clock::now() < until)
+            context_.run_one_for(std::chrono::milliseconds(20));
+        return condition();
+    }
+
+    tcp::socket connect()
+    {
+        tcp::socket socket(context_);
+        socket.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), kPort));
+        return socket;
+    }
+
+    static constexpr unsigned short kPort = 47'613;
+    asio::io_context context_;
+    LineServer server_{context_};
+    std::vector<std::string> lines_;
+    int joined_ = 0;
+    int left_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("lines come and go, peers join and leave")
+{
+    Fixture f;
+    REQUIRE(f.server_.listen("127.0.0.1:" + std::to_string(Fixture::kPort)));
+    CHECK_FALSE(f.server_.listen("no address"));
+    tcp::socket peer = f.connect();
+    asio::write(peer, asio::buffer(std::string("one\ntw")));
+    CHECK(f.runUntil([&] { return f.lines_.size() == 1; }));
+    asio::write(peer, asio::buffer(std::string("o\n")));
+    CHECK(f.runUntil([&] { return f.lines_.size() == 2; }));
+    CHECK(f.lines_ == std::vector<std::string>{"one", "two"});
+    CHECK(f.joined_ == 1);
+    CHECK(f.server_.peers() == 1);
+    std::string answer(7, ' ');
+    asio::read(peer, asio::buffer(answer));
+    CHECK(answer == "answer\n");
+    peer.close();
+    CHECK(f.runUntil([&] { return f.left_ == 1; }));
+    CHECK(f.server_.peers() == 0);
+}
+
+// Guards against memory that grows for a peer that sends no line end or does not read.
+TEST_CASE("peers that misbehave are dropped")
+{
+    Fixture f;
+    REQUIRE(f.server_.listen("127.0.0.1:" + std::to_string(Fixture::kPort)));
+    tcp::socket endless = f.connect();
+    CHECK(f.runUntil([&] { return f.joined_ == 1; }));
+    endless.non_blocking(true);
+    const std::string chunk(16'384, 'x');
+    CHECK(f.runUntil([&] {
+        asio::error_code ignored; // the peer is dropped in the end
+        endless.write_some(asio::buffer(chunk), ignored);
+        return f.left_ == 1;
+    }));
+    tcp::socket deaf = f.connect();
+    CHECK(f.runUntil([&] { return f.joined_ == 2; }));
+    const std::string line = std::string(60'000, 'y') + "\n";
+    CHECK(f.runUntil([&] {
+        f.server_.sendAll(line);
+        return f.left_ == 2;
+    }));
+    CHECK(f.server_.peers() == 0);
+}
+
+} // namespace foxtailturn::gateway
--- a/packages/gateway/node_settings.h
+++ b/packages/gateway/node_settings.h
@@ -22,11 +22,13 @@
     std::string dataCentre_;
     std::string callerAddress_; // entries: where callers connect
     std::string readyAddress_; // entries: readiness, metrics and state
-    int peerPort_ = 0; // sidecars listen here for entries, on every VM
+    int peerPort_ = 0; // sidecars and entries listen here for entries, on every VM
     int metricsPort_ = 0; // readiness of sidecars, metrics and state; 0 for none
     std::string engineAddress_; // sidecars: the engine beside them
     std::string storeAddress_;
     Duration stopGrace_ = std::chrono::seconds(8); // from SIGTERM to SIGKILL
+    // From the store's knowledge that a target drains to the last request that may reach it.
+    Duration drainNotice_ = std::chrono::milliseconds(1500);
     std::int64_t quotaTolerance_ = 0; // tokens by which a workspace may exceed its quota
     int retryPercent_ = 15; // attempts beyond the first per 100 requests of a service
 
--- a/packages/gateway/quota_shares.cpp
+++ b/packages/gateway/quota_shares.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "base/hash.h"
 #include "base/json.h"
 
 namespace foxtailturn::gateway {
@@ -16,6 +17,9 @@
 constexpr std::int64_t kLeastChangePercent = 15;
 constexpr std::int64_t kLeastChange = QuotaShares::kTotalUnits / 200;
 
+// Half of the tolerance stays for races and refills; pool and entries have a quarter each.
+constexpr std::int64_t kToleranceParts = 4;
+
 std::int64_t leastChange(std::int64_t units)
 {
     return std::max(kLeastChange, units * kLeastChangePercent / 100);
@@ -114,6 +118,7 @@
     : holder_(std::move(holder))
     , clock_(clock)
     , tolerance_(tolerance)
+    , startedAt_(clock.now())
 { }
 
 void QuotaShares::configure(const ServingConfig &config)
@@ -123,6 +128,7 @@
         Ledger &ledger = ledgers_.try_emplace(workspace.name_, now).first->second;
         ledger.quota_ = workspace.quota_;
         ledger.share_.setQuota(workspace.quota_, now);
+        ledger.pool_.setQuota(workspace.quota_, now);
     }
 }
 
@@ -137,7 +143,9 @@
     if (now >= ledger.spendUntil_)
         return notRun(ErrorCode::LeaseExpired, "the quota share was not renewed in time",
                       now + std::chrono::seconds(1));
-    if (ledger.share_.take(charge, now))
+    const bool isTaken = ledger.share_.take(charge, now)
+        || (now < ledger.poolUntil_ && ledger.pool_.take(charge, now));
+    if (isTaken)
         return {};
     return notRun(ErrorCode::RateLimited, "the workspace is over its rate",
                   ledger.share_.availableAt(charge, now));
@@ -150,111 +158,93 @@
         it->second.share_.giveBack(charge, clock_.now());
 }
 
-bool QuotaShares::mayGrant(const std::string &workspace, std::int64_t) const
+std::string QuotaShares::keeperToAsk(const std::string &workspace) const
 {
     const auto it = ledgers_.find(workspace);
     if (it == ledgers_.end())
-        return false;
-    const TimePoint now = clock_.now();
-    return now < it->second.spendUntil_ && now >= it->second.poolAt_;
+        return "";
+    const Ledger &ledger = it->second;
+    const bool isUsable =
+        clock_.now() < ledger.spendUntil_ && ledger.keeper_ != holder_ && !ledger.isKeeperSilent_;
+    return isUsable ? ledger.keeper_ : "";
 }
 
-void QuotaShares::requestGrant(const std::string &workspace, std::int64_t charge,
-                               GrantHandler handler)
+Result<void> QuotaShares::grant(const std::string &workspace, std::int64_t charge)
 {
     const TimePoint now = clock_.now();
-    Ledger &ledger = ledgers_.try_emplace(workspace, now).first->second;
-    ledger.grants_.push_back({charge, now + kGrantTime, std::move(handler)});
+    const auto it = ledgers_.find(workspace);
+    if (it == ledgers_.end() || now >= it->second.poolUntil_)
+        return notRun(ErrorCode::LeaseExpired, "this entry does not keep the workspace's pool",
+                      now + kSuccession);
+    QuotaShare &pool = it->second.pool_;
+    if (pool.take(charge, now))
+        return {};
+    return notRun(ErrorCode::RateLimited, "the workspace is over its rate",
+                  pool.availableAt(charge, now));
 }
 
-bool QuotaShares::hasGrantRequests() const
+void QuotaShares::noteKeeper(const std::string &keeper, bool isAnswering)
 {
-    return std::any_of(ledgers_.begin(), ledgers_.end(),
-                       [](const auto &entry) { return !entry.second.grants_.empty(); });
+    for (auto &[workspace, ledger] : ledgers_) {
+        if (ledger.keeper_ == keeper)
+            ledger.isKeeperSilent_ = !isAnswering;
+    }
 }
 
-void QuotaShares::expireGrants()
+std::set<std::string> QuotaShares::keepers() const
 {
-    const TimePoint now = clock_.now();
-    std::vector<GrantRequest> expired;
-    for (auto &[workspace, ledger] : ledgers_) {
-        auto &grants = ledger.grants_;
-        const auto late =
-            std::stable_partition(grants.begin(), grants.end(),
-                                  [now](const GrantRequest &grant) { return now < grant.until_; });
-        expired.insert(expired.end(), std::make_move_iterator(late),
-                       std::make_move_iterator(grants.end()));
-        grants.erase(late, grants.end());
+    std::set<std::string> keepers;
+    for (const auto &[workspace, ledger] : ledgers_) {
+        if (!ledger.keeper_.empty() && ledger.keeper_ != holder_)
+            keepers.insert(ledger.keeper_);
     }
-    for (const GrantRequest &grant : expired)
-        grant.handler_(notRun(ErrorCode::RateLimited, "no grant from the quota's pool in time",
-                              now + kGrantTime));
+    return keepers;
 }
 
-double QuotaShares::poolRate(const Ledger &ledger) const
+bool QuotaShares::keepsPool() const
 {
-    return static_cast<double>(ledger.quota_.rate_) * static_cast<double>(kPoolUnits)
-        / static_cast<double>(kTotalUnits);
+    return std::any_of(ledgers_.begin(), ledgers_.end(),
+                       [this](const auto &entry) { return entry.second.keeper_ == holder_; });
 }
 
-bool QuotaShares::planGrants(Ledger &ledger, Row &row, std::int64_t nowMs)
+int QuotaShares::rankOf(const std::string &workspace, const Row &row) const
 {
-    constexpr double kMillisPerSecond = 1000;
-    const TimePoint now = clock_.now();
-    const double rate = poolRate(ledger);
-    const double capacity = static_cast<double>(ledger.quota_.burst_)
-        * static_cast<double>(kPoolUnits) / static_cast<double>(kTotalUnits);
-    if (!row.pool_)
-        row.pool_ = Pool{0, nowMs};
-    Pool &pool = *row.pool_;
-    const auto elapsed = static_cast<double>(std::max<std::int64_t>(nowMs - pool.atMs_, 0));
-    pool.level_ = std::min(capacity, pool.level_ + rate * elapsed / kMillisPerSecond);
-    pool.atMs_ = std::max(pool.atMs_, nowMs);
-    bool isGranted = false;
-    std::vector<GrantRequest> waiting;
-    std::vector<GrantRequest> refused;
-    for (GrantRequest &grant : ledger.grants_) {
-        const auto charge = static_cast<double>(grant.charge_);
-        const double needed = std::min(charge, capacity);
-        if (pool.level_ >= needed) {
-            pool.level_ -= charge;
-            grant.isInWrite_ = true;
-            isGranted = true;
-            waiting.push_back(std::move(grant));
-            continue;
-        }
-        if (rate > 0) {
-            const std::chrono::duration<double> wait((needed - pool.level_) / rate);
-            ledger.poolAt_ = now + std::chrono::ceil<Duration>(wait);
-        }
-        refused.push_back(std::move(grant));
-    }
-    ledger.grants_ = std::move(waiting);
-    for (const GrantRequest &grant : refused) {
-        const std::optional<TimePoint> own = ledger.share_.availableAt(grant.charge_, now);
-        grant.handler_(notRun(ErrorCode::RateLimited, "the workspace is over its rate",
-                              std::min(own.value_or(ledger.poolAt_), ledger.poolAt_)));
-    }
-    return isGranted;
+    // Rendezvous hashing: all entries agree on the order, and pools spread over them.
+    const std::uint64_t seed = hash64(workspace);
+    const std::uint64_t own = hash64(holder_, seed);
+    return static_cast<int>(
+        std::count_if(row.holders_.begin(), row.holders_.end(), [&](const auto &holder) {
+            return holder.first != row.pool_.keeper_ && hash64(holder.first, seed) > own;
+        }));
 }
 
-void QuotaShares::finishGrants(Ledger &ledger, WriteOutcome outcome)
+bool QuotaShares::planPool(Ledger &ledger, const std::string &workspace, Row &row)
 {
-    std::vector<GrantRequest> done;
-    std::vector<GrantRequest> waiting;
-    for (GrantRequest &grant : ledger.grants_) {
-        const bool isTriedAgain = !grant.isInWrite_ || outcome == WriteOutcome::Conflict;
-        grant.isInWrite_ = false;
-        (isTriedAgain ? waiting : done).push_back(std::move(grant));
+    const TimePoint now = clock_.now();
+    Pool &pool = row.pool_;
+    const bool isNews = ledger.keeperSeen_.since_ == TimePoint{} || pool.keeper_ != ledger.keeper_
+        || pool.beat_ != ledger.keeperSeen_.beat_;
+    if (isNews) {
+        ledger.isKeeperSilent_ = ledger.isKeeperSilent_ && pool.keeper_ == ledger.keeper_;
+        ledger.keeper_ = pool.keeper_;
+        ledger.keeperSeen_ = {pool.beat_, now};
     }
-    ledger.grants_ = std::move(waiting);
-    for (const GrantRequest &grant : done) {
-        if (outcome == WriteOutcome::Applied)
-            grant.handler_({});
-        else
-            grant.handler_(notRun(ErrorCode::RateLimited, "the pool's answer was lost",
-                                  clock_.now() + kGrantTime));
+    if (pool.keeper_ != holder_) {
+        // Another entry may give from the pool; what this one had of it is void.
+        ledger.poolUntil_ = TimePoint{};
+        const Duration turn = kSuccession * rankOf(workspace, row);
+        // Entries that start together first wait until all of them are in the row.
+        const TimePoint takeAt = pool.keeper_.empty()
+            ? startedAt_ + kSuccession + turn
+            : ledger.keeperSeen_.since_ + kPoolReclaim + turn;
+        if (now < takeAt)
+            return false;
+    } else if (now < ledger.poolWriteAt_ && now < ledger.poolUntil_) {
+        return false;
     }
+    pool.keeper_ = holder_;
+    ++pool.beat_;
+    return true;
 }
 
 QuotaShares::Row QuotaShares::decode(const std::string &value)
@@ -278,9 +268,9 @@
     }
     const auto pool = json.find("pool");
     if (pool != json.end() && pool->is_object()) {
-        const auto level = pool->find("level");
-        const bool isNumber = level != pool->end() && level->is_number();
-        row.pool_ = Pool{isNumber ? level->get<double>() : 0, integerOf(*pool, "at_ms")};
+        const auto keeper = pool->find("keeper");
+        if (keeper != pool->end() && keeper->is_string())
+            row.pool_ = Pool{keeper->get<std::string>(), integerOf(*pool, "beat")};
     }
     return row;
 }
@@ -290,9 +280,8 @@
     Json holders = Json::object();
     for (const auto &[name, entry] : row.holders_)
         holders[name] = Json::array({entry.units_, entry.demand_, entry.beat_});
-    Json json = {{"holders", std::move(holders)}};
-    if (row.pool_)
-        json["pool"] = {{"level", row.pool_->level_}, {"at_ms", row.pool_->atMs_}};
+    const Json json = {{"holders", std::move(holders)},
+                       {"pool", {{"keeper", row.pool_.keeper_}, {"beat", row.pool_.beat_}}}};
     return json.dump();
 }
 
@@ -329,8 +318,8 @@
     return static_cast<std::int64_t>(part * static_cast<double>(kOwnUnits));
 }
 
-std::optional<QuotaShares::Row> QuotaShares::planLedger(Ledger &ledger, Row row,
-                                                        std::int64_t version, std::int64_t nowMs)
+std::optional<QuotaShares::Row>
+QuotaShares::planLedger(Ledger &ledger, const std::string &workspace, Row row, std::int64_t version)
 {
     Holders &holders = row.holders_;
     const TimePoint now = clock_.now();
@@ -344,8 +333,8 @@
         ledger.unresolvedVersion_ = -1;
         ledger.share_.setUnits(own.units_, now);
     }
-    constexpr std::int64_t kUsedPart = 2; // half of the tolerance stays for races and refills
-    ledger.share_.setTolerance(tolerance_ / kUsedPart / static_cast<std::int64_t>(holders.size()));
+    ledger.share_.setTolerance(tolerance_ / kToleranceParts
+                               / static_cast<std::int64_t>(holders.size()));
     const std::int64_t wanted = wantedUnits(ledger, holders);
     std::int64_t others = 0;
     for (const auto &[name, entry] : holders)
@@ -361,8 +350,9 @@
     // Others give up units only when they see the demand.
     const bool isDemandNews =
         ledger.isShort_ && std::abs(demand - own.demand_) > std::max(own.demand_, demand) / 4;
-    const bool isGranted = planGrants(ledger, row, nowMs);
-    if (!isChange && !isDemandNews && !isUnresolved && !isGranted && now < ledger.writeAt_)
+    ledger.isPoolPlanned_ = planPool(ledger, workspace, row);
+    const bool isDue = isChange || isDemandNews || isUnresolved || ledger.isPoolPlanned_;
+    if (!isDue && now < ledger.writeAt_)
         return std::nullopt;
     own.units_ = isChange ? units : own.units_;
     own.demand_ = demand;
@@ -387,7 +377,7 @@
         const bool isThere = row != rows.rows_.end();
         const std::int64_t version = isThere ? row->version_ : 0;
         const std::optional<Row> next =
-            planLedger(ledger, isThere ? decode(row->value_) : Row(), version, rows.nowMs_);
+            planLedger(ledger, workspace, isThere ? decode(row->value_) : Row(), version);
         if (!next)
             continue;
         write.expected_.push_back({kFleetTable, kFleetPart, key, "", version});
@@ -409,14 +399,31 @@
             ledger.unresolvedVersion_ = -1;
             ledger.spendUntil_ = sentAt_ + kSpendFor;
             ledger.writeAt_ = sentAt_ + kWriteEvery;
+            if (ledger.isPoolPlanned_)
+                takePool(ledger);
         } else if (outcome == WriteOutcome::Unknown) {
             ledger.unresolvedVersion_ = std::max(ledger.unresolvedVersion_, ledger.plannedVersion_);
         }
         ledger.planned_ = -1;
-        finishGrants(ledger, outcome);
     }
 }
 
+void QuotaShares::takePool(Ledger &ledger)
+{
+    const TimePoint now = clock_.now();
+    // What the keeper before has left of the pool is not known.
+    if (ledger.poolUntil_ == TimePoint{}) {
+        ledger.pool_ = QuotaShare(now);
+        ledger.pool_.setQuota(ledger.quota_, now);
+        ledger.pool_.setTolerance(tolerance_ / kToleranceParts);
+        ledger.pool_.setUnits(kPoolUnits, now);
+    }
+    ledger.keeper_ = holder_;
+    ledger.isKeeperSilent_ = false;
+    ledger.poolUntil_ = sentAt_ + kPoolSpendFor;
+    ledger.poolWriteAt_ = sentAt_ + kPoolWriteEvery;
+}
+
 bool QuotaShares::wantsRound()
 {
     const TimePoint now = clock_.now();
@@ -426,7 +433,8 @@
             return false;
         const double part = static_cast<double>(ledger.share_.units())
             / static_cast<double>(kTotalUnits) * static_cast<double>(ledger.quota_.rate_);
-        return ledger.isShort_ || ledger.share_.units() == 0 || ledger.share_.demand(now) > part;
+        return ledger.isShort_ || ledger.share_.units() == 0 || ledger.share_.demand(now) > part
+            || ledger.keeper_.empty() || ledger.isKeeperSilent_;
     });
 }
 
--- a/packages/gateway/quota_shares.h
+++ b/packages/gateway/quota_shares.h
@@ -13,18 +13,19 @@
 // acknowledgement, so the units in use never exceed those in the row. Units follow demand within
 // two rounds. Spending needs no store: an outage leaves every entry with its last units.
 //
-// A part of the units belongs to a pool whose level is kept in the row itself. An entry whose own
-// share is short takes single charges from it by a conditional write, so that a clump of requests
-// at one entry is not refused while the workspace as a whole is within its rate.
+// A part of the units, the pool, is lent to one entry at a time, its keeper. An entry whose own
+// share is short asks the keeper for single charges, so that a clump of requests at one entry is
+// not refused while the workspace as a whole is within its rate. The row names the keeper; a keeper
+// that has not written for kPoolReclaim is replaced. The workspaces' pools are spread over the
+// entries.
 //
 // Units of an entry that has not written for kReclaimAfter are taken by the others. An entry that
 // could not write for kSpendFor spends nothing, so a frozen or cut off one never adds to them.
 
-#include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
-#include <vector>
 
 #include "base/clock.h"
 #include "gateway/codec.h"
@@ -102,14 +103,15 @@
     static constexpr Duration kReclaimAfter = std::chrono::seconds(60);
     static constexpr Duration kSpendFor = std::chrono::seconds(50);
     static constexpr Duration kWriteEvery = std::chrono::seconds(12); // at least
-    // Units of the pool. The entries' own part carries a workspace at its usual demand through an
-    // outage of the store.
-    static constexpr std::int64_t kPoolUnits = 350'000;
-    // A grant from the pool takes a read and a write of the store; a caller waits for it this long.
-    static constexpr Duration kGrantTime = std::chrono::milliseconds(200);
-
-    // Called once with the outcome of a grant.
-    using GrantHandler = std::function<void(const Result<void> &granted)>;
+    // Units of the pool. The entries' own part carries a workspace while its pool has no keeper.
+    static constexpr std::int64_t kPoolUnits = 500'000;
+    // A keeper gives nothing this long after its last write, others take over after kPoolReclaim.
+    // The difference covers a write and the answers under way.
+    static constexpr Duration kPoolSpendFor = std::chrono::seconds(8);
+    static constexpr Duration kPoolReclaim = std::chrono::seconds(10);
+    static constexpr Duration kPoolWriteEvery = std::chrono::seconds(3);
+    // The next one in the order of succession waits this much longer.
+    static constexpr Duration kSuccession = std::chrono::seconds(1);
 
     // holder names this entry's VM; the clock must outlive this object. tolerance is the excess in
     // tokens that the deployment grants a workspace in a window for being counted in many places;
@@ -123,16 +125,23 @@
     [[nodiscard]] Result<void> admit(const std::string &workspace, std::int64_t charge);
     void giveBack(const std::string &workspace, std::int64_t charge);
 
-    // Returns whether the pool may hold a charge that admit() refused, as far as is known here.
-    [[nodiscard]] bool mayGrant(const std::string &workspace, std::int64_t charge) const;
+    // Returns whom to ask for a charge that admit() refused; empty if no other entry keeps the
+    // workspace's pool or its keeper does not answer.
+    [[nodiscard]] std::string keeperToAsk(const std::string &workspace) const;
+
+    // Takes a charge from a pool that this entry keeps, for another entry. Errors: RateLimited,
+    // with the time of the next attempt; LeaseExpired if this entry does not keep the pool.
+    [[nodiscard]] Result<void> grant(const std::string &workspace, std::int64_t charge);
+
+    // Notes whether a keeper answers. While one does not, its pools count as empty and rounds come
+    // sooner, to find its successor.
+    void noteKeeper(const std::string &keeper, bool isAnswering);
 
-    // Asks the pool for a charge with the next round. handler gets RateLimited when the pool is
-    // empty or the store does not answer in time.
-    void requestGrant(const std::string &workspace, std::int64_t charge, GrantHandler handler);
-    [[nodiscard]] bool hasGrantRequests() const;
+    // Returns all entries that keep a pool, as of the last round, without this one.
+    [[nodiscard]] std::set<std::string> keepers() const;
 
-    // Refuses grants whose time is over.
-    void expireGrants();
+    // Returns whether this entry keeps a pool.
+    [[nodiscard]] bool keepsPool() const;
 
     // Works out the next write from the rows of kFleetTable/kFleetPart; nullopt if none is needed.
     // Units that shrink are given up at once. Precondition: the last write was settled.
@@ -141,7 +150,8 @@
     // Tells the outcome of the last planned write.
     void settle(WriteOutcome outcome);
 
-    // Returns whether some share is too small for its demand, so that a round soon pays.
+    // Returns whether a round soon pays: a share is too small for its demand, or a pool has no
+    // keeper that answers.
     [[nodiscard]] bool wantsRound();
 
     // Returns the largest number of entries that share a workspace, as of the last round.
@@ -171,32 +181,25 @@
         TimePoint since_{};
     };
 
-    // The pool's level at a time of the store's clock.
+    // The entry that may give from the pool.
     struct Pool
     {
-        double level_ = 0; // tokens; negative is a debt
-        std::int64_t atMs_ = 0;
+        std::string keeper_;
+        std::int64_t beat_ = 0; // changes with each write of the keeper
     };
 
     // A row of the ledger.
     struct Row
     {
         Holders holders_;
-        std::optional<Pool> pool_;
-    };
-
-    struct GrantRequest
-    {
-        std::int64_t charge_ = 0;
-        TimePoint until_{};
-        GrantHandler handler_;
-        bool isInWrite_ = false;
+        Pool pool_;
     };
 
     struct Ledger
     {
         explicit Ledger(TimePoint now)
             : share_(now)
+            , pool_(now)
         { }
 
         TokenQuota quota_;
@@ -209,24 +212,30 @@
         std::int64_t plannedVersion_ = 0;
         bool isShort_ = false; // wants more units than it has
         int entries_ = 1; // in the row
-        std::vector<GrantRequest> grants_; // oldest first
-        TimePoint poolAt_{}; // the pool holds nothing before this time
+        QuotaShare pool_; // while this entry keeps the pool
+        TimePoint poolUntil_{}; // this entry may give from the pool
+        TimePoint poolWriteAt_{}; // next write that keeps the pool
+        bool isPoolPlanned_ = false; // the write under way takes or keeps the pool
+        std::string keeper_; // as of the last row
+        Seen keeperSeen_;
+        bool isKeeperSilent_ = false;
     };
 
     static Row decode(const std::string &value);
     static std::string encode(const Row &row);
-    [[nodiscard]] double poolRate(const Ledger &ledger) const;
-    [[nodiscard]] bool planGrants(Ledger &ledger, Row &row, std::int64_t nowMs);
-    void finishGrants(Ledger &ledger, WriteOutcome outcome);
+    [[nodiscard]] bool planPool(Ledger &ledger, const std::string &workspace, Row &row);
+    void takePool(Ledger &ledger);
+    [[nodiscard]] int rankOf(const std::string &workspace, const Row &row) const;
     void dropSilent(Ledger &ledger, Holders &holders) const;
     [[nodiscard]] std::int64_t wantedUnits(Ledger &ledger, const Holders &holders) const;
-    [[nodiscard]] std::optional<Row> planLedger(Ledger &ledger, Row row, std::int64_t version,
-                                                std::int64_t nowMs);
+    [[nodiscard]] std::optional<Row> planLedger(Ledger &ledger, const std::string &workspace,
+                                                Row row, std::int64_t version);
 
     std::string holder_;
     const Clock &clock_;
     std::int64_t tolerance_; // tokens, of all entries together
     std::map<std::string, Ledger> ledgers_; // by workspace
+    TimePoint startedAt_;
     TimePoint sentAt_{}; // of the write under way
 };
 
--- a/packages/sidecar/sidecar_node.cpp
+++ b/packages/sidecar/sidecar_node.cpp
@@ -17,8 +17,6 @@
 constexpr Duration kIdlePoll = milliseconds(400); // without an entry that listens
 constexpr Duration kPublishEvery = milliseconds(200); // loads alone; adapters go out at once
 constexpr Duration kFlushEvery = milliseconds(1000);
-constexpr std::size_t kMostUnsent = 65'536; // an entry that does not read is dropped
-constexpr std::size_t kMostBuffered = 65'536; // a line without end
 
 std::int64_t wallMillis(const WallClock &clock)
 {
@@ -44,12 +42,6 @@
 
 } // namespace
 
-struct SidecarNode::EntryLink
-{
-    std::shared_ptr<ByteStream> stream_;
-    std::string buffer_;
-};
-
 SidecarNode::SidecarNode(asio::io_context &context, const PlatformCodec &codec,
                          const NodeSettings &settings)
     : codec_(codec)
@@ -57,23 +49,29 @@
     , log_(settings.name_, wallClock_, writeStandardOutput)
     , caller_(context, codec, clock_)
     , admin_(context)
-    , acceptor_(context)
+    , entries_(context)
     , pollTimer_(context)
     , keeper_(settings.name_, wallMillis(wallClock_))
-{ }
-
-SidecarNode::~SidecarNode() = default;
+{
+    entries_.onLines(
+        [this](int entry, const std::vector<std::string> &lines) { onEntryLines(entry, lines); });
+    entries_.onJoined([this](int entry) {
+        if (hasReport_)
+            entries_.send(entry, encode(keeper_.summary(clock_.now())));
+    });
+    entries_.onLeft([this](int entry) { keeper_.forgetEntry(entry, clock_.now()); });
+}
 
 Result<void> SidecarNode::start()
 {
     const std::string address = settings_.ip_ + ":" + std::to_string(settings_.peerPort_);
-    if (Result<void> listening = listenOn(acceptor_, address); !listening)
+    if (Result<void> listening = entries_.listen(address); !listening)
         return listening;
     admin_.serve("/state", [this] {
         const nlohmann::json state = {
             {"name", settings_.name_},
             {"engine", engineState_},
-            {"entries", entries_.size()},
+            {"entries", entries_.peers()},
             {"report", nlohmann::json::parse(encode(keeper_.summary(clock_.now())))}};
         return AdminAnswer{200, state.dump(2) + "\n", "application/json"};
     });
@@ -84,7 +82,6 @@
     }
     log_.write(LogDetail::Full, "started",
                {{"role", "sidecar"}, {"engine", settings_.engineAddress_}});
-    accept();
     poll();
     return {};
 }
@@ -96,48 +93,11 @@
     onStopped();
 }
 
-void SidecarNode::accept()
+void SidecarNode::onEntryLines(int entry, const std::vector<std::string> &lines)
 {
-    acceptor_.async_accept([this](const asio::error_code &why, asio::ip::tcp::socket socket) {
-        if (!acceptor_.is_open())
-            return;
-        if (!why) {
-            const int entry = nextEntry_++;
-            auto link = std::make_shared<EntryLink>();
-            link->stream_ = ByteStream::create(std::move(socket));
-            entries_[entry] = link;
-            link->stream_->start([this, entry](std::string_view data) { onEntryData(entry, data); },
-                                 [this, entry](const asio::error_code &) { dropEntry(entry); });
-            if (hasReport_)
-                link->stream_->send(encode(keeper_.summary(clock_.now())));
-        }
-        accept();
-    });
-}
-
-void SidecarNode::dropEntry(int entry)
-{
-    const auto it = entries_.find(entry);
-    if (it == entries_.end())
-        return;
-    it->second->stream_->close();
-    entries_.erase(it);
-    keeper_.forgetEntry(entry, clock_.now());
-}
-
-void SidecarNode::onEntryData(int entry, std::string_view data)
-{
-    const auto it = entries_.find(entry);
-    if (it == entries_.end())
-        return;
-    it->second->buffer_ += data;
-    if (it->second->buffer_.size() > kMostBuffered) {
-        dropEntry(entry);
-        return;
-    }
     const TimePoint now = clock_.now();
     bool isWanted = false;
-    for (const std::string &line : takeLines(it->second->buffer_)) {
+    for (const std::string &line : lines) {
         const AgentMessage message = decodeAgentMessage(line);
         if (message.use_)
             keeper_.use(entry, *message.use_, now);
@@ -198,8 +158,7 @@
     const std::optional<EngineOrder> order = keeper_.next(now);
     for (const std::string &name : keeper_.takeRefused(now)) {
         log_.write(LogDetail::Full, "load_refused", {{"adapter", name}});
-        for (const auto &[entry, link] : entries_)
-            link->stream_->send(encode(LoadRefusal{name}));
+        entries_.sendAll(encode(LoadRefusal{name}));
     }
     if (!order) {
         schedulePoll();
@@ -232,7 +191,7 @@
 void SidecarNode::schedulePoll()
 {
     const Duration wait = keeper_.isActive() ? kActivePoll
-        : entries_.empty()                   ? kIdlePoll
+        : entries_.peers() == 0              ? kIdlePoll
                                              : kCalmPoll;
     pollTimer_.expires_after(wait);
     pollTimer_.async_wait([this](const asio::error_code &why) {
@@ -244,16 +203,7 @@
 void SidecarNode::publish()
 {
     publishAt_ = clock_.now() + kPublishEvery;
-    const std::string line = encode(keeper_.summary(clock_.now()));
-    std::vector<int> stuck;
-    for (const auto &[entry, link] : entries_) {
-        if (link->stream_->queuedBytes() > kMostUnsent)
-            stuck.push_back(entry);
-        else
-            link->stream_->send(line);
-    }
-    for (const int entry : stuck)
-        dropEntry(entry);
+    entries_.sendAll(encode(keeper_.summary(clock_.now())));
 }
 
 } // namespace foxtailturn::gateway
--- a/packages/sidecar/sidecar_node.h
+++ b/packages/sidecar/sidecar_node.h
@@ -7,13 +7,13 @@
 //     context.run();
 
 #include <functional>
-#include <map>
-#include <memory>
+#include <string>
+#include <vector>
 
 #include "base/event_log.h"
 #include "gateway/admin_port.h"
-#include "gateway/byte_stream.h"
 #include "gateway/http_caller.h"
+#include "gateway/line_server.h"
 #include "gateway/node_settings.h"
 #include "sidecar/adapter_keeper.h"
 
@@ -26,7 +26,6 @@
     // context and codec must outlive the node.
     SidecarNode(asio::io_context &context, const PlatformCodec &codec,
                 const NodeSettings &settings);
-    ~SidecarNode();
 
     // Error: InvalidSettings when an address can't be used.
     [[nodiscard]] Result<void> start();
@@ -35,11 +34,7 @@
     void stop(const std::function<void()> &onStopped);
 
 private:
-    struct EntryLink;
-
-    void accept();
-    void onEntryData(int entry, std::string_view data);
-    void dropEntry(int entry);
+    void onEntryLines(int entry, const std::vector<std::string> &lines);
     void poll();
     void onReport(int status, const std::string &body);
     void giveOrder();
@@ -54,11 +49,9 @@
     EventLog log_;
     HttpCaller caller_;
     AdminPort admin_;
-    asio::ip::tcp::acceptor acceptor_;
+    LineServer entries_;
     asio::steady_timer pollTimer_;
     AdapterKeeper keeper_;
-    std::map<int, std::shared_ptr<EntryLink>> entries_;
-    int nextEntry_ = 1;
     EngineReport report_;
     bool hasReport_ = false;
     bool isCalling_ = false;
