gateway: a report wakes only the requests that wait for what it changed; metrics of requests

A profile of an entry with 24 engines under loads of adapters: each report compared all targets again for every waiting request and hashed its prompt for each target. Ruled out: JSON of the reports (under 3 % of the profile).

Hashes of a prompt are made once for all targets.

Metrics of requests are one class, ServingMetrics: queueing, pauses, adapter loads, prompt tokens, quota by workspace and source, retries and what is left, connections; sidecars serve /metrics with orders and load times.

--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -240,10 +240,17 @@
     gateway_.pool().dropExpired();
     gateway_.book().sweep(clock_.now());
     gateway_.tendTargets();
+    gateway_.retryWaiting(); // what a report did not wake: a load that fails, another target
     metrics_.gauge("foxtailturn_caller_connections", "open connections of callers")
         .set(static_cast<std::int64_t>(callers_.connections()));
     metrics_.gauge("foxtailturn_log_lines_dropped", "log lines dropped for a slow reader")
         .set(static_cast<std::int64_t>(log_.dropped()));
+    gateway_.serving().connections(gateway_.pool().opened(), gateway_.pool().reused());
+    const Duration age = clock_.now() - operatorWatch_.freshAt();
+    metrics_
+        .gauge("foxtailturn_configuration_age_milliseconds",
+               "time since the store last confirmed the configuration")
+        .set(std::chrono::duration_cast<milliseconds>(age).count());
     log_.flush();
     const TimePoint dueAt = clock_.now() + kTick;
     tickTimer_.expires_after(kTick);
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -31,19 +31,6 @@
     return std::to_string(first) + "-" + std::to_string(second);
 }
 
-std::string routeKindName(RouteKind kind)
-{
-    switch (kind) {
-    case RouteKind::Idempotent:
-        return "idempotent";
-    case RouteKind::NonIdempotent:
-        return "non_idempotent";
-    case RouteKind::Stream:
-        return "stream";
-    }
-    return "unknown";
-}
-
 } // namespace
 
 Gateway::Gateway(const GatewayParts &parts, const EntryIdentity &identity)
@@ -55,8 +42,7 @@
     , quarantine_(identity.name_ + "-" + randomId(), {parts.clock_, parts.wallClock_},
                   kSuspectMemory)
     , randomState_(hash64(randomId()))
-    , firstEvent_(parts.metrics_.latency("foxtailturn_first_event_seconds",
-                                         "time from the request's head to the first event"))
+    , serving_(parts.metrics_)
 { }
 
 bool Gateway::configure(ServingConfig config)
@@ -157,13 +143,16 @@
     request.charge_ =
         quota.countsTokens_ ? request.caller_.tokens_.value_or(quota.plainTokens_) : 1;
     const Result<void> admitted = shares_.admit(request.workspace_, request.charge_);
-    if (admitted)
+    if (admitted) {
+        serving_.charged(request.workspace_, QuotaOutcome::Share, request.charge_);
         return std::nullopt;
+    }
     const bool isLimit = admitted.error().code_ == ErrorCode::RateLimited;
     if (isLimit && !shares_.keeperToAsk(request.workspace_).empty()) {
         request.needsGrant_ = true;
         return std::nullopt;
     }
+    serving_.charged(request.workspace_, QuotaOutcome::Refused, request.charge_);
     const TimePoint retryAt = admitted.error().retryAt_.value_or(now() + seconds(1));
     parts_.log_.write(LogDetail::Full, "over_quota",
                       {{"request", request.caller_.id_},
@@ -179,7 +168,12 @@
 
 void Gateway::requestGrant(const AdmittedRequest &request, GrantDesk::GrantHandler handler)
 {
-    grantRequest_(request.workspace_, request.charge_, std::move(handler));
+    const auto counted = [this, workspace = request.workspace_, charge = request.charge_,
+                          handler = std::move(handler)](const Result<void> &granted) {
+        serving_.charged(workspace, granted ? QuotaOutcome::Pool : QuotaOutcome::Refused, charge);
+        handler(granted);
+    };
+    grantRequest_(request.workspace_, request.charge_, counted);
 }
 
 PlacementChoice Gateway::choose(const std::string &service, const PlacementRequest &request)
@@ -241,10 +235,13 @@
 
 void Gateway::onReport(const std::string &address, const SidecarReport &report)
 {
-    Target *target = book_.report(address, report.engine_, now());
+    const AdapterChanges changes = book_.report(address, report.engine_, now());
+    Target *target = changes.target_;
     if (target == nullptr)
         return;
     target->evictionCost_ = report.evictionCost_;
+    if (changes.names_.empty())
+        return; // loads alone: most reports
     std::erase_if(target->loadsAsked_, [&](const auto &asked) {
         const std::string &name = asked.first;
         const std::size_t slash = std::min(name.find('/'), name.size());
@@ -259,7 +256,12 @@
         return isThere;
     });
     renewAdapters();
-    retryWaiting();
+    const std::set<std::shared_ptr<Relay>> waiting = waiting_;
+    for (const std::shared_ptr<Relay> &relay : waiting) {
+        const CallerRequest &caller = relay->request().caller_;
+        if (changes.names_.contains(adapterName(caller.model_, caller.adapter_)))
+            relay->retryPlacement();
+    }
 }
 
 void Gateway::tendTargets()
@@ -375,13 +377,15 @@
 
 void Gateway::countAnswer(const AdmittedRequest *request, int status, std::string_view reason)
 {
-    const std::string kind = request == nullptr ? "none" : routeKindName(request->route_->kind_);
-    parts_.metrics_
-        .counter("foxtailturn_requests_total", "answered requests",
-                 {{"route_kind", kind},
-                  {"status", std::to_string(status)},
-                  {"reason", std::string(reason)}})
-        .add();
+    serving_.answered(request == nullptr ? "none" : routeKindName(request->route_->kind_), status,
+                      reason);
+}
+
+bool Gateway::tryRetry(const std::string &service)
+{
+    const bool isAllowed = budget_.tryRetry(service);
+    serving_.retry(service, isAllowed, budget_.left(service));
+    return isAllowed;
 }
 
 nlohmann::json Gateway::state()
@@ -401,14 +405,18 @@
                            {"queued", target->report_.queued_}});
     }
     nlohmann::json shares = nlohmann::json::object();
+    nlohmann::json keepers = nlohmann::json::object();
     if (config_) {
-        for (const Workspace &workspace : config_->workspaces_)
+        for (const Workspace &workspace : config_->workspaces_) {
             shares[workspace.name_] = shares_.unitsOf(workspace.name_);
+            keepers[workspace.name_] = shares_.keeperOf(workspace.name_);
+        }
     }
     return {{"name", identity_.name_},
             {"revision", config_ ? config_->revision_ : 0},
             {"targets", targets},
             {"quota_units", shares},
+            {"quota_keepers", keepers},
             {"waiting", waiting_.size()},
             {"connections_opened", pool_.opened()},
             {"connections_reused", pool_.reused()}};
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -24,6 +24,7 @@
 #include "gateway/placement.h"
 #include "gateway/quota_shares.h"
 #include "gateway/relay.h"
+#include "gateway/serving_metrics.h"
 #include "gateway/target_book.h"
 #include "gateway/target_connection.h"
 #include "retry/quarantine.h"
@@ -107,7 +108,7 @@
     void retryWaiting();
 
     // Retry budget, by service.
-    [[nodiscard]] bool tryRetry(const std::string &service) { return budget_.tryRetry(service); }
+    [[nodiscard]] bool tryRetry(const std::string &service);
 
     // Notes that a connection broke while a target worked on a request, or that the target refuses
     // connections. Requests that broke together with others are suspects.
@@ -122,7 +123,7 @@
 
     // Counts an answer.
     void countAnswer(const AdmittedRequest *request, int status, std::string_view reason);
-    void countFirstEvent(Duration elapsed) { firstEvent_.record(elapsed); }
+    ServingMetrics &serving() { return serving_; }
 
     // Returns the dump of the state.
     [[nodiscard]] nlohmann::json state();
@@ -182,7 +183,7 @@
     std::function<void(const SuspectRecord &)> suspectReport_;
     GrantRequest grantRequest_;
     std::uint64_t randomState_;
-    LatencyMetric &firstEvent_;
+    ServingMetrics serving_;
 };
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/placement.cpp
+++ b/packages/gateway/placement.cpp
@@ -33,22 +33,6 @@
 constexpr std::size_t kMostPrefixes = 8192;
 constexpr Duration kKeptFor = std::chrono::seconds(20); // kept parts yield to newer ones
 
-std::uint64_t prefixKey(const PlacementRequest &request, std::size_t parts)
-{
-    std::uint64_t key = hash64(adapterName(request.model_, request.adapter_));
-    for (std::size_t i = 0; i < parts; ++i)
-        key = hash64(request.prefix_[i].id_, key);
-    return key;
-}
-
-// Position of a target in the order of an adapter's preferred targets, from 0 to 1.
-double rankOf(const Target &target, const PlacementRequest &request)
-{
-    const std::uint64_t hash =
-        hash64(target.record_.instance_, hash64(adapterName(request.model_, request.adapter_)));
-    return static_cast<double>(hash) / static_cast<double>(UINT64_MAX);
-}
-
 bool isExcluded(const Target &target, const PlacementRequest &request)
 {
     return std::find(request.excluded_.begin(), request.excluded_.end(), target.record_.instance_)
@@ -62,11 +46,11 @@
 }
 
 // Reason why the target can not be chosen; empty if it can.
-std::string obstacle(const Target &target, const PlacementRequest &request)
+std::string obstacle(const Target &target, const PlacementRequest &request, bool isHeld)
 {
     if (isExcluded(target, request))
         return "already tried";
-    if (!request.isEngine_ || holdsAdapter(target, request))
+    if (!request.isEngine_ || isHeld)
         return "";
     if (!target.isAgentLinked_)
         return "adapter missing, no agent to load it";
@@ -83,9 +67,54 @@
         static_cast<double>(std::max<std::int64_t>(tokens, 0)) / tokensPerMilli_));
 }
 
-Duration Placement::engineTime(const Target &target, const PlacementRequest &request,
-                               TimePoint now) const
+// What is the same for all targets that a request is compared for.
+struct Placement::Query
+{
+    const PlacementRequest &request_;
+    std::string adapterName_;
+    std::uint64_t adapterHash_ = 0;
+    // For each part of the prompt that some target keeps: those targets and the part's tokens.
+    std::vector<std::pair<const Uses *, std::int64_t>> keepers_;
+    TimePoint now_{};
+
+    // Position of a target in the order of the adapter's preferred targets, from 0 to 1.
+    [[nodiscard]] double rankOf(const Target &target) const
+    {
+        const std::uint64_t hash = hash64(target.record_.instance_, adapterHash_);
+        return static_cast<double>(hash) / static_cast<double>(UINT64_MAX);
+    }
+
+    // Returns the prompt tokens that the target is believed to keep.
+    [[nodiscard]] std::int64_t keptBy(const std::string &instance) const
+    {
+        std::int64_t tokens = 0;
+        for (const auto &[uses, partTokens] : keepers_) {
+            if (!uses->contains(instance))
+                break;
+            tokens += partTokens;
+        }
+        return std::min(tokens, request_.promptTokens_);
+    }
+};
+
+Placement::Query Placement::queryOf(const PlacementRequest &request, TimePoint now) const
 {
+    Query query{request, adapterName(request.model_, request.adapter_), 0, {}, now};
+    query.adapterHash_ = hash64(query.adapterName_);
+    std::uint64_t key = query.adapterHash_;
+    for (const PromptPart &part : request.prefix_) {
+        key = hash64(part.id_, key);
+        const auto it = kept_.find(key);
+        if (it == kept_.end())
+            break;
+        query.keepers_.emplace_back(&it->second, part.tokens_);
+    }
+    return query;
+}
+
+Duration Placement::engineTime(const Target &target, const Query &query, bool isHeld) const
+{
+    const PlacementRequest &request = query.request_;
     const EngineReport &report = target.report_;
     Duration time = promptTime(target.pendingPrompt_);
     // Prompts that other entries sent: as long as ours is.
@@ -93,28 +122,26 @@
     time += promptTime(others * std::max<std::int64_t>(request.promptTokens_, 500) / 2);
     time += kPerQueued * report.queued_ / 2;
     time += kPerRun * std::max(report.running_, target.inFlight_);
-    time += promptTime(request.promptTokens_ - keptTokens(target.record_.instance_, request));
+    time += promptTime(request.promptTokens_ - query.keptBy(target.record_.instance_));
     if (report.kvTotal_ > 0
         && static_cast<double>(report.kvUsed_ + request.promptTokens_)
             > kMemoryFull * static_cast<double>(report.kvTotal_))
         time += kMemoryShort;
-    if (!holdsAdapter(target, request))
-        return time + loadTime(target, request, now);
-    return time + std::chrono::duration_cast<Duration>(kPerRank * rankOf(target, request));
+    if (!isHeld)
+        return time + loadTime(target, query);
+    return time + std::chrono::duration_cast<Duration>(kPerRank * query.rankOf(target));
 }
 
-Duration Placement::loadTime(const Target &target, const PlacementRequest &request,
-                             TimePoint now) const
+Duration Placement::loadTime(const Target &target, const Query &query) const
 {
-    const std::string name = adapterName(request.model_, request.adapter_);
-    const auto asked = target.loadsAsked_.find(name);
+    const auto asked = target.loadsAsked_.find(query.adapterName_);
     const bool isAsked = asked != target.loadsAsked_.end();
-    if (isAsked && now - asked->second > loadPatience())
+    if (isAsked && query.now_ - asked->second > loadPatience())
         return loadTime_ * 3; // it failed there
-    if (isAsked || target.isLoading(name))
+    if (isAsked || target.isLoading(query.adapterName_))
         return loadTime_ / 3; // on its way
     // A load keeps the weight store busy and drops another adapter, which may soon be wanted again.
-    const auto spread = std::chrono::duration_cast<Duration>(kLoadRank * rankOf(target, request));
+    const auto spread = std::chrono::duration_cast<Duration>(kLoadRank * query.rankOf(target));
     const auto eviction =
         std::chrono::duration_cast<Duration>(kEviction * std::min(target.evictionCost_, 2.0));
     return loadTime_ + spread + eviction;
@@ -124,13 +151,16 @@
                                   const PlacementRequest &request, TimePoint now) const
 {
     PlacementChoice choice;
+    const Query query = queryOf(request, now);
     bool isChosenSuspect = false;
+    choice.candidates_.reserve(targets.size());
     for (Target *target : targets) {
+        const bool isHeld = request.isEngine_ && holdsAdapter(*target, request);
         PlacementCandidate candidate{target->record_.instance_, Duration::zero(),
-                                     obstacle(*target, request)};
+                                     obstacle(*target, request, isHeld)};
         if (candidate.reason_.empty()) {
             candidate.expected_ = request.isEngine_
-                ? engineTime(*target, request, now)
+                ? engineTime(*target, query, isHeld)
                 : kSlotTime * target->inFlight_ / std::max(1, target->record_.slots_);
             if (target->record_.dataCentre_ != request.dataCentre_)
                 candidate.expected_ += kOtherDataCentre;
@@ -140,6 +170,7 @@
             if (isBetter) {
                 choice.target_ = target;
                 choice.expected_ = candidate.expected_;
+                choice.needsLoad_ = request.isEngine_ && !isHeld;
                 isChosenSuspect = isSuspect;
             }
             if (isSuspect)
@@ -147,8 +178,6 @@
         }
         choice.candidates_.push_back(std::move(candidate));
     }
-    if (choice.target_ != nullptr)
-        choice.needsLoad_ = request.isEngine_ && !holdsAdapter(*choice.target_, request);
     return choice;
 }
 
@@ -185,8 +214,11 @@
         if (kept_.size() > kMostPrefixes)
             kept_.clear(); // a wrong guess costs a prefill, more memory costs the VM
     }
-    for (std::size_t parts = 1; parts <= request.prefix_.size(); ++parts)
-        kept_[prefixKey(request, parts)][instance] = now;
+    std::uint64_t key = hash64(adapterName(request.model_, request.adapter_));
+    for (const PromptPart &part : request.prefix_) {
+        key = hash64(part.id_, key);
+        kept_[key][instance] = now;
+    }
 }
 
 void Placement::forget(const std::string &instance)
@@ -198,16 +230,7 @@
 std::int64_t Placement::keptTokens(const std::string &instance,
                                    const PlacementRequest &request) const
 {
-    std::int64_t tokens = 0;
-    std::uint64_t key = hash64(adapterName(request.model_, request.adapter_));
-    for (const PromptPart &part : request.prefix_) {
-        key = hash64(part.id_, key);
-        const auto it = kept_.find(key);
-        if (it == kept_.end() || !it->second.contains(instance))
-            break;
-        tokens += part.tokens_;
-    }
-    return std::min(tokens, request.promptTokens_);
+    return queryOf(request, TimePoint{}).keptBy(instance);
 }
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/placement.h
+++ b/packages/gateway/placement.h
@@ -85,16 +85,17 @@
     [[nodiscard]] double tokensPerMilli() const { return tokensPerMilli_; }
 
 private:
-    [[nodiscard]] Duration engineTime(const Target &target, const PlacementRequest &request,
-                                      TimePoint now) const;
-    [[nodiscard]] Duration promptTime(std::int64_t tokens) const;
+    struct Query;
+    using Uses = std::map<std::string, TimePoint>; // last ones, by instance
 
-    [[nodiscard]] Duration loadTime(const Target &target, const PlacementRequest &request,
-                                    TimePoint now) const;
+    [[nodiscard]] Query queryOf(const PlacementRequest &request, TimePoint now) const;
+    [[nodiscard]] Duration engineTime(const Target &target, const Query &query, bool isHeld) const;
+    [[nodiscard]] Duration promptTime(std::int64_t tokens) const;
+    [[nodiscard]] Duration loadTime(const Target &target, const Query &query) const;
 
     double tokensPerMilli_ = 30; // prefill rate; learned
     Duration loadTime_ = kFirstLoadTime; // learned
-    std::unordered_map<std::uint64_t, std::map<std::string, TimePoint>> kept_; // by prefix
+    std::unordered_map<std::uint64_t, Uses> kept_; // by prefix
 };
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/quota_shares.cpp
+++ b/packages/gateway/quota_shares.cpp
@@ -191,6 +191,12 @@
     }
 }
 
+std::string QuotaShares::keeperOf(const std::string &workspace) const
+{
+    const auto it = ledgers_.find(workspace);
+    return it == ledgers_.end() ? "" : it->second.keeper_;
+}
+
 std::set<std::string> QuotaShares::keepers() const
 {
     std::set<std::string> keepers;
--- a/packages/gateway/quota_shares.h
+++ b/packages/gateway/quota_shares.h
@@ -137,6 +137,9 @@
     // sooner, to find its successor.
     void noteKeeper(const std::string &keeper, bool isAnswering);
 
+    // Returns the entry that keeps a workspace's pool, as of the last round; empty for none.
+    [[nodiscard]] std::string keeperOf(const std::string &workspace) const;
+
     // Returns all entries that keep a pool, as of the last round, without this one.
     [[nodiscard]] std::set<std::string> keepers() const;
 
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -160,8 +160,15 @@
     held_.clear();
     splitter_.clear();
     wasAlone_ = target.pendingCount_ == 0 && target.report_.prefilling_ == 0;
-    uncachedTokens_ = request_.caller_.promptTokens_
-        - gateway_.placement(request_.service_).keptTokens(instance_, placement);
+    const std::int64_t kept =
+        gateway_.placement(request_.service_).keptTokens(instance_, placement);
+    uncachedTokens_ = request_.caller_.promptTokens_ - kept;
+    if (placement.isEngine_)
+        gateway_.serving().prompt(kept, uncachedTokens_);
+    if (sends_ == 1)
+        gateway_.serving().queued(now - request_.receivedAt_);
+    if (placement.isEngine_ && !placement.adapter_.empty())
+        gateway_.serving().placed(waitUntil_ == TimePoint{});
     ++target.inFlight_;
     ++target.pendingCount_;
     target.pendingPrompt_ += uncachedTokens_;
@@ -381,6 +388,8 @@
     isEnded_ = true;
     timer_.cancel();
     gateway_.countAnswer(&request_, replyHead_.status_, "target");
+    if (events_ > 1)
+        gateway_.serving().pause(longestPause_);
     if (gateway_.log().admits(LogDetail::Sampled, "answered"))
         gateway_.log().write(
             LogDetail::Sampled, "answered",
@@ -507,8 +516,11 @@
             lastEventId_ = event.id_;
         if (events_ == 0) {
             firstEventAt_ = gateway_.now();
-            gateway_.countFirstEvent(firstEventAt_ - request_.receivedAt_);
+            gateway_.serving().firstEvent(firstEventAt_ - request_.receivedAt_);
+        } else {
+            longestPause_ = std::max(longestPause_, progressAt_ - lastEventAt_);
         }
+        lastEventAt_ = progressAt_;
         ++events_;
         text += event.text_;
     }
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -156,6 +156,8 @@
     bool isCharged_ = true; // the quota holds the request's charge
     bool isEnded_ = false;
     TimePoint firstEventAt_{};
+    TimePoint lastEventAt_{};
+    Duration longestPause_ = Duration::zero(); // between two events so far
 };
 
 } // namespace foxtailturn::gateway
--- /dev/null
+++ b/packages/gateway/serving_metrics_test.cpp
@@ -0,0 +1,54 @@
+#include "gateway/serving_metrics.h"
+
+#include <doctest/doctest.h>
+
+namespace foxtailturn::gateway {
+
+// Guards against a metric that is renamed or lost: dashboards and the operators' page name them.
+TEST_CASE("each figure is in the text under its name and labels")
+{
+    MetricRegistry registry;
+    ServingMetrics serving(registry);
+    serving.answered("stream", 200, "target");
+    serving.queued(std::chrono::milliseconds(3));
+    serving.firstEvent(std::chrono::milliseconds(30));
+    serving.pause(std::chrono::milliseconds(7));
+    serving.placed(true);
+    serving.placed(false);
+    serving.placed(false);
+    serving.prompt(600, 290);
+    serving.prompt(-1, 10);
+    serving.charged("w1", QuotaOutcome::Share, 900);
+    serving.charged("w1", QuotaOutcome::Pool, 50);
+    serving.charged("w1", QuotaOutcome::Refused, 70);
+    serving.charged("w1", QuotaOutcome::Refused, 5);
+    serving.retry("models", true, 4);
+    serving.retry("models", false, 0);
+    serving.connections(3, 11);
+    serving.connections(4, 11);
+    const std::string text = registry.text();
+    for (const std::string line : {
+             R"(foxtailturn_requests_total{reason="target",route_kind="stream",status="200"} 1)",
+             "foxtailturn_queue_seconds_count 1",
+             "foxtailturn_first_event_seconds_count 1",
+             "foxtailturn_event_pause_seconds_count 1",
+             R"(foxtailturn_adapter_requests_total{load="none"} 1)",
+             R"(foxtailturn_adapter_requests_total{load="waited"} 2)",
+             R"(foxtailturn_prompt_tokens_total{part="kept"} 600)",
+             R"(foxtailturn_prompt_tokens_total{part="read"} 300)",
+             R"(foxtailturn_quota_tokens_total{outcome="share",workspace="w1"} 900)",
+             R"(foxtailturn_quota_tokens_total{outcome="pool",workspace="w1"} 50)",
+             R"(foxtailturn_quota_tokens_total{outcome="refused",workspace="w1"} 75)",
+             R"(foxtailturn_retries_total{outcome="sent",service="models"} 1)",
+             R"(foxtailturn_retries_total{outcome="denied",service="models"} 1)",
+             R"(foxtailturn_retry_budget_left{service="models"} 0)",
+             R"(foxtailturn_target_connections_total{use="opened"} 4)",
+             R"(foxtailturn_target_connections_total{use="reused"} 11)",
+         }) {
+        CAPTURE(line);
+        CAPTURE(text);
+        CHECK(text.find(line + "\n") != std::string::npos);
+    }
+}
+
+} // namespace foxtailturn::gateway
--- a/packages/gateway/target_book.cpp
+++ b/packages/gateway/target_book.cpp
@@ -13,6 +13,38 @@
 constexpr int kMostDoublings = 3;
 constexpr Duration kForgetAfter = std::chrono::seconds(30); // unlisted targets
 
+// What a report says of each model and adapter: its version, or kLoading.
+using Holdings = std::map<std::string, std::int64_t>;
+constexpr std::int64_t kLoading = -1;
+
+Holdings holdingsOf(const EngineReport &report)
+{
+    Holdings holdings;
+    for (const HostedModel &model : report.models_) {
+        holdings[model.name_] = 0;
+        for (const auto &[adapter, version] : model.adapters_)
+            holdings[adapterName(model.name_, adapter)] = version;
+    }
+    for (const std::string &name : report.loading_)
+        holdings[name] = kLoading;
+    return holdings;
+}
+
+std::set<std::string> changedNames(const EngineReport &before, const EngineReport &after)
+{
+    std::set<std::string> names;
+    if (before.models_ == after.models_ && before.loading_ == after.loading_)
+        return names;
+    const Holdings old = holdingsOf(before);
+    const Holdings fresh = holdingsOf(after);
+    std::vector<Holdings::value_type> changed;
+    std::set_symmetric_difference(old.begin(), old.end(), fresh.begin(), fresh.end(),
+                                  std::back_inserter(changed));
+    for (const auto &[name, version] : changed)
+        names.insert(name);
+    return names;
+}
+
 } // namespace
 
 std::string adapterName(const std::string &model, const std::string &adapter)
@@ -114,18 +146,20 @@
     }
 }
 
-Target *TargetBook::report(const std::string &address, const EngineReport &report, TimePoint now)
+AdapterChanges TargetBook::report(const std::string &address, const EngineReport &report,
+                                  TimePoint now)
 {
     for (const auto &[instance, target] : targets_) {
         if (target->record_.address_ == address && target->record_.bornMs_ < report.bornMs_)
             target->isSuperseded_ = true;
         if (target->record_.address_ != address || target->record_.bornMs_ != report.bornMs_)
             continue;
+        AdapterChanges changes{target.get(), changedNames(target->report_, report)};
         target->report_ = report;
         target->reportedAt_ = now;
-        return target.get();
+        return changes;
     }
-    return nullptr;
+    return {};
 }
 
 void TargetBook::setAgentLinked(const std::string &address, bool isLinked)
--- a/packages/gateway/target_book.h
+++ b/packages/gateway/target_book.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -55,6 +56,13 @@
     [[nodiscard]] bool hasReport() const { return reportedAt_ != TimePoint{}; }
 };
 
+// What a report changed.
+struct AdapterChanges
+{
+    Target *target_ = nullptr; // null: the report is of no target that is known
+    std::set<std::string> names_; // models and adapters that have come, gone or begun to load
+};
+
 // Not thread-safe. Pointers to targets stay valid until sweep().
 class TargetBook
 {
@@ -76,8 +84,8 @@
     // Unlists every target that is not among the given ones.
     void keepOnly(const std::vector<std::string> &instances, TimePoint now);
 
-    // Takes an engine's report. One of another incarnation is ignored. Returns the target.
-    Target *report(const std::string &address, const EngineReport &report, TimePoint now);
+    // Takes an engine's report. One of another incarnation is ignored.
+    AdapterChanges report(const std::string &address, const EngineReport &report, TimePoint now);
 
     // Notes that the process beside the engine at this address can or can't be reached.
     void setAgentLinked(const std::string &address, bool isLinked);
--- a/packages/gateway/target_book_test.cpp
+++ b/packages/gateway/target_book_test.cpp
@@ -35,13 +35,14 @@
 {
     TargetBook book;
     book.list(record("i", 1), kStart);
-    REQUIRE(book.report("10.0.0.1:80", reportOf(1), kStart) != nullptr);
+    REQUIRE(book.report("10.0.0.1:80", reportOf(1), kStart).target_ != nullptr);
     CHECK(book.find("i")->versionOf("m", "a1") == 3);
     book.find("i")->loadsAsked_["m/a2"] = kStart;
     CHECK(book.list(record("i", 2), kStart));
     CHECK_FALSE(book.find("i")->versionOf("m", "a1"));
     CHECK(book.find("i")->loadsAsked_.empty());
-    CHECK(book.report("10.0.0.1:80", reportOf(1), kStart) == nullptr); // late, of the old one
+    CHECK(book.report("10.0.0.1:80", reportOf(1), kStart).target_
+          == nullptr); // late, of the old one
 }
 
 // Guards against requests to a target that announced its leaving, and against taking live ones out
@@ -126,7 +127,7 @@
 {
     TargetBook book;
     book.list(record("old", 1), kStart);
-    CHECK(book.report("10.0.0.1:80", reportOf(2), kStart) == nullptr);
+    CHECK(book.report("10.0.0.1:80", reportOf(2), kStart).target_ == nullptr);
     CHECK(book.ofService("s", kStart).empty());
     book.list(record("old", 2), kStart); // started again under the same id
     CHECK(book.ofService("s", kStart).size() == 1);
@@ -134,4 +135,28 @@
     CHECK(book.ofService("s", kStart).empty());
 }
 
+// Guards against requests that wait for an adapter and are not woken by its arrival, and against
+// work for all of them with each report of loads.
+TEST_CASE("a report tells which adapters have changed")
+{
+    TargetBook book;
+    book.list(record("i-1"), kStart);
+    const auto changes = [&book](std::map<std::string, std::int64_t> adapters,
+                                 std::vector<std::string> loading, int running) {
+        EngineReport report = reportOf(1);
+        report.models_ = {{"m", std::move(adapters)}};
+        report.loading_ = std::move(loading);
+        report.running_ = running;
+        return book.report("10.0.0.1:80", report, kStart).names_;
+    };
+    using Names = std::set<std::string>;
+    CHECK(changes({{"a1", 1}}, {}, 0) == Names{"m", "m/a1"});
+    CHECK(changes({{"a1", 1}}, {}, 7) == Names{});
+    CHECK(changes({{"a1", 1}, {"a2", 1}}, {"m/a2"}, 7) == Names{"m/a2"});
+    CHECK(changes({{"a1", 1}, {"a2", 1}}, {}, 7) == Names{"m/a2"});
+    CHECK(changes({{"a1", 2}, {"a2", 1}}, {}, 7) == Names{"m/a1"});
+    CHECK(changes({{"a1", 2}}, {"m/a3"}, 7) == Names{"m/a2", "m/a3"});
+    CHECK(changes({{"a1", 2}}, {}, 7) == Names{"m/a3"}); // it failed there
+}
+
 } // namespace foxtailturn::gateway
--- a/packages/retry/retry_budget.cpp
+++ b/packages/retry/retry_budget.cpp
@@ -50,16 +50,28 @@
     Shard &shard = shardOf(workspace);
     const std::lock_guard lock(shard.mutex_);
     std::deque<Slot> &window = currentWindow(shard, workspace);
+    if (leftIn(window) == 0)
+        return false;
+    ++window.back().retries_;
+    return true;
+}
+
+std::int64_t RetryBudget::left(const std::string &workspace)
+{
+    Shard &shard = shardOf(workspace);
+    const std::lock_guard lock(shard.mutex_);
+    return leftIn(currentWindow(shard, workspace));
+}
+
+std::int64_t RetryBudget::leftIn(const std::deque<Slot> &window) const
+{
     std::int64_t requests = 0;
     std::int64_t retries = 0;
     for (const Slot &slot : window) {
         requests += slot.requests_;
         retries += slot.retries_;
     }
-    if (retries >= limits_.floor_ + requests * limits_.percent_ / 100)
-        return false;
-    ++window.back().retries_;
-    return true;
+    return std::max<std::int64_t>(limits_.floor_ + requests * limits_.percent_ / 100 - retries, 0);
 }
 
 std::size_t RetryBudget::workspaceCount() const
--- a/packages/retry/retry_budget.h
+++ b/packages/retry/retry_budget.h
@@ -40,6 +40,9 @@
     // Takes one retry from the budget. Returns false when it is used up. Thread-safe.
     [[nodiscard]] bool tryRetry(const std::string &workspace);
 
+    // Returns the retries that the budget allows now. Thread-safe.
+    [[nodiscard]] std::int64_t left(const std::string &workspace);
+
     // Returns the number of workspaces with requests in the window. Thread-safe.
     [[nodiscard]] std::size_t workspaceCount() const;
 
@@ -62,6 +65,7 @@
     };
 
     [[nodiscard]] Shard &shardOf(const std::string &workspace);
+    [[nodiscard]] std::int64_t leftIn(const std::deque<Slot> &window) const;
     void prune(Shard &shard, TimePoint now) const;
     std::deque<Slot> &currentWindow(Shard &shard, const std::string &workspace);
 
--- a/packages/retry/retry_policy_test.cpp
+++ b/packages/retry/retry_policy_test.cpp
@@ -29,7 +29,9 @@
     CHECK(takeAll(budget, "small") == 2);
     for (int i = 0; i < 200; ++i)
         budget.onRequest("large");
+    CHECK(budget.left("large") == 22);
     CHECK(takeAll(budget, "large") == 22);
+    CHECK(budget.left("large") == 0);
     CHECK(takeAll(budget, "small") == 0);
     clock.advance(seconds(5));
     for (int i = 0; i < 100; ++i)
--- a/packages/sidecar/sidecar_node.cpp
+++ b/packages/sidecar/sidecar_node.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "gateway/target_book.h"
+
 namespace foxtailturn::gateway {
 
 namespace {
@@ -16,6 +18,7 @@
 constexpr Duration kActivePoll = milliseconds(20); // while an adapter is on its way
 constexpr Duration kIdlePoll = milliseconds(400); // without an entry that listens
 constexpr Duration kPublishEvery = milliseconds(200); // loads alone; adapters go out at once
+constexpr Duration kLostLoad = milliseconds(30'000); // an order whose adapter never came
 constexpr Duration kFlushEvery = milliseconds(1000);
 
 std::int64_t wallMillis(const WallClock &clock)
@@ -75,6 +78,7 @@
             {"report", nlohmann::json::parse(encode(keeper_.summary(clock_.now())))}};
         return AdminAnswer{200, state.dump(2) + "\n", "application/json"};
     });
+    admin_.serve("/metrics", [this] { return AdminAnswer{200, metrics_.text()}; });
     if (settings_.metricsPort_ != 0) {
         const std::string admin = settings_.ip_ + ":" + std::to_string(settings_.metricsPort_);
         if (Result<void> listening = admin_.listen(admin); !listening)
@@ -142,6 +146,7 @@
     report_ = *report;
     hasReport_ = true;
     const TimePoint now = clock_.now();
+    countLoads();
     keeper_.onReport(report_, now);
     if (isNews || now >= publishAt_)
         publish();
@@ -152,6 +157,28 @@
     giveOrder();
 }
 
+void SidecarNode::countLoads()
+{
+    metrics_.gauge("foxtailturn_engine_running", "requests that the engine runs")
+        .set(report_.running_);
+    metrics_.gauge("foxtailturn_engine_queued", "requests that wait in the engine")
+        .set(report_.queued_);
+    metrics_.gauge("foxtailturn_entries_connected", "entries that listen to this process")
+        .set(static_cast<std::int64_t>(entries_.peers()));
+    const TimePoint now = clock_.now();
+    std::erase_if(loadsFrom_, [now](const auto &load) { return now - load.second > kLostLoad; });
+    for (const HostedModel &model : report_.models_) {
+        for (const auto &[adapter, version] : model.adapters_) {
+            const auto load = loadsFrom_.find(adapterName(model.name_, adapter));
+            if (load == loadsFrom_.end())
+                continue;
+            metrics_.latency("foxtailturn_adapter_load_seconds", "from an order to the adapter")
+                .record(now - load->second);
+            loadsFrom_.erase(load);
+        }
+    }
+}
+
 void SidecarNode::giveOrder()
 {
     const TimePoint now = clock_.now();
@@ -167,8 +194,16 @@
     isCalling_ = true;
     const auto onAnswer = [this, order = *order](const HttpAnswer &answer) {
         isCalling_ = false;
+        const bool isLoad = order.kind_ == OrderKind::Load;
+        metrics_
+            .counter("foxtailturn_engine_orders_total", "orders to the engine",
+                     {{"operation", isLoad ? "load" : "unload"},
+                      {"status", std::to_string(answer.status_)}})
+            .add();
+        if (isLoad && outcomeOf(answer.status_) == OrderOutcome::Accepted)
+            loadsFrom_[adapterName(order.model_, order.adapter_)] = clock_.now();
         log_.write(LogDetail::Full, "order",
-                   {{"operation", order.kind_ == OrderKind::Load ? "load" : "unload"},
+                   {{"operation", isLoad ? "load" : "unload"},
                     {"model", order.model_},
                     {"adapter", order.adapter_},
                     {"token", order.fencingToken_},
--- a/packages/sidecar/sidecar_node.h
+++ b/packages/sidecar/sidecar_node.h
@@ -7,10 +7,12 @@
 //     context.run();
 
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
 #include "base/event_log.h"
+#include "base/metrics.h"
 #include "gateway/admin_port.h"
 #include "gateway/http_caller.h"
 #include "gateway/line_server.h"
@@ -41,18 +43,21 @@
     void onOrderAnswer(int status);
     void schedulePoll();
     void publish();
+    void countLoads();
 
     const PlatformCodec &codec_;
     NodeSettings settings_;
     SystemClock clock_;
     SystemWallClock wallClock_;
     EventLog log_;
+    MetricRegistry metrics_;
     HttpCaller caller_;
     AdminPort admin_;
     LineServer entries_;
     asio::steady_timer pollTimer_;
     AdapterKeeper keeper_;
     EngineReport report_;
+    std::map<std::string, TimePoint> loadsFrom_; // accepted loads under way, by adapter
     bool hasReport_ = false;
     bool isCalling_ = false;
     TimePoint publishAt_{};
