gateway: keepers of quota pools outlast cuts of the store and hand over at a planned stop

Change: a keeper gives for 20 s after its last write and is replaced after 24 s; it writes every 6 s instead of 3. A stopping entry releases its pools. An answer says when the sender is no keeper, and a lost keeper makes the next round come sooner.

The bound on what is admitted is as before.

--- a/packages/gateway/agent_messages.cpp
+++ b/packages/gateway/agent_messages.cpp
@@ -128,6 +128,7 @@
 {
     return line({{"grant", answer.number_},
                  {"granted", answer.isGranted_},
+                 {"keeper", answer.isKeeper_},
                  {"retry_after_us", answer.retryAfter_.count()}});
 }
 
@@ -148,8 +149,9 @@
         message.grantRequest_ = GrantRequest{integerOf(json, "ask"), textOf(json, "workspace"),
                                              countOf(json, "charge")};
     } else if (json.contains("grant")) {
-        message.grantAnswer_ = GrantAnswer{integerOf(json, "grant"), flagOf(json, "granted"),
-                                           Duration(countOf(json, "retry_after_us"))};
+        message.grantAnswer_ =
+            GrantAnswer{integerOf(json, "grant"), flagOf(json, "granted"), flagOf(json, "keeper"),
+                        Duration(countOf(json, "retry_after_us"))};
     } else if (json.contains("report") && json["report"].is_object()) {
         const Json &report = json["report"];
         message.report_ = SidecarReport{decodeReport(report), numberOf(report, "eviction_cost")};
--- a/packages/gateway/agent_messages.h
+++ b/packages/gateway/agent_messages.h
@@ -61,6 +61,7 @@
 {
     std::int64_t number_ = 0;
     bool isGranted_ = false;
+    bool isKeeper_ = true; // false: the sender does not keep the pool any more
     Duration retryAfter_ = Duration::zero(); // of a refusal
 
     bool operator==(const GrantAnswer &) const = default;
--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -80,6 +80,7 @@
         });
     gateway_.setSuspectReport([this](const SuspectRecord &record) { rounds_.report(record); });
     rounds_.onRead([this] { peers_.sync(); });
+    peers_.onKeeperLost([this] { rounds_.hasten(); });
 }
 
 Result<void> EntryNode::start()
@@ -271,6 +272,7 @@
     onStopped_ = std::move(onStopped);
     log_.write(LogDetail::Full, "stopping", {{"connections", callers_.connections()}});
     callers_.drain();
+    rounds_.release();
     acceptUntil_ = clock_.now() + std::min(kBalancerNotice, settings_.stopGrace_ / 2);
     stopUntil_ = clock_.now() + std::max(settings_.stopGrace_ - kStopReserve, Duration::zero());
     waitForEnd();
--- a/packages/gateway/ledger_rounds.cpp
+++ b/packages/gateway/ledger_rounds.cpp
@@ -57,6 +57,19 @@
     schedule(Duration::zero());
 }
 
+void LedgerRounds::hasten()
+{
+    const Duration pause = nextPause();
+    if (!isUnderWay_ && store_.now() + pause < dueAt_)
+        schedule(pause);
+}
+
+void LedgerRounds::release()
+{
+    shares_.release();
+    makeRound();
+}
+
 void LedgerRounds::report(const SuspectRecord &record)
 {
     reports_.insert_or_assign(record.fingerprint_, record);
@@ -84,6 +97,7 @@
         return;
     // Spread over the entries, so that their writes seldom conflict.
     const auto spread = std::chrono::duration_cast<Duration>(wait * jitter() / 3);
+    dueAt_ = store_.now() + wait + spread;
     timer_.expires_after(wait + spread);
     timer_.async_wait([this](const asio::error_code &why) {
         if (!why)
--- a/packages/gateway/ledger_rounds.h
+++ b/packages/gateway/ledger_rounds.h
@@ -49,6 +49,12 @@
     // Makes a round now; one that is under way is enough.
     void makeRound();
 
+    // Makes the next round come sooner if it is not due soon.
+    void hasten();
+
+    // Gives up what this entry keeps for others, in a round now; for an entry that stops.
+    void release();
+
     // Writes a suspect's record with the next round, which it makes now.
     void report(const SuspectRecord &record);
 
@@ -72,6 +78,7 @@
     std::map<std::string, SuspectRecord> reports_; // to be written, by fingerprint
     std::map<std::string, std::int64_t> suspectVersions_; // row versions, by fingerprint
     std::uint64_t randomState_;
+    TimePoint dueAt_{}; // next round
     bool isUnderWay_ = false;
 };
 
--- a/packages/gateway/quota_peers.cpp
+++ b/packages/gateway/quota_peers.cpp
@@ -38,8 +38,9 @@
             continue;
         const GrantRequest &request = *message.grantRequest_;
         const Result<void> granted = shares_.grant(request.workspace_, request.charge_);
-        GrantAnswer answer{request.number_, granted.has_value(), Duration::zero()};
+        GrantAnswer answer{request.number_, granted.has_value(), true, Duration::zero()};
         if (!granted) {
+            answer.isKeeper_ = granted.error().code_ != ErrorCode::LeaseExpired;
             const TimePoint now = clock_.now();
             answer.retryAfter_ =
                 std::max(granted.error().retryAt_.value_or(now) - now, Duration::zero());
@@ -75,10 +76,11 @@
         shares_.noteKeeper(keeper, isLinked);
         if (isLinked)
             desk_.resend(keeper);
+        else if (onKeeperLost_)
+            onKeeperLost_();
     };
-    handlers.onMessage_ = [this](const AgentMessage &message) {
-        if (message.grantAnswer_)
-            desk_.answer(*message.grantAnswer_);
+    handlers.onMessage_ = [this, keeper](const AgentMessage &message) {
+        onMessage(keeper, message);
     };
     const auto link =
         std::make_shared<AgentLink>(context_, address, std::move(handlers), AgentLink::kNoSilence);
@@ -86,6 +88,18 @@
     link->start();
 }
 
+void QuotaPeers::onMessage(const std::string &keeper, const AgentMessage &message)
+{
+    if (!message.grantAnswer_)
+        return;
+    if (!message.grantAnswer_->isKeeper_) {
+        shares_.noteKeeper(keeper, false);
+        if (onKeeperLost_)
+            onKeeperLost_();
+    }
+    desk_.answer(*message.grantAnswer_);
+}
+
 void QuotaPeers::ask(const std::string &workspace, std::int64_t charge,
                      GrantDesk::GrantHandler handler)
 {
--- a/packages/gateway/quota_peers.h
+++ b/packages/gateway/quota_peers.h
@@ -10,6 +10,7 @@
 // An entry connects only to entries that keep a pool, so connections grow with entries times
 // workspaces at most.
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -33,6 +34,9 @@
     // Error: InvalidSettings when the address can't be used.
     [[nodiscard]] Result<void> listen(const std::string &ip);
 
+    // Calls the handler when a keeper does not answer, or keeps its pool no more.
+    void onKeeperLost(std::function<void()> handler) { onKeeperLost_ = std::move(handler); }
+
     // Connects to new keepers and leaves those that keep no pool any more.
     void sync();
 
@@ -43,6 +47,7 @@
 private:
     void onLines(int peer, const std::vector<std::string> &lines);
     void connect(const std::string &keeper);
+    void onMessage(const std::string &keeper, const AgentMessage &message);
     void armTimer();
     void onTimer();
 
@@ -54,6 +59,7 @@
     LineServer server_;
     std::map<std::string, std::shared_ptr<AgentLink>> links_; // by the keeper's name
     GrantDesk desk_;
+    std::function<void()> onKeeperLost_;
     asio::steady_timer timer_;
 };
 
--- a/packages/gateway/quota_shares.cpp
+++ b/packages/gateway/quota_shares.cpp
@@ -231,10 +231,16 @@
     const bool isNews = ledger.keeperSeen_.since_ == TimePoint{} || pool.keeper_ != ledger.keeper_
         || pool.beat_ != ledger.keeperSeen_.beat_;
     if (isNews) {
-        ledger.isKeeperSilent_ = ledger.isKeeperSilent_ && pool.keeper_ == ledger.keeper_;
+        ledger.isKeeperSilent_ = false;
         ledger.keeper_ = pool.keeper_;
         ledger.keeperSeen_ = {pool.beat_, now};
     }
+    if (isReleasing_) {
+        const bool isMine = pool.keeper_ == holder_;
+        ledger.poolUntil_ = TimePoint{};
+        pool = isMine ? Pool{"", pool.beat_ + 1} : pool;
+        return isMine;
+    }
     if (pool.keeper_ != holder_) {
         // Another entry may give from the pool; what this one had of it is void.
         ledger.poolUntil_ = TimePoint{};
@@ -405,7 +411,7 @@
             ledger.unresolvedVersion_ = -1;
             ledger.spendUntil_ = sentAt_ + kSpendFor;
             ledger.writeAt_ = sentAt_ + kWriteEvery;
-            if (ledger.isPoolPlanned_)
+            if (ledger.isPoolPlanned_ && !isReleasing_)
                 takePool(ledger);
         } else if (outcome == WriteOutcome::Unknown) {
             ledger.unresolvedVersion_ = std::max(ledger.unresolvedVersion_, ledger.plannedVersion_);
--- a/packages/gateway/quota_shares.h
+++ b/packages/gateway/quota_shares.h
@@ -106,10 +106,11 @@
     // Units of the pool. The entries' own part carries a workspace while its pool has no keeper.
     static constexpr std::int64_t kPoolUnits = 500'000;
     // A keeper gives nothing this long after its last write, others take over after kPoolReclaim.
-    // The difference covers a write and the answers under way.
-    static constexpr Duration kPoolSpendFor = std::chrono::seconds(8);
-    static constexpr Duration kPoolReclaim = std::chrono::seconds(10);
-    static constexpr Duration kPoolWriteEvery = std::chrono::seconds(3);
+    // The difference covers a write and the answers under way. Stores were out of reach of some
+    // entries for 8 to 12 s, while other entries still reached those.
+    static constexpr Duration kPoolSpendFor = std::chrono::seconds(20);
+    static constexpr Duration kPoolReclaim = std::chrono::seconds(24);
+    static constexpr Duration kPoolWriteEvery = std::chrono::seconds(6);
     // The next one in the order of succession waits this much longer.
     static constexpr Duration kSuccession = std::chrono::seconds(1);
 
@@ -137,6 +138,9 @@
     // sooner, to find its successor.
     void noteKeeper(const std::string &keeper, bool isAnswering);
 
+    // Gives up all pools with the next write, for an entry that is about to stop.
+    void release() { isReleasing_ = true; }
+
     // Returns the entry that keeps a workspace's pool, as of the last round; empty for none.
     [[nodiscard]] std::string keeperOf(const std::string &workspace) const;
 
@@ -238,6 +242,7 @@
     const Clock &clock_;
     std::int64_t tolerance_; // tokens, of all entries together
     std::map<std::string, Ledger> ledgers_; // by workspace
+    bool isReleasing_ = false;
     TimePoint startedAt_;
     TimePoint sentAt_{}; // of the write under way
 };
