gateway: over its rate, a workspace's large and small requests are served alike; model of the keeper

Change: a debt is paid back before anything else is taken; charges up to the tolerance need the same level.

A share of a fleet of 100 entries or more could lapse between two rounds, since rounds slowed with the entries beyond 50 s. Rounds are at most kWriteEvery apart (test: 420 entries).

--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -159,6 +159,7 @@
                        {"workspace", request.workspace_},
                        {"charge", request.charge_},
                        {"units", shares_.unitsOf(request.workspace_)},
+                       {"keeper", shares_.keeperOf(request.workspace_)},
                        {"demand", shares_.demandOf(request.workspace_)},
                        {"rate", quota.rate_},
                        {"revision", config_->revision_}});
--- a/packages/gateway/ledger_rounds.cpp
+++ b/packages/gateway/ledger_rounds.cpp
@@ -17,6 +17,8 @@
 constexpr Duration kShortRound = milliseconds(1500); // a share is too small, a pool has no keeper
 // Well within the time after which a pool goes to another keeper.
 constexpr Duration kKeeperRound = QuotaShares::kPoolWriteEvery;
+// A share that is not written in time can't be spent from.
+constexpr Duration kLongestRound = QuotaShares::kWriteEvery;
 constexpr Duration kConflictRound = milliseconds(10); // another entry wrote in between
 constexpr Duration kConflictSpread = milliseconds(8); // for each entry that may write
 // The rows grow with the entries and so do conflicts: twice as many entries, half as many rounds of
@@ -34,7 +36,7 @@
         return kFirstRound;
     const Duration round = need.wantsRound_ ? kShortRound : kCalmRound;
     const Duration scaled = round * (kEntriesPerRound + need.entries_) / kEntriesPerRound;
-    return need.keepsPool_ ? std::min(scaled, kKeeperRound) : scaled;
+    return std::min(scaled, need.keepsPool_ ? kKeeperRound : kLongestRound);
 }
 
 LedgerRounds::LedgerRounds(StoreClient &store, EventLog &log, QuotaShares &shares,
--- a/packages/gateway/ledger_rounds_test.cpp
+++ b/packages/gateway/ledger_rounds_test.cpp
@@ -19,6 +19,8 @@
         {{.canSpend_ = true, .wantsRound_ = false, .entries_ = 8}, milliseconds(6000)},
         {{.canSpend_ = true, .wantsRound_ = true, .entries_ = 8}, milliseconds(3000)},
         {{.canSpend_ = true, .wantsRound_ = false, .entries_ = 24}, milliseconds(12000)},
+        // 160 s at 420 entries would let each share lapse.
+        {{.canSpend_ = true, .wantsRound_ = false, .entries_ = 420}, QuotaShares::kWriteEvery},
         {{.canSpend_ = true, .keepsPool_ = true, .entries_ = 24}, QuotaShares::kPoolWriteEvery},
         {{.canSpend_ = true, .wantsRound_ = true, .keepsPool_ = true, .entries_ = 0},
          milliseconds(1500)},
--- a/packages/gateway/quota_shares.cpp
+++ b/packages/gateway/quota_shares.cpp
@@ -70,13 +70,19 @@
     refill(now);
 }
 
+double QuotaShare::neededLevel(std::int64_t charge) const
+{
+    // Charges up to the tolerance need the same level. If small ones were taken at a lower level
+    // than large ones, a workspace over its rate would have its large requests starved.
+    return std::max(std::min(static_cast<double>(charge) - tolerance_, capacity()), 0.0);
+}
+
 bool QuotaShare::take(std::int64_t charge, TimePoint now)
 {
     refill(now);
-    const auto tokens = static_cast<double>(charge);
-    if (units_ == 0 || level_ < std::min(tokens - tolerance_, capacity()))
+    if (units_ == 0 || level_ < neededLevel(charge))
         return false;
-    level_ -= tokens;
+    level_ -= static_cast<double>(charge);
     return true;
 }
 
@@ -91,7 +97,7 @@
     refill(now);
     if (rate() <= 0)
         return std::nullopt;
-    const double missing = std::min(static_cast<double>(charge) - tolerance_, capacity()) - level_;
+    const double missing = neededLevel(charge) - level_;
     const std::chrono::duration<double> wait(std::max(missing, 0.0) / rate());
     return now + std::chrono::ceil<Duration>(wait);
 }
@@ -147,8 +153,11 @@
         || (now < ledger.poolUntil_ && ledger.pool_.take(charge, now));
     if (isTaken)
         return {};
-    return notRun(ErrorCode::RateLimited, "the workspace is over its rate",
-                  ledger.share_.availableAt(charge, now));
+    std::optional<TimePoint> at = ledger.share_.availableAt(charge, now);
+    if (now < ledger.poolUntil_)
+        at = std::min(at.value_or(TimePoint::max()),
+                      ledger.pool_.availableAt(charge, now).value_or(TimePoint::max()));
+    return notRun(ErrorCode::RateLimited, "the workspace is over its rate", at);
 }
 
 void QuotaShares::giveBack(const std::string &workspace, std::int64_t charge)
--- a/packages/gateway/quota_shares.h
+++ b/packages/gateway/quota_shares.h
@@ -62,8 +62,9 @@
     void setTolerance(std::int64_t tokens) { tolerance_ = static_cast<double>(tokens); }
     [[nodiscard]] std::int64_t units() const { return units_; }
 
-    // Takes the charge if level and tolerance hold it. A charge above both needs a full level and
-    // leaves a larger debt: a small share must not refuse a large request for good.
+    // Takes the charge if level and tolerance hold it, and never while there is a debt. A charge
+    // above both needs a full level and leaves a larger debt: a small share must not refuse a large
+    // request for good.
     [[nodiscard]] bool take(std::int64_t charge, TimePoint now);
 
     // Gives back a charge whose request certainly did not run.
@@ -81,6 +82,7 @@
 private:
     [[nodiscard]] double rate() const; // tokens per second
     [[nodiscard]] double capacity() const;
+    [[nodiscard]] double neededLevel(std::int64_t charge) const; // tokens
     void refill(TimePoint now);
     void decay(TimePoint now);
 
--- a/packages/gateway/quota_shares_test.cpp
+++ b/packages/gateway/quota_shares_test.cpp
@@ -333,6 +333,12 @@
     while (fleet.entries_[0]->admit("w", 1'000))
         ++admitted;
     CHECK(admitted == 100);
+    // Guards against a retry time that is twice as long as needed, from half of the rate alone.
+    const Result<void> refused = fleet.entries_[0]->admit("w", 1'000);
+    REQUIRE_FALSE(refused);
+    REQUIRE(refused.error().retryAt_);
+    fleet.clock_.advance(*refused.error().retryAt_ - fleet.clock_.now());
+    CHECK(fleet.entries_[0]->admit("w", 1'000));
 }
 
 // Guards against a pool that is lost with its keeper, against two keepers at a time, and against
@@ -454,6 +460,32 @@
     CHECK(share.take(1, clock.now()));
 }
 
+// Guards against large requests that are starved by small ones of the same workspace while it asks
+// for more than its rate.
+TEST_CASE("a workspace over its rate has its large and small requests served alike")
+{
+    constexpr std::int64_t kSmall = 500;
+    constexpr std::int64_t kLarge = 9'000;
+    ManualClock clock;
+    QuotaShare share(clock.now());
+    share.setQuota({50'000, 50'000, true, 1}, clock.now());
+    share.setUnits(QuotaShares::kTotalUnits, clock.now());
+    share.setTolerance(27'500);
+    std::mt19937 random(7);
+    int asked[2] = {0, 0};
+    int served[2] = {0, 0};
+    for (int i = 0; i < 20'000; ++i) {
+        clock.advance(milliseconds(50)); // twice the rate is asked for
+        const std::size_t kind = random() % 2;
+        ++asked[kind];
+        served[kind] += share.take(kind == 0 ? kSmall : kLarge, clock.now()) ? 1 : 0;
+    }
+    const double small = static_cast<double>(served[0]) / asked[0];
+    const double large = static_cast<double>(served[1]) / asked[1];
+    CHECK(large > small * 3 / 4);
+    CHECK(large > 0.45); // half of what is asked for is within the rate
+}
+
 // Guards against a retry time that comes too early for the request.
 TEST_CASE("the retry time of a refusal is when the share can serve it")
 {
--- /dev/null
+++ b/spec/pool.pml
@@ -0,0 +1,114 @@
+/*
+ * The keeper of a quota's pool (docs/platform-design.md; packages/gateway, QuotaShares).
+ *
+ * Entries read the workspace's row and write it on condition that its version is unchanged. A write
+ * may be applied at once, later or never, and its answer may be lost. An entry may stand still
+ * between any two steps. The times of settling and succession are left out: they only order the
+ * candidates. All clocks run alike.
+ *
+ * Checked: at no time may two entries give from the pool.
+ *
+ * MUTATION=1: a successor writes without regard to the row's version.
+ * MUTATION=2: a keeper that releases its pool goes on giving until its time is over.
+ * MUTATION=3: a keeper counts its time from the answer instead of the sending of its write.
+ * MUTATION=4: a successor counts the keeper's silence from an older write than the last one.
+ */
+#ifndef MUTATION
+#define MUTATION 0
+#endif
+
+#define ENTRIES 2
+#define NOBODY 2
+#define LENGTH 2 /* of giving, and of the silence after which a keeper is replaced */
+#define END 6    /* last moment */
+#define WRITES 2 /* of each entry */
+
+byte now = 1;
+
+/* The row. */
+byte version = 1;
+byte keeper = NOBODY;
+
+/* What each entry knows and has under way. */
+byte until[ENTRIES];        /* may give before this time */
+byte seenVersion[ENTRIES];  /* of the row when its keeper last wrote */
+byte seenAt[ENTRIES];
+byte sentAt[ENTRIES];       /* of the open write; 0: none */
+byte expected[ENTRIES];     /* version that the open write expects */
+byte wanted[ENTRIES];       /* keeper that the open write names */
+bool applied[ENTRIES];
+bool isLost[ENTRIES];       /* the answer will not come */
+byte writes[ENTRIES];
+
+#define GIVES(i) (now < until[i])
+
+inline send(e, name)
+{
+    d_step {
+        sentAt[e] = now;
+        expected[e] = version;
+        wanted[e] = name;
+        applied[e] = false;
+        isLost[e] = false;
+        writes[e]++
+    }
+}
+
+active proctype system()
+{
+    byte i;
+    do
+    :: atomic {
+       assert(!(GIVES(0) && GIVES(1)));
+       select(i : 0 .. 1);
+       if
+       :: now < END -> now++
+
+       /* A read of the row: news of the keeper, and what was had of the pool is void. */
+       :: sentAt[i] == 0 && seenVersion[i] != version && MUTATION != 4 ->
+            d_step {
+                seenVersion[i] = version;
+                seenAt[i] = now;
+                if
+                :: keeper != i -> until[i] = 0
+                :: else
+                fi
+            }
+       :: sentAt[i] == 0 && seenVersion[i] == 0 && MUTATION == 4 ->
+            d_step { seenVersion[i] = version; seenAt[i] = now }
+
+       /* Writes. */
+       :: sentAt[i] == 0 && writes[i] < WRITES && keeper == i -> send(i, i)
+       :: sentAt[i] == 0 && writes[i] < WRITES && keeper == NOBODY -> send(i, i)
+       :: sentAt[i] == 0 && writes[i] < WRITES && keeper == 1 - i && now >= seenAt[i] + LENGTH &&
+            seenVersion[i] != 0 && (seenVersion[i] == version || MUTATION == 4) -> send(i, i)
+       :: sentAt[i] == 0 && writes[i] < WRITES && keeper == i ->
+            if
+            :: MUTATION != 2 -> until[i] = 0
+            :: else
+            fi;
+            send(i, NOBODY)
+
+       /* The store. */
+       :: sentAt[i] != 0 && !applied[i] && (version == expected[i] || MUTATION == 1) ->
+            d_step { version++; keeper = wanted[i]; applied[i] = true }
+       :: sentAt[i] != 0 && !isLost[i] -> isLost[i] = true
+
+       /* Answers: success, refusal, none. */
+       :: sentAt[i] != 0 && applied[i] && !isLost[i] ->
+            d_step {
+                if
+                :: wanted[i] == i && MUTATION == 3 -> until[i] = now + LENGTH
+                :: wanted[i] == i && MUTATION != 3 -> until[i] = sentAt[i] + LENGTH
+                :: else
+                fi;
+                sentAt[i] = 0
+            }
+       :: sentAt[i] != 0 && !applied[i] && version != expected[i] -> sentAt[i] = 0
+       :: sentAt[i] != 0 && isLost[i] && applied[i] -> sentAt[i] = 0
+       :: else
+       fi;
+       i = 0
+       }
+    od
+}
