gateway: a stopping entry gives from its pools until its end

Cause: pools were released at the begin of a stop. Change: release when the last request has ended. A lost keeper makes the next round come after 300 ms.

--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -18,6 +18,7 @@
 // The balancer asks once a second and needs two misses.
 constexpr Duration kBalancerNotice = milliseconds(2700);
 constexpr Duration kStopReserve = milliseconds(1000); // before the platform kills the process
+constexpr Duration kReleaseTime = milliseconds(200); // a read and a write of the store
 constexpr Duration kStopPoll = milliseconds(100);
 
 GatewayParts partsOf(asio::io_context &context, const PlatformCodec &codec, const Clock &clock,
@@ -272,7 +273,6 @@
     onStopped_ = std::move(onStopped);
     log_.write(LogDetail::Full, "stopping", {{"connections", callers_.connections()}});
     callers_.drain();
-    rounds_.release();
     acceptUntil_ = clock_.now() + std::min(kBalancerNotice, settings_.stopGrace_ / 2);
     stopUntil_ = clock_.now() + std::max(settings_.stopGrace_ - kStopReserve, Duration::zero());
     waitForEnd();
@@ -286,7 +286,14 @@
         callers_.closeIdle();
     }
     const bool isDone = now >= acceptUntil_ && callers_.connections() == 0;
-    if (isDone || now >= stopUntil_) {
+    const bool isOver = isDone || now >= stopUntil_;
+    if (isOver && releasedUntil_ == TimePoint{}) {
+        // Not earlier: until its end the process gives from the pools that it keeps, and its
+        // successor on this VM may follow at once.
+        rounds_.release();
+        releasedUntil_ = now + kReleaseTime;
+    }
+    if (isOver && now >= releasedUntil_) {
         log_.write(LogDetail::Full, "stopped", {{"connections", callers_.connections()}});
         log_.flush();
         operatorWatch_.stop();
--- a/packages/gateway/entry_node.h
+++ b/packages/gateway/entry_node.h
@@ -69,6 +69,7 @@
     TimePoint startedAt_;
     TimePoint acceptUntil_ = TimePoint::max();
     TimePoint stopUntil_ = TimePoint::max();
+    TimePoint releasedUntil_{}; // the store has time until then to take what was released
     std::function<void()> onStopped_;
     bool isStopping_ = false;
 };
--- a/packages/gateway/ledger_rounds.cpp
+++ b/packages/gateway/ledger_rounds.cpp
@@ -19,6 +19,7 @@
 constexpr Duration kKeeperRound = QuotaShares::kPoolWriteEvery;
 // A share that is not written in time can't be spent from.
 constexpr Duration kLongestRound = QuotaShares::kWriteEvery;
+constexpr Duration kHasteRound = milliseconds(300); // a keeper was lost; it may have released
 constexpr Duration kConflictRound = milliseconds(10); // another entry wrote in between
 constexpr Duration kConflictSpread = milliseconds(8); // for each entry that may write
 // The rows grow with the entries and so do conflicts: twice as many entries, half as many rounds of
@@ -61,9 +62,8 @@
 
 void LedgerRounds::hasten()
 {
-    const Duration pause = nextPause();
-    if (!isUnderWay_ && store_.now() + pause < dueAt_)
-        schedule(pause);
+    if (!isUnderWay_ && store_.now() + kHasteRound < dueAt_)
+        schedule(kHasteRound);
 }
 
 void LedgerRounds::release()
