--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -51,7 +51,8 @@
           [this](const std::vector<StoreRow> &rows, bool isSnapshot) {
               onTargetRows(rows, isSnapshot);
           })
-    , rounds_(store_, log_, gateway_.shares(), gateway_.quarantine())
+    , rounds_(store_, log_, gateway_.shares(), gateway_.quarantine(),
+              [this] { return gateway_.jitter(); })
     , peers_(context, clock_, log_, gateway_.shares(), settings.peerPort_)
     , tickTimer_(context)
     , stopTimer_(context)
--- a/packages/gateway/ledger_rounds.cpp
+++ b/packages/gateway/ledger_rounds.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include "base/hash.h"
-
 namespace foxtailturn::gateway {
 
 namespace {
@@ -41,13 +39,13 @@
 }
 
 LedgerRounds::LedgerRounds(StoreClient &store, EventLog &log, QuotaShares &shares,
-                           Quarantine &quarantine)
+                           Quarantine &quarantine, std::function<double()> jitter)
     : store_(store)
     , log_(log)
     , shares_(shares)
     , quarantine_(quarantine)
+    , jitter_(std::move(jitter))
     , timer_(store.context())
-    , randomState_(hash64(randomId()))
 { }
 
 void LedgerRounds::start()
@@ -78,13 +76,6 @@
     makeRound();
 }
 
-double LedgerRounds::jitter()
-{
-    randomState_ = hash64(
-        std::string_view(reinterpret_cast<const char *>(&randomState_), sizeof(randomState_)));
-    return static_cast<double>(randomState_) / static_cast<double>(UINT64_MAX);
-}
-
 Duration LedgerRounds::nextPause()
 {
     return pauseBeforeRound({.canSpend_ = shares_.canSpend(),
@@ -98,7 +89,7 @@
     if (isUnderWay_)
         return;
     // Spread over the entries, so that their writes seldom conflict.
-    const auto spread = std::chrono::duration_cast<Duration>(wait * jitter() / 3);
+    const auto spread = std::chrono::duration_cast<Duration>(wait * jitter_() / 3);
     dueAt_ = store_.now() + wait + spread;
     timer_.expires_after(wait + spread);
     timer_.async_wait([this](const asio::error_code &why) {
@@ -172,7 +163,7 @@
     }
     takeSuspects(rows.rows_);
     const auto spread =
-        std::chrono::duration_cast<Duration>(kConflictSpread * shares_.entryCount() * jitter());
+        std::chrono::duration_cast<Duration>(kConflictSpread * shares_.entryCount() * jitter_());
     schedule(kConflictRound + spread);
 }
 
--- a/packages/gateway/ledger_rounds.h
+++ b/packages/gateway/ledger_rounds.h
@@ -2,7 +2,7 @@
 
 // Keeps an entry's part of the rows that entries share: quota units and suspect requests.
 //
-//     LedgerRounds rounds(store, log, shares, quarantine);
+//     LedgerRounds rounds(store, log, shares, quarantine, [&] { return gateway.jitter(); });
 //     rounds.onRead([&] { links.sync(); });
 //     rounds.start();
 //
@@ -38,8 +38,10 @@
 class LedgerRounds
 {
 public:
-    // All references must outlive this object, which must outlive the store's calls.
-    LedgerRounds(StoreClient &store, EventLog &log, QuotaShares &shares, Quarantine &quarantine);
+    // All references must outlive this object, which must outlive the store's calls. jitter returns
+    // numbers from 0 to 1.
+    LedgerRounds(StoreClient &store, EventLog &log, QuotaShares &shares, Quarantine &quarantine,
+                 std::function<double()> jitter);
 
     // Is called after each read of the rows.
     void onRead(std::function<void()> handler) { onRead_ = std::move(handler); }
@@ -66,18 +68,17 @@
     void onWritten(const StoreWrite &write, const StoreAnswer &answer);
     void takeSuspects(const std::vector<StoreRow> &rows);
     [[nodiscard]] Duration nextPause();
-    [[nodiscard]] double jitter();
 
     StoreClient &store_;
     EventLog &log_;
     QuotaShares &shares_;
     Quarantine &quarantine_;
+    std::function<double()> jitter_;
     std::function<void()> onRead_;
     asio::steady_timer timer_;
     StoreRows rows_; // as last read
     std::map<std::string, SuspectRecord> reports_; // to be written, by fingerprint
     std::map<std::string, std::int64_t> suspectVersions_; // row versions, by fingerprint
-    std::uint64_t randomState_;
     TimePoint dueAt_{}; // next round
     bool isUnderWay_ = false;
 };
--- /dev/null
+++ b/packages/gateway/quota_share.cpp
@@ -0,0 +1,99 @@
+#include "gateway/quota_share.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace foxtailturn::gateway {
+
+namespace {
+
+double secondsOf(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+double QuotaShare::rate() const
+{
+    return static_cast<double>(quota_.rate_) * static_cast<double>(units_)
+        / static_cast<double>(kTotalUnits);
+}
+
+double QuotaShare::capacity() const
+{
+    return static_cast<double>(quota_.burst_) * static_cast<double>(units_)
+        / static_cast<double>(kTotalUnits);
+}
+
+void QuotaShare::refill(TimePoint now)
+{
+    level_ = std::min(capacity(), level_ + rate() * secondsOf(now - refilledAt_));
+    refilledAt_ = now;
+}
+
+void QuotaShare::setQuota(const TokenQuota &quota, TimePoint now)
+{
+    refill(now);
+    quota_ = quota;
+    refill(now);
+}
+
+void QuotaShare::setUnits(std::int64_t units, TimePoint now)
+{
+    refill(now);
+    units_ = units;
+    refill(now);
+}
+
+double QuotaShare::neededLevel(std::int64_t charge) const
+{
+    // Charges up to the tolerance need the same level. If small ones were taken at a lower level
+    // than large ones, a workspace over its rate would have its large requests starved.
+    return std::max(std::min(static_cast<double>(charge) - tolerance_, capacity()), 0.0);
+}
+
+bool QuotaShare::take(std::int64_t charge, TimePoint now)
+{
+    refill(now);
+    if (units_ == 0 || level_ < neededLevel(charge))
+        return false;
+    level_ -= static_cast<double>(charge);
+    return true;
+}
+
+void QuotaShare::giveBack(std::int64_t charge, TimePoint now)
+{
+    refill(now);
+    level_ = std::min(capacity(), level_ + static_cast<double>(charge));
+}
+
+std::optional<TimePoint> QuotaShare::availableAt(std::int64_t charge, TimePoint now)
+{
+    refill(now);
+    if (rate() <= 0)
+        return std::nullopt;
+    const double missing = neededLevel(charge) - level_;
+    const std::chrono::duration<double> wait(std::max(missing, 0.0) / rate());
+    return now + std::chrono::ceil<Duration>(wait);
+}
+
+void QuotaShare::decay(TimePoint now)
+{
+    demand_ *= std::exp(-secondsOf(now - measuredAt_) / secondsOf(kDemandWindow));
+    measuredAt_ = now;
+}
+
+void QuotaShare::count(std::int64_t charge, TimePoint now)
+{
+    decay(now);
+    demand_ += static_cast<double>(charge) / secondsOf(kDemandWindow);
+}
+
+double QuotaShare::demand(TimePoint now)
+{
+    decay(now);
+    return demand_;
+}
+
+} // namespace foxtailturn::gateway
--- a/packages/gateway/quota_shares.cpp
+++ b/packages/gateway/quota_shares.cpp
@@ -1,7 +1,6 @@
 #include "gateway/quota_shares.h"
 
 #include <algorithm>
-#include <cmath>
 
 #include "base/hash.h"
 #include "base/json.h"
@@ -25,11 +24,6 @@
     return std::max(kLeastChange, units * kLeastChangePercent / 100);
 }
 
-double secondsOf(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 std::int64_t integerOf(const Json &json, const char *name)
 {
     const auto it = json.find(name);
@@ -38,88 +32,6 @@
 
 } // namespace
 
-double QuotaShare::rate() const
-{
-    return static_cast<double>(quota_.rate_) * static_cast<double>(units_)
-        / static_cast<double>(QuotaShares::kTotalUnits);
-}
-
-double QuotaShare::capacity() const
-{
-    return static_cast<double>(quota_.burst_) * static_cast<double>(units_)
-        / static_cast<double>(QuotaShares::kTotalUnits);
-}
-
-void QuotaShare::refill(TimePoint now)
-{
-    level_ = std::min(capacity(), level_ + rate() * secondsOf(now - refilledAt_));
-    refilledAt_ = now;
-}
-
-void QuotaShare::setQuota(const TokenQuota &quota, TimePoint now)
-{
-    refill(now);
-    quota_ = quota;
-    refill(now);
-}
-
-void QuotaShare::setUnits(std::int64_t units, TimePoint now)
-{
-    refill(now);
-    units_ = units;
-    refill(now);
-}
-
-double QuotaShare::neededLevel(std::int64_t charge) const
-{
-    // Charges up to the tolerance need the same level. If small ones were taken at a lower level
-    // than large ones, a workspace over its rate would have its large requests starved.
-    return std::max(std::min(static_cast<double>(charge) - tolerance_, capacity()), 0.0);
-}
-
-bool QuotaShare::take(std::int64_t charge, TimePoint now)
-{
-    refill(now);
-    if (units_ == 0 || level_ < neededLevel(charge))
-        return false;
-    level_ -= static_cast<double>(charge);
-    return true;
-}
-
-void QuotaShare::giveBack(std::int64_t charge, TimePoint now)
-{
-    refill(now);
-    level_ = std::min(capacity(), level_ + static_cast<double>(charge));
-}
-
-std::optional<TimePoint> QuotaShare::availableAt(std::int64_t charge, TimePoint now)
-{
-    refill(now);
-    if (rate() <= 0)
-        return std::nullopt;
-    const double missing = neededLevel(charge) - level_;
-    const std::chrono::duration<double> wait(std::max(missing, 0.0) / rate());
-    return now + std::chrono::ceil<Duration>(wait);
-}
-
-void QuotaShare::decay(TimePoint now)
-{
-    demand_ *= std::exp(-secondsOf(now - measuredAt_) / secondsOf(kDemandWindow));
-    measuredAt_ = now;
-}
-
-void QuotaShare::count(std::int64_t charge, TimePoint now)
-{
-    decay(now);
-    demand_ += static_cast<double>(charge) / secondsOf(kDemandWindow);
-}
-
-double QuotaShare::demand(TimePoint now)
-{
-    decay(now);
-    return demand_;
-}
-
 QuotaShares::QuotaShares(std::string holder, const Clock &clock, std::int64_t tolerance)
     : holder_(std::move(holder))
     , clock_(clock)
--- a/packages/gateway/serving_metrics.cpp
+++ b/packages/gateway/serving_metrics.cpp
@@ -1,5 +1,7 @@
 #include "gateway/serving_metrics.h"
 
+#include <algorithm>
+
 namespace foxtailturn::gateway {
 
 namespace {
--- a/packages/gateway/target_book.cpp
+++ b/packages/gateway/target_book.cpp
@@ -1,6 +1,7 @@
 #include "gateway/target_book.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace foxtailturn::gateway {
 
