gateway: the pause between reads and the use of vanished records fit into the drain notice

Ruled out: a lost or slow call of the store (no line store_lost within 3 s before). Change: both times follow from the notice: a quarter of it for the pause, and use for what is left but 250 ms (2,000 ms: 500 and 1,250).

--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -9,9 +9,6 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kTick = milliseconds(250);
-// Records of targets change with each heartbeat; collecting them saves calls. A third of the time
-// within which a draining target must be known leaves room for a failed call.
-constexpr int kPausesPerDrainNotice = 3;
 constexpr Duration kOperatorPause = milliseconds(100);
 // Without units an entry still reports ready after this time: other workspaces can be served.
 constexpr Duration kUnitsPatience = std::chrono::seconds(4);
@@ -40,6 +37,7 @@
                {.name_ = settings.name_ + "@" + settings.ip_,
                 .dataCentre_ = settings.dataCentre_,
                 .retryPercent_ = settings.retryPercent_,
+                .unlistedUse_ = targetTimesFor(settings.drainNotice_).unlistedUse_,
                 .quotaTolerance_ = settings.quotaTolerance_})
     , callers_(gateway_)
     , admin_(context)
@@ -47,7 +45,7 @@
                      [this](const std::vector<StoreRow> &rows, bool) { onOperatorRows(rows); })
     , targetWatch_(
           store_, log_,
-          {.table_ = codec.targetTable(), .pause_ = settings.drainNotice_ / kPausesPerDrainNotice},
+          {.table_ = codec.targetTable(), .pause_ = targetTimesFor(settings.drainNotice_).pause_},
           [this](const std::vector<StoreRow> &rows, bool isSnapshot) {
               onTargetRows(rows, isSnapshot);
           })
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -36,6 +36,7 @@
 Gateway::Gateway(const GatewayParts &parts, const EntryIdentity &identity)
     : parts_(parts)
     , identity_(identity)
+    , book_(identity.unlistedUse_)
     , pool_(parts.context_, parts.codec_, parts.clock_)
     , shares_(identity.name_, parts.clock_, identity.quotaTolerance_)
     , budget_(parts.clock_, {.percent_ = identity.retryPercent_, .floor_ = identity.retryFloor_})
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -39,6 +39,7 @@
     std::string dataCentre_;
     int retryPercent_ = 15; // attempts beyond the first per 100 requests of a service
     int retryFloor_ = 3; // that are allowed in each window besides
+    Duration unlistedUse_{}; // see TargetTimes
     std::int64_t quotaTolerance_ = 0; // tokens; see QuotaShares
 };
 
--- a/packages/gateway/node_settings.cpp
+++ b/packages/gateway/node_settings.cpp
@@ -11,7 +11,8 @@
 
 constexpr int kLastPort = 65'535;
 constexpr std::int64_t kMostGraceSeconds = 3600;
-constexpr std::int64_t kLeastDrainNotice = 300; // milliseconds; each third is one call of the store
+constexpr std::int64_t kLeastDrainNotice =
+    300; // milliseconds; each quarter is one call of the store
 constexpr std::int64_t kMostDrainNotice = 60'000; // milliseconds
 
 tl::unexpected<Error> invalid(std::string message)
@@ -55,7 +56,7 @@
     settings.stopGrace_ = std::chrono::seconds(
         object.integer("stop_grace_s", {.min_ = 0, .max_ = kMostGraceSeconds}, 8));
     settings.drainNotice_ = std::chrono::milliseconds(object.integer(
-        "drain_notice_ms", {.min_ = kLeastDrainNotice, .max_ = kMostDrainNotice}, 1500));
+        "drain_notice_ms", {.min_ = kLeastDrainNotice, .max_ = kMostDrainNotice}, 2000));
     settings.quotaTolerance_ = object.integer("quota_tolerance", {.min_ = 0}, 0);
     constexpr int kAll = 100;
     settings.retryPercent_ =
--- a/packages/gateway/node_settings.h
+++ b/packages/gateway/node_settings.h
@@ -28,7 +28,7 @@
     std::string storeAddress_;
     Duration stopGrace_ = std::chrono::seconds(8); // from SIGTERM to SIGKILL
     // From the store's knowledge that a target drains to the last request that may reach it.
-    Duration drainNotice_ = std::chrono::milliseconds(1500);
+    Duration drainNotice_ = std::chrono::milliseconds(2000);
     std::int64_t quotaTolerance_ = 0; // tokens by which a workspace may exceed its quota
     int retryPercent_ = 15; // attempts beyond the first per 100 requests of a service
 
--- a/packages/gateway/placement_test.cpp
+++ b/packages/gateway/placement_test.cpp
@@ -38,7 +38,7 @@
     Target &at(int index) { return *book_.find("e" + std::to_string(index)); }
     std::vector<Target *> list() { return book_.ofService("s", kStart); }
 
-    TargetBook book_;
+    TargetBook book_{milliseconds(1500)};
 };
 
 PlacementRequest requestFor(std::string adapter)
@@ -187,7 +187,7 @@
 // Guards against all requests at one plain service while others idle.
 TEST_CASE("plain services: the smallest part of busy slots, the own data centre first")
 {
-    TargetBook book;
+    TargetBook book(milliseconds(1500));
     for (const std::string name : {"a", "b"}) {
         TargetRecord record;
         record.instance_ = name;
--- a/packages/gateway/target_book.cpp
+++ b/packages/gateway/target_book.cpp
@@ -53,6 +53,15 @@
     return adapter.empty() ? model : model + "/" + adapter;
 }
 
+TargetTimes targetTimesFor(Duration drainNotice)
+{
+    constexpr int kPauses = 4; // in the notice; half a second of two
+    // A call of the store and the way of a request that was placed just before.
+    constexpr Duration kMargin = std::chrono::milliseconds(250);
+    const Duration pause = drainNotice / kPauses;
+    return {pause, std::max(drainNotice - pause - kMargin, Duration::zero())};
+}
+
 std::optional<std::int64_t> Target::versionOf(const std::string &model,
                                               const std::string &adapter) const
 {
@@ -136,7 +145,7 @@
     if (it == targets_.end() || it->second->usableUntil_ != TimePoint::max())
         return;
     const bool wasDraining = it->second->record_.phase_ == TargetPhase::Draining;
-    it->second->usableUntil_ = wasDraining ? now : now + kUnlistedUse;
+    it->second->usableUntil_ = wasDraining ? now : now + unlistedUse_;
 }
 
 void TargetBook::keepOnly(const std::vector<std::string> &instances, TimePoint now)
--- a/packages/gateway/target_book.h
+++ b/packages/gateway/target_book.h
@@ -63,14 +63,31 @@
     std::set<std::string> names_; // models and adapters that have come, gone or begun to load
 };
 
-// Not thread-safe. Pointers to targets stay valid until sweep().
-class TargetBook
+// How targets' records are followed.
+struct TargetTimes
 {
-public:
+    // Between two calls of the store. Records change with each heartbeat; collecting them saves
+    // calls.
+    Duration pause_{};
     // A target whose record vanished without a notice may still be served for this time: the store
     // drops records of live targets during its own outages, and they come back about two seconds
     // later.
-    static constexpr Duration kUnlistedUse = std::chrono::milliseconds(1500);
+    Duration unlistedUse_{};
+
+    bool operator==(const TargetTimes &) const = default;
+};
+
+// Returns times by which no request reaches a leaving target later than drainNotice after the store
+// has its notice, or has dropped its record. Thread-safe.
+[[nodiscard]] TargetTimes targetTimesFor(Duration drainNotice);
+
+// Not thread-safe. Pointers to targets stay valid until sweep().
+class TargetBook
+{
+public:
+    explicit TargetBook(Duration unlistedUse)
+        : unlistedUse_(unlistedUse)
+    { }
 
     // Adds or updates a target. Returns whether anything but its adapters changed.
     bool list(const TargetRecord &record, TimePoint now);
@@ -107,6 +124,7 @@
 private:
     void findNewest(const std::string &address);
 
+    Duration unlistedUse_;
     std::map<std::string, std::unique_ptr<Target>> targets_; // by instance
 };
 
--- a/packages/gateway/target_book_test.cpp
+++ b/packages/gateway/target_book_test.cpp
@@ -26,6 +26,7 @@
     return report;
 }
 
+constexpr Duration kUse = milliseconds(1250);
 const TimePoint kStart = TimePoint(std::chrono::hours(1));
 
 } // namespace
@@ -33,7 +34,7 @@
 // Guards against a restarted engine that is believed to hold what it held before.
 TEST_CASE("a restart under the same id voids what was known")
 {
-    TargetBook book;
+    TargetBook book(kUse);
     book.list(record("i", 1), kStart);
     REQUIRE(book.report("10.0.0.1:80", reportOf(1), kStart).target_ != nullptr);
     CHECK(book.find("i")->versionOf("m", "a1") == 3);
@@ -49,7 +50,7 @@
 // when the store dropped their records during its own outage.
 TEST_CASE("leaving targets are out at once, vanished ones after a time")
 {
-    TargetBook book;
+    TargetBook book(kUse);
     book.list(record("calm"), kStart);
     TargetRecord leaving = record("leaving");
     book.list(leaving, kStart);
@@ -58,8 +59,8 @@
     CHECK(book.ofService("s", kStart).size() == 1);
     book.unlist("calm", kStart);
     book.unlist("leaving", kStart);
-    CHECK(book.ofService("s", kStart + TargetBook::kUnlistedUse - milliseconds(1)).size() == 1);
-    CHECK(book.ofService("s", kStart + TargetBook::kUnlistedUse).empty());
+    CHECK(book.ofService("s", kStart + kUse - milliseconds(1)).size() == 1);
+    CHECK(book.ofService("s", kStart + kUse).empty());
     book.list(record("calm"), kStart + milliseconds(2000));
     CHECK(book.ofService("s", kStart + milliseconds(2000)).size() == 1);
 }
@@ -67,7 +68,7 @@
 // Guards against a target that stays in use although a full read of the table lacks it.
 TEST_CASE("keepOnly unlists the others")
 {
-    TargetBook book;
+    TargetBook book(kUse);
     book.list(record("a"), kStart);
     book.list(record("b"), kStart);
     book.keepOnly({"b"}, kStart);
@@ -81,7 +82,7 @@
 // Guards against a failed target that is avoided for ever, or not at all.
 TEST_CASE("suspicion grows with failures in a row and ends with a success")
 {
-    TargetBook book;
+    TargetBook book(kUse);
     book.list(record("a"), kStart);
     Target &target = *book.find("a");
     book.failed(target, kStart);
@@ -98,7 +99,7 @@
 // Guards against a request that is sent for an adapter while it is being replaced.
 TEST_CASE("an adapter that is loading is not there")
 {
-    TargetBook book;
+    TargetBook book(kUse);
     book.list(record("a"), kStart);
     EngineReport report = reportOf(1);
     report.loading_ = {"m/a1"};
@@ -111,7 +112,7 @@
 // of all VMs, 177 requests were refused because each engine was listed twice (incident af1d).
 TEST_CASE("of two records with one address the one born last counts")
 {
-    TargetBook book;
+    TargetBook book(kUse);
     book.list(record("old", 1), kStart);
     book.report("10.0.0.1:80", reportOf(1), kStart);
     book.list(record("new", 2), kStart);
@@ -125,7 +126,7 @@
 // first.
 TEST_CASE("a report of a later incarnation takes the earlier one out")
 {
-    TargetBook book;
+    TargetBook book(kUse);
     book.list(record("old", 1), kStart);
     CHECK(book.report("10.0.0.1:80", reportOf(2), kStart).target_ == nullptr);
     CHECK(book.ofService("s", kStart).empty());
@@ -139,7 +140,7 @@
 // work for all of them with each report of loads.
 TEST_CASE("a report tells which adapters have changed")
 {
-    TargetBook book;
+    TargetBook book(kUse);
     book.list(record("i-1"), kStart);
     const auto changes = [&book](std::map<std::string, std::int64_t> adapters,
                                  std::vector<std::string> loading, int running) {
@@ -159,4 +160,19 @@
     CHECK(changes({{"a1", 2}}, {}, 7) == Names{"m/a3"}); // it failed there
 }
 
+// Guards against requests that reach a target later than its notice allows: the pause between two
+// reads of the records and the use of a vanished one add up.
+TEST_CASE("reading and use of vanished records fit into the notice of a leaving target")
+{
+    for (const int notice : {0, 300, 1'000, 2'000, 3'000, 60'000}) {
+        CAPTURE(notice);
+        const TargetTimes times = targetTimesFor(milliseconds(notice));
+        CHECK(times.unlistedUse_ >= Duration::zero());
+        const Duration latest = times.pause_ + times.unlistedUse_ + milliseconds(100);
+        CHECK((latest < milliseconds(notice) || times.unlistedUse_ == Duration::zero()));
+    }
+    CHECK(targetTimesFor(milliseconds(2'000))
+          == TargetTimes{milliseconds(500), milliseconds(1'250)});
+}
+
 } // namespace foxtailturn::gateway
