--- a/packages/gateway/line_server_test.cpp
+++ b/packages/gateway/line_server_test.cpp
@@ -33,12 +33,22 @@
     tcp::socket connect()
     {
         tcp::socket socket(context_);
-        socket.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), kPort));
+        socket.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), port_));
         return socket;
     }
 
-    static constexpr unsigned short kPort = 47'613;
+    // A port that was free a moment ago.
+    static unsigned short freePort(asio::io_context &context)
+    {
+        const tcp::acceptor acceptor(context,
+                                     tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        return acceptor.local_endpoint().port();
+    }
+
+    [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
+
     asio::io_context context_;
+    unsigned short port_ = freePort(context_);
     LineServer server_{context_};
     std::vector<std::string> lines_;
     int joined_ = 0;
@@ -50,7 +60,7 @@
 TEST_CASE("lines come and go, peers join and leave")
 {
     Fixture f;
-    REQUIRE(f.server_.listen("127.0.0.1:" + std::to_string(Fixture::kPort)));
+    REQUIRE(f.server_.listen(f.address()));
     CHECK_FALSE(f.server_.listen("no address"));
     tcp::socket peer = f.connect();
     asio::write(peer, asio::buffer(std::string("one\ntw")));
@@ -72,7 +82,7 @@
 TEST_CASE("peers that misbehave are dropped")
 {
     Fixture f;
-    REQUIRE(f.server_.listen("127.0.0.1:" + std::to_string(Fixture::kPort)));
+    REQUIRE(f.server_.listen(f.address()));
     tcp::socket endless = f.connect();
     CHECK(f.runUntil([&] { return f.joined_ == 1; }));
     endless.non_blocking(true);
