gateway: a keeper without a connection is not asked

After the keeper was killed, the other entry read a row with the keeper's last write for the first time, took it for a sign of life and asked again over a link without a connection; each request waited 200 ms, and nothing marked the keeper as silent again. Ruled out: load of the machine, 27 of the 40 requests waited the grant's time exactly as the mechanism says. Change: after each read a keeper counts as answering only if its link is connected. Test: quota_peers_test, failing before.

--- a/packages/gateway/quota_peers.cpp
+++ b/packages/gateway/quota_peers.cpp
@@ -54,8 +54,11 @@
 void QuotaPeers::sync()
 {
     const std::set<std::string> keepers = shares_.keepers();
-    for (const std::string &keeper : keepers)
+    for (const std::string &keeper : keepers) {
         connect(keeper);
+        // A row that was read late may show a write of a keeper that is gone since.
+        shares_.noteKeeper(keeper, links_[keeper]->isConnected());
+    }
     std::erase_if(links_, [&keepers](const auto &entry) {
         if (keepers.contains(entry.first))
             return false;
