build: the platform's program does not compile the clients of the product's own platform interface

Cause: packages/storage/http_transport.cpp includes httplib.h. The library `storage` held the HTTP clients beside the interfaces, and the program for the users' platform, which needs the interfaces alone (QuarantineRows), compiled all of it. libcpp-httplib-dev is not in `packages`.

Evidence: on a machine with only the listed packages installed, without recommended ones, revision fails in this one step: 'http_transport.cpp:5:10: fatal error: httplib.h: No such file or directory'. testing/build_packages.py maps each file that `build` reads, links or executes to its package (strace, copy without tests, unprivileged user).

Ruled out: a second missing package. With the change, the same machine, still without cpp-httplib, brotli or any package beyond the list, builds all steps, and the list names none of the three.

Why it works: packages/http_storage holds the clients, with their tests; the platform's build does not enter that folder.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 	'platform/*.h' 'platform/*.cpp' ':!platform/fuzz/*' \
 	':!packages/wire/generated')
 
-.PHONY: all install-deps configure check demo format format-check fuzz lint proto spec
+.PHONY: all build-packages install-deps configure check demo format format-check fuzz lint proto spec
 
 all: configure
 	cmake --build $(BUILD)
@@ -39,6 +39,10 @@
 lint: configure
 	tools/lint.sh $(BUILD) $(SOURCES)
 
+# Checks that the build of the deploy file uses no system package that the file does not list.
+build-packages: install-deps
+	python3 -B testing/build_packages.py
+
 # Regenerates the committed protobuf and gRPC code.
 proto:
 	tools/generate-proto.sh
--- a/packages/ctl/main.cpp
+++ b/packages/ctl/main.cpp
@@ -8,7 +8,7 @@
 #include "base/log.h"
 #include "base/wall_clock.h"
 #include "ctl/command.h"
-#include "storage/http_platform.h"
+#include "http_storage/http_platform.h"
 
 DEFINE_string(platform, "", "IP:port of the platform's services");
 DEFINE_string(admin, "", "IP:port of the admin HTTP of processes, separated by commas");
--- a/packages/daemon/node.h
+++ b/packages/daemon/node.h
@@ -22,13 +22,13 @@
 #include "config/config_follower.h"
 #include "daemon/admin_server.h"
 #include "daemon/settings.h"
+#include "http_storage/http_platform.h"
 #include "lease/lease_holder.h"
 #include "lease/witness_log.h"
 #include "peer/announcer.h"
 #include "peer/lease_controller.h"
 #include "peer/peer_directory.h"
 #include "peer/peer_server.h"
-#include "storage/http_platform.h"
 
 namespace grpc {
 class Server;
--- a/packages/storage/http_platform.cpp
+++ b/packages/http_storage/http_platform.cpp
@@ -1,10 +1,10 @@
-#include "storage/http_platform.h"
+#include "http_storage/http_platform.h"
 
 #include <charconv>
 
 #include "base/json.h"
 #include "base/log.h"
-#include "storage/http_transport.h"
+#include "http_storage/http_transport.h"
 
 namespace foxtailturn {
 
--- a/packages/storage/http_platform_test.cpp
+++ b/packages/http_storage/http_platform_test.cpp
@@ -1,8 +1,8 @@
-#include "storage/http_platform.h"
+#include "http_storage/http_platform.h"
 
 #include <doctest/doctest.h>
 
-#include "storage/http_transport.h"
+#include "http_storage/http_transport.h"
 #include "stub_lib/platform_stub.h"
 
 namespace foxtailturn {
--- a/packages/storage/http_transport.cpp
+++ b/packages/http_storage/http_transport.cpp
@@ -1,11 +1,11 @@
-#include "storage/http_transport.h"
+#include "http_storage/http_transport.h"
 
 #include <algorithm>
 
 #include <httplib.h>
 
 #include "base/log.h"
-#include "storage/http_platform.h"
+#include "http_storage/http_platform.h"
 
 namespace foxtailturn {
 
--- a/testing/stub_lib/engine_stub.cpp
+++ b/testing/stub_lib/engine_stub.cpp
@@ -6,7 +6,7 @@
 #include <unistd.h>
 
 #include "base/log.h"
-#include "storage/http_transport.h"
+#include "http_storage/http_transport.h"
 
 namespace foxtailturn {
 
