build: ccache is named by make configure instead of looked for

testing/build_packages.py reports /usr/bin/ccache and libhiredis0.14 for the platform's build: it took the tool wherever a machine had it, so two machines did not build alike, and a stale cache could hide a missing header.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 	.ci/run --install-only
 
 configure: install-deps
-	cmake -S . -B $(BUILD) -G Ninja
+	cmake -S . -B $(BUILD) -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache
 
 check: all spec fuzz
 	ctest --test-dir $(BUILD) --output-on-failure --no-tests=error -j 4
