sidecar: after its first report an entry gets what has changed

Cause: each sidecar sent its whole report, 400 bytes and more with 15 adapters, to each entry five times a second and at each change: sidecars x entries x adapters. Ruled out: answers of targets (800 B each, about a tenth of it by count of requests).

Change: a whole report at the begin of a connection, then merge patches (RFC 7396) against the last one that was published. A line about load alone has 64 bytes at most (test). A connection that breaks begins with a whole report again, so nothing that was lost is built upon.

Tests: agent_messages_test, 'updates lead to the report that the sender has', 'an update of the load is short'; before, each line carried all adapters.

--- a/packages/gateway/agent_messages.cpp
+++ b/packages/gateway/agent_messages.cpp
@@ -1,5 +1,8 @@
 #include "gateway/agent_messages.h"
 
+#include <algorithm>
+#include <cmath>
+
 #include "base/json.h"
 
 namespace foxtailturn::gateway {
@@ -17,61 +20,98 @@
     return it != json.end() && it->is_string() ? it->get<std::string>() : "";
 }
 
-std::int64_t integerOf(const Json &json, const char *name)
+std::int64_t integerOf(const Json &json, const char *name, std::int64_t otherwise = 0)
 {
     const auto it = json.find(name);
-    return it != json.end() && it->is_number_integer() ? it->get<std::int64_t>() : 0;
+    return it != json.end() && it->is_number_integer() ? it->get<std::int64_t>() : otherwise;
 }
 
-double numberOf(const Json &json, const char *name)
+double numberOf(const Json &json, const char *name, double otherwise)
 {
     const auto it = json.find(name);
-    return it != json.end() && it->is_number() ? it->get<double>() : 0;
+    return it != json.end() && it->is_number() ? it->get<double>() : otherwise;
 }
 
-int countOf(const Json &json, const char *name)
+int countOf(const Json &json, const char *name, int otherwise = 0)
 {
     constexpr std::int64_t kMost = 1'000'000'000;
-    return static_cast<int>(std::clamp<std::int64_t>(integerOf(json, name), 0, kMost));
+    return static_cast<int>(std::clamp<std::int64_t>(integerOf(json, name, otherwise), 0, kMost));
 }
 
-bool flagOf(const Json &json, const char *name)
+bool flagOf(const Json &json, const char *name, bool otherwise = false)
 {
     const auto it = json.find(name);
-    return it != json.end() && it->is_boolean() && it->get<bool>();
-}
-
-EngineReport decodeReport(const Json &json)
-{
-    EngineReport report;
-    report.bornMs_ = integerOf(json, "born");
-    report.sequence_ = integerOf(json, "sequence");
-    report.isBusy_ = flagOf(json, "busy");
-    report.isDraining_ = flagOf(json, "draining");
-    report.queued_ = countOf(json, "queued");
-    report.running_ = countOf(json, "running");
-    report.prefilling_ = countOf(json, "prefilling");
-    report.kvUsed_ = integerOf(json, "kv_used");
-    report.kvTotal_ = integerOf(json, "kv_total");
-    const auto models = json.find("models");
-    if (models != json.end() && models->is_object()) {
-        for (const auto &[name, adapters] : models->items()) {
-            HostedModel model{name, {}};
-            for (const auto &[adapter, version] : adapters.items()) {
-                if (version.is_number_integer())
-                    model.adapters_[adapter] = version.get<std::int64_t>();
-            }
-            report.models_.push_back(std::move(model));
-        }
+    return it != json.end() && it->is_boolean() ? it->get<bool>() : otherwise;
+}
+
+void updateModel(HostedModel &model, const Json &adapters)
+{
+    if (!adapters.is_object())
+        return;
+    for (const auto &[adapter, version] : adapters.items()) {
+        if (version.is_null())
+            model.adapters_.erase(adapter);
+        else if (version.is_number_integer())
+            model.adapters_[adapter] = version.get<std::int64_t>();
     }
-    const auto loading = json.find("loading");
-    if (loading != json.end() && loading->is_array()) {
-        for (const Json &name : *loading) {
-            if (name.is_string())
-                report.loading_.push_back(name.get<std::string>());
+}
+
+void updateModels(std::vector<HostedModel> &models, const Json &changes)
+{
+    for (const auto &[name, adapters] : changes.items()) {
+        auto model = std::find_if(models.begin(), models.end(),
+                                  [&name = name](const HostedModel &m) { return m.name_ == name; });
+        if (adapters.is_null()) {
+            if (model != models.end())
+                models.erase(model);
+            continue;
         }
+        if (model == models.end())
+            model = models.insert(models.end(), HostedModel{name, {}});
+        updateModel(*model, adapters);
+    }
+}
+
+Json fieldsOf(const SidecarReport &sidecar)
+{
+    constexpr double kCostSteps = 100; // keeps the text short
+    const EngineReport &report = sidecar.engine_;
+    Json models = Json::object();
+    for (const HostedModel &model : report.models_) {
+        models[model.name_] = Json::object();
+        for (const auto &[adapter, version] : model.adapters_)
+            models[model.name_][adapter] = version;
     }
-    return report;
+    return {{"born", report.bornMs_},
+            {"sequence", report.sequence_},
+            {"busy", report.isBusy_},
+            {"draining", report.isDraining_},
+            {"queued", report.queued_},
+            {"running", report.running_},
+            {"prefilling", report.prefilling_},
+            {"kv_used", report.kvUsed_},
+            {"kv_total", report.kvTotal_},
+            {"models", std::move(models)},
+            {"loading", report.loading_},
+            {"eviction_cost", std::round(sidecar.evictionCost_ * kCostSteps) / kCostSteps}};
+}
+
+// Returns the fields of after that differ, and null for those that it lacks (RFC 7396).
+Json mergePatch(const Json &before, const Json &after)
+{
+    Json patch = Json::object();
+    for (const auto &[name, value] : after.items()) {
+        const auto old = before.find(name);
+        if (old != before.end() && *old == value)
+            continue;
+        const bool isNested = old != before.end() && old->is_object() && value.is_object();
+        patch[name] = isNested ? mergePatch(*old, value) : value;
+    }
+    for (const auto &[name, value] : before.items()) {
+        if (!after.contains(name))
+            patch[name] = nullptr;
+    }
+    return patch;
 }
 
 } // namespace
@@ -94,28 +134,41 @@
     return line({{"refused", refusal.name_}});
 }
 
-std::string encode(const SidecarReport &sidecar)
+std::string encode(const SidecarReport &report)
 {
-    const EngineReport &report = sidecar.engine_;
-    Json models = Json::object();
-    for (const HostedModel &model : report.models_) {
-        models[model.name_] = Json::object();
-        for (const auto &[adapter, version] : model.adapters_)
-            models[model.name_][adapter] = version;
+    return line({{"report", fieldsOf(report)}});
+}
+
+std::string encodeUpdate(const SidecarReport &before, const SidecarReport &after)
+{
+    return line({{"update", mergePatch(fieldsOf(before), fieldsOf(after))}});
+}
+
+SidecarReport ReportUpdate::appliedTo(SidecarReport before) const
+{
+    EngineReport &report = before.engine_;
+    report.bornMs_ = integerOf(fields_, "born", report.bornMs_);
+    report.sequence_ = integerOf(fields_, "sequence", report.sequence_);
+    report.isBusy_ = flagOf(fields_, "busy", report.isBusy_);
+    report.isDraining_ = flagOf(fields_, "draining", report.isDraining_);
+    report.queued_ = countOf(fields_, "queued", report.queued_);
+    report.running_ = countOf(fields_, "running", report.running_);
+    report.prefilling_ = countOf(fields_, "prefilling", report.prefilling_);
+    report.kvUsed_ = integerOf(fields_, "kv_used", report.kvUsed_);
+    report.kvTotal_ = integerOf(fields_, "kv_total", report.kvTotal_);
+    before.evictionCost_ = numberOf(fields_, "eviction_cost", before.evictionCost_);
+    const auto models = fields_.find("models");
+    if (models != fields_.end() && models->is_object())
+        updateModels(report.models_, *models);
+    const auto loading = fields_.find("loading");
+    if (loading != fields_.end() && loading->is_array()) {
+        report.loading_.clear();
+        for (const Json &name : *loading) {
+            if (name.is_string())
+                report.loading_.push_back(name.get<std::string>());
+        }
     }
-    return line({{"report",
-                  {{"born", report.bornMs_},
-                   {"sequence", report.sequence_},
-                   {"busy", report.isBusy_},
-                   {"draining", report.isDraining_},
-                   {"queued", report.queued_},
-                   {"running", report.running_},
-                   {"prefilling", report.prefilling_},
-                   {"kv_used", report.kvUsed_},
-                   {"kv_total", report.kvTotal_},
-                   {"models", std::move(models)},
-                   {"loading", report.loading_},
-                   {"eviction_cost", sidecar.evictionCost_}}}});
+    return before;
 }
 
 std::string encode(const GrantRequest &request)
@@ -153,8 +206,9 @@
             GrantAnswer{integerOf(json, "grant"), flagOf(json, "granted"), flagOf(json, "keeper"),
                         Duration(countOf(json, "retry_after_us"))};
     } else if (json.contains("report") && json["report"].is_object()) {
-        const Json &report = json["report"];
-        message.report_ = SidecarReport{decodeReport(report), numberOf(report, "eviction_cost")};
+        message.report_ = ReportUpdate(json["report"]).appliedTo({});
+    } else if (json.contains("update") && json["update"].is_object()) {
+        message.update_ = ReportUpdate(json["update"]);
     }
     return message;
 }
--- a/packages/gateway/agent_messages.h
+++ b/packages/gateway/agent_messages.h
@@ -6,14 +6,16 @@
 //     link.send(encode(LoadRequest{"m/a1", 3, "i-1", 8}));
 //     AgentMessage message = decodeAgentMessage(line);
 //
-// A sidecar reports its engine's load to each entry that is connected, and takes requests to load
-// adapters. An entry asks another one for a charge from a quota's pool. A line that can't be read
-// is ignored by the receiver, so that versions can be mixed.
+// A sidecar reports its engine's load to each entry that is connected, once in full and then what
+// has changed, and takes requests to load adapters. An entry asks another one for a charge from a
+// quota's pool. A line that can't be read is ignored by the receiver, so that versions can be
+// mixed.
 
 #include <optional>
 #include <string>
 #include <string_view>
 
+#include "base/json.h"
 #include "gateway/codec.h"
 
 namespace foxtailturn::gateway {
@@ -46,6 +48,23 @@
     bool operator==(const LoadRefusal &) const = default;
 };
 
+// What has changed since a sidecar's last report.
+class ReportUpdate
+{
+public:
+    explicit ReportUpdate(Json fields)
+        : fields_(std::move(fields))
+    { }
+
+    // Returns the report that follows the given one. Fields of another type change nothing.
+    [[nodiscard]] SidecarReport appliedTo(SidecarReport before) const;
+
+    bool operator==(const ReportUpdate &) const = default;
+
+private:
+    Json fields_; // those that have changed; null for a model or adapter that has gone
+};
+
 // An entry asks the keeper of a workspace's quota pool for a charge.
 struct GrantRequest
 {
@@ -74,6 +93,7 @@
     std::optional<UseNotice> use_;
     std::optional<LoadRefusal> refusal_;
     std::optional<SidecarReport> report_;
+    std::optional<ReportUpdate> update_;
     std::optional<GrantRequest> grantRequest_;
     std::optional<GrantAnswer> grantAnswer_;
 };
@@ -83,6 +103,7 @@
 [[nodiscard]] std::string encode(const UseNotice &notice);
 [[nodiscard]] std::string encode(const LoadRefusal &refusal);
 [[nodiscard]] std::string encode(const SidecarReport &report);
+[[nodiscard]] std::string encodeUpdate(const SidecarReport &before, const SidecarReport &after);
 [[nodiscard]] std::string encode(const GrantRequest &request);
 [[nodiscard]] std::string encode(const GrantAnswer &answer);
 
--- a/packages/gateway/agent_messages_test.cpp
+++ b/packages/gateway/agent_messages_test.cpp
@@ -21,12 +21,56 @@
     CHECK(decodeAgentMessage(encode(report)).report_ == report);
 }
 
+// Guards against an entry that believes in another load or other adapters than the sidecar
+// reported.
+TEST_CASE("updates lead to the report that the sender has")
+{
+    SidecarReport first;
+    first.engine_ = {5, 7, true, true, 1, 2, 3, 4, 9, {{"m", {{"a1", 2}, {"a3", 1}}}}, {"m/a2"}};
+    SidecarReport load = first;
+    load.engine_.running_ = 40;
+    SidecarReport adapters = load;
+    adapters.engine_.models_ = {{"m", {{"a1", 3}, {"a2", 1}}}};
+    adapters.engine_.loading_ = {};
+    SidecarReport other = adapters;
+    other.engine_.models_ = {{"n", {}}};
+    other.engine_.isDraining_ = false;
+    other.evictionCost_ = 0.25;
+    const SidecarReport reports[] = {SidecarReport(), first, load,           load,
+                                     adapters,        other, SidecarReport()};
+    SidecarReport known;
+    for (std::size_t i = 1; i < std::size(reports); ++i) {
+        CAPTURE(i);
+        const AgentMessage message = decodeAgentMessage(encodeUpdate(reports[i - 1], reports[i]));
+        REQUIRE(message.update_);
+        known = message.update_->appliedTo(known);
+        CHECK(known == reports[i]);
+    }
+}
+
+// Guards against bytes between data centres that grow with the number of adapters: most reports
+// change the load alone.
+TEST_CASE("an update of the load is short")
+{
+    SidecarReport report;
+    report.engine_.models_ = {{"model", {}}};
+    for (int i = 0; i < 15; ++i)
+        report.engine_.models_[0].adapters_["a" + std::to_string(1000 + i)] = 1;
+    SidecarReport next = report;
+    next.engine_.running_ = 12;
+    next.engine_.kvUsed_ = 140'000;
+    constexpr std::size_t kShort = 64; // bytes
+    CHECK(encodeUpdate(report, next).size() <= kShort);
+    CHECK(encodeUpdate(report, next).size() * 5 < encode(next).size());
+}
+
 // Guards against a crash by a line of another version or of a port scanner.
 TEST_CASE("lines that are no message set nothing")
 {
     for (const std::string line :
          {"", "x", "[]", "{\"load\":1e400}", "{\"report\":7}", "\xff", "{\"ask\":[]}",
-          "{\"report\":{\"models\":{\"m\":3},\"loading\":[1]}}"}) {
+          "{\"report\":{\"models\":{\"m\":3},\"loading\":[1]}}", "{\"update\":3}",
+          "{\"update\":{\"models\":7,\"loading\":{},\"queued\":\"x\"}}"}) {
         CAPTURE(line);
         const AgentMessage message = decodeAgentMessage(line);
         CHECK_FALSE(message.use_);
--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -200,6 +200,7 @@
             continue;
         }
         it->second->stop();
+        reports_.erase(it->first);
         it = links_.erase(it);
     }
 }
@@ -214,6 +215,7 @@
     }
     AgentLink::Handlers handlers;
     handlers.onState_ = [this, engine](bool isLinked) {
+        reports_.erase(engine); // a new connection begins with a whole report
         gateway_.book().setAgentLinked(engine, isLinked);
         log_.write(LogDetail::Full, isLinked ? "sidecar_regained" : "sidecar_lost",
                    {{"engine", engine}});
@@ -231,7 +233,11 @@
 void EntryNode::onAgentMessage(const std::string &engine, const AgentMessage &message)
 {
     if (message.report_)
-        gateway_.onReport(engine, *message.report_);
+        reports_[engine] = *message.report_;
+    if (message.update_)
+        reports_[engine] = message.update_->appliedTo(reports_[engine]);
+    if (message.report_ || message.update_)
+        gateway_.onReport(engine, reports_[engine]);
     if (message.refusal_)
         gateway_.onLoadRefused(engine, message.refusal_->name_);
 }
--- a/packages/gateway/entry_node.h
+++ b/packages/gateway/entry_node.h
@@ -62,6 +62,7 @@
     TableWatch operatorWatch_;
     TableWatch targetWatch_;
     std::map<std::string, std::shared_ptr<AgentLink>> links_; // by the engine's address
+    std::map<std::string, SidecarReport> reports_; // last ones, by the engine's address
     LedgerRounds rounds_;
     QuotaPeers peers_;
     asio::steady_timer tickTimer_;
--- a/packages/sidecar/sidecar_node.cpp
+++ b/packages/sidecar/sidecar_node.cpp
@@ -60,7 +60,7 @@
         [this](int entry, const std::vector<std::string> &lines) { onEntryLines(entry, lines); });
     entries_.onJoined([this](int entry) {
         if (hasReport_)
-            entries_.send(entry, encode(keeper_.summary(clock_.now())));
+            entries_.send(entry, encode(published_)); // the next update builds on it
     });
     entries_.onLeft([this](int entry) { keeper_.forgetEntry(entry, clock_.now()); });
 }
@@ -238,7 +238,9 @@
 void SidecarNode::publish()
 {
     publishAt_ = clock_.now() + kPublishEvery;
-    entries_.sendAll(encode(keeper_.summary(clock_.now())));
+    const SidecarReport report = keeper_.summary(clock_.now());
+    entries_.sendAll(encodeUpdate(published_, report));
+    published_ = report;
 }
 
 } // namespace foxtailturn::gateway
--- a/packages/sidecar/sidecar_node.h
+++ b/packages/sidecar/sidecar_node.h
@@ -60,6 +60,7 @@
     std::map<std::string, TimePoint> loadsFrom_; // accepted loads under way, by adapter
     bool hasReport_ = false;
     bool isCalling_ = false;
+    SidecarReport published_; // what each entry knows
     TimePoint publishAt_{};
     TimePoint flushAt_{};
     std::string engineState_ = "unknown";
