gateway: targets' records are read less often where the drain notice allows it

Part of them: each of 68 entries asked for targets' records once a second, a quarter of the notice of 4 s, and heartbeats always answer.

Cause: the pause was a quarter of any notice. What is left after it serves a target whose record has vanished, which needs about two seconds, until the store has it back. Change: a longer notice gives the rest to the pause (1.6 s of 4 s); with 2 s and 3 s nothing changes. The test of the sum of pause, use and way (target_book_test) stays; the new case failed before (1,000 ms).

--- a/packages/gateway/target_book.cpp
+++ b/packages/gateway/target_book.cpp
@@ -58,7 +58,10 @@
     constexpr int kPauses = 4; // in the notice; half a second of two
     // A call of the store and the way of a request that was placed just before.
     constexpr Duration kMargin = std::chrono::milliseconds(250);
-    const Duration pause = drainNotice / kPauses;
+    // A longer notice leaves records of live targets time to come back; the rest saves calls.
+    constexpr Duration kEnoughUnlistedUse = std::chrono::milliseconds(2150);
+    const Duration pause =
+        std::max(drainNotice / kPauses, drainNotice - kMargin - kEnoughUnlistedUse);
     return {pause, std::max(drainNotice - pause - kMargin, Duration::zero())};
 }
 
--- a/packages/gateway/target_book_test.cpp
+++ b/packages/gateway/target_book_test.cpp
@@ -173,6 +173,9 @@
     }
     CHECK(targetTimesFor(milliseconds(2'000))
           == TargetTimes{milliseconds(500), milliseconds(1'250)});
+    // Guards against more calls of the store than needed, one a second from each of 68 entries.
+    CHECK(targetTimesFor(milliseconds(4'000))
+          == TargetTimes{milliseconds(1'600), milliseconds(2'150)});
 }
 
 } // namespace foxtailturn::gateway
