gateway: quota shares of many entries: a sign of life of its own, and a larger pool

Cause - With 68 entries a share is 0.7 % of a rate. A request of 9,300 tokens fits into none, and the pool had half of the rate whatever the number of entries. - A share counted as renewed by a conditional write of each workspace's row.

Change - The pool has 1 - 3/N of the units beyond 6 entries, 90 % at most; the row holds its units, so the sum of all stays whole. Shares of many entries take no charge that leaves a debt beyond their tolerance: 68 debts of one large request each would exceed the quota. - Each entry writes a row of its own without a condition. It counts once the rows were read after the acknowledgement; units are reclaimed only on condition that the silent entry's row is unchanged, and that row goes with them. - The first conflict is answered from the rows that the store sends with it; later pauses double.

Longer pauses alone do not help the slow VMs: a read and a write of 16 rows with 29 entries take them longer than the others' pauses.

--- a/packages/gateway/codec.h
+++ b/packages/gateway/codec.h
@@ -124,6 +124,7 @@
 {
     std::vector<StoreRow> expected_; // table, part, key and version
     std::vector<StoreRow> puts_; // table, part, key and value
+    std::vector<StoreRow> removes_; // table, part and key
 
     bool operator==(const StoreWrite &) const = default;
 };
--- a/packages/gateway/ledger_rounds.cpp
+++ b/packages/gateway/ledger_rounds.cpp
@@ -18,8 +18,8 @@
 // A share that is not written in time can't be spent from.
 constexpr Duration kLongestRound = QuotaShares::kWriteEvery;
 constexpr Duration kHasteRound = milliseconds(300); // a keeper was lost; it may have released
-constexpr Duration kConflictRound = milliseconds(10); // another entry wrote in between
-constexpr Duration kConflictSpread = milliseconds(8); // for each entry that may write
+constexpr Duration kConflictStep = milliseconds(8); // about the time from a read to its write
+constexpr int kMostDoublings = 6; // half a second
 // The rows grow with the entries and so do conflicts: twice as many entries, half as many rounds of
 // each, so that the whole fleet's work stays in bounds.
 constexpr int kEntriesPerRound = 8;
@@ -38,6 +38,13 @@
     return std::min(scaled, need.keepsPool_ ? kKeeperRound : kLongestRound);
 }
 
+Duration pauseAfterConflict(int conflicts)
+{
+    if (conflicts <= 1)
+        return Duration::zero();
+    return kConflictStep * (1 << std::min(conflicts - 1, kMostDoublings));
+}
+
 LedgerRounds::LedgerRounds(StoreClient &store, EventLog &log, QuotaShares &shares,
                            Quarantine &quarantine, std::function<double()> jitter)
     : store_(store)
@@ -138,7 +145,7 @@
                 [this, write](const StoreAnswer &answer) { onWritten(write, answer); });
 }
 
-void LedgerRounds::onWritten(const StoreWrite &write, const StoreAnswer &answer)
+void LedgerRounds::onWritten(const StoreWrite &written, const StoreAnswer &answer)
 {
     isUnderWay_ = false;
     // Any answer but success and "not answered" promises that nothing was written.
@@ -148,7 +155,7 @@
     shares_.settle(outcome);
     const StoreRows rows = store_.codec().decodeRows(answer.body_).value_or(StoreRows());
     if (outcome == WriteOutcome::Applied) {
-        for (const StoreRow &row : write.puts_) {
+        for (const StoreRow &row : written.puts_) {
             if (row.key_.starts_with(kSuspectPrefix))
                 suspectVersions_[row.key_.substr(std::string_view(kSuspectPrefix).size())] =
                     rows.version_;
@@ -158,13 +165,31 @@
         log_.write(LogDetail::Full, "fleet_write_failed", {{"status", answer.status_}});
     }
     if (answer.status_ != kConflict) {
-        schedule(nextPause());
+        conflicts_ = 0;
+        schedule(shares_.needsRead() ? Duration::zero() : nextPause());
         return;
     }
+    ++conflicts_;
     takeSuspects(rows.rows_);
-    const auto spread =
-        std::chrono::duration_cast<Duration>(kConflictSpread * shares_.entryCount() * jitter_());
-    schedule(kConflictRound + spread);
+    if (conflicts_ == 1 && !rows.rows_.empty()) {
+        replaceRows(rows);
+        write();
+        return;
+    }
+    schedule(std::chrono::duration_cast<Duration>(pauseAfterConflict(conflicts_) * jitter_()));
+}
+
+void LedgerRounds::replaceRows(const StoreRows &fresh)
+{
+    for (const StoreRow &row : fresh.rows_) {
+        const auto known =
+            std::find_if(rows_.rows_.begin(), rows_.rows_.end(),
+                         [&row](const StoreRow &other) { return other.key_ == row.key_; });
+        if (known == rows_.rows_.end())
+            rows_.rows_.push_back(row);
+        else
+            *known = row;
+    }
 }
 
 void LedgerRounds::takeSuspects(const std::vector<StoreRow> &rows)
--- a/packages/gateway/ledger_rounds.h
+++ b/packages/gateway/ledger_rounds.h
@@ -34,6 +34,11 @@
 // Returns the pause before the next round, before it is spread. Thread-safe.
 [[nodiscard]] Duration pauseBeforeRound(const RoundNeed &need);
 
+// Returns the longest pause before a round that follows this many conflicts in a row; its actual
+// length is drawn between zero and this. The first conflict is answered at once, from the rows that
+// the store sends with it. Thread-safe.
+[[nodiscard]] Duration pauseAfterConflict(int conflicts);
+
 // Not thread-safe. Handlers run from the loop.
 class LedgerRounds
 {
@@ -65,7 +70,8 @@
     void read();
     void onRows(const StoreAnswer &answer);
     void write();
-    void onWritten(const StoreWrite &write, const StoreAnswer &answer);
+    void onWritten(const StoreWrite &written, const StoreAnswer &answer);
+    void replaceRows(const StoreRows &fresh);
     void takeSuspects(const std::vector<StoreRow> &rows);
     [[nodiscard]] Duration nextPause();
 
@@ -80,6 +86,7 @@
     std::map<std::string, SuspectRecord> reports_; // to be written, by fingerprint
     std::map<std::string, std::int64_t> suspectVersions_; // row versions, by fingerprint
     TimePoint dueAt_{}; // next round
+    int conflicts_ = 0; // in a row
     bool isUnderWay_ = false;
 };
 
--- a/packages/gateway/ledger_rounds_test.cpp
+++ b/packages/gateway/ledger_rounds_test.cpp
@@ -34,4 +34,16 @@
     CHECK(2 * slowest < QuotaShares::kPoolSpendFor); // one round may fail
 }
 
+// Guards against entries that keep on meeting in the store, and against one that waits long
+// although few others write.
+TEST_CASE("the pause after conflicts")
+{
+    using std::chrono::milliseconds;
+    CHECK(pauseAfterConflict(1) == Duration::zero());
+    CHECK(pauseAfterConflict(2) == milliseconds(16));
+    CHECK(pauseAfterConflict(4) == milliseconds(64));
+    CHECK(pauseAfterConflict(100) == pauseAfterConflict(7));
+    CHECK(pauseAfterConflict(100) > milliseconds(400)); // 68 entries that start together
+}
+
 } // namespace foxtailturn::gateway
--- a/packages/gateway/quota_share.cpp
+++ b/packages/gateway/quota_share.cpp
@@ -50,7 +50,8 @@
 {
     // Charges up to the tolerance need the same level. If small ones were taken at a lower level
     // than large ones, a workspace over its rate would have its large requests starved.
-    return std::max(std::min(static_cast<double>(charge) - tolerance_, capacity()), 0.0);
+    const double needed = static_cast<double>(charge) - tolerance_;
+    return std::max(hasOverdraft_ ? std::min(needed, capacity()) : needed, 0.0);
 }
 
 bool QuotaShare::take(std::int64_t charge, TimePoint now)
@@ -71,7 +72,7 @@
 std::optional<TimePoint> QuotaShare::availableAt(std::int64_t charge, TimePoint now)
 {
     refill(now);
-    if (rate() <= 0)
+    if (rate() <= 0 || neededLevel(charge) > capacity())
         return std::nullopt;
     const double missing = neededLevel(charge) - level_;
     const std::chrono::duration<double> wait(std::max(missing, 0.0) / rate());
--- a/packages/gateway/quota_share.h
+++ b/packages/gateway/quota_share.h
@@ -36,17 +36,21 @@
     // Sets the tokens by which the level may fall below zero. A debt is paid from the refill, so
     // the rate holds over time; it lets a small share serve two large requests in a row.
     void setTolerance(std::int64_t tokens) { tolerance_ = static_cast<double>(tokens); }
+
+    // Sets whether a charge above level and tolerance is taken at a full level.
+    void setOverdraft(bool isAllowed) { hasOverdraft_ = isAllowed; }
+
     [[nodiscard]] std::int64_t units() const { return units_; }
 
     // Takes the charge if level and tolerance hold it, and never while there is a debt. A charge
-    // above both needs a full level and leaves a larger debt: a small share must not refuse a large
-    // request for good.
+    // above both needs a full level and leaves a larger debt, where that is allowed: a small share
+    // must not refuse a large request for good.
     [[nodiscard]] bool take(std::int64_t charge, TimePoint now);
 
     // Gives back a charge whose request certainly did not run.
     void giveBack(std::int64_t charge, TimePoint now);
 
-    // Returns when take() can succeed; nullopt when the share has no units.
+    // Returns when take() can succeed; nullopt when the share has no units or never holds as much.
     [[nodiscard]] std::optional<TimePoint> availableAt(std::int64_t charge, TimePoint now);
 
     // Counts a charge that was asked for, admitted or not.
@@ -65,6 +69,7 @@
     TokenQuota quota_;
     std::int64_t units_ = 0;
     double tolerance_ = 0; // tokens
+    bool hasOverdraft_ = true;
     double level_ = 0; // tokens; negative is a debt
     TimePoint refilledAt_;
     double demand_ = 0; // tokens per second
--- a/packages/gateway/quota_shares.cpp
+++ b/packages/gateway/quota_shares.cpp
@@ -1,6 +1,7 @@
 #include "gateway/quota_shares.h"
 
 #include <algorithm>
+#include <numeric>
 
 #include "base/hash.h"
 #include "base/json.h"
@@ -10,18 +11,26 @@
 namespace {
 
 constexpr const char *kRowPrefix = "quota/";
+constexpr const char *kSignPrefix = "alive/"; // of an entry's own row
 constexpr double kHeadroom = 1.25; // units asked for, as a multiple of the demand
 constexpr double kFloorShare = 0.15; // of an equal part, kept by an entry without demand
-// Smaller changes are not worth a write: a part of the entry's own units, or of all.
+// Smaller changes are not worth a write: a part of the entry's own units, or of an equal share.
 constexpr std::int64_t kLeastChangePercent = 15;
-constexpr std::int64_t kLeastChange = QuotaShares::kTotalUnits / 200;
+constexpr std::int64_t kLeastChangeOfEqual = 4; // a quarter
+constexpr std::int64_t kMostLeastChange = QuotaShares::kTotalUnits / 200;
+constexpr double kLeastOwnPart = 0.1; // of all units, for the entries together
+// Of the entries' part, while the pool is large: leaves room for an entry that joins.
+constexpr double kAssignedPart = 0.9;
 
 // Half of the tolerance stays for races and refills; pool and entries have a quarter each.
 constexpr std::int64_t kToleranceParts = 4;
 
-std::int64_t leastChange(std::int64_t units)
+std::int64_t leastChange(std::int64_t units, std::size_t entries)
 {
-    return std::max(kLeastChange, units * kLeastChangePercent / 100);
+    const std::int64_t own = QuotaShares::kTotalUnits - QuotaShares::poolUnitsFor(entries);
+    const std::int64_t equal = own / static_cast<std::int64_t>(entries);
+    return std::max(std::min(kMostLeastChange, equal / kLeastChangeOfEqual),
+                    units * kLeastChangePercent / 100);
 }
 
 std::int64_t integerOf(const Json &json, const char *name)
@@ -134,6 +143,28 @@
                        [this](const auto &entry) { return entry.second.keeper_ == holder_; });
 }
 
+std::int64_t QuotaShares::sumOf(const Holders &holders)
+{
+    return std::accumulate(
+        holders.begin(), holders.end(), std::int64_t{0},
+        [](std::int64_t sum, const auto &holder) { return sum + holder.second.units_; });
+}
+
+std::int64_t QuotaShares::poolUnitsFor(std::size_t entries)
+{
+    const double own = static_cast<double>(kFewEntries) / 2 / static_cast<double>(entries);
+    const auto pool = static_cast<std::int64_t>((1 - std::max(own, kLeastOwnPart))
+                                                * static_cast<double>(kTotalUnits));
+    return std::max(pool, kPoolUnits);
+}
+
+std::int64_t QuotaShares::poolUnitsOf(const std::string &workspace) const
+{
+    const auto it = ledgers_.find(workspace);
+    const bool isKept = it != ledgers_.end() && clock_.now() < it->second.poolUntil_;
+    return isKept ? it->second.pool_.units() : 0;
+}
+
 int QuotaShares::rankOf(const std::string &workspace, const Row &row) const
 {
     // Rendezvous hashing: all entries agree on the order, and pools spread over them.
@@ -159,7 +190,7 @@
     if (isReleasing_) {
         const bool isMine = pool.keeper_ == holder_;
         ledger.poolUntil_ = TimePoint{};
-        pool = isMine ? Pool{"", pool.beat_ + 1} : pool;
+        pool = isMine ? Pool{"", pool.beat_ + 1, pool.units_} : pool;
         return isMine;
     }
     if (pool.keeper_ != holder_) {
@@ -177,6 +208,11 @@
     }
     pool.keeper_ = holder_;
     ++pool.beat_;
+    const std::int64_t room = std::max<std::int64_t>(kTotalUnits - sumOf(row.holders_), 0);
+    pool.units_ = std::min(poolUnitsFor(row.holders_.size()), room);
+    ledger.plannedPool_ = pool.units_;
+    // Units that shrink are given up at once, as those of a share.
+    ledger.pool_.setUnits(std::min(ledger.pool_.units(), pool.units_), now);
     return true;
 }
 
@@ -189,21 +225,22 @@
     const auto holders = json.find("holders");
     if (holders != json.end() && holders->is_object()) {
         for (const auto &[name, entry] : holders->items()) {
-            // [units, demand, beat]: short, since each row holds all entries.
-            const bool isEntry = entry.is_array() && entry.size() == 3
+            // [units, demand]: short, since each row holds all entries.
+            const bool isEntry = entry.is_array() && entry.size() == 2
                 && std::all_of(entry.begin(), entry.end(),
                                [](const Json &field) { return field.is_number_integer(); });
             if (isEntry)
                 row.holders_[name] =
                     Entry{std::clamp<std::int64_t>(entry[0].get<std::int64_t>(), 0, kTotalUnits),
-                          entry[1].get<std::int64_t>(), entry[2].get<std::int64_t>()};
+                          entry[1].get<std::int64_t>()};
         }
     }
     const auto pool = json.find("pool");
     if (pool != json.end() && pool->is_object()) {
         const auto keeper = pool->find("keeper");
         if (keeper != pool->end() && keeper->is_string())
-            row.pool_ = Pool{keeper->get<std::string>(), integerOf(*pool, "beat")};
+            row.pool_ = Pool{keeper->get<std::string>(), integerOf(*pool, "beat"),
+                             std::clamp<std::int64_t>(integerOf(*pool, "units"), 0, kTotalUnits)};
     }
     return row;
 }
@@ -212,32 +249,58 @@
 {
     Json holders = Json::object();
     for (const auto &[name, entry] : row.holders_)
-        holders[name] = Json::array({entry.units_, entry.demand_, entry.beat_});
-    const Json json = {{"holders", std::move(holders)},
-                       {"pool", {{"keeper", row.pool_.keeper_}, {"beat", row.pool_.beat_}}}};
+        holders[name] = Json::array({entry.units_, entry.demand_});
+    const Json json = {
+        {"holders", std::move(holders)},
+        {"pool",
+         {{"keeper", row.pool_.keeper_}, {"beat", row.pool_.beat_}, {"units", row.pool_.units_}}}};
     return json.dump();
 }
 
-void QuotaShares::dropSilent(Ledger &ledger, Holders &holders) const
+void QuotaShares::readSigns(const StoreRows &rows)
 {
     const TimePoint now = clock_.now();
+    const std::string_view prefix = kSignPrefix;
+    std::map<std::string, std::int64_t> versions;
+    for (const StoreRow &row : rows.rows_) {
+        if (row.key_.starts_with(prefix))
+            versions[row.key_.substr(prefix.size())] = row.version_;
+    }
+    std::erase_if(signs_, [now](const auto &sign) {
+        return sign.second.beat_ == 0 && now - sign.second.since_ >= 2 * kReclaimAfter;
+    });
+    for (const auto &[name, seen] : signs_)
+        versions.try_emplace(name, 0);
+    for (const auto &[name, version] : versions) {
+        Seen &seen = signs_[name];
+        if (seen.since_ == TimePoint{} || seen.beat_ != version)
+            seen = Seen{version, now};
+    }
+}
+
+bool QuotaShares::dropSilent(Holders &holders, std::set<std::string> &dropped) const
+{
+    const TimePoint now = clock_.now();
+    const std::size_t before = holders.size();
     std::erase_if(holders, [&](const auto &item) {
-        const auto &[name, entry] = item;
-        if (name == holder_)
-            return false;
-        Seen &seen = ledger.seen_[name];
-        if (seen.since_ == TimePoint{} || seen.beat_ != entry.beat_)
-            seen = Seen{entry.beat_, now};
-        return now - seen.since_ >= kReclaimAfter;
+        const auto seen = signs_.find(item.first);
+        const bool isSilent = item.first != holder_ && seen != signs_.end()
+            && now - seen->second.since_ >= kReclaimAfter;
+        if (isSilent)
+            dropped.insert(item.first);
+        return isSilent;
     });
+    return holders.size() < before;
 }
 
 std::int64_t QuotaShares::wantedUnits(Ledger &ledger, const Holders &holders) const
 {
     // The entries' part of the rate; the rest is the pool's.
-    constexpr std::int64_t kOwnUnits = kTotalUnits - kPoolUnits;
-    const double rate = static_cast<double>(ledger.quota_.rate_) * static_cast<double>(kOwnUnits)
-        / static_cast<double>(kTotalUnits);
+    const std::int64_t pool = poolUnitsFor(holders.size());
+    const double assigned = pool > kPoolUnits ? kAssignedPart : 1;
+    const double ownUnits = static_cast<double>(kTotalUnits - pool) * assigned;
+    const double rate =
+        static_cast<double>(ledger.quota_.rate_) * ownUnits / static_cast<double>(kTotalUnits);
     const auto count = static_cast<double>(holders.size());
     const double floor = kFloorShare * rate / count;
     const auto weight = [floor](double demand) { return std::max(kHeadroom * demand, floor); };
@@ -248,16 +311,23 @@
             sum += weight(static_cast<double>(entry.demand_));
     }
     const double part = sum <= rate ? (own + (rate - sum) / count) / rate : own / sum;
-    return static_cast<std::int64_t>(part * static_cast<double>(kOwnUnits));
+    return static_cast<std::int64_t>(part * ownUnits);
 }
 
-std::optional<QuotaShares::Row>
-QuotaShares::planLedger(Ledger &ledger, const std::string &workspace, Row row, std::int64_t version)
+std::optional<QuotaShares::Row> QuotaShares::planLedger(Ledger &ledger,
+                                                        const std::string &workspace, Row row,
+                                                        std::int64_t version,
+                                                        std::set<std::string> &dropped)
 {
     Holders &holders = row.holders_;
     const TimePoint now = clock_.now();
-    dropSilent(ledger, holders);
+    for (const auto &[name, entry] : holders)
+        signs_.try_emplace(name, Seen{0, now}); // one without a row of its own
+    const bool isDropping = dropSilent(holders, dropped);
+    const bool isNew = !holders.contains(holder_);
     Entry &own = holders[holder_];
+    if (!isNew)
+        ledger.spendUntil_ = signSentAt_ + kSpendFor;
     const bool isUnresolved = version <= ledger.unresolvedVersion_;
     if (isUnresolved) {
         // The unanswered write may still lower the row's units, so the smaller value counts.
@@ -266,30 +336,30 @@
         ledger.unresolvedVersion_ = -1;
         ledger.share_.setUnits(own.units_, now);
     }
-    ledger.share_.setTolerance(tolerance_ / kToleranceParts
-                               / static_cast<std::int64_t>(holders.size()));
+    const auto entries = static_cast<std::int64_t>(holders.size());
+    ledger.share_.setTolerance(tolerance_ / kToleranceParts / entries);
+    // Many shares that each go into debt for one large request exceed the quota together.
+    ledger.share_.setOverdraft(entries <= kFewEntries);
     const std::int64_t wanted = wantedUnits(ledger, holders);
-    std::int64_t others = 0;
-    for (const auto &[name, entry] : holders)
-        others += name == holder_ ? 0 : entry.units_;
-    const std::int64_t units =
-        std::min(wanted, std::max<std::int64_t>(kTotalUnits - kPoolUnits - others, 0));
-    ledger.entries_ = static_cast<int>(holders.size());
-    ledger.isShort_ = units + leastChange(wanted) < wanted;
-    const bool isNew = own.beat_ == 0;
-    const bool isChange = isNew || std::abs(units - own.units_) > leastChange(wanted)
-        || (units < own.units_ && others + own.units_ > kTotalUnits - kPoolUnits);
+    const std::int64_t least = leastChange(wanted, holders.size());
+    const std::int64_t others = sumOf(holders) - own.units_;
+    const std::int64_t ofEntries = kTotalUnits - std::max(row.pool_.units_, kPoolUnits);
+    const std::int64_t units = std::min(wanted, std::max<std::int64_t>(ofEntries - others, 0));
+    ledger.entries_ = static_cast<int>(entries);
+    ledger.isShort_ = units + least < wanted;
+    const bool isChange = isNew || std::abs(units - own.units_) > least
+        || (units < own.units_ && others + own.units_ > ofEntries);
+    own.units_ = isChange ? units : own.units_;
     const auto demand = static_cast<std::int64_t>(ledger.share_.demand(now));
     // Others give up units only when they see the demand.
     const bool isDemandNews =
         ledger.isShort_ && std::abs(demand - own.demand_) > std::max(own.demand_, demand) / 4;
     ledger.isPoolPlanned_ = planPool(ledger, workspace, row);
-    const bool isDue = isChange || isDemandNews || isUnresolved || ledger.isPoolPlanned_;
-    if (!isDue && now < ledger.writeAt_)
+    const bool isDue =
+        isChange || isDemandNews || isUnresolved || isDropping || ledger.isPoolPlanned_;
+    if (!isDue)
         return std::nullopt;
-    own.units_ = isChange ? units : own.units_;
     own.demand_ = demand;
-    ++own.beat_;
     ledger.share_.setUnits(std::min(ledger.share_.units(), own.units_), now);
     ledger.planned_ = own.units_;
     ledger.plannedVersion_ = version;
@@ -298,8 +368,32 @@
 
 std::optional<StoreWrite> QuotaShares::plan(const StoreRows &rows)
 {
-    sentAt_ = clock_.now();
+    const TimePoint now = clock_.now();
+    sentAt_ = now;
+    isSignAcknowledged_ = false;
+    readSigns(rows);
+    StoreWrite write = now >= signAt_ && !isReleasing_ ? planSign() : planLedgers(rows);
+    if (write.puts_.empty())
+        return std::nullopt;
+    return write;
+}
+
+StoreWrite QuotaShares::planSign()
+{
+    for (auto &[workspace, ledger] : ledgers_)
+        ledger.planned_ = -1;
+    isSignPlanned_ = true;
+    ++signCount_;
     StoreWrite write;
+    write.puts_.push_back(
+        {kFleetTable, kFleetPart, kSignPrefix + holder_, std::to_string(signCount_)});
+    return write;
+}
+
+StoreWrite QuotaShares::planLedgers(const StoreRows &rows)
+{
+    StoreWrite write;
+    std::set<std::string> dropped;
     for (auto &[workspace, ledger] : ledgers_) {
         ledger.planned_ = -1;
         if (ledger.quota_.rate_ == 0)
@@ -310,28 +404,37 @@
         const bool isThere = row != rows.rows_.end();
         const std::int64_t version = isThere ? row->version_ : 0;
         const std::optional<Row> next =
-            planLedger(ledger, workspace, isThere ? decode(row->value_) : Row(), version);
+            planLedger(ledger, workspace, isThere ? decode(row->value_) : Row(), version, dropped);
         if (!next)
             continue;
         write.expected_.push_back({kFleetTable, kFleetPart, key, "", version});
         write.puts_.push_back({kFleetTable, kFleetPart, key, encode(*next)});
     }
-    if (write.puts_.empty())
-        return std::nullopt;
+    for (const std::string &name : dropped) {
+        const std::int64_t version = signs_[name].beat_;
+        write.expected_.push_back({kFleetTable, kFleetPart, kSignPrefix + name, "", version});
+        if (version != 0)
+            write.removes_.push_back({kFleetTable, kFleetPart, kSignPrefix + name, ""});
+    }
     return write;
 }
 
 void QuotaShares::settle(WriteOutcome outcome)
 {
     const TimePoint now = clock_.now();
+    if (isSignPlanned_ && outcome == WriteOutcome::Applied) {
+        signSentAt_ = sentAt_;
+        signAt_ = sentAt_ + kWriteEvery;
+        isSignAcknowledged_ = true;
+    }
+    isSignPlanned_ = false;
     for (auto &[workspace, ledger] : ledgers_) {
         if (ledger.planned_ < 0)
             continue;
         if (outcome == WriteOutcome::Applied) {
             ledger.share_.setUnits(ledger.planned_, now);
             ledger.unresolvedVersion_ = -1;
-            ledger.spendUntil_ = sentAt_ + kSpendFor;
-            ledger.writeAt_ = sentAt_ + kWriteEvery;
+            ledger.spendUntil_ = signSentAt_ + kSpendFor;
             if (ledger.isPoolPlanned_ && !isReleasing_)
                 takePool(ledger);
         } else if (outcome == WriteOutcome::Unknown) {
@@ -349,8 +452,8 @@
         ledger.pool_ = QuotaShare(now);
         ledger.pool_.setQuota(ledger.quota_, now);
         ledger.pool_.setTolerance(tolerance_ / kToleranceParts);
-        ledger.pool_.setUnits(kPoolUnits, now);
     }
+    ledger.pool_.setUnits(ledger.plannedPool_, now);
     ledger.keeper_ = holder_;
     ledger.isKeeperSilent_ = false;
     ledger.poolUntil_ = sentAt_ + kPoolSpendFor;
--- a/packages/gateway/quota_shares.h
+++ b/packages/gateway/quota_shares.h
@@ -15,12 +15,17 @@
 //
 // A part of the units, the pool, is lent to one entry at a time, its keeper. An entry whose own
 // share is short asks the keeper for single charges, so that a clump of requests at one entry is
-// not refused while the workspace as a whole is within its rate. The row names the keeper; a keeper
-// that has not written for kPoolReclaim is replaced. The workspaces' pools are spread over the
-// entries.
+// not refused while the workspace as a whole is within its rate. The row names the keeper and its
+// units; a keeper that has not written for kPoolReclaim is replaced. The workspaces' pools are
+// spread over the entries. The more entries there are, the larger is the pool: a share of a
+// sixtieth holds no request of usual size.
 //
-// Units of an entry that has not written for kReclaimAfter are taken by the others. An entry that
-// could not write for kSpendFor spends nothing, so a frozen or cut off one never adds to them.
+// Each entry also has a row of its own, which it writes every kWriteEvery without a condition: a
+// sign of life that meets no other write, however many entries start at once. A sign counts once
+// the rows were read after its acknowledgement, with the entry's units still there. Units of an
+// entry without one for kReclaimAfter are taken by the others, on condition that its row is
+// unchanged. An entry without a sign that counts for kSpendFor spends nothing, so a frozen or cut
+// off one never adds to them.
 
 #include <map>
 #include <optional>
@@ -52,9 +57,13 @@
     // refusals after a VM was lost for good.
     static constexpr Duration kReclaimAfter = std::chrono::seconds(60);
     static constexpr Duration kSpendFor = std::chrono::seconds(50);
-    static constexpr Duration kWriteEvery = std::chrono::seconds(12); // at least
-    // Units of the pool. The entries' own part carries a workspace while its pool has no keeper.
+    static constexpr Duration kWriteEvery = std::chrono::seconds(12); // a sign of life
+    // Least units of the pool. The entries' own part carries a workspace while its pool has no
+    // keeper.
     static constexpr std::int64_t kPoolUnits = 500'000;
+    // Entries up to which the pool has kPoolUnits. Beyond, an entry's own share shrinks with the
+    // square of their number.
+    static constexpr std::int64_t kFewEntries = 6;
     // A keeper gives nothing this long after its last write, others take over after kPoolReclaim.
     // The difference covers a write and the answers under way. Stores were out of reach of some
     // entries for 8 to 12 s, while other entries still reached those.
@@ -101,16 +110,26 @@
     [[nodiscard]] bool keepsPool() const;
 
     // Works out the next write from the rows of kFleetTable/kFleetPart; nullopt if none is needed.
-    // Units that shrink are given up at once. Precondition: the last write was settled.
+    // Units that shrink are given up at once. Preconditions: the last write was settled; the rows
+    // were read after that, or were sent with its conflict.
     [[nodiscard]] std::optional<StoreWrite> plan(const StoreRows &rows);
 
     // Tells the outcome of the last planned write.
     void settle(WriteOutcome outcome);
 
+    // Returns whether a sign of life waits for the rows to be read.
+    [[nodiscard]] bool needsRead() const { return isSignAcknowledged_; }
+
     // Returns whether a round soon pays: a share is too small for its demand, or a pool has no
     // keeper that answers.
     [[nodiscard]] bool wantsRound();
 
+    // Returns the units that the pool should have with this many entries.
+    [[nodiscard]] static std::int64_t poolUnitsFor(std::size_t entries);
+
+    // Returns the units of the pool that this entry keeps; 0 for none.
+    [[nodiscard]] std::int64_t poolUnitsOf(const std::string &workspace) const;
+
     // Returns the largest number of entries that share a workspace, as of the last round.
     [[nodiscard]] int entryCount() const;
 
@@ -127,7 +146,6 @@
     {
         std::int64_t units_ = 0;
         std::int64_t demand_ = 0; // tokens per second
-        std::int64_t beat_ = 0; // changes with each write of the entry
     };
 
     using Holders = std::map<std::string, Entry>;
@@ -138,11 +156,15 @@
         TimePoint since_{};
     };
 
+    // Rows that others write to tell that they are alive: what is known of them.
+    using Signs = std::map<std::string, Seen>; // by entry; a beat is the version of its row
+
     // The entry that may give from the pool.
     struct Pool
     {
         std::string keeper_;
         std::int64_t beat_ = 0; // changes with each write of the keeper
+        std::int64_t units_ = 0; // stay the pool's while it has no keeper
     };
 
     // A row of the ledger.
@@ -161,10 +183,8 @@
 
         TokenQuota quota_;
         QuotaShare share_;
-        TimePoint spendUntil_{}; // by the last acknowledged write
-        TimePoint writeAt_{}; // next write that keeps the units alive
+        TimePoint spendUntil_{}; // by the last sign of life that counts
         std::int64_t unresolvedVersion_ = -1; // row version that an unanswered write expected
-        std::map<std::string, Seen> seen_; // other entries
         std::int64_t planned_ = -1; // units in the write under way; -1: not in it
         std::int64_t plannedVersion_ = 0;
         bool isShort_ = false; // wants more units than it has
@@ -173,25 +193,37 @@
         TimePoint poolUntil_{}; // this entry may give from the pool
         TimePoint poolWriteAt_{}; // next write that keeps the pool
         bool isPoolPlanned_ = false; // the write under way takes or keeps the pool
+        std::int64_t plannedPool_ = 0; // units of the pool in the write under way
         std::string keeper_; // as of the last row
         Seen keeperSeen_;
         bool isKeeperSilent_ = false;
     };
 
+    [[nodiscard]] static std::int64_t sumOf(const Holders &holders);
     static Row decode(const std::string &value);
     static std::string encode(const Row &row);
     [[nodiscard]] bool planPool(Ledger &ledger, const std::string &workspace, Row &row);
     void takePool(Ledger &ledger);
     [[nodiscard]] int rankOf(const std::string &workspace, const Row &row) const;
-    void dropSilent(Ledger &ledger, Holders &holders) const;
+    [[nodiscard]] bool dropSilent(Holders &holders, std::set<std::string> &dropped) const;
+    void readSigns(const StoreRows &rows);
+    [[nodiscard]] StoreWrite planSign();
+    [[nodiscard]] StoreWrite planLedgers(const StoreRows &rows);
     [[nodiscard]] std::int64_t wantedUnits(Ledger &ledger, const Holders &holders) const;
     [[nodiscard]] std::optional<Row> planLedger(Ledger &ledger, const std::string &workspace,
-                                                Row row, std::int64_t version);
+                                                Row row, std::int64_t version,
+                                                std::set<std::string> &dropped);
 
     std::string holder_;
     const Clock &clock_;
     std::int64_t tolerance_; // tokens, of all entries together
     std::map<std::string, Ledger> ledgers_; // by workspace
+    Signs signs_; // of all entries
+    std::int64_t signCount_ = 0;
+    bool isSignPlanned_ = false; // the write under way is a sign of life
+    bool isSignAcknowledged_ = false; // but the rows were not read since
+    TimePoint signSentAt_{}; // of the last acknowledged one
+    TimePoint signAt_{}; // next one
     bool isReleasing_ = false;
     TimePoint startedAt_;
     TimePoint sentAt_{}; // of the write under way
