gateway: no sign of life while no workspace has a quota

An entry wrote its own row each 12 s also where nothing is limited, and once before it knew a configuration: a priced call without use, and rows that nobody would remove. quota_shares_test, 'nothing is written while no workspace has a quota', failed before.

--- a/packages/gateway/quota_shares.cpp
+++ b/packages/gateway/quota_shares.cpp
@@ -372,12 +372,19 @@
     sentAt_ = now;
     isSignAcknowledged_ = false;
     readSigns(rows);
-    StoreWrite write = now >= signAt_ && !isReleasing_ ? planSign() : planLedgers(rows);
+    const bool isSignDue = now >= signAt_ && !isReleasing_ && hasQuota();
+    StoreWrite write = isSignDue ? planSign() : planLedgers(rows);
     if (write.puts_.empty())
         return std::nullopt;
     return write;
 }
 
+bool QuotaShares::hasQuota() const
+{
+    return std::any_of(ledgers_.begin(), ledgers_.end(),
+                       [](const auto &entry) { return entry.second.quota_.rate_ != 0; });
+}
+
 StoreWrite QuotaShares::planSign()
 {
     for (auto &[workspace, ledger] : ledgers_)
--- a/packages/gateway/quota_shares.h
+++ b/packages/gateway/quota_shares.h
@@ -207,6 +207,7 @@
     [[nodiscard]] int rankOf(const std::string &workspace, const Row &row) const;
     [[nodiscard]] bool dropSilent(Holders &holders, std::set<std::string> &dropped) const;
     void readSigns(const StoreRows &rows);
+    [[nodiscard]] bool hasQuota() const;
     [[nodiscard]] StoreWrite planSign();
     [[nodiscard]] StoreWrite planLedgers(const StoreRows &rows);
     [[nodiscard]] std::int64_t wantedUnits(Ledger &ledger, const Holders &holders) const;
--- a/packages/gateway/quota_shares_test.cpp
+++ b/packages/gateway/quota_shares_test.cpp
@@ -397,6 +397,19 @@
         CHECK(entry->canSpend());
 }
 
+// Guards against calls of the store that a deployment without quotas does not need.
+TEST_CASE("nothing is written while no workspace has a quota")
+{
+    ManualClock clock;
+    QuotaShares shares("e0", clock);
+    CHECK_FALSE(shares.plan(StoreRows()));
+    shares.configure(configOf(0, 0));
+    CHECK_FALSE(shares.plan(StoreRows()));
+    CHECK(shares.canSpend());
+    shares.configure(configOf());
+    CHECK(shares.plan(StoreRows()));
+}
+
 // Guards against units that are reclaimed from an entry which is alive again: it would spend them
 // beside the one that took them.
 TEST_CASE("units are reclaimed only if the silent entry's own row is unchanged")
