--- /dev/null
+++ b/packages/gateway/life_signs_test.cpp
@@ -0,0 +1,56 @@
+#include "gateway/life_signs.h"
+
+#include <doctest/doctest.h>
+
+namespace foxtailturn::gateway {
+
+namespace {
+
+using std::chrono::seconds;
+
+constexpr Duration kSilence = seconds(60);
+
+StoreRows rowsOf(const std::map<std::string, std::int64_t> &versions)
+{
+    StoreRows rows;
+    rows.rows_.push_back({"t", "p", "quota/w", "x", 99});
+    for (const auto &[entry, version] : versions)
+        rows.rows_.push_back({"t", "p", LifeSigns::keyOf(entry), "1", version});
+    return rows;
+}
+
+} // namespace
+
+// Guards against units that are taken from an entry that is alive.
+TEST_CASE("an entry is silent once its row has not changed for long enough")
+{
+    LifeSigns signs;
+    const TimePoint start = TimePoint{} + seconds(1000);
+    signs.read(rowsOf({{"e0", 5}, {"e1", 6}}), start);
+    signs.read(rowsOf({{"e0", 5}, {"e1", 7}}), start + seconds(30));
+    CHECK_FALSE(signs.isSilent("e0", kSilence, start + seconds(59)));
+    CHECK(signs.isSilent("e0", kSilence, start + seconds(60)));
+    CHECK_FALSE(signs.isSilent("e1", kSilence, start + seconds(89)));
+    CHECK(signs.isSilent("e1", kSilence, start + seconds(90)));
+    CHECK(signs.versionOf("e1") == 7);
+    signs.read(rowsOf({{"e0", 8}}), start + seconds(61));
+    CHECK_FALSE(signs.isSilent("e0", kSilence, start + seconds(62)));
+    CHECK(signs.versionOf("e1") == 0); // its row was removed
+}
+
+// Guards against an entry that never wrote a row and keeps its units for good.
+TEST_CASE("an entry without a row becomes silent, and is forgotten later")
+{
+    LifeSigns signs;
+    const TimePoint start = TimePoint{} + seconds(1000);
+    CHECK_FALSE(signs.isSilent("e0", kSilence, start));
+    signs.expect("e0", start);
+    signs.read(rowsOf({}), start + seconds(60));
+    signs.expect("e0", start + seconds(60));
+    CHECK(signs.isSilent("e0", kSilence, start + seconds(60)));
+    CHECK(signs.versionOf("e0") == 0);
+    signs.read(rowsOf({}), start + seconds(200));
+    CHECK_FALSE(signs.isSilent("e0", kSilence, start + seconds(200)));
+}
+
+} // namespace foxtailturn::gateway
--- a/packages/gateway/quota_shares.cpp
+++ b/packages/gateway/quota_shares.cpp
@@ -1,17 +1,14 @@
 #include "gateway/quota_shares.h"
 
 #include <algorithm>
-#include <numeric>
 
 #include "base/hash.h"
-#include "base/json.h"
 
 namespace foxtailturn::gateway {
 
 namespace {
 
 constexpr const char *kRowPrefix = "quota/";
-constexpr const char *kSignPrefix = "alive/"; // of an entry's own row
 constexpr double kHeadroom = 1.25; // units asked for, as a multiple of the demand
 constexpr double kFloorShare = 0.15; // of an equal part, kept by an entry without demand
 // Smaller changes are not worth a write: a part of the entry's own units, or of an equal share.
@@ -33,12 +30,6 @@
                     units * kLeastChangePercent / 100);
 }
 
-std::int64_t integerOf(const Json &json, const char *name)
-{
-    const auto it = json.find(name);
-    return it != json.end() && it->is_number_integer() ? it->get<std::int64_t>() : 0;
-}
-
 } // namespace
 
 QuotaShares::QuotaShares(std::string holder, const Clock &clock, std::int64_t tolerance)
@@ -143,13 +134,6 @@
                        [this](const auto &entry) { return entry.second.keeper_ == holder_; });
 }
 
-std::int64_t QuotaShares::sumOf(const Holders &holders)
-{
-    return std::accumulate(
-        holders.begin(), holders.end(), std::int64_t{0},
-        [](std::int64_t sum, const auto &holder) { return sum + holder.second.units_; });
-}
-
 std::int64_t QuotaShares::poolUnitsFor(std::size_t entries)
 {
     const double own = static_cast<double>(kFewEntries) / 2 / static_cast<double>(entries);
@@ -165,7 +149,7 @@
     return isKept ? it->second.pool_.units() : 0;
 }
 
-int QuotaShares::rankOf(const std::string &workspace, const Row &row) const
+int QuotaShares::rankOf(const std::string &workspace, const QuotaRow &row) const
 {
     // Rendezvous hashing: all entries agree on the order, and pools spread over them.
     const std::uint64_t seed = hash64(workspace);
@@ -176,10 +160,10 @@
         }));
 }
 
-bool QuotaShares::planPool(Ledger &ledger, const std::string &workspace, Row &row)
+bool QuotaShares::planPool(Ledger &ledger, const std::string &workspace, QuotaRow &row)
 {
     const TimePoint now = clock_.now();
-    Pool &pool = row.pool_;
+    QuotaPool &pool = row.pool_;
     const bool isNews = ledger.keeperSeen_.since_ == TimePoint{} || pool.keeper_ != ledger.keeper_
         || pool.beat_ != ledger.keeperSeen_.beat_;
     if (isNews) {
@@ -190,7 +174,7 @@
     if (isReleasing_) {
         const bool isMine = pool.keeper_ == holder_;
         ledger.poolUntil_ = TimePoint{};
-        pool = isMine ? Pool{"", pool.beat_ + 1, pool.units_} : pool;
+        pool = isMine ? QuotaPool{"", pool.beat_ + 1, pool.units_} : pool;
         return isMine;
     }
     if (pool.keeper_ != holder_) {
@@ -208,7 +192,7 @@
     }
     pool.keeper_ = holder_;
     ++pool.beat_;
-    const std::int64_t room = std::max<std::int64_t>(kTotalUnits - sumOf(row.holders_), 0);
+    const std::int64_t room = std::max<std::int64_t>(kTotalUnits - row.heldUnits(), 0);
     pool.units_ = std::min(poolUnitsFor(row.holders_.size()), room);
     ledger.plannedPool_ = pool.units_;
     // Units that shrink are given up at once, as those of a share.
@@ -216,76 +200,13 @@
     return true;
 }
 
-QuotaShares::Row QuotaShares::decode(const std::string &value)
-{
-    Row row;
-    const Json json = parseUntrustedJson(value);
-    if (!json.is_object())
-        return row;
-    const auto holders = json.find("holders");
-    if (holders != json.end() && holders->is_object()) {
-        for (const auto &[name, entry] : holders->items()) {
-            // [units, demand]: short, since each row holds all entries.
-            const bool isEntry = entry.is_array() && entry.size() == 2
-                && std::all_of(entry.begin(), entry.end(),
-                               [](const Json &field) { return field.is_number_integer(); });
-            if (isEntry)
-                row.holders_[name] =
-                    Entry{std::clamp<std::int64_t>(entry[0].get<std::int64_t>(), 0, kTotalUnits),
-                          entry[1].get<std::int64_t>()};
-        }
-    }
-    const auto pool = json.find("pool");
-    if (pool != json.end() && pool->is_object()) {
-        const auto keeper = pool->find("keeper");
-        if (keeper != pool->end() && keeper->is_string())
-            row.pool_ = Pool{keeper->get<std::string>(), integerOf(*pool, "beat"),
-                             std::clamp<std::int64_t>(integerOf(*pool, "units"), 0, kTotalUnits)};
-    }
-    return row;
-}
-
-std::string QuotaShares::encode(const Row &row)
-{
-    Json holders = Json::object();
-    for (const auto &[name, entry] : row.holders_)
-        holders[name] = Json::array({entry.units_, entry.demand_});
-    const Json json = {
-        {"holders", std::move(holders)},
-        {"pool",
-         {{"keeper", row.pool_.keeper_}, {"beat", row.pool_.beat_}, {"units", row.pool_.units_}}}};
-    return json.dump();
-}
-
-void QuotaShares::readSigns(const StoreRows &rows)
-{
-    const TimePoint now = clock_.now();
-    const std::string_view prefix = kSignPrefix;
-    std::map<std::string, std::int64_t> versions;
-    for (const StoreRow &row : rows.rows_) {
-        if (row.key_.starts_with(prefix))
-            versions[row.key_.substr(prefix.size())] = row.version_;
-    }
-    std::erase_if(signs_, [now](const auto &sign) {
-        return sign.second.beat_ == 0 && now - sign.second.since_ >= 2 * kReclaimAfter;
-    });
-    for (const auto &[name, seen] : signs_)
-        versions.try_emplace(name, 0);
-    for (const auto &[name, version] : versions) {
-        Seen &seen = signs_[name];
-        if (seen.since_ == TimePoint{} || seen.beat_ != version)
-            seen = Seen{version, now};
-    }
-}
-
 bool QuotaShares::dropSilent(Holders &holders, std::set<std::string> &dropped) const
 {
     const TimePoint now = clock_.now();
     const std::size_t before = holders.size();
     std::erase_if(holders, [&](const auto &item) {
-        const auto seen = signs_.find(item.first);
-        const bool isSilent = item.first != holder_ && seen != signs_.end()
-            && now - seen->second.since_ >= kReclaimAfter;
+        const bool isSilent =
+            item.first != holder_ && signs_.isSilent(item.first, kReclaimAfter, now);
         if (isSilent)
             dropped.insert(item.first);
         return isSilent;
@@ -314,18 +235,17 @@
     return static_cast<std::int64_t>(part * ownUnits);
 }
 
-std::optional<QuotaShares::Row> QuotaShares::planLedger(Ledger &ledger,
-                                                        const std::string &workspace, Row row,
-                                                        std::int64_t version,
-                                                        std::set<std::string> &dropped)
+std::optional<QuotaRow> QuotaShares::planLedger(Ledger &ledger, const std::string &workspace,
+                                                QuotaRow row, std::int64_t version,
+                                                std::set<std::string> &dropped)
 {
     Holders &holders = row.holders_;
     const TimePoint now = clock_.now();
     for (const auto &[name, entry] : holders)
-        signs_.try_emplace(name, Seen{0, now}); // one without a row of its own
+        signs_.expect(name, now);
     const bool isDropping = dropSilent(holders, dropped);
     const bool isNew = !holders.contains(holder_);
-    Entry &own = holders[holder_];
+    QuotaHolding &own = holders[holder_];
     if (!isNew)
         ledger.spendUntil_ = signSentAt_ + kSpendFor;
     const bool isUnresolved = version <= ledger.unresolvedVersion_;
@@ -342,7 +262,7 @@
     ledger.share_.setOverdraft(entries <= kFewEntries);
     const std::int64_t wanted = wantedUnits(ledger, holders);
     const std::int64_t least = leastChange(wanted, holders.size());
-    const std::int64_t others = sumOf(holders) - own.units_;
+    const std::int64_t others = row.heldUnits() - own.units_;
     const std::int64_t ofEntries = kTotalUnits - std::max(row.pool_.units_, kPoolUnits);
     const std::int64_t units = std::min(wanted, std::max<std::int64_t>(ofEntries - others, 0));
     ledger.entries_ = static_cast<int>(entries);
@@ -371,7 +291,7 @@
     const TimePoint now = clock_.now();
     sentAt_ = now;
     isSignAcknowledged_ = false;
-    readSigns(rows);
+    signs_.read(rows, now);
     const bool isSignDue = now >= signAt_ && !isReleasing_ && hasQuota();
     StoreWrite write = isSignDue ? planSign() : planLedgers(rows);
     if (write.puts_.empty())
@@ -393,7 +313,7 @@
     ++signCount_;
     StoreWrite write;
     write.puts_.push_back(
-        {kFleetTable, kFleetPart, kSignPrefix + holder_, std::to_string(signCount_)});
+        {kFleetTable, kFleetPart, LifeSigns::keyOf(holder_), std::to_string(signCount_)});
     return write;
 }
 
@@ -410,18 +330,19 @@
                                       [&key](const StoreRow &r) { return r.key_ == key; });
         const bool isThere = row != rows.rows_.end();
         const std::int64_t version = isThere ? row->version_ : 0;
-        const std::optional<Row> next =
-            planLedger(ledger, workspace, isThere ? decode(row->value_) : Row(), version, dropped);
+        const std::optional<QuotaRow> next =
+            planLedger(ledger, workspace, isThere ? QuotaRow::decode(row->value_) : QuotaRow(),
+                       version, dropped);
         if (!next)
             continue;
         write.expected_.push_back({kFleetTable, kFleetPart, key, "", version});
-        write.puts_.push_back({kFleetTable, kFleetPart, key, encode(*next)});
+        write.puts_.push_back({kFleetTable, kFleetPart, key, next->encode()});
     }
     for (const std::string &name : dropped) {
-        const std::int64_t version = signs_[name].beat_;
-        write.expected_.push_back({kFleetTable, kFleetPart, kSignPrefix + name, "", version});
+        const std::int64_t version = signs_.versionOf(name);
+        write.expected_.push_back({kFleetTable, kFleetPart, LifeSigns::keyOf(name), "", version});
         if (version != 0)
-            write.removes_.push_back({kFleetTable, kFleetPart, kSignPrefix + name, ""});
+            write.removes_.push_back({kFleetTable, kFleetPart, LifeSigns::keyOf(name), ""});
     }
     return write;
 }
--- a/packages/gateway/quota_shares.h
+++ b/packages/gateway/quota_shares.h
@@ -34,6 +34,8 @@
 
 #include "base/clock.h"
 #include "gateway/codec.h"
+#include "gateway/life_signs.h"
+#include "gateway/quota_row.h"
 #include "gateway/quota_share.h"
 
 namespace foxtailturn::gateway {
@@ -142,38 +144,15 @@
     [[nodiscard]] std::int64_t demandOf(const std::string &workspace);
 
 private:
-    struct Entry
-    {
-        std::int64_t units_ = 0;
-        std::int64_t demand_ = 0; // tokens per second
-    };
-
-    using Holders = std::map<std::string, Entry>;
+    using Holders = std::map<std::string, QuotaHolding>;
 
+    // Since when a keeper's last write is known.
     struct Seen
     {
         std::int64_t beat_ = 0;
         TimePoint since_{};
     };
 
-    // Rows that others write to tell that they are alive: what is known of them.
-    using Signs = std::map<std::string, Seen>; // by entry; a beat is the version of its row
-
-    // The entry that may give from the pool.
-    struct Pool
-    {
-        std::string keeper_;
-        std::int64_t beat_ = 0; // changes with each write of the keeper
-        std::int64_t units_ = 0; // stay the pool's while it has no keeper
-    };
-
-    // A row of the ledger.
-    struct Row
-    {
-        Holders holders_;
-        Pool pool_;
-    };
-
     struct Ledger
     {
         explicit Ledger(TimePoint now)
@@ -199,27 +178,23 @@
         bool isKeeperSilent_ = false;
     };
 
-    [[nodiscard]] static std::int64_t sumOf(const Holders &holders);
-    static Row decode(const std::string &value);
-    static std::string encode(const Row &row);
-    [[nodiscard]] bool planPool(Ledger &ledger, const std::string &workspace, Row &row);
+    [[nodiscard]] bool planPool(Ledger &ledger, const std::string &workspace, QuotaRow &row);
     void takePool(Ledger &ledger);
-    [[nodiscard]] int rankOf(const std::string &workspace, const Row &row) const;
+    [[nodiscard]] int rankOf(const std::string &workspace, const QuotaRow &row) const;
     [[nodiscard]] bool dropSilent(Holders &holders, std::set<std::string> &dropped) const;
-    void readSigns(const StoreRows &rows);
     [[nodiscard]] bool hasQuota() const;
     [[nodiscard]] StoreWrite planSign();
     [[nodiscard]] StoreWrite planLedgers(const StoreRows &rows);
     [[nodiscard]] std::int64_t wantedUnits(Ledger &ledger, const Holders &holders) const;
-    [[nodiscard]] std::optional<Row> planLedger(Ledger &ledger, const std::string &workspace,
-                                                Row row, std::int64_t version,
-                                                std::set<std::string> &dropped);
+    [[nodiscard]] std::optional<QuotaRow> planLedger(Ledger &ledger, const std::string &workspace,
+                                                     QuotaRow row, std::int64_t version,
+                                                     std::set<std::string> &dropped);
 
     std::string holder_;
     const Clock &clock_;
     std::int64_t tolerance_; // tokens, of all entries together
     std::map<std::string, Ledger> ledgers_; // by workspace
-    Signs signs_; // of all entries
+    LifeSigns signs_; // of all entries
     std::int64_t signCount_ = 0;
     bool isSignPlanned_ = false; // the write under way is a sign of life
     bool isSignAcknowledged_ = false; // but the rows were not read since
