gateway: a keeper that accepts connections without answering is not asked again

Cause: the system of a frozen VM goes on accepting connections. After each expired request the link was made anew, and the connection counted as an answer: the log shows keeper_lost and keeper_regained of the two frozen entries some 190 times in 5.6 s at the two others, each time with requests asked in between. Ruled out: a lost connection (the links come back in 10 to 150 ms) and the pools' succession (the keepers are back before 24 s).

Change: a keeper that let a request expire is silent until it answers. A new connection to it carries a probe, a request for nothing; each round of the ledger makes the connection anew, in case that it and not the keeper is silent.

It counts again after its first answer.

--- a/packages/gateway/quota_peers.cpp
+++ b/packages/gateway/quota_peers.cpp
@@ -4,6 +4,13 @@
 
 namespace foxtailturn::gateway {
 
+namespace {
+
+// Number of a request that only asks for an answer; the desk numbers its own from one.
+constexpr std::int64_t kProbe = 0;
+
+} // namespace
+
 QuotaPeers::QuotaPeers(asio::io_context &context, const Clock &clock, EventLog &log,
                        QuotaShares &shares, int port)
     : context_(context)
@@ -56,9 +63,14 @@
     const std::set<std::string> keepers = shares_.keepers();
     for (const std::string &keeper : keepers) {
         connect(keeper);
+        const std::shared_ptr<AgentLink> link = links_[keeper];
+        if (silent_.contains(keeper))
+            link->renew(); // the connection may have gone silent, and not the keeper
         // A row that was read late may show a write of a keeper that is gone since.
-        shares_.noteKeeper(keeper, links_[keeper]->isConnected());
+        shares_.noteKeeper(keeper, link->isConnected() && !silent_.contains(keeper));
     }
+    std::erase_if(silent_,
+                  [&keepers](const std::string &keeper) { return !keepers.contains(keeper); });
     std::erase_if(links_, [&keepers](const auto &entry) {
         if (keepers.contains(entry.first))
             return false;
@@ -73,15 +85,7 @@
         return;
     const std::string address = keeper.substr(keeper.rfind('@') + 1) + ":" + std::to_string(port_);
     AgentLink::Handlers handlers;
-    handlers.onState_ = [this, keeper](bool isLinked) {
-        log_.write(LogDetail::Full, isLinked ? "keeper_regained" : "keeper_lost",
-                   {{"keeper", keeper}});
-        shares_.noteKeeper(keeper, isLinked);
-        if (isLinked)
-            desk_.resend(keeper);
-        else if (onKeeperLost_)
-            onKeeperLost_();
-    };
+    handlers.onState_ = [this, keeper](bool isLinked) { onLink(keeper, isLinked); };
     handlers.onMessage_ = [this, keeper](const AgentMessage &message) {
         onMessage(keeper, message);
     };
@@ -91,10 +95,32 @@
     link->start();
 }
 
+void QuotaPeers::onLink(const std::string &keeper, bool isLinked)
+{
+    const bool isSilent = silent_.contains(keeper);
+    if (!isSilent)
+        log_.write(LogDetail::Full, isLinked ? "keeper_regained" : "keeper_lost",
+                   {{"keeper", keeper}});
+    shares_.noteKeeper(keeper, isLinked && !isSilent);
+    if (isLinked) {
+        desk_.resend(keeper);
+        if (isSilent)
+            links_[keeper]->send(encode(GrantRequest{kProbe, "", 0}));
+    } else if (!isSilent && onKeeperLost_) {
+        onKeeperLost_();
+    }
+}
+
 void QuotaPeers::onMessage(const std::string &keeper, const AgentMessage &message)
 {
     if (!message.grantAnswer_)
         return;
+    if (silent_.erase(keeper) > 0) {
+        log_.write(LogDetail::Full, "keeper_regained", {{"keeper", keeper}});
+        shares_.noteKeeper(keeper, true);
+    }
+    if (message.grantAnswer_->number_ == kProbe)
+        return;
     if (!message.grantAnswer_->isKeeper_) {
         shares_.noteKeeper(keeper, false);
         if (onKeeperLost_)
@@ -127,6 +153,13 @@
 void QuotaPeers::onTimer()
 {
     for (const std::string &keeper : desk_.expire()) {
+        const bool isNews = silent_.insert(keeper).second;
+        shares_.noteKeeper(keeper, false);
+        if (isNews) {
+            log_.write(LogDetail::Full, "keeper_lost", {{"keeper", keeper}});
+            if (onKeeperLost_)
+                onKeeperLost_();
+        }
         // A connection may have gone silent without a reset; only a new one shows it.
         const auto link = links_.find(keeper);
         if (link != links_.end())
--- a/packages/gateway/quota_peers.h
+++ b/packages/gateway/quota_peers.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "base/event_log.h"
@@ -47,6 +48,7 @@
 private:
     void onLines(int peer, const std::vector<std::string> &lines);
     void connect(const std::string &keeper);
+    void onLink(const std::string &keeper, bool isLinked);
     void onMessage(const std::string &keeper, const AgentMessage &message);
     void armTimer();
     void onTimer();
@@ -58,6 +60,9 @@
     int port_;
     LineServer server_;
     std::map<std::string, std::shared_ptr<AgentLink>> links_; // by the keeper's name
+    // Keepers that let a request expire. The system of a frozen VM goes on accepting connections,
+    // so only an answer tells that one is back.
+    std::set<std::string> silent_;
     GrantDesk desk_;
     std::function<void()> onKeeperLost_;
     asio::steady_timer timer_;
