--- a/packages/gateway/quota_peers_test.cpp
+++ b/packages/gateway/quota_peers_test.cpp
@@ -6,39 +6,41 @@
 
 namespace foxtailturn::gateway {
 
-// Guards against callers that wait for a keeper which is gone: a row that was read late shows its
-// last write and made it count as answering.
-TEST_CASE("a keeper without a connection is not asked")
+namespace {
+
+// An entry with one workspace, whose pool another entry keeps.
+struct Entry
 {
-    asio::io_context context;
-    ManualClock clock;
-    SystemWallClock wallClock;
-    EventLog log("e0", wallClock, [](std::string_view text) { return text.size(); });
-    QuotaShares shares("e0@127.0.0.1", clock);
-    ServingConfig config;
-    config.workspaces_ = {Workspace{"w", std::nullopt, TokenQuota{1'000, 1'000, true, 1}}};
-    shares.configure(config);
-    QuotaPeers peers(context, clock, log, shares, 1); // nothing listens there
-    const auto read = [&](int beat) {
+    Entry(const Clock &clock, const std::string &name, int port)
+        : name_(name)
+        , shares_(name, clock)
+        , peers_(context_, clock, log_, shares_, port)
+    {
+        ServingConfig config;
+        config.workspaces_ = {Workspace{"w", std::nullopt, TokenQuota{1'000, 1'000, true, 1}}};
+        shares_.configure(config);
+    }
+
+    // Reads a row that names the keeper.
+    void read(const std::string &keeper, int beat)
+    {
+        const QuotaRow row{{{name_, {9, 1}}, {keeper, {9, 1}}}, {keeper, beat, 0}};
         StoreRows rows;
-        const std::string value = R"({"holders":{"e0@127.0.0.1":[9,1],"e1@127.0.0.2":[9,1]},)"
-                                  R"("pool":{"keeper":"e1@127.0.0.2","beat":)"
-            + std::to_string(beat) + "}}";
-        rows.rows_ = {{kFleetTable, kFleetPart, "quota/w", value, beat, false}};
+        rows.rows_ = {{kFleetTable, kFleetPart, "quota/w", row.encode(), beat, false}};
         do {
-            if (shares.plan(rows))
-                shares.settle(WriteOutcome::Applied);
-        } while (shares.needsRead());
-        peers.sync();
-    };
-    read(1);
-    CHECK(shares.keeperOf("w") == "e1@127.0.0.2");
-    CHECK(shares.keeperToAsk("w").empty());
-    read(2);
-    CHECK(shares.keeperToAsk("w").empty());
-}
+            if (shares_.plan(rows))
+                shares_.settle(WriteOutcome::Applied);
+        } while (shares_.needsRead());
+        peers_.sync();
+    }
 
-namespace {
+    std::string name_;
+    asio::io_context context_;
+    SystemWallClock wallClock_;
+    EventLog log_{"e0", wallClock_, [](std::string_view text) { return text.size(); }};
+    QuotaShares shares_;
+    QuotaPeers peers_;
+};
 
 // A keeper whose VM is frozen: its system accepts connections, and answers come once it wakes.
 class FrozenKeeper
@@ -103,46 +105,52 @@
 
 } // namespace
 
+// Guards against callers that wait for a keeper which is gone: a row that was read late shows its
+// last write and made it count as answering.
+TEST_CASE("a keeper without a connection is not asked")
+{
+    ManualClock clock;
+    Entry entry(clock, "e0@127.0.0.1", 1); // nothing listens there
+    entry.read("e1@127.0.0.2", 1);
+    CHECK(entry.shares_.keeperOf("w") == "e1@127.0.0.2");
+    CHECK(entry.shares_.keeperToAsk("w").empty());
+    entry.read("e1@127.0.0.2", 2);
+    CHECK(entry.shares_.keeperToAsk("w").empty());
+}
+
 // Guards against callers that each wait for a keeper which can be connected to, but does not
 // answer.
 TEST_CASE("a keeper that accepts connections without answering is not asked again")
 {
     using std::chrono::milliseconds;
     const std::string name = "e1@127.0.0.1";
-    asio::io_context context;
     SystemClock clock;
-    SystemWallClock wallClock;
-    EventLog log("e0", wallClock, [](std::string_view text) { return text.size(); });
-    QuotaShares shares("e0@127.0.0.2", clock);
-    ServingConfig config;
-    config.workspaces_ = {Workspace{"w", std::nullopt, TokenQuota{1'000, 1'000, true, 1}}};
-    shares.configure(config);
-    FrozenKeeper keeper(context);
-    QuotaPeers peers(context, clock, log, shares, keeper.port());
-    StoreRows rows;
-    rows.rows_ = {
-        {kFleetTable, kFleetPart, "quota/w",
-         R"({"holders":{"e0@127.0.0.2":[9,1]},"pool":{"keeper":")" + name + R"(","beat":1}})", 1,
-         false}};
-    do {
-        if (shares.plan(rows))
-            shares.settle(WriteOutcome::Applied);
-    } while (shares.needsRead());
-    peers.sync();
-    context.run_for(milliseconds(50));
-    REQUIRE(shares.keeperToAsk("w") == name);
+    asio::io_context keeperContext;
+    FrozenKeeper keeper(keeperContext);
+    Entry entry(clock, "e0@127.0.0.2", keeper.port());
+    const auto runFor = [&](Duration time) {
+        const TimePoint end = clock.now() + time;
+        while (clock.now() < end) {
+            entry.context_.run_for(milliseconds(5));
+            keeperContext.run_for(milliseconds(5));
+        }
+    };
+    entry.read(name, 1);
+    runFor(milliseconds(50));
+    REQUIRE(entry.shares_.keeperToAsk("w") == name);
     int refused = 0;
-    peers.ask("w", 10, [&refused](const Result<void> &granted) { refused += granted ? 0 : 1; });
-    context.run_for(GrantDesk::kGrantTime + milliseconds(500));
+    entry.peers_.ask("w", 10,
+                     [&refused](const Result<void> &granted) { refused += granted ? 0 : 1; });
+    runFor(GrantDesk::kGrantTime + milliseconds(500));
     CHECK(refused == 1);
     REQUIRE(keeper.accepted() > 1); // the connection was made anew
-    CHECK(shares.keeperToAsk("w").empty());
-    peers.sync();
-    context.run_for(milliseconds(300));
-    CHECK(shares.keeperToAsk("w").empty());
+    CHECK(entry.shares_.keeperToAsk("w").empty());
+    entry.peers_.sync();
+    runFor(milliseconds(300));
+    CHECK(entry.shares_.keeperToAsk("w").empty());
     keeper.wake();
-    context.run_for(milliseconds(300));
-    CHECK(shares.keeperToAsk("w") == name);
+    runFor(milliseconds(300));
+    CHECK(entry.shares_.keeperToAsk("w") == name);
 }
 
 } // namespace foxtailturn::gateway
