quota: parts with one owner each in place of units of every entry

What callers saw: on the large deployment (68 entries) requests were refused after restarts and changes of the store, and two thirds of the price of the platform's calls came from the ledger.

Cause: each workspace had one row that all entries write.

Change: a quota has up to four parts, each with a row that names its owner. Only the owner charges against the part; others ask it. So each row has one writer, whatever the number of entries. Owners are eight entries on duty (weighted rendezvous hashing by processor share, from the settings). Half of the parts are taken over 24 s after the owner's last write, half after 60 s, so that a store outage of 30 s leaves half of each quota as before. Renewals need no read; reads go on beyond a page; a write has at most 40 parts. An entry that finds no owner answers 503 (lease_expired) and no longer 429. New package `quota`, free of I/O; `spec/part.pml` is the model of a part, `spec/sign.pml` goes with the units it was about. quota_parts_test keeps each promise of quota_shares_test; quota_fleet_test plays the load on 4 to 68 entries.

Weighed and not taken: leases ahead of demand, an agent in each data centre, one owner of a whole quota, owners on all entries (docs/platform-design.md).

Rows of the old ledger (quota/...) are not read any more. While old and new entries run together each kind grants the whole rate.

--- a/packages/ctl/explain.cpp
+++ b/packages/ctl/explain.cpp
@@ -67,12 +67,12 @@
         return concat("refused as over the rate of workspace ", textOf(known, "workspace"),
                       ": the request counts ", textOf(known, "charge"), ", this entry held ",
                       textOf(known, "units"),
-                      " millionths of the workspace's rate and was asked for ",
-                      textOf(known, "demand"), " a second; room after ",
+                      " millionths of the workspace's rate, the rest belonged to other entries; "
+                      "room after ",
                       millisText(refused, "retry_after_us"));
     }
     if (code == "lease_expired")
-        return "refused because the entry could not write its quota share to the store in time";
+        return "refused because no entry that owns a part of the workspace's quota answered";
     if (failed != nullptr) {
         const std::string target = textOf(failed->fields_, "target");
         return concat("the attempt at target ", target,
--- a/packages/gateway/agent_messages.h
+++ b/packages/gateway/agent_messages.h
@@ -65,7 +65,7 @@
     Json fields_; // changed fields; null for a model or adapter that was removed
 };
 
-// An entry requests a charge from the owner of a workspace's quota pool.
+// An entry requests a charge from an owner of parts of a workspace's quota.
 struct GrantRequest
 {
     std::int64_t number_ = 0; // request number, chosen by the requesting entry
@@ -75,12 +75,12 @@
     bool operator==(const GrantRequest &) const = default;
 };
 
-// The pool owner's answer. The owner counts a granted charge, whether it is used or not.
+// The owner's answer. The owner counts a granted charge, whether it is used or not.
 struct GrantAnswer
 {
     std::int64_t number_ = 0;
     bool isGranted_ = false;
-    bool isOwner_ = true; // false: the sender does not own the pool any more
+    bool isOwner_ = true; // false: the sender owns no part of the quota any more
     Duration retryAfter_ = Duration::zero(); // of a refused request
 
     bool operator==(const GrantAnswer &) const = default;
--- a/packages/gateway/codec.h
+++ b/packages/gateway/codec.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "base/error.h"
+#include "base/store_rows.h"
 #include "gateway/serving_config.h"
 #include "http1/message.h"
 
@@ -96,39 +97,6 @@
     bool operator==(const HttpCall &) const = default;
 };
 
-// A row of the store. Each change of any row gives that row a higher version_ than all before.
-struct StoreRow
-{
-    std::string table_;
-    std::string partition_;
-    std::string key_;
-    std::string value_;
-    std::int64_t version_ = 0;
-    bool isRemoved_ = false;
-
-    bool operator==(const StoreRow &) const = default;
-};
-
-struct StoreRows
-{
-    std::vector<StoreRow> rows_;
-    std::int64_t version_ = 0; // newest version of the store
-    std::int64_t nowMs_ = 0; // steady clock of the store
-    bool isTruncated_ = false;
-
-    bool operator==(const StoreRows &) const = default;
-};
-
-// An atomic write, applied only if each expected row still has its version (0: is absent).
-struct StoreWrite
-{
-    std::vector<StoreRow> expected_; // table, part, key and version
-    std::vector<StoreRow> puts_; // table, part, key and value
-    std::vector<StoreRow> removes_; // table, part and key
-
-    bool operator==(const StoreWrite &) const = default;
-};
-
 enum class TargetPhase { Ready, Draining };
 
 // A model on a target with its adapters and their versions.
--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -10,9 +10,9 @@
 
 constexpr Duration kTickInterval = milliseconds(250);
 constexpr Duration kOperatorTablePause = milliseconds(100);
-// An entry that lacks the units of a quota still reports ready after this time, since it can serve
+// An entry that finds no owner for a quota still reports ready after this time, since it can serve
 // the other workspaces.
-constexpr Duration kMaxWaitForUnits = std::chrono::seconds(4);
+constexpr Duration kMaxWaitForOwners = std::chrono::seconds(4);
 // The load balancer probes once a second and removes an entry after two failed probes.
 constexpr Duration kBalancerDetectionTime = milliseconds(2700);
 constexpr Duration kKillMargin = milliseconds(1000); // before the platform kills the process
@@ -40,7 +40,8 @@
                 .dataCentre_ = settings.dataCentre_,
                 .retryPercent_ = settings.retryPercent_,
                 .unlistedGrace_ = targetTimesFor(settings.drainNotice_).unlistedGrace_,
-                .quotaTolerance_ = settings.quotaTolerance_})
+                .quotaTolerance_ = settings.quotaTolerance_,
+                .milliCores_ = settings.milliCores_})
     , callers_(gateway_)
     , admin_(context)
     , operatorWatch_(store_, log_, {.table_ = codec.operatorTable(), .pause_ = kOperatorTablePause},
@@ -51,9 +52,9 @@
           [this](const std::vector<StoreRow> &rows, bool isSnapshot) {
               onTargetRows(rows, isSnapshot);
           })
-    , ledgerSync_(store_, log_, gateway_.shares(), gateway_.quarantine(),
+    , ledgerSync_(store_, log_, gateway_.quotas(), gateway_.quarantine(),
                   [this] { return gateway_.jitter(); })
-    , quotaPeers_(context, clock_, log_, gateway_.shares(), settings.peerPort_)
+    , quotaPeers_(context, clock_, log_, gateway_.quotas(), settings.peerPort_)
     , tickTimer_(context)
     , stopTimer_(context)
     , startedAt_(clock_.now())
@@ -127,7 +128,7 @@
 {
     if (isStopping_ || !gateway_.config() || !targetWatch_.isLoaded())
         return false;
-    return gateway_.shares().canSpend() || clock_.now() - startedAt_ > kMaxWaitForUnits;
+    return gateway_.quotas().canSpend() || clock_.now() - startedAt_ > kMaxWaitForOwners;
 }
 
 void EntryNode::onOperatorRows(const std::vector<StoreRow> &rows)
@@ -142,7 +143,7 @@
     if (!isChanged)
         return;
     updateSidecarLinks();
-    if (!gateway_.shares().canSpend())
+    if (!gateway_.quotas().canSpend())
         ledgerSync_.syncNow();
 }
 
@@ -297,7 +298,7 @@
     const bool isDrained = now >= acceptDeadline_ && callers_.connections() == 0;
     const bool mayStop = isDrained || now >= stopDeadline_;
     if (mayStop && releaseDeadline_ == TimePoint{}) {
-        // Not earlier: the process grants from the pools that it owns until it ends, and its
+        // Not earlier: the process grants from the parts that it owns until it ends, and its
         // successor on this VM may start immediately afterwards.
         ledgerSync_.release();
         releaseDeadline_ = now + kReleaseTimeout;
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -42,7 +42,7 @@
     , options_(identity)
     , targets_(identity.unlistedGrace_)
     , pool_(parts.context_, parts.codec_, parts.clock_)
-    , shares_(identity.name_, parts.clock_, identity.quotaTolerance_)
+    , quotas_({identity.name_, identity.milliCores_}, parts.clock_, identity.quotaTolerance_)
     , budget_(parts.clock_, {.percent_ = identity.retryPercent_, .floor_ = identity.retryFloor_})
     , quarantine_(identity.name_ + "-" + randomId(), {parts.clock_, parts.wallClock_},
                   kCrashRetention)
@@ -55,7 +55,10 @@
     if (config_ && config.revision_ <= config_->revision_)
         return false;
     config_ = std::make_shared<const ServingConfig>(std::move(config));
-    shares_.configure(*config_);
+    std::map<std::string, TokenQuota> quotas;
+    for (const Workspace &workspace : config_->workspaces_)
+        quotas[workspace.name_] = workspace.quota_;
+    quotas_.configure(quotas);
     for (const auto &[name, service] : config_->services_)
         placements_.try_emplace(name);
     parts_.log_.write(LogDetail::Full, "configuration_in_force",
@@ -147,25 +150,24 @@
     const TokenQuota &quota = workspace.quota_;
     request.charge_ =
         quota.countsTokens_ ? request.caller_.tokens_.value_or(quota.defaultTokens_) : 1;
-    const Result<void> admitted = shares_.admit(request.workspace_, request.charge_);
+    const Result<void> admitted = quotas_.admit(request.workspace_, request.charge_);
     if (admitted) {
         serving_.recordCharge(request.workspace_, QuotaOutcome::Share, request.charge_);
         return std::nullopt;
     }
-    const bool isLimit = admitted.error().code_ == ErrorCode::RateLimited;
-    if (isLimit && !shares_.reachableOwner(request.workspace_).empty()) {
+    if (!quotas_.otherOwners(request.workspace_).empty()) {
         request.needsGrant_ = true;
         return std::nullopt;
     }
+    const bool isLimit = admitted.error().code_ == ErrorCode::RateLimited;
     serving_.recordCharge(request.workspace_, QuotaOutcome::Refused, request.charge_);
     const TimePoint retryAt = admitted.error().retryAt_.value_or(now() + seconds(1));
     parts_.log_.write(LogDetail::Full, "over_quota",
                       {{"request", request.caller_.id_},
                        {"workspace", request.workspace_},
                        {"charge", request.charge_},
-                       {"units", shares_.unitsOf(request.workspace_)},
-                       {"keeper", shares_.ownerOf(request.workspace_)},
-                       {"demand", shares_.demandOf(request.workspace_)},
+                       {"units", quotas_.unitsOf(request.workspace_)},
+                       {"owners", quotas_.ownersOf(request.workspace_)},
                        {"rate", quota.rate_},
                        {"revision", config_->revision_}});
     return refusal(isLimit ? 429 : 503, admitted.error().code_, request.caller_.id_,
@@ -414,18 +416,18 @@
                            {"queued", target->report_.queued_}});
     }
     nlohmann::json shares = nlohmann::json::object();
-    nlohmann::json keepers = nlohmann::json::object();
+    nlohmann::json owners = nlohmann::json::object();
     if (config_) {
         for (const Workspace &workspace : config_->workspaces_) {
-            shares[workspace.name_] = shares_.unitsOf(workspace.name_);
-            keepers[workspace.name_] = shares_.ownerOf(workspace.name_);
+            shares[workspace.name_] = quotas_.unitsOf(workspace.name_);
+            owners[workspace.name_] = quotas_.ownersOf(workspace.name_);
         }
     }
     return {{"name", options_.name_},
             {"revision", config_ ? config_->revision_ : 0},
             {"targets", targets},
             {"quota_units", shares},
-            {"quota_keepers", keepers},
+            {"quota_owners", owners},
             {"waiting", waiting_.size()},
             {"connections_opened", pool_.opened()},
             {"connections_reused", pool_.reused()}};
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// Request admission and routing state of an entry: the configuration in force, known targets, quota
-// shares, retry budgets and quarantined requests. Caller and target connections are other classes.
+// Request admission and routing state of an entry: the configuration in force, known targets,
+// quotas, retry budgets and quarantined requests. Caller and target connections are other classes.
 //
 //     Gateway gateway(context, codec, clock, wallClock, log, metrics, identity);
 //     gateway.configure(config);
@@ -22,11 +22,11 @@
 #include "gateway/codec.h"
 #include "gateway/grant_requester.h"
 #include "gateway/placement.h"
-#include "gateway/quota_shares.h"
 #include "gateway/relay.h"
 #include "gateway/serving_metrics.h"
 #include "gateway/target_connection.h"
 #include "gateway/target_registry.h"
+#include "quota/quota_parts.h"
 #include "retry/quarantine.h"
 #include "retry/retry_budget.h"
 
@@ -40,7 +40,8 @@
     int retryPercent_ = 15; // retries allowed per 100 requests of a service
     int retryFloor_ = 3; // retries allowed in each window in addition to the percentage
     Duration unlistedGrace_{}; // see TargetTimes
-    std::int64_t quotaTolerance_ = 0; // tokens; see QuotaShares
+    std::int64_t quotaTolerance_ = 0; // tokens; see QuotaParts
+    std::int64_t milliCores_ = 0; // processor share of the VM
 };
 
 // Objects that the gateway uses. They must outlive it.
@@ -88,7 +89,7 @@
     void requestLoad(Target &target, const std::string &model, const std::string &adapter);
     void onLoadRefused(const std::string &address, const std::string &adapterName);
 
-    // Sets the handler that requests a charge from the owner of a quota's pool.
+    // Sets the handler that requests a charge from the owners of a quota's parts.
     using GrantRequestHandler = std::function<void(
         const std::string &workspace, std::int64_t charge, GrantRequester::GrantHandler handler)>;
     void setGrantRequestHandler(GrantRequestHandler request)
@@ -96,7 +97,7 @@
         grantRequestHandler_ = std::move(request);
     }
 
-    // Requests from the quota's pool a charge that exceeds the entry's own share.
+    // Requests from other entries a charge that this entry's own parts of the quota do not cover.
     void requestGrant(const AdmittedRequest &request, GrantRequester::GrantHandler handler);
 
     // Set the handlers that send load requests and adapter use to the sidecars.
@@ -143,8 +144,8 @@
 
     TargetRegistry &targets() { return targets_; }
     ConnectionPool &pool() { return pool_; }
-    QuotaShares &shares() { return shares_; }
-    [[nodiscard]] const QuotaShares &shares() const { return shares_; }
+    quota::QuotaParts &quotas() { return quotas_; }
+    [[nodiscard]] const quota::QuotaParts &quotas() const { return quotas_; }
     Quarantine &quarantine() { return quarantine_; }
     Placement &placement(const std::string &service) { return placements_[service]; }
     EventLog &log() { return parts_.log_; }
@@ -184,7 +185,7 @@
     std::shared_ptr<const ServingConfig> config_;
     TargetRegistry targets_;
     ConnectionPool pool_;
-    QuotaShares shares_;
+    quota::QuotaParts quotas_;
     RetryBudget budget_;
     Quarantine quarantine_;
     std::map<std::string, Placement> placements_; // by service
--- a/packages/gateway/grant_requester.cpp
+++ b/packages/gateway/grant_requester.cpp
@@ -28,9 +28,12 @@
     pending_.erase(it);
     if (answer.isGranted_)
         pending.handler_({});
-    else
+    else if (answer.isOwner_)
         pending.handler_(notRun(ErrorCode::RateLimited, "the workspace is over its rate",
                                 now + answer.retryAfter_));
+    else
+        pending.handler_(notRun(ErrorCode::LeaseExpired, "the entry owns no part of the quota",
+                                now + kGrantTimeout));
 }
 
 void GrantRequester::resend(const std::string &owner)
@@ -49,7 +52,7 @@
         const Pending pending = std::move(pending_.begin()->second);
         pending_.erase(pending_.begin());
         unresponsive.insert(pending.owner_);
-        pending.handler_(notRun(ErrorCode::RateLimited, "no grant from the quota's pool in time",
+        pending.handler_(notRun(ErrorCode::LeaseExpired, "no answer of the quota's owner in time",
                                 now + kGrantTimeout));
     }
     return unresponsive;
--- a/packages/gateway/grant_requester.h
+++ b/packages/gateway/grant_requester.h
@@ -1,13 +1,14 @@
 #pragma once
 
-// Requests grants from the quota pools of other entries, one charge at a time.
+// Requests grants from other entries that own parts of a quota, one charge at a time.
 //
-//     GrantRequester requester(clock, [&](const std::string &owner, const GrantRequest &r) { ...
-//     }); requester.requestGrant("entry-2@10.0.0.8", "w1", 2'000, [](const Result<void> &granted) {
-//     ... }); requester.onAnswer(message);  // from the pool owner requester.resend(owner);      //
-//     after a reconnect requester.expire();           // at the time of nextExpiry()
+//     GrantRequester requester(clock, send);   // a GrantRequester::Sender
+//     requester.requestGrant("entry-2@10.0.0.8", "w1", 2'000, onGranted);
+//     requester.onAnswer(message);             // from the owner
+//     requester.resend(owner);                 // after a reconnect
+//     requester.expire();                      // at the time of nextExpiry()
 //
-// A grant whose answer is lost or late is not used although the pool owner has charged it, so a
+// A grant whose answer is lost or late is not used although the owner has charged it, so a
 // workspace may get less than its rate but never more.
 
 #include <functional>
@@ -30,25 +31,26 @@
     // takes a few milliseconds.
     static constexpr Duration kGrantTimeout = std::chrono::milliseconds(200);
 
-    // Called once with the outcome. Error: RateLimited, with the earliest time of a retry.
+    // Called once with the outcome. Errors, with the earliest time of a retry: RateLimited;
+    // LeaseExpired if the entry owns no part of the quota or does not answer in time.
     using GrantHandler = std::function<void(const Result<void> &granted)>;
     using Sender = std::function<void(const std::string &owner, const GrantRequest &request)>;
 
     // The clock must outlive this object. send may drop a request.
     GrantRequester(const Clock &clock, Sender send);
 
-    // Requests a grant of charge, in tokens, from the pool owner.
+    // Requests a grant of charge, in tokens, from the owner.
     void requestGrant(const std::string &owner, const std::string &workspace, std::int64_t charge,
                       GrantHandler handler);
 
-    // Handles a pool owner's answer. Answers that match no pending request or are late are ignored.
+    // Handles an owner's answer. Answers that match no pending request or are late are ignored.
     void onAnswer(const GrantAnswer &answer);
 
-    // Sends the pool owner's unanswered requests again. A request that it receives twice is charged
+    // Sends the owner's unanswered requests again. A request that it receives twice is charged
     // twice there, which errs on the safe side.
     void resend(const std::string &owner);
 
-    // Fails the requests past their deadline. Returns the pool owners that did not answer them.
+    // Fails the requests past their deadline. Returns the owners that did not answer them.
     std::set<std::string> expire();
 
     // Returns the next deadline, when expire() is due; nullopt while no request is pending.
--- a/packages/gateway/ledger_sync.cpp
+++ b/packages/gateway/ledger_sync.cpp
@@ -10,20 +10,21 @@
 
 constexpr const char *kSuspectPrefix = "suspect/"; // prefix of row keys in kFleetTable
 constexpr Duration kInitialDelay = milliseconds(50);
-constexpr Duration kNoShareDelay = milliseconds(150); // until each workspace has a share
-constexpr Duration kRegularDelay = milliseconds(3000);
-constexpr Duration kEarlyDelay = milliseconds(1500); // see QuotaShares::wantsEarlySync()
-// Well within QuotaShares::kPoolReclaim, after which another entry takes over the pool.
-constexpr Duration kMaxOwnerDelay = QuotaShares::kPoolWriteInterval;
-// Without a liveness record in time, an entry can't spend its shares.
-constexpr Duration kMaxDelay = QuotaShares::kLivenessInterval;
-constexpr Duration kExpeditedDelay =
-    milliseconds(300); // a pool owner was lost; it may have released the pool
+constexpr Duration kNoOwnerInterval = milliseconds(250); // until each quota has an owner
+constexpr Duration kRegularInterval = milliseconds(3000);
+constexpr Duration kSuccessorInterval = milliseconds(1500);
+constexpr Duration kMaxInterval = milliseconds(12'000);
+// After the loss of an owner, the first successors look at once whether it has released its parts;
+// the others look for the successor.
+constexpr Duration kSuccessorExpediteDelay = milliseconds(300);
+constexpr Duration kExpediteDelay = milliseconds(1500);
+constexpr Duration kFailureDelay = milliseconds(500); // after a call that failed
+constexpr Duration kMinDelay = milliseconds(20);
 constexpr Duration kBackoffStep =
     milliseconds(8); // about the time from a read to the write that follows it
 constexpr int kMaxBackoffDoublings = 6; // half a second
-// Row size and write conflicts grow with the number of entries. Once the fleet is large, twice as
-// many entries sync about half as often each, which bounds the load of the fleet on the store.
+// The number of rows grows with the entries. Once the fleet is large, twice as many entries read
+// about half as often each, which bounds the load of the fleet on the store.
 constexpr int kScalingEntries = 8;
 constexpr Duration kStoreTimeout = milliseconds(1000);
 constexpr int kOk = 200;
@@ -31,13 +32,15 @@
 
 } // namespace
 
-Duration delayBeforeSync(const SyncConditions &conditions)
+Duration readInterval(const ReadConditions &conditions)
 {
     if (!conditions.canSpend_)
-        return kNoShareDelay;
-    const Duration baseDelay = conditions.wantsEarlySync_ ? kEarlyDelay : kRegularDelay;
-    const Duration scaled = baseDelay * (kScalingEntries + conditions.entries_) / kScalingEntries;
-    return std::min(scaled, conditions.ownsPool_ ? kMaxOwnerDelay : kMaxDelay);
+        return kNoOwnerInterval;
+    if (conditions.lacksOwner_ && conditions.isSuccessor_)
+        return kSuccessorInterval;
+    const Duration scaled =
+        kRegularInterval * (kScalingEntries + conditions.entries_) / kScalingEntries;
+    return std::min(scaled, kMaxInterval);
 }
 
 Duration delayAfterConflict(int conflicts)
@@ -47,11 +50,11 @@
     return kBackoffStep * (1 << std::min(conflicts - 1, kMaxBackoffDoublings));
 }
 
-LedgerSync::LedgerSync(StoreClient &store, EventLog &log, QuotaShares &shares,
+LedgerSync::LedgerSync(StoreClient &store, EventLog &log, quota::QuotaParts &quotas,
                        Quarantine &quarantine, std::function<double()> jitter)
     : store_(store)
     , log_(log)
-    , shares_(shares)
+    , quotas_(quotas)
     , quarantine_(quarantine)
     , jitter_(std::move(jitter))
     , timer_(store.context())
@@ -59,87 +62,124 @@
 
 void LedgerSync::start()
 {
-    schedule(kInitialDelay);
+    schedule(jittered(kInitialDelay));
 }
 
 void LedgerSync::syncNow()
 {
+    readDueAt_ = TimePoint{};
     schedule(Duration::zero());
 }
 
 void LedgerSync::expedite()
 {
-    if (!isSyncing_ && store_.now() + kExpeditedDelay < dueAt_)
-        schedule(kExpeditedDelay);
+    const Duration wait =
+        jittered(quotas_.isSuccessor() ? kSuccessorExpediteDelay : kExpediteDelay);
+    readDueAt_ = std::min(readDueAt_, store_.now() + wait);
+    if (store_.now() + wait < dueAt_)
+        schedule(wait);
 }
 
 void LedgerSync::release()
 {
-    shares_.release();
-    syncNow();
+    quotas_.release();
+    schedule(Duration::zero());
 }
 
 void LedgerSync::report(const SuspectRecord &record)
 {
     reports_.insert_or_assign(record.fingerprint_, record);
-    syncNow();
+    schedule(Duration::zero());
+}
+
+// Jitter spreads the entries' calls over time.
+Duration LedgerSync::jittered(Duration wait)
+{
+    return wait + std::chrono::duration_cast<Duration>(wait * jitter_() / 3);
 }
 
-Duration LedgerSync::nextDelay()
+Duration LedgerSync::currentReadInterval() const
 {
-    return delayBeforeSync({.canSpend_ = shares_.canSpend(),
-                            .wantsEarlySync_ = shares_.wantsEarlySync(),
-                            .ownsPool_ = shares_.ownsPool(),
-                            .entries_ = shares_.entryCount()});
+    return readInterval({.canSpend_ = quotas_.canSpend(),
+                         .lacksOwner_ = quotas_.lacksOwner(),
+                         .isSuccessor_ = quotas_.isSuccessor(),
+                         .entries_ = quotas_.entryCount()});
 }
 
 void LedgerSync::schedule(Duration wait)
 {
     if (isSyncing_)
         return;
-    // Jitter spreads the entries' syncs, so that their writes seldom conflict.
-    const auto spread = std::chrono::duration_cast<Duration>(wait * jitter_() / 3);
-    dueAt_ = store_.now() + wait + spread;
-    timer_.expires_after(wait + spread);
-    timer_.async_wait([this](const asio::error_code &why) {
-        if (!why)
-            read();
+    dueAt_ = store_.now() + wait;
+    timer_.expires_after(wait);
+    timer_.async_wait([this](const asio::error_code &error) {
+        if (!error)
+            sync();
     });
 }
 
-void LedgerSync::read()
+void LedgerSync::scheduleNext()
+{
+    const TimePoint now = store_.now();
+    // A lost owner shortens the interval after the last read has set the time of the next one.
+    readDueAt_ = std::min(readDueAt_, now + jittered(currentReadInterval()));
+    const TimePoint at = quotas_.needsRead() ? now : std::min(readDueAt_, quotas_.nextWriteAt());
+    schedule(std::max(at - now, kMinDelay));
+}
+
+void LedgerSync::sync()
+{
+    if (quotas_.needsRead() || store_.now() >= readDueAt_) {
+        pages_ = StoreRows();
+        read("");
+        return;
+    }
+    write();
+}
+
+void LedgerSync::read(const std::string &firstKey)
 {
     isSyncing_ = true;
-    store_.call(store_.codec().readCall(kFleetTable, kFleetPartition, ""), kStoreTimeout,
-                [this](const StoreAnswer &answer) { onRows(answer); });
+    store_.call(store_.codec().readCall(quota::kFleetTable, quota::kFleetPartition, firstKey),
+                kStoreTimeout, [this](const StoreAnswer &answer) { onRows(answer); });
 }
 
 void LedgerSync::onRows(const StoreAnswer &answer)
 {
+    Result<StoreRows> rows = store_.codec().decodeRows(answer.body_);
     isSyncing_ = false;
-    const Result<StoreRows> rows = store_.codec().decodeRows(answer.body_);
     if (answer.status_ != kOk || !rows) {
-        schedule(kRegularDelay);
+        schedule(jittered(kFailureDelay));
         return;
     }
-    rows_ = *rows;
-    mergeSuspects(rows_.rows_);
-    write();
+    // Rows may change between two pages; each row is used with its own version.
+    if (pages_.rows_.empty())
+        pages_.version_ = rows->version_;
+    pages_.rows_.insert(pages_.rows_.end(), std::make_move_iterator(rows->rows_.begin()),
+                        std::make_move_iterator(rows->rows_.end()));
+    if (rows->isTruncated_ && !rows->rows_.empty()) {
+        read(pages_.rows_.back().key_ + '\0');
+        return;
+    }
+    mergeSuspects(pages_.rows_);
+    quotas_.update(pages_);
+    readDueAt_ = store_.now() + jittered(currentReadInterval());
     if (onRead_)
         onRead_();
+    write();
 }
 
 void LedgerSync::write()
 {
-    StoreWrite write = shares_.plan(rows_).value_or(StoreWrite());
+    StoreWrite write = quotas_.plan().value_or(StoreWrite());
     for (const auto &[fingerprint, record] : reports_) {
         const std::string key = kSuspectPrefix + fingerprint;
-        write.puts_.push_back({kFleetTable, kFleetPartition, key, record.toJson()});
+        write.puts_.push_back({quota::kFleetTable, quota::kFleetPartition, key, record.toJson()});
         write.expected_.push_back(
-            {kFleetTable, kFleetPartition, key, "", suspectVersions_[fingerprint]});
+            {quota::kFleetTable, quota::kFleetPartition, key, "", suspectVersions_[fingerprint]});
     }
     if (write.puts_.empty()) {
-        schedule(nextDelay());
+        scheduleNext();
         return;
     }
     isSyncing_ = true;
@@ -155,8 +195,8 @@
     const WriteOutcome outcome = answer.status_ == kOk ? WriteOutcome::Applied
         : answer.status_ == 0                          ? WriteOutcome::Unknown
                                                        : WriteOutcome::Conflict;
-    shares_.finishWrite(outcome);
     const StoreRows rows = store_.codec().decodeRows(answer.body_).value_or(StoreRows());
+    quotas_.finishWrite(outcome, rows.version_);
     if (outcome == WriteOutcome::Applied) {
         for (const StoreRow &row : written.puts_) {
             if (row.key_.starts_with(kSuspectPrefix))
@@ -164,37 +204,27 @@
                     rows.version_;
         }
         reports_.clear();
-    } else {
-        log_.write(LogDetail::Full, "fleet_write_failed", {{"status", answer.status_}});
+        conflicts_ = 0;
+        scheduleNext();
+        return;
     }
+    log_.write(LogDetail::Full, "fleet_write_failed", {{"status", answer.status_}});
     if (answer.status_ != kConflict) {
         conflicts_ = 0;
-        schedule(shares_.needsRead() ? Duration::zero() : nextDelay());
+        schedule(jittered(kFailureDelay));
         return;
     }
     ++conflicts_;
     mergeSuspects(rows.rows_);
+    quotas_.updateSome(rows);
     if (conflicts_ == 1 && !rows.rows_.empty()) {
-        replaceRows(rows);
         write();
         return;
     }
+    readDueAt_ = TimePoint{};
     schedule(std::chrono::duration_cast<Duration>(delayAfterConflict(conflicts_) * jitter_()));
 }
 
-void LedgerSync::replaceRows(const StoreRows &fresh)
-{
-    for (const StoreRow &row : fresh.rows_) {
-        const auto known =
-            std::find_if(rows_.rows_.begin(), rows_.rows_.end(),
-                         [&row](const StoreRow &other) { return other.key_ == row.key_; });
-        if (known == rows_.rows_.end())
-            rows_.rows_.push_back(row);
-        else
-            *known = row;
-    }
-}
-
 void LedgerSync::mergeSuspects(const std::vector<StoreRow> &rows)
 {
     const std::string_view prefix = kSuspectPrefix;
--- a/packages/gateway/ledger_sync.h
+++ b/packages/gateway/ledger_sync.h
@@ -1,38 +1,39 @@
 #pragma once
 
-// Syncs an entry with the rows that all entries share: quota units and records of suspect requests.
+// Syncs an entry with the rows that all entries share: owners of quota parts, and records of
+// suspect requests.
 //
-//     LedgerSync sync(store, log, shares, quarantine, [&] { return gateway.jitter(); });
-//     sync.onRead([&] { links.updateConnections(); });
+//     LedgerSync sync(store, log, quotas, quarantine, [&] { return gateway.jitter(); });
+//     sync.onRead([&] { peers.updateConnections(); });
 //     sync.start();
 //
-// A sync reads the rows, lets QuotaShares plan a write, and writes it on condition that no other
-// entry has changed the rows meanwhile.
+// A sync writes what QuotaParts plans, on condition that no other entry has changed the rows
+// meanwhile. It reads all rows first if the last read is too old.
 
 #include <functional>
 #include <map>
 #include <string>
 
 #include "base/event_log.h"
-#include "gateway/quota_shares.h"
 #include "gateway/store_client.h"
+#include "quota/quota_parts.h"
 #include "retry/quarantine.h"
 
 namespace foxtailturn::gateway {
 
-// Inputs that determine when the next sync is due.
-struct SyncConditions
+// Inputs that determine when the rows are read again; see the functions of QuotaParts.
+struct ReadConditions
 {
-    bool canSpend_ = false; // see QuotaShares::canSpend()
-    bool wantsEarlySync_ = false; // see QuotaShares::wantsEarlySync()
-    bool ownsPool_ = false;
+    bool canSpend_ = false;
+    bool lacksOwner_ = false;
+    bool isSuccessor_ = false;
     int entries_ = 1;
 
-    bool operator==(const SyncConditions &) const = default;
+    bool operator==(const ReadConditions &) const = default;
 };
 
-// Returns the delay before the next sync, without jitter. Thread-safe.
-[[nodiscard]] Duration delayBeforeSync(const SyncConditions &conditions);
+// Returns the time between two reads of the rows, without jitter. Thread-safe.
+[[nodiscard]] Duration readInterval(const ReadConditions &conditions);
 
 // Returns the maximum delay before a sync that follows this many conflicts in a row; the actual
 // delay is drawn at random between zero and this. The first conflict is retried at once, with the
@@ -45,7 +46,7 @@
 public:
     // All references must outlive this object, which must outlive the store's calls. jitter returns
     // numbers from 0 to 1.
-    LedgerSync(StoreClient &store, EventLog &log, QuotaShares &shares, Quarantine &quarantine,
+    LedgerSync(StoreClient &store, EventLog &log, quota::QuotaParts &quotas, Quarantine &quarantine,
                std::function<double()> jitter);
 
     // Sets a handler that is called after each successful read of the rows.
@@ -53,13 +54,13 @@
 
     void start();
 
-    // Starts a sync now, unless one is in progress.
+    // Starts a sync with a read now, unless one is in progress.
     void syncNow();
 
-    // Moves the next sync forward if it is not due soon.
+    // Moves the next read forward if it is not due soon, since an owner was lost.
     void expedite();
 
-    // Releases the pools that this entry owns, with a sync now; for an entry that is about to stop.
+    // Gives up the parts that this entry owns, with a sync now; for an entry that is about to stop.
     void release();
 
     // Writes a suspect's record with the next sync, which is started now.
@@ -67,25 +68,28 @@
 
 private:
     void schedule(Duration wait);
-    void read();
+    void scheduleNext();
+    void sync();
+    void read(const std::string &firstKey);
     void onRows(const StoreAnswer &answer);
     void write();
     void onWritten(const StoreWrite &written, const StoreAnswer &answer);
-    void replaceRows(const StoreRows &fresh);
     void mergeSuspects(const std::vector<StoreRow> &rows);
-    [[nodiscard]] Duration nextDelay();
+    [[nodiscard]] Duration jittered(Duration wait);
+    [[nodiscard]] Duration currentReadInterval() const;
 
     StoreClient &store_;
     EventLog &log_;
-    QuotaShares &shares_;
+    quota::QuotaParts &quotas_;
     Quarantine &quarantine_;
     std::function<double()> jitter_;
     std::function<void()> onRead_;
     asio::steady_timer timer_;
-    StoreRows rows_; // as last read
+    StoreRows pages_; // of the read in progress
     std::map<std::string, SuspectRecord> reports_; // to be written, by fingerprint
     std::map<std::string, std::int64_t> suspectVersions_; // row versions, by fingerprint
     TimePoint dueAt_{}; // of the next sync
+    TimePoint readDueAt_{}; // the rows are read again by the first sync after this
     int conflicts_ = 0; // in a row
     bool isSyncing_ = false;
 };
--- a/packages/gateway/node_settings.cpp
+++ b/packages/gateway/node_settings.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr int kMaxPort = 65'535;
+constexpr double kMaxCores = 1024;
+constexpr double kMilliCoresPerCore = 1000;
 constexpr std::int64_t kMaxStopGraceSeconds = 3600;
 constexpr std::int64_t kMinDrainNoticeMs =
     300; // milliseconds; each quarter costs one call to the store
@@ -58,6 +60,11 @@
     settings.drainNotice_ = std::chrono::milliseconds(object.integer(
         "drain_notice_ms", {.min_ = kMinDrainNoticeMs, .max_ = kMaxDrainNoticeMs}, 2000));
     settings.quotaTolerance_ = object.integer("quota_tolerance", {.min_ = 0}, 0);
+    const Json &share = object.child("processor_share");
+    if (share.is_number() && share.get<double>() > 0 && share.get<double>() <= kMaxCores)
+        settings.milliCores_ = static_cast<std::int64_t>(share.get<double>() * kMilliCoresPerCore);
+    else if (!share.is_null())
+        object.fail("processor_share", "must be a number of cores above 0");
     constexpr int kMaxPercent = 100;
     settings.retryPercent_ =
         static_cast<int>(object.integer("retry_percent", {.min_ = 0, .max_ = kMaxPercent}, 15));
--- a/packages/gateway/node_settings.h
+++ b/packages/gateway/node_settings.h
@@ -5,6 +5,7 @@
 //
 //     Result<NodeSettings> settings = NodeSettings::read("/etc/foxtailturn.json");
 
+#include <cstdint>
 #include <string>
 
 #include "base/clock.h"
@@ -30,6 +31,7 @@
     // Time from the store's record that a target drains to the last request that may reach it.
     Duration drainNotice_ = std::chrono::milliseconds(2000);
     std::int64_t quotaTolerance_ = 0; // tokens by which a workspace may exceed its quota
+    std::int64_t milliCores_ = 1000; // processor share of the VM, in thousandths of a core
     int retryPercent_ = 15; // attempts beyond the first per 100 requests of a service
 
     // Reads a settings file. Unknown fields are ignored, since a platform may add some. Error:
--- a/packages/gateway/quota_peers.cpp
+++ b/packages/gateway/quota_peers.cpp
@@ -12,10 +12,10 @@
 } // namespace
 
 QuotaPeers::QuotaPeers(asio::io_context &context, const Clock &clock, EventLog &log,
-                       QuotaShares &shares, int port)
+                       quota::QuotaParts &quotas, int port)
     : context_(context)
     , log_(log)
-    , shares_(shares)
+    , quotas_(quotas)
     , clock_(clock)
     , port_(port)
     , server_(context)
@@ -44,7 +44,7 @@
         if (!message.grantRequest_)
             continue;
         const GrantRequest &request = *message.grantRequest_;
-        const Result<void> granted = shares_.grant(request.workspace_, request.charge_);
+        const Result<void> granted = quotas_.grant(request.workspace_, request.charge_);
         GrantAnswer answer{request.number_, granted.has_value(), true, Duration::zero()};
         if (!granted) {
             answer.isOwner_ = granted.error().code_ != ErrorCode::LeaseExpired;
@@ -60,20 +60,20 @@
 
 void QuotaPeers::updateConnections()
 {
-    const std::set<std::string> poolOwners = shares_.poolOwners();
-    for (const std::string &owner : poolOwners) {
+    const std::set<std::string> owners = quotas_.allOtherOwners();
+    for (const std::string &owner : owners) {
         connect(owner);
         const std::shared_ptr<AgentLink> link = links_[owner];
         if (unresponsive_.contains(owner))
-            link->reconnect(); // the connection may be dead while the pool owner is alive
-        // A row that was read late may show a write of a pool owner that has gone since.
-        shares_.setOwnerAnswering(owner, link->isConnected() && !unresponsive_.contains(owner));
+            link->reconnect(); // the connection may be dead while the owner is alive
+        quotas_.setOwnerAnswering(owner, link->isConnected() && !unresponsive_.contains(owner));
     }
     std::erase_if(unresponsive_,
-                  [&poolOwners](const std::string &owner) { return !poolOwners.contains(owner); });
-    std::erase_if(links_, [&poolOwners](const auto &entry) {
-        if (poolOwners.contains(entry.first))
+                  [&owners](const std::string &owner) { return !owners.contains(owner); });
+    std::erase_if(links_, [&](const auto &entry) {
+        if (owners.contains(entry.first))
             return false;
+        quotas_.setOwnerAnswering(entry.first, false);
         entry.second->stop();
         return true;
     });
@@ -99,7 +99,7 @@
     if (!isUnresponsive)
         log_.write(LogDetail::Full, isLinked ? "keeper_regained" : "keeper_lost",
                    {{"keeper", owner}});
-    shares_.setOwnerAnswering(owner, isLinked && !isUnresponsive);
+    quotas_.setOwnerAnswering(owner, isLinked && !isUnresponsive);
     if (isLinked) {
         requester_.resend(owner);
         if (isUnresponsive)
@@ -115,12 +115,12 @@
         return;
     if (unresponsive_.erase(owner) > 0) {
         log_.write(LogDetail::Full, "keeper_regained", {{"keeper", owner}});
-        shares_.setOwnerAnswering(owner, true);
+        quotas_.setOwnerAnswering(owner, true);
     }
     if (message.grantAnswer_->number_ == kProbeNumber)
         return;
     if (!message.grantAnswer_->isOwner_) {
-        shares_.setOwnerAnswering(owner, false);
+        quotas_.setOwnerAnswering(owner, false);
         if (onOwnerLost_)
             onOwnerLost_();
     }
@@ -128,11 +128,32 @@
 }
 
 void QuotaPeers::requestGrant(const std::string &workspace, std::int64_t charge,
-                              GrantRequester::GrantHandler handler)
+                              const GrantRequester::GrantHandler &handler)
 {
-    const std::string owner = shares_.reachableOwner(workspace);
-    connect(owner);
-    requester_.requestGrant(owner, workspace, charge, std::move(handler));
+    const auto search = std::make_shared<GrantSearch>(quotas_.otherOwners(workspace), nextFirst_++);
+    askNext(search, workspace, charge, handler);
+}
+
+void QuotaPeers::askNext(const std::shared_ptr<GrantSearch> &search, const std::string &workspace,
+                         std::int64_t charge, const GrantRequester::GrantHandler &handler)
+{
+    std::optional<std::string> owner = search->next();
+    while (owner && !quotas_.isAnswering(*owner))
+        owner = search->next();
+    if (!owner) {
+        handler(search->failure(clock_.now()));
+        return;
+    }
+    requester_.requestGrant(
+        *owner, workspace, charge,
+        [this, search, workspace, charge, handler](const Result<void> &granted) {
+            if (granted) {
+                handler(granted);
+                return;
+            }
+            search->onRefused(granted.error());
+            askNext(search, workspace, charge, handler);
+        });
     armTimer();
 }
 
@@ -152,7 +173,7 @@
 {
     for (const std::string &owner : requester_.expire()) {
         const bool isNewlyUnresponsive = unresponsive_.insert(owner).second;
-        shares_.setOwnerAnswering(owner, false);
+        quotas_.setOwnerAnswering(owner, false);
         if (isNewlyUnresponsive) {
             log_.write(LogDetail::Full, "keeper_lost", {{"keeper", owner}});
             if (onOwnerLost_)
--- a/packages/gateway/quota_peers.h
+++ b/packages/gateway/quota_peers.h
@@ -1,14 +1,14 @@
 #pragma once
 
-// An entry's connections to other entries, for grants from quota pools.
+// An entry's connections to the entries that own parts of the workspaces' quotas.
 //
-//     QuotaPeers peers(context, clock, log, shares, 7600);
+//     QuotaPeers peers(context, clock, log, quotas, 7600);
 //     Result<void> listening = peers.listen("10.0.0.7");
-//     peers.updateConnections();            // after the pool owners may have changed
+//     peers.updateConnections();            // after the owners may have changed
 //     peers.requestGrant("w1", 2'000, [](const Result<void> &granted) { ... });
 //
-// An entry connects only to pool owners, so the number of connections in the fleet is at most
-// entries times workspaces.
+// An entry connects only to owners. DutyOrder keeps their number small, so the number of
+// connections in the fleet grows with the entries and not with their square.
 
 #include <functional>
 #include <map>
@@ -19,8 +19,9 @@
 #include "base/event_log.h"
 #include "gateway/agent_link.h"
 #include "gateway/grant_requester.h"
+#include "gateway/grant_search.h"
 #include "gateway/line_server.h"
-#include "gateway/quota_shares.h"
+#include "quota/quota_parts.h"
 
 namespace foxtailturn::gateway {
 
@@ -29,26 +30,28 @@
 {
 public:
     // All references must outlive this object. All entries listen on the same port.
-    QuotaPeers(asio::io_context &context, const Clock &clock, EventLog &log, QuotaShares &shares,
-               int port);
+    QuotaPeers(asio::io_context &context, const Clock &clock, EventLog &log,
+               quota::QuotaParts &quotas, int port);
 
     // Accepts grant requests of other entries. Error: InvalidSettings when the address can't be
     // used.
     [[nodiscard]] Result<void> listen(const std::string &ip);
 
-    // Sets a handler that is called when a pool owner's connection is lost, when it does not answer
-    // in time, and when it answers that it no longer owns the pool.
+    // Sets a handler that is called when an owner's connection is lost, when it does not answer in
+    // time, and when it answers that it owns no part of the quota any more.
     void onOwnerLost(std::function<void()> handler) { onOwnerLost_ = std::move(handler); }
 
-    // Connects to new pool owners and disconnects from entries that own no pool any more.
+    // Connects to new owners and disconnects from entries that own nothing any more.
     void updateConnections();
 
-    // Requests a grant of charge, in tokens, from the owner of the workspace's pool. Precondition:
-    // shares.reachableOwner() is not empty.
+    // Requests a grant of charge, in tokens, from the owners of the workspace's quota, one after
+    // the other. Errors: those of GrantSearch::failure().
     void requestGrant(const std::string &workspace, std::int64_t charge,
-                      GrantRequester::GrantHandler handler);
+                      const GrantRequester::GrantHandler &handler);
 
 private:
+    void askNext(const std::shared_ptr<GrantSearch> &search, const std::string &workspace,
+                 std::int64_t charge, const GrantRequester::GrantHandler &handler);
     void onLines(int peer, const std::vector<std::string> &lines);
     void connect(const std::string &owner);
     void onLink(const std::string &owner, bool isLinked);
@@ -58,15 +61,16 @@
 
     asio::io_context &context_;
     EventLog &log_;
-    QuotaShares &shares_;
+    quota::QuotaParts &quotas_;
     const Clock &clock_;
     int port_;
     LineServer server_;
-    std::map<std::string, std::shared_ptr<AgentLink>> links_; // by the pool owner's name
-    // Pool owners that let a request expire. The host of a suspended VM may still accept
+    std::map<std::string, std::shared_ptr<AgentLink>> links_; // by the owner's name
+    // Owners that let a request expire. The host of a suspended VM may still accept
     // connections, so only an answer shows that an owner responds again.
     std::set<std::string> unresponsive_;
     GrantRequester requester_;
+    std::size_t nextFirst_ = 0; // index of the owner that the next search begins with
     std::function<void()> onOwnerLost_;
     asio::steady_timer timer_;
 };
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -83,7 +83,8 @@
     }
     const TimePoint now = gateway_.now();
     const Duration wait = granted.error().retryAt_.value_or(now) - now;
-    refuse(429, granted.error().code_, std::max<Duration>(wait, kMinRetryAfter));
+    const int status = granted.error().code_ == ErrorCode::RateLimited ? 429 : 503;
+    refuse(status, granted.error().code_, std::max<Duration>(wait, kMinRetryAfter));
 }
 
 void Relay::place()
@@ -294,7 +295,7 @@
     if (isWaiting_)
         gateway_.removeWaiting(shared_from_this());
     if (sends_ == 0 && isCharged_)
-        gateway_.shares().refund(request_.workspace_, request_.charge_);
+        gateway_.quotas().refund(request_.workspace_, request_.charge_);
     releaseTarget();
     gateway_.countAnswer(&request_, 0, "caller_left");
     if (gateway_.log().admits(LogDetail::Full, "broken_off"))
@@ -351,7 +352,7 @@
         gateway_.removeWaiting(shared_from_this());
     releaseTarget();
     if (runs_ == 0 && isCharged_)
-        gateway_.shares().refund(request_.workspace_, request_.charge_);
+        gateway_.quotas().refund(request_.workspace_, request_.charge_);
     gateway_.countAnswer(&request_, status, errorName(code));
     nlohmann::json fields = {{"request", request_.caller_.id_},
                              {"status", status},
@@ -365,8 +366,8 @@
     if (code == ErrorCode::RateLimited) {
         fields["workspace"] = request_.workspace_;
         fields["charge"] = request_.charge_;
-        fields["units"] = gateway_.shares().unitsOf(request_.workspace_);
-        fields["demand"] = gateway_.shares().demandOf(request_.workspace_);
+        fields["units"] = gateway_.quotas().unitsOf(request_.workspace_);
+        fields["owners"] = gateway_.quotas().ownersOf(request_.workspace_);
     }
     gateway_.log().write(LogDetail::Full, isForwarding_ ? "broken_off" : "refused",
                          std::move(fields));
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -64,7 +64,7 @@
     std::string workspace_;
     int priority_ = 0;
     std::int64_t charge_ = 0; // quota tokens (or requests) that the request costs its workspace
-    bool needsGrant_ = false; // the entry's own share was too small; the pool must grant the charge
+    bool needsGrant_ = false; // the entry's own parts of the quota do not cover the charge
     std::string fingerprint_;
     TimePoint receivedAt_{};
     TimePoint deadline_{};
--- a/packages/gateway/serving_config.h
+++ b/packages/gateway/serving_config.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "quota/token_quota.h"
 
 namespace foxtailturn::gateway {
 
@@ -80,16 +81,7 @@
     bool operator==(const Service &) const = default;
 };
 
-// Rate and burst of a workspace over the whole fleet. A rate of 0 means no limit.
-struct TokenQuota
-{
-    std::int64_t rate_ = 0; // tokens, or requests, per second
-    std::int64_t burst_ = 0;
-    bool countsTokens_ = false;
-    std::int64_t defaultTokens_ = 1; // charge of a request that does not state its tokens
-
-    bool operator==(const TokenQuota &) const = default;
-};
+using quota::TokenQuota;
 
 struct Workspace
 {
--- a/packages/gateway/quota_share.cpp
+++ b/packages/quota/quota_share.cpp
@@ -1,9 +1,8 @@
-#include "gateway/quota_share.h"
+#include "quota/quota_share.h"
 
 #include <algorithm>
-#include <cmath>
 
-namespace foxtailturn::gateway {
+namespace foxtailturn::quota {
 
 namespace {
 
@@ -51,7 +50,7 @@
     // Charges up to the tolerance all need the same level. If small charges needed a lower level
     // than large ones, they would starve the large requests of a workspace over its rate.
     const double needed = static_cast<double>(charge) - tolerance_;
-    return std::max(isOverdraftAllowed_ ? std::min(needed, capacity()) : needed, 0.0);
+    return std::max(std::min(needed, capacity()), 0.0);
 }
 
 bool QuotaShare::take(std::int64_t charge, TimePoint now)
@@ -72,29 +71,11 @@
 std::optional<TimePoint> QuotaShare::availableAt(std::int64_t charge, TimePoint now)
 {
     refill(now);
-    if (rate() <= 0 || neededLevel(charge) > capacity())
+    if (rate() <= 0)
         return std::nullopt;
     const double missing = neededLevel(charge) - level_;
     const std::chrono::duration<double> wait(std::max(missing, 0.0) / rate());
     return now + std::chrono::ceil<Duration>(wait);
 }
 
-void QuotaShare::decay(TimePoint now)
-{
-    demand_ *= std::exp(-secondsOf(now - measuredAt_) / secondsOf(kDemandWindow));
-    measuredAt_ = now;
-}
-
-void QuotaShare::recordDemand(std::int64_t charge, TimePoint now)
-{
-    decay(now);
-    demand_ += static_cast<double>(charge) / secondsOf(kDemandWindow);
-}
-
-double QuotaShare::demand(TimePoint now)
-{
-    decay(now);
-    return demand_;
-}
-
-} // namespace foxtailturn::gateway
+} // namespace foxtailturn::quota
--- a/packages/gateway/quota_share.h
+++ b/packages/quota/quota_share.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// A token bucket with a share of a workspace's rate and burst, and a moving average of its demand.
+// A token bucket with a share of a workspace's rate and burst.
 //
 //     QuotaShare share(clock.now());
 //     share.setQuota(quota, clock.now());
@@ -12,23 +12,19 @@
 #include <optional>
 
 #include "base/clock.h"
-#include "gateway/serving_config.h"
+#include "quota/token_quota.h"
 
-namespace foxtailturn::gateway {
+namespace foxtailturn::quota {
 
-// One entry's share of one workspace's quota. Not thread-safe.
+// A share of one workspace's quota. Not thread-safe.
 class QuotaShare
 {
 public:
     // Units that make up a whole quota.
     static constexpr std::int64_t kTotalUnits = 1'000'000;
-    // Time constant of the demand's exponential average: the time in which it follows a change to
-    // about two thirds.
-    static constexpr Duration kDemandWindow = std::chrono::seconds(2);
 
     explicit QuotaShare(TimePoint now)
         : refilledAt_(now)
-        , measuredAt_(now)
     { }
 
     void setQuota(const TokenQuota &quota, TimePoint now);
@@ -38,44 +34,30 @@
     // rate still holds over time. A debt lets a small share serve two large requests in a row.
     void setTolerance(std::int64_t tokens) { tolerance_ = static_cast<double>(tokens); }
 
-    // Sets whether a full bucket accepts a charge above its capacity and tolerance.
-    void setOverdraftAllowed(bool isAllowed) { isOverdraftAllowed_ = isAllowed; }
-
     [[nodiscard]] std::int64_t units() const { return units_; }
 
-    // Takes the charge if level and tolerance cover it, and never while the level is negative. If
-    // overdraft is allowed, a charge above capacity and tolerance is taken from a full bucket and
-    // leaves a larger debt: a small share must not refuse a large request forever.
+    // Takes the charge if level and tolerance cover it, and never while the level is negative. A
+    // charge above capacity and tolerance is taken from a full bucket and leaves a larger debt: a
+    // small share must not refuse a large request forever.
     [[nodiscard]] bool take(std::int64_t charge, TimePoint now);
 
     // Refunds a charge whose request certainly did not run.
     void refund(std::int64_t charge, TimePoint now);
 
-    // Returns when take() can succeed; nullopt if the share has no rate or can never cover the
-    // charge.
+    // Returns when take() can succeed; nullopt if the share has no rate.
     [[nodiscard]] std::optional<TimePoint> availableAt(std::int64_t charge, TimePoint now);
 
-    // Adds a requested charge to the demand, whether admitted or not.
-    void recordDemand(std::int64_t charge, TimePoint now);
-
-    // Returns the recent demand in tokens per second.
-    [[nodiscard]] double demand(TimePoint now);
-
 private:
     [[nodiscard]] double rate() const; // tokens per second
     [[nodiscard]] double capacity() const;
     [[nodiscard]] double neededLevel(std::int64_t charge) const; // tokens
     void refill(TimePoint now);
-    void decay(TimePoint now);
 
     TokenQuota quota_;
     std::int64_t units_ = 0;
     double tolerance_ = 0; // tokens
-    bool isOverdraftAllowed_ = true;
     double level_ = 0; // tokens; negative while in debt
     TimePoint refilledAt_;
-    double demand_ = 0; // tokens per second
-    TimePoint measuredAt_;
 };
 
-} // namespace foxtailturn::gateway
+} // namespace foxtailturn::quota
