--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -44,7 +44,10 @@
                 .milliCores_ = settings.milliCores_})
     , callers_(gateway_)
     , admin_(context)
-    , operatorWatch_(store_, log_, {.table_ = codec.operatorTable(), .pause_ = kOperatorTablePause},
+    , operatorWatch_(store_, log_,
+                     {.table_ = codec.operatorTable(),
+                      .longPollTimeout_ = longPollTimeoutFor(settings.storeSilenceLimit_),
+                      .pause_ = kOperatorTablePause},
                      [this](const std::vector<StoreRow> &rows, bool) { onOperatorRows(rows); })
     , targetWatch_(
           store_, log_,
--- a/packages/gateway/node_settings.cpp
+++ b/packages/gateway/node_settings.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr int kMaxPort = 65'535;
+constexpr std::int64_t kMinSilenceLimitMs = 1500; // milliseconds
+constexpr std::int64_t kMaxSilenceLimitMs = 60'000; // milliseconds
 constexpr double kMaxCores = 1024;
 constexpr double kMilliCoresPerCore = 1000;
 constexpr std::int64_t kMaxStopGraceSeconds = 3600;
@@ -59,6 +61,8 @@
         object.integer("stop_grace_s", {.min_ = 0, .max_ = kMaxStopGraceSeconds}, 8));
     settings.drainNotice_ = std::chrono::milliseconds(object.integer(
         "drain_notice_ms", {.min_ = kMinDrainNoticeMs, .max_ = kMaxDrainNoticeMs}, 2000));
+    settings.storeSilenceLimit_ = std::chrono::milliseconds(object.integer(
+        "store_silence_limit_ms", {.min_ = kMinSilenceLimitMs, .max_ = kMaxSilenceLimitMs}, 3000));
     settings.quotaTolerance_ = object.integer("quota_tolerance", {.min_ = 0}, 0);
     const Json &share = object.child("processor_share");
     if (share.is_number() && share.get<double>() > 0 && share.get<double>() <= kMaxCores)
--- a/packages/gateway/node_settings.h
+++ b/packages/gateway/node_settings.h
@@ -30,6 +30,9 @@
     Duration stopGrace_ = std::chrono::seconds(8); // from SIGTERM to SIGKILL
     // Time from the store's record that a target drains to the last request that may reach it.
     Duration drainNotice_ = std::chrono::milliseconds(2000);
+    // Time after a disturbance of the store or its connections within which the entry has to follow
+    // the store again.
+    Duration storeSilenceLimit_ = std::chrono::milliseconds(3000);
     std::int64_t quotaTolerance_ = 0; // tokens by which a workspace may exceed its quota
     std::int64_t milliCores_ = 1000; // processor share of the VM, in thousandths of a core
     int retryPercent_ = 15; // attempts beyond the first per 100 requests of a service
--- a/packages/gateway/node_settings_test.cpp
+++ b/packages/gateway/node_settings_test.cpp
@@ -23,6 +23,14 @@
     CHECK(settings->peerPort_ == 7600);
     CHECK(settings->stopGrace_ == std::chrono::seconds(6));
     CHECK(settings->metricsPort_ == 0);
+    CHECK(settings->milliCores_ == 1000);
+    const Result<NodeSettings> small = NodeSettings::parse(
+        R"({"name":"a","role":"entry","ip":"1","peer_port":1,"caller_address":"b",)"
+        R"("store_address":"c","processor_share":0.09,"store_silence_limit_ms":5000})",
+        "f");
+    REQUIRE(small);
+    CHECK(small->milliCores_ == 90);
+    CHECK(small->storeSilenceLimit_ == std::chrono::seconds(5));
 }
 
 // Guards against a process that starts with settings with which it can not serve.
@@ -42,6 +50,12 @@
         {R"({"name":"a","role":"sidecar","ip":"1","peer_port":1})", "engine_address"},
         {R"({"name":"a","role":"sidecar","ip":"1","peer_port":70000})", "peer_port"},
         {R"({"name":"a","role":"sidecar","ip":"1","peer_port":1e400})", "f"},
+        {R"({"name":"a","role":"x","ip":"1","peer_port":1,"processor_share":0})",
+         "processor_share"},
+        {R"({"name":"a","role":"x","ip":"1","peer_port":1,"processor_share":"1"})",
+         "processor_share"},
+        {R"({"name":"a","role":"x","ip":"1","peer_port":1,"store_silence_limit_ms":9})",
+         "store_silence_limit_ms"},
     };
     for (const Case &c : cases) {
         CAPTURE(c.text_);
--- a/packages/gateway/store_client.cpp
+++ b/packages/gateway/store_client.cpp
@@ -44,6 +44,13 @@
     caller_.call(address_, call, timeout, recordingHandler);
 }
 
+Duration longPollTimeoutFor(Duration silenceLimit)
+{
+    // The rest covers one call of the store and the configuration's way into force.
+    constexpr Duration kMargin = kFollowTimeoutMargin + milliseconds(500);
+    return silenceLimit - kMargin;
+}
+
 TableWatch::TableWatch(StoreClient &store, EventLog &log, TableWatchSettings settings,
                        Handler handler)
     : store_(store)
--- a/packages/gateway/store_client.h
+++ b/packages/gateway/store_client.h
@@ -52,11 +52,16 @@
     std::string address_;
 };
 
+// Returns the long-poll timeout with which a connection that has become unresponsive is detected,
+// and the changes are requested again, within the limit. Precondition: silenceLimit is at least 1.5
+// s. Thread-safe.
+[[nodiscard]] Duration longPollTimeoutFor(Duration silenceLimit);
+
 struct TableWatchSettings
 {
     std::string table_;
-    // Long-poll timeout: the store answers at the first change or after this time. Short enough to
-    // detect an unresponsive connection within the bounds for configuration changes.
+    // Long-poll timeout: the store answers at the first change or after this time; see
+    // longPollTimeoutFor().
     Duration longPollTimeout_ = std::chrono::milliseconds(2000);
     Duration pause_ = std::chrono::milliseconds(20); // between calls, since each call is charged
 };
