gateway, sidecar: limits on what is read of a message

What callers saw: a resumable stream whose engine sent an event without end, or comments and no event, was held until its deadline although another engine could go on; a request that a target rejected with a body without end got 504 after 4.1 s instead of another target or a true 503. An event without end grew an entry, an engine's report without end its sidecar, without bound.

Cause: the splitter, the buffer of calls to engines and store, and the reading of discarded answers had no limit but the request's deadline; any byte counted as progress of a stream; the search for an event's end began anew at each piece.

Change: read_limits.h names the limits in bytes and time. An exchange that exceeds one is reset and has failed; the target counts as failed for placement. Progress of a stream is an event, not a byte or a comment. A discarded answer is given up after 64 KiB or 200 ms: its head has told whether the request ran (`answer_given_up` in the log). Lines of sidecars and entries had a limit before.

Not done: 50 such targets at once, counters by reason, fuzz inputs.

--- a/packages/gateway/event_splitter.cpp
+++ b/packages/gateway/event_splitter.cpp
@@ -1,21 +1,24 @@
 #include "gateway/event_splitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace foxtailturn::gateway {
 
 namespace {
 
-// Returns the offset after the empty line that ends the first event; npos if it is incomplete.
-std::size_t endOfEvent(std::string_view text)
+constexpr std::string_view kEmptyLine = "\n\n";
+constexpr std::string_view kEmptyCrlfLine = "\r\n\r\n";
+
+// Returns the offset after the empty line that ends the first event; npos if it is incomplete. The
+// search begins at an offset.
+std::size_t endOfEvent(std::string_view text, std::size_t from)
 {
-    const std::size_t lf = text.find("\n\n");
-    const std::size_t crlf = text.find("\r\n\r\n");
+    const std::size_t lf = text.find(kEmptyLine, from);
+    const std::size_t crlf = text.find(kEmptyCrlfLine, from);
     if (lf == std::string_view::npos && crlf == std::string_view::npos)
         return std::string_view::npos;
-    constexpr std::size_t kLfLength = 2;
-    constexpr std::size_t kCrlfLength = 4;
-    return lf < crlf ? lf + kLfLength : crlf + kCrlfLength;
+    return lf < crlf ? lf + kEmptyLine.size() : crlf + kEmptyCrlfLine.size();
 }
 
 std::string idOf(std::string_view event)
@@ -45,15 +48,23 @@
     std::vector<StreamEvent> events;
     remainder_ += data;
     std::string_view text = remainder_;
-    for (std::size_t end = endOfEvent(text); end != std::string_view::npos;
-         end = endOfEvent(text)) {
+    for (std::size_t end = endOfEvent(text, searchedBytes_); end != std::string_view::npos;
+         end = endOfEvent(text, 0)) {
         events.push_back({std::string(text.substr(0, end)), idOf(text.substr(0, end))});
         text.remove_prefix(end);
     }
     remainder_.erase(0, remainder_.size() - text.size());
+    // An empty line may have begun in these bytes.
+    searchedBytes_ = remainder_.size() - std::min(remainder_.size(), kEmptyCrlfLine.size() - 1);
     return events;
 }
 
+void EventSplitter::clear()
+{
+    remainder_.clear();
+    searchedBytes_ = 0;
+}
+
 std::optional<std::int64_t> eventNumber(std::string_view id)
 {
     std::int64_t number = 0;
--- a/packages/gateway/event_splitter.h
+++ b/packages/gateway/event_splitter.h
@@ -23,6 +23,9 @@
     std::string text_; // including the empty line that ends it
     std::string id_; // empty if the event has none
 
+    // Returns whether the event is a comment, which shows no progress of the stream. Thread-safe.
+    [[nodiscard]] bool isComment() const { return id_.empty() && text_.starts_with(':'); }
+
     bool operator==(const StreamEvent &) const = default;
 };
 
@@ -33,11 +36,13 @@
     // Returns the events that the data completes.
     [[nodiscard]] std::vector<StreamEvent> feed(std::string_view data);
 
+    // Returns the bytes of the incomplete event. The caller bounds their number.
     [[nodiscard]] const std::string &remainder() const { return remainder_; }
-    void clear() { remainder_.clear(); }
+    void clear();
 
 private:
     std::string remainder_;
+    std::size_t searchedBytes_ = 0; // of the remainder, without the end of an event
 };
 
 // Returns an event id as a number; nullopt if it is not a decimal integer. Thread-safe.
--- a/packages/gateway/event_splitter_test.cpp
+++ b/packages/gateway/event_splitter_test.cpp
@@ -22,6 +22,23 @@
     }
 }
 
+// Guards against a search that starts over at each piece of a long event: 4 MB in pieces of 64
+// bytes took minutes.
+TEST_CASE("a long event is searched once, and its end is found wherever it is split")
+{
+    constexpr int kPieces = 65'536;
+    const std::string piece(64, 'x');
+    for (const std::string &end : {std::string("\n\n"), std::string("\r\n\r\n")}) {
+        EventSplitter splitter;
+        for (int i = 0; i < kPieces; ++i)
+            REQUIRE(splitter.feed(piece).empty());
+        for (std::size_t i = 0; i + 1 < end.size(); ++i)
+            REQUIRE(splitter.feed(end.substr(i, 1)).empty());
+        CHECK(splitter.feed(end.substr(end.size() - 1)).size() == 1);
+        CHECK(splitter.feed("id: 1\n\n").size() == 1);
+    }
+}
+
 TEST_CASE("eventNumber() accepts only decimal integers")
 {
     CHECK(eventNumber("17") == 17);
--- a/packages/gateway/http_caller.cpp
+++ b/packages/gateway/http_caller.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/read_limits.h"
+
 namespace foxtailturn::gateway {
 
 namespace {
@@ -46,7 +48,13 @@
         answer_.status_ = head.status_;
     }
 
-    void onReplyBody(std::string_view data) override { answer_.body_ += data; }
+    void onReplyBody(std::string_view data) override
+    {
+        if (answer_.body_.size() + data.size() > read_limits::kMaxAnswerBytes)
+            finish();
+        else if (self_)
+            answer_.body_ += data;
+    }
 
     void onReplyEnd() override
     {
--- a/packages/gateway/http_caller.h
+++ b/packages/gateway/http_caller.h
@@ -13,8 +13,8 @@
 
 namespace foxtailturn::gateway {
 
-// The answer to a call. status_ 0: no complete answer was received in time; the call may have been
-// carried out or may be carried out later.
+// The answer to a call. status_ 0: no complete answer was received in time, or more than
+// read_limits::kMaxAnswerBytes; the call may have been carried out or may be carried out later.
 struct HttpAnswer
 {
     int status_ = 0;
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "gateway/gateway.h"
+#include "gateway/read_limits.h"
 
 namespace foxtailturn::gateway {
 
@@ -165,6 +166,7 @@
     hasFirstEvent_ = false;
     replyHandling_ = ReplyHandling::None;
     bufferedBody_.clear();
+    discardedBytes_ = 0;
     splitter_.clear();
     wasOnlyPrefill_ = target.pendingCount_ == 0 && target.report_.prefilling_ == 0;
     const std::int64_t cached =
@@ -243,6 +245,8 @@
     const Duration idle = idleLimit();
     if (connection_ && idle != Duration::max())
         expiry = std::min(expiry, progressAt_ + idle);
+    if (connection_ && replyHandling_ == ReplyHandling::Discard)
+        expiry = std::min(expiry, discardUntil_);
     timer_.expires_after(std::max(expiry - gateway_.now(), Duration::zero()));
     timer_.async_wait([weak = weak_from_this()](const asio::error_code &why) {
         const std::shared_ptr<Relay> self = weak.lock();
@@ -267,6 +271,10 @@
             armTimer();
         return;
     }
+    if (connection_ && replyHandling_ == ReplyHandling::Discard && now >= discardUntil_) {
+        finishDiscard();
+        return;
+    }
     const Duration idle = idleLimit();
     if (connection_ && idle != Duration::max() && now >= progressAt_ + idle) {
         const bool isLastAttempt = runs_ + 1 >= request_.route_->maxAttempts_;
@@ -418,7 +426,7 @@
     progressAt_ = gateway_.now();
     reply_ = reply;
     if (reply.isNotRun_) {
-        replyHandling_ = ReplyHandling::Discard;
+        beginDiscard();
         return;
     }
     const bool isSuccess = head.status_ >= 200 && head.status_ < 300;
@@ -442,7 +450,7 @@
     const bool isFailure = head.status_ >= kFirstServerErrorStatus && !isForwarding_;
     if (isFailure && runs_ + 1 < request_.route_->maxAttempts_ && request_.route_->isRepeatable()
         && gateway_.tryRetry(request_.service_)) {
-        replyHandling_ = ReplyHandling::Discard;
+        beginDiscard();
         return;
     }
     if (isForwarding_) {
@@ -490,12 +498,41 @@
         placement.recordCachedPrefix(instance_, placementRequest(), now);
 }
 
+void Relay::beginDiscard()
+{
+    replyHandling_ = ReplyHandling::Discard;
+    discardUntil_ = gateway_.now() + read_limits::kMaxDiscardTime;
+    armTimer();
+}
+
+// Gives the rest of a discarded answer up; the head has told all that matters.
+void Relay::finishDiscard()
+{
+    gateway_.log().write(
+        LogDetail::Full, "answer_given_up",
+        {{"request", request_.caller_.id_}, {"target", instance_}, {"bytes", discardedBytes_}});
+    if (Target *target = gateway_.targets().find(instance_))
+        gateway_.targets().failed(*target, gateway_.now());
+    connection_->abandon();
+    onReplyEnd();
+}
+
+void Relay::discard(std::size_t bytes)
+{
+    discardedBytes_ += bytes;
+    if (discardedBytes_ > read_limits::kMaxDiscardedBytes)
+        finishDiscard();
+}
+
 void Relay::onReplyBody(std::string_view data)
 {
-    progressAt_ = gateway_.now();
+    if (!isStreamReply_)
+        progressAt_ = gateway_.now();
     switch (replyHandling_) {
     case ReplyHandling::None:
+        return;
     case ReplyHandling::Discard:
+        discard(data.size());
         return;
     case ReplyHandling::Buffer:
         recordFirstEvent();
@@ -525,6 +562,11 @@
         const std::optional<std::int64_t> last = eventNumber(lastEventId_);
         if (number && last && *number <= *last)
             continue; // already forwarded
+        if (event.isComment()) {
+            text += event.text_;
+            continue;
+        }
+        progressAt_ = gateway_.now();
         if (!event.id_.empty())
             lastEventId_ = event.id_;
         if (events_ == 0) {
@@ -538,6 +580,9 @@
         text += event.text_;
     }
     forward(text);
+    if (splitter_.remainder().size() > read_limits::kMaxEventBytes)
+        onExchangeFailure(Error{ErrorCode::TargetFailed, Execution::OutcomeUnknown,
+                                "an event of the stream is longer than the limit"});
 }
 
 void Relay::forward(std::string_view data)
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -124,6 +124,9 @@
     void onExchangeFailure(const Error &error) override;
 
     void beginForwarding(const MessageHead &head, std::optional<std::size_t> length);
+    void beginDiscard();
+    void discard(std::size_t bytes);
+    void finishDiscard();
     void forwardEvents(std::string_view data);
     void forward(std::string_view data);
     void recordFirstEvent();
@@ -140,7 +143,8 @@
     int runs_ = 0; // attempts that may have run
     int sends_ = 0;
     TimePoint sentAt_{};
-    TimePoint progressAt_{}; // when the request was sent or the last bytes of the answer came
+    TimePoint progressAt_{}; // when the request was sent or the answer last went on; an event, for
+                             // a stream
     TimePoint waitUntil_{}; // latest end of the wait for an adapter load
     bool wasOnlyPrefill_ =
         false; // when sent, no other prompt was known to be in prefill at the target
@@ -150,6 +154,8 @@
     MessageHead replyHead_;
     TargetReply reply_;
     std::string bufferedBody_;
+    std::size_t discardedBytes_ = 0;
+    TimePoint discardUntil_{}; // the rest of a discarded answer is not read after this
     EventSplitter splitter_;
     std::string lastEventId_;
     int events_ = 0; // forwarded
--- a/packages/gateway/target_connection.cpp
+++ b/packages/gateway/target_connection.cpp
@@ -2,11 +2,12 @@
 
 #include <algorithm>
 
+#include "gateway/read_limits.h"
+
 namespace foxtailturn::gateway {
 
 namespace {
 
-constexpr std::size_t kMaxReplyHeaderBytes = 65'536; // limit on a target's response header
 // An idle connection is reused within this fraction of the idle timeout that the target announces,
 // so that a request is seldom sent while the target closes the connection.
 constexpr int kIdleReuseNumerator = 1;
@@ -90,7 +91,7 @@
         fail(ErrorCode::ConnectionLost, "connect failed: " + error.message());
         return;
     }
-    parser_ = std::make_unique<MessageParser>(MessageKind::Response, kMaxReplyHeaderBytes,
+    parser_ = std::make_unique<MessageParser>(MessageKind::Response, read_limits::kMaxHeadBytes,
                                               static_cast<MessageSink &>(*this));
     stream_ = ByteStream::create(std::move(socket_));
     stream_->start(
@@ -110,6 +111,7 @@
     sink_ = &sink;
     isSent_ = false;
     isSkipping_ = false;
+    skippedBytes_ = 0;
     isResponseComplete_ = false;
     keepsAlive_ = true;
     ++exchanges_;
@@ -171,9 +173,15 @@
             abandon(); // unsolicited bytes
             return;
         }
-        data.remove_prefix(parser_->feed(data));
+        const std::size_t used = parser_->feed(data);
+        data.remove_prefix(used);
         if (isClosed_)
             return; // the sink has abandoned the exchange
+        skippedBytes_ += isSkipping_ ? used : 0;
+        if (skippedBytes_ > read_limits::kMaxSkippedBytes) {
+            fail(ErrorCode::TargetFailed, "too many bytes before the response to the request");
+            return;
+        }
         if (parser_->error()) {
             fail(ErrorCode::TargetFailed, "malformed HTTP response: " + parser_->error()->message_);
             return;
--- a/packages/gateway/target_connection.h
+++ b/packages/gateway/target_connection.h
@@ -90,6 +90,7 @@
     bool expectsNoBody_ = false;
     bool isSent_ = false; // bytes of the request may have reached the network
     bool isSkipping_ = false; // reading a response to another request
+    std::size_t skippedBytes_ = 0; // of such responses during this exchange
     bool isResponseComplete_ = false; // the response to this exchange is complete
     bool keepsAlive_ = true;
     bool isClosed_ = false;
--- a/packages/gateway/target_connection_test.cpp
+++ b/packages/gateway/target_connection_test.cpp
@@ -2,51 +2,15 @@
 
 #include <doctest/doctest.h>
 
+#include "gateway/codec_testing.h"
+#include "gateway/read_limits.h"
+
 namespace foxtailturn::gateway {
 
 namespace {
 
 using std::chrono::milliseconds;
 
-// Decodes the field "Id" of a response only; the other methods are not used here.
-class PlainCodec final : public PlatformCodec
-{
-public:
-    Result<CallerRequest> decodeRequest(const MessageHead &) const override { return {}; }
-    std::string refusal(const Refusal &) const override { return ""; }
-    std::string readyTarget() const override { return "/"; }
-    std::string targetHead(const MessageHead &, const TargetCall &, std::size_t) const override
-    {
-        return "";
-    }
-    TargetReply decodeReply(const MessageHead &head) const override
-    {
-        TargetReply reply;
-        if (const std::string *id = head.find("Id"))
-            reply.requestId_ = *id;
-        return reply;
-    }
-    HttpCall reportCall() const override { return {}; }
-    Result<EngineReport> decodeReport(std::string_view) const override { return {}; }
-    HttpCall orderCall(const EngineOrder &) const override { return {}; }
-    HttpCall readCall(const std::string &, const std::string &, const std::string &) const override
-    {
-        return {};
-    }
-    HttpCall followCall(const std::string &, std::int64_t, Duration) const override { return {}; }
-    HttpCall writeCall(const StoreWrite &) const override { return {}; }
-    Result<StoreRows> decodeRows(std::string_view) const override { return {}; }
-    std::string callHead(const HttpCall &, const std::string &) const override { return ""; }
-    std::string operatorTable() const override { return "o"; }
-    std::string targetTable() const override { return "t"; }
-    std::optional<ServingConfig> decodeConfig(const StoreRow &) const override { return {}; }
-    std::optional<AdapterVersion> decodeAdapterVersion(const StoreRow &) const override
-    {
-        return {};
-    }
-    std::optional<TargetRecord> decodeTarget(const StoreRow &) const override { return {}; }
-};
-
 struct Recorder final : ExchangeSink
 {
     void onReplyHead(const MessageHead &head, const TargetReply &) override
@@ -149,6 +113,34 @@
     CHECK(recorder.body_ == "ok");
 }
 
+// Guards against an exchange that goes on until its deadline while a target sends interim responses
+// or responses to other requests without end.
+TEST_CASE("an exchange fails after too many bytes before its response")
+{
+    const std::string cases[] = {
+        "HTTP/1.1 103 Early\r\nPad: " + std::string(60'000, 'x') + "\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: 6\r\nContent-Length: 60000\r\n\r\n" + std::string(60'000, 'x'),
+    };
+    for (const std::string &skipped : cases) {
+        Fixture fixture;
+        Recorder recorder;
+        fixture.connect()->exchange("GET / HTTP/1.1\r\n\r\n", "7", false, recorder);
+        fixture.accept();
+        fixture.readRequest();
+        std::size_t sent = 0;
+        while (!recorder.error_ && sent < 4 * read_limits::kMaxSkippedBytes) {
+            asio::error_code ignored; // the connection is reset in the end
+            asio::write(fixture.peer_, asio::buffer(skipped), ignored);
+            sent += skipped.size();
+            fixture.runUntil([&] { return recorder.error_ || fixture.context_.poll() == 0; });
+        }
+        REQUIRE(recorder.error_);
+        CHECK(recorder.error_->execution_ == Execution::OutcomeUnknown);
+        CHECK(sent > read_limits::kMaxSkippedBytes);
+        CHECK(recorder.status_ == 0);
+    }
+}
+
 // Guards against the reuse of a connection that has received unsolicited bytes.
 TEST_CASE("unsolicited bytes after a response close the connection")
 {
