--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -82,8 +82,8 @@
                 link->second->send(encode(UseNotice{name, isBegin}));
         });
     gateway_.setGrantRequestHandler([this](const std::string &workspace, std::int64_t charge,
-                                           GrantRequester::GrantHandler handler) {
-        quotaPeers_.requestGrant(workspace, charge, std::move(handler));
+                                           const GrantRequester::GrantHandler &handler) {
+        quotaPeers_.requestGrant(workspace, charge, handler);
     });
     gateway_.setSuspectHandler([this](const SuspectRecord &record) { ledgerSync_.report(record); });
     ledgerSync_.onRead([this] { quotaPeers_.updateConnections(); });
