quota: a release during a sync is written with the next one at once

An entry that was told to stop while a call to the store was in progress scheduled its next write for the next renewal, up to 6 s later, and ended 200 ms after the release: its parts were lost for 24 to 60 s instead of a second. Found by reading; nextWriteAt() did not know of the release. The test failed before (nextWriteAt() was the time of the next renewal).

--- a/packages/quota/quota_parts.cpp
+++ b/packages/quota/quota_parts.cpp
@@ -336,13 +336,13 @@
 {
     if (!hasQuota())
         return TimePoint::max();
-    TimePoint at = recordDueAt_;
+    TimePoint at = isReleasing_ ? TimePoint::max() : recordDueAt_;
     for (const auto &[workspace, ledger] : ledgers_) {
         if (ledger.quota_.rate_ == 0)
             continue;
         for (const Part &part : ledger.parts_) {
             if (part.row_.owner_ == self_.name_)
-                at = std::min(at, part.renewAt_);
+                at = std::min(at, isReleasing_ ? TimePoint{} : part.renewAt_);
         }
     }
     return at;
--- a/packages/quota/quota_parts_test.cpp
+++ b/packages/quota/quota_parts_test.cpp
@@ -254,7 +254,9 @@
     fleet.syncAll(8);
     const std::string leaving = fleet.entry(0).ownersOf("w")[0];
     QuotaParts &owner = *fleet.find(leaving);
+    CHECK(owner.nextWriteAt() > fleet.clock_.now());
     owner.release();
+    CHECK(owner.nextWriteAt() <= fleet.clock_.now()); // also if a sync is in progress
     const std::optional<StoreWrite> write = owner.plan();
     REQUIRE(write);
     CHECK_FALSE(owner.admit("w", 1));
