--- a/packages/gateway/agent_messages.h
+++ b/packages/gateway/agent_messages.h
@@ -6,8 +6,8 @@
 //     AgentMessage message = decodeAgentMessage(line);
 //
 // A sidecar reports its engine's load to each connected entry, first in full and then as updates,
-// and accepts requests to load adapters. An entry requests a charge to a quota pool from the entry
-// that owns the pool. The receiver ignores a line that it can't decode, so that processes of
+// and accepts requests to load adapters. An entry requests a charge from an entry that owns a part
+// of the workspace's quota. The receiver ignores a line that it can't decode, so that processes of
 // different versions can run together.
 
 #include <optional>
