gateway: lost connections and suspects in log and metrics

New lines: connection_lost, suspects_stored, suspect_learned, suspect_cleared; new metric foxtailturn_connections_lost_total by cause. No decision is changed.

--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -343,15 +343,23 @@
     // A crash ends all exchanges of the target. If others are still running, only single
     // connections were reset.
     const Target *target = targets_.find(instance);
-    if (target != nullptr && target->inFlight_ > 0)
-        return;
+    const int inFlight = target == nullptr ? 0 : target->inFlight_;
     const TimePoint since = now() - kCrashWindow;
     const auto together = std::count_if(
         connectionLosses_.begin(), connectionLosses_.end(), [&](const ConnectionLoss &entry) {
             return entry.instance_ == instance && entry.at_ >= since;
         });
-    if (together > 1)
+    const bool isCrash = inFlight == 0 && together > 1;
+    serving_.recordConnectionLoss(isCrash);
+    if (isCrash) {
         recordCrash(instance, since);
+        return;
+    }
+    parts_.log_.write(LogDetail::Full, "connection_lost",
+                      {{"target", instance},
+                       {"fingerprint", fingerprint},
+                       {"together", together},
+                       {"in_flight", inFlight}});
 }
 
 void Gateway::recordUnreachable(const std::string &instance)
@@ -382,7 +390,10 @@
 void Gateway::recordCompleted(const std::string &fingerprint)
 {
     const std::optional<SuspectRecord> record = quarantine_.completed(fingerprint);
-    if (record && suspectHandler_)
+    if (!record)
+        return;
+    parts_.log_.write(LogDetail::Full, "suspect_cleared", {{"fingerprint", fingerprint}});
+    if (suspectHandler_)
         suspectHandler_(*record);
 }
 
--- a/packages/gateway/ledger_sync.cpp
+++ b/packages/gateway/ledger_sync.cpp
@@ -203,6 +203,8 @@
                 suspectVersions_[row.key_.substr(std::string_view(kSuspectPrefix).size())] =
                     rows.version_;
         }
+        if (!reports_.empty())
+            log_.write(LogDetail::Full, "suspects_stored", {{"records", reports_.size()}});
         reports_.clear();
         conflicts_ = 0;
         scheduleNext();
@@ -239,6 +241,8 @@
         if (!record || record->fingerprint_ != fingerprint)
             continue;
         const SuspectRecord merged = quarantine_.merge(*record);
+        log_.write(LogDetail::Full, "suspect_learned",
+                   {{"fingerprint", fingerprint}, {"crashes", merged.crashes_.size()}});
         const auto own = reports_.find(fingerprint);
         if (own != reports_.end())
             own->second.merge(merged);
--- a/packages/gateway/serving_metrics.cpp
+++ b/packages/gateway/serving_metrics.cpp
@@ -108,6 +108,15 @@
         .set(left);
 }
 
+void ServingMetrics::recordConnectionLoss(bool isCrash)
+{
+    metrics_
+        .counter("foxtailturn_connections_lost_total",
+                 "connections to targets that were lost during a request",
+                 {{"cause", isCrash ? "crash" : "unknown"}})
+        .add();
+}
+
 void ServingMetrics::connections(std::uint64_t opened, std::uint64_t reused)
 {
     raiseCounterTo(opened_, opened);
--- a/packages/gateway/serving_metrics.h
+++ b/packages/gateway/serving_metrics.h
@@ -58,6 +58,10 @@
     // still allows now.
     void retry(const std::string &service, bool isAllowed, std::int64_t left);
 
+    // Counts a connection that was lost during a request. isCrash: the target is taken to have
+    // crashed.
+    void recordConnectionLoss(bool isCrash);
+
     // Sets the totals of the target connection pool. Lower values than before are ignored.
     void connections(std::uint64_t opened, std::uint64_t reused);
 
