retry, gateway: one lost connection is enough to recognize a crashed target

Callers saw one engine after the other end, with their streams on it: a request that crashes each target that runs it was sent on and on.

Cause: an entry took lost connections for a crash only if two of its own requests at the target broke within 0.3 s, or if another connection was refused there within 2 s. With many entries an entry has mostly one request at a target, and avoids a target that has just failed, so the crash was not recognized.

Now a target that loses the connection of a request is checked at once by another connection. If it accepts none, it has crashed (CrashDetector, decision without I/O); if it accepts it, the connection stays in the pool. Two losses together alone are no crash any more: they may be resets.

--- a/packages/ctl/explain.cpp
+++ b/packages/ctl/explain.cpp
@@ -51,8 +51,8 @@
             return "; the target was gone soon afterwards";
         if (line.kind_ == "target_draining")
             return "; the target was leaving";
-        if (line.kind_ == "suspect")
-            return "; several requests broke there together, as in a crash";
+        if (line.kind_ == "target_crashed")
+            return "; the target crashed";
     }
     return "";
 }
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -13,11 +13,7 @@
 using std::chrono::seconds;
 
 constexpr Duration kCrashRetention = seconds(60); // how long a crash counts against a request
-constexpr Duration kCrashWindow =
-    milliseconds(300); // connections lost within this time count as one crash
-constexpr Duration kConnectionLossRetention =
-    seconds(2); // kept until a refused connection can confirm the crash
-constexpr std::size_t kMaxConnectionLosses = 256;
+constexpr Duration kCheckTimeout = milliseconds(400); // enough for one lost SYN or SYN-ACK
 constexpr Duration kNoConfigRetry = milliseconds(500);
 constexpr Duration kQuarantineRetry = seconds(5);
 // For this time after a new adapter version is declared, the older one is still served while the
@@ -337,49 +333,43 @@
 
 void Gateway::recordConnectionLoss(const std::string &instance, const std::string &fingerprint)
 {
-    connectionLosses_.push_back({instance, fingerprint, now()});
-    if (connectionLosses_.size() > kMaxConnectionLosses)
-        connectionLosses_.pop_front();
-    // A crash ends all exchanges of the target. If others are still running, only single
-    // connections were reset.
     const Target *target = targets_.find(instance);
-    const int inFlight = target == nullptr ? 0 : target->inFlight_;
-    const TimePoint since = now() - kCrashWindow;
-    const auto together = std::count_if(
-        connectionLosses_.begin(), connectionLosses_.end(), [&](const ConnectionLoss &entry) {
-            return entry.instance_ == instance && entry.at_ >= since;
-        });
-    const bool isCrash = inFlight == 0 && together > 1;
-    serving_.recordConnectionLoss(isCrash);
-    if (isCrash) {
-        recordCrash(instance, since);
+    if (target == nullptr)
         return;
-    }
-    parts_.log_.write(LogDetail::Full, "connection_lost",
-                      {{"target", instance},
-                       {"fingerprint", fingerprint},
-                       {"together", together},
-                       {"in_flight", inFlight}});
+    const TargetStart start{instance,
+                            instance + "@" + std::to_string(target->record_.startTimeMs_)};
+    if (crashes_.recordLoss(start, fingerprint, now()))
+        checkTarget(instance, target->record_.address_);
 }
 
-void Gateway::recordUnreachable(const std::string &instance)
+void Gateway::checkTarget(const std::string &instance, const std::string &address)
 {
-    recordCrash(instance, now() - kConnectionLossRetention);
+    pool_.check(address, now() + kCheckTimeout, [this, instance, address](bool isReachable) {
+        if (!isReachable) {
+            recordUnreachable(instance);
+            return;
+        }
+        serving_.recordConnectionLoss(false);
+        parts_.log_.write(LogDetail::Full, "connection_lost", {{"target", instance}});
+        if (crashes_.recordReachable(instance, now()))
+            checkTarget(instance, address);
+    });
 }
 
-void Gateway::recordCrash(const std::string &instance, TimePoint since)
+void Gateway::recordUnreachable(const std::string &instance)
 {
-    const Target *target = targets_.find(instance);
-    const std::string crashId =
-        instance + "@" + std::to_string(target == nullptr ? 0 : target->record_.startTimeMs_);
-    for (const ConnectionLoss &entry : connectionLosses_) {
-        if (entry.instance_ != instance || entry.at_ < since)
-            continue;
-        const SuspectRecord record = quarantine_.crashed(entry.fingerprint_, crashId);
+    const std::optional<Crash> crash = crashes_.recordUnreachable(instance, now());
+    if (!crash)
+        return;
+    serving_.recordConnectionLoss(true);
+    parts_.log_.write(LogDetail::Full, "target_crashed",
+                      {{"target", instance}, {"requests", crash->fingerprints_.size()}});
+    for (const std::string &fingerprint : crash->fingerprints_) {
+        const SuspectRecord record = quarantine_.crashed(fingerprint, crash->id_);
         if (record.standing() == Standing::Clear)
             continue;
         parts_.log_.write(LogDetail::Full, "suspect",
-                          {{"fingerprint", entry.fingerprint_},
+                          {{"fingerprint", fingerprint},
                            {"target", instance},
                            {"crashes", record.crashes_.size()}});
         if (suspectHandler_)
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -9,7 +9,6 @@
 //
 // Not thread-safe: belongs to the loop's thread.
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -27,6 +26,7 @@
 #include "gateway/target_connection.h"
 #include "gateway/target_registry.h"
 #include "quota/quota_parts.h"
+#include "retry/crash_detector.h"
 #include "retry/quarantine.h"
 #include "retry/retry_budget.h"
 
@@ -124,8 +124,9 @@
     [[nodiscard]] bool tryRetry(const std::string &service);
 
     // Records that a connection was lost while a target ran a request, or that no connection to the
-    // target could be opened. When several requests of one target lose their connections together,
-    // the target is taken to have crashed, and each of them is recorded as a possible cause.
+    // target could be opened. A target that has lost a connection is checked by opening another
+    // one; if that fails, the target has crashed, and each request that was under way there is
+    // recorded as a possible cause.
     void recordConnectionLoss(const std::string &instance, const std::string &fingerprint);
     void recordUnreachable(const std::string &instance);
     void recordCompleted(const std::string &fingerprint);
@@ -159,13 +160,6 @@
     [[nodiscard]] double jitter();
 
 private:
-    struct ConnectionLoss
-    {
-        std::string instance_;
-        std::string fingerprint_;
-        TimePoint at_;
-    };
-
     struct DeclaredVersion
     {
         std::int64_t version_ = 0;
@@ -178,7 +172,7 @@
                                                      const Workspace &workspace);
     [[nodiscard]] std::int64_t minVersion(const std::string &name) const;
     void requestAdapterUpdates();
-    void recordCrash(const std::string &instance, TimePoint since);
+    void checkTarget(const std::string &instance, const std::string &address);
 
     GatewayDependencies parts_;
     GatewayOptions options_;
@@ -191,7 +185,7 @@
     std::map<std::string, Placement> placements_; // by service
     std::map<std::string, DeclaredVersion> versions_; // by adapter name
     std::set<std::shared_ptr<Relay>> waiting_;
-    std::deque<ConnectionLoss> connectionLosses_;
+    CrashDetector crashes_;
     LoadRequestHandler loadRequestHandler_;
     AdapterUseHandler adapterUseHandler_;
     std::function<void(const SuspectRecord &)> suspectHandler_;
--- a/packages/gateway/serving_metrics.cpp
+++ b/packages/gateway/serving_metrics.cpp
@@ -112,8 +112,8 @@
 {
     metrics_
         .counter("foxtailturn_connections_lost_total",
-                 "connections to targets that were lost during a request",
-                 {{"cause", isCrash ? "crash" : "unknown"}})
+                 "checks of targets that lost the connection of a request",
+                 {{"cause", isCrash ? "crash" : "other"}})
         .add();
 }
 
--- a/packages/gateway/serving_metrics.h
+++ b/packages/gateway/serving_metrics.h
@@ -58,8 +58,8 @@
     // still allows now.
     void retry(const std::string &service, bool isAllowed, std::int64_t left);
 
-    // Counts a connection that was lost during a request. isCrash: the target is taken to have
-    // crashed.
+    // Counts a check of a target that has lost the connection of a request. isCrash: the target
+    // accepted no other one.
     void recordConnectionLoss(bool isCrash);
 
     // Sets the totals of the target connection pool. Lower values than before are ignored.
--- a/packages/gateway/target_connection.cpp
+++ b/packages/gateway/target_connection.cpp
@@ -1,6 +1,7 @@
 #include "gateway/target_connection.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "gateway/read_limits.h"
 
@@ -89,6 +90,7 @@
         return;
     if (error) {
         fail(ErrorCode::ConnectionLost, "connect failed: " + error.message());
+        finishCheck(false);
         return;
     }
     parser_ = std::make_unique<MessageParser>(MessageKind::Response, read_limits::kMaxHeadBytes,
@@ -100,6 +102,25 @@
     if (isPaused_)
         stream_->pause();
     sendRequest();
+    finishCheck(true);
+}
+
+void TargetConnection::finishCheck(bool isReachable)
+{
+    if (!checkHandler_)
+        return;
+    if (isReachable)
+        release();
+    std::exchange(checkHandler_, nullptr)(isReachable);
+}
+
+// Returns the connection to the pool.
+void TargetConnection::release()
+{
+    const Duration idle = (idleTimeout_ > Duration::zero() ? idleTimeout_ : kDefaultIdleTimeout)
+        * kIdleReuseNumerator / kIdleReuseDenominator;
+    usableUntil_ = pool_.clock_.now() + idle;
+    pool_.release(shared_from_this());
 }
 
 void TargetConnection::exchange(std::string text, std::string requestId, bool expectsNoBody,
@@ -211,10 +232,7 @@
         else
             stream_->close();
     } else {
-        const Duration idle = (idleTimeout_ > Duration::zero() ? idleTimeout_ : kDefaultIdleTimeout)
-            * kIdleReuseNumerator / kIdleReuseDenominator;
-        usableUntil_ = pool_.clock_.now() + idle;
-        pool_.release(shared_from_this());
+        release();
     }
     sink->onReplyEnd();
 }
@@ -303,6 +321,12 @@
     return connection;
 }
 
+void ConnectionPool::check(const std::string &address, TimePoint connectDeadline,
+                           std::function<void(bool isReachable)> handler)
+{
+    open(address, connectDeadline)->checkHandler_ = std::move(handler);
+}
+
 void ConnectionPool::release(const std::shared_ptr<TargetConnection> &connection)
 {
     idle_[connection->address()].push_back(connection);
--- a/packages/gateway/target_connection.h
+++ b/packages/gateway/target_connection.h
@@ -10,6 +10,7 @@
 // Responses with the id of another request are skipped, as a faulty target may send one late or
 // twice. An idle connection that receives bytes is closed.
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -68,6 +69,8 @@
 
     void connect();
     void onConnected(const asio::error_code &error);
+    void finishCheck(bool isReachable);
+    void release();
     void sendRequest();
     void onData(std::string_view data);
     void onClosed(const asio::error_code &error);
@@ -95,6 +98,7 @@
     bool keepsAlive_ = true;
     bool isClosed_ = false;
     bool isPaused_ = false;
+    std::function<void(bool isReachable)> checkHandler_; // of a connection without an exchange
     TimePoint usableUntil_ = TimePoint::max(); // an idle connection is not reused after this
     Duration idleTimeout_{}; // as the target announced it
     int exchanges_ = 0;
@@ -115,6 +119,11 @@
     [[nodiscard]] std::shared_ptr<TargetConnection> open(const std::string &address,
                                                          TimePoint connectDeadline);
 
+    // Opens a connection and keeps it as an idle one. Then calls the handler from the loop, with
+    // whether the target has accepted it by the deadline.
+    void check(const std::string &address, TimePoint connectDeadline,
+               std::function<void(bool isReachable)> handler);
+
     // Close the idle connections of an address, of all addresses, or those too old for reuse.
     void closeIdle(const std::string &address);
     void closeAllIdle();
--- a/packages/gateway/target_connection_test.cpp
+++ b/packages/gateway/target_connection_test.cpp
@@ -97,6 +97,27 @@
     CHECK(fixture.pool_.reused() == 1);
 }
 
+TEST_CASE("a check tells whether a target accepts connections, and keeps the connection")
+{
+    Fixture fixture;
+    std::vector<bool> results;
+    const auto check = [&] {
+        fixture.pool_.check(fixture.address_, fixture.clock_.now() + std::chrono::seconds(2),
+                            [&](bool isReachable) { results.push_back(isReachable); });
+        const std::size_t count = results.size();
+        fixture.runUntil([&] { return results.size() > count; });
+    };
+    check();
+    fixture.accept();
+    Recorder recorder;
+    fixture.connect()->exchange("GET / HTTP/1.1\r\n\r\n", "7", false, recorder);
+    CHECK(fixture.readRequest() == "GET / HTTP/1.1\r\n\r\n");
+    CHECK(fixture.pool_.reused() == 1);
+    fixture.acceptor_.close();
+    check();
+    CHECK(results == std::vector{true, false});
+}
+
 // Guards against forwarding the response to another request: a faulty target may send one late,
 // where the next response is expected.
 TEST_CASE("a response with another request id is skipped")
