gateway: rows of suspects have a class of their own

LedgerSync kept the records to be written, their row versions and the merge beside the timing of reads and writes. SuspectRows takes them over, without I/O, so that they can be tested.

--- a/packages/gateway/ledger_sync.cpp
+++ b/packages/gateway/ledger_sync.cpp
@@ -8,7 +8,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr const char *kSuspectPrefix = "suspect/"; // prefix of row keys in kFleetTable
 constexpr Duration kInitialDelay = milliseconds(50);
 constexpr Duration kNoOwnerInterval = milliseconds(250); // until each quota has an owner
 constexpr Duration kRegularInterval = milliseconds(3000);
@@ -55,7 +54,7 @@
     : store_(store)
     , log_(log)
     , quotas_(quotas)
-    , quarantine_(quarantine)
+    , suspects_(quarantine)
     , jitter_(std::move(jitter))
     , timer_(store.context())
 { }
@@ -88,7 +87,7 @@
 
 void LedgerSync::report(const SuspectRecord &record)
 {
-    reports_.insert_or_assign(record.fingerprint_, record);
+    suspects_.report(record);
     schedule(Duration::zero());
 }
 
@@ -172,22 +171,17 @@
 void LedgerSync::write()
 {
     StoreWrite write = quotas_.plan().value_or(StoreWrite());
-    for (const auto &[fingerprint, record] : reports_) {
-        const std::string key = kSuspectPrefix + fingerprint;
-        write.puts_.push_back({quota::kFleetTable, quota::kFleetPartition, key, record.toJson()});
-        write.expected_.push_back(
-            {quota::kFleetTable, quota::kFleetPartition, key, "", suspectVersions_[fingerprint]});
-    }
+    suspects_.addTo(write);
     if (write.puts_.empty()) {
         scheduleNext();
         return;
     }
     isSyncing_ = true;
     store_.call(store_.codec().writeCall(write), kStoreTimeout,
-                [this, write](const StoreAnswer &answer) { onWritten(write, answer); });
+                [this](const StoreAnswer &answer) { onWritten(answer); });
 }
 
-void LedgerSync::onWritten(const StoreWrite &written, const StoreAnswer &answer)
+void LedgerSync::onWritten(const StoreAnswer &answer)
 {
     isSyncing_ = false;
     // Only a missing answer (status 0) leaves the outcome unknown: any status but 200 guarantees
@@ -197,15 +191,9 @@
                                                        : WriteOutcome::Conflict;
     const StoreRows rows = store_.codec().decodeRows(answer.body_).value_or(StoreRows());
     quotas_.finishWrite(outcome, rows.version_);
+    if (const std::size_t count = suspects_.finishWrite(outcome, rows.version_); count > 0)
+        log_.write(LogDetail::Full, "suspects_stored", {{"records", count}});
     if (outcome == WriteOutcome::Applied) {
-        for (const StoreRow &row : written.puts_) {
-            if (row.key_.starts_with(kSuspectPrefix))
-                suspectVersions_[row.key_.substr(std::string_view(kSuspectPrefix).size())] =
-                    rows.version_;
-        }
-        if (!reports_.empty())
-            log_.write(LogDetail::Full, "suspects_stored", {{"records", reports_.size()}});
-        reports_.clear();
         conflicts_ = 0;
         scheduleNext();
         return;
@@ -229,24 +217,9 @@
 
 void LedgerSync::mergeSuspects(const std::vector<StoreRow> &rows)
 {
-    const std::string_view prefix = kSuspectPrefix;
-    for (const StoreRow &row : rows) {
-        if (!row.key_.starts_with(prefix))
-            continue;
-        const std::string fingerprint = row.key_.substr(prefix.size());
-        if (suspectVersions_[fingerprint] == row.version_)
-            continue;
-        suspectVersions_[fingerprint] = row.version_;
-        const Result<SuspectRecord> record = SuspectRecord::ofJson(row.value_);
-        if (!record || record->fingerprint_ != fingerprint)
-            continue;
-        const SuspectRecord merged = quarantine_.merge(*record);
+    for (const SuspectRecord &record : suspects_.update(rows))
         log_.write(LogDetail::Full, "suspect_learned",
-                   {{"fingerprint", fingerprint}, {"crashes", merged.crashes_.size()}});
-        const auto own = reports_.find(fingerprint);
-        if (own != reports_.end())
-            own->second.merge(merged);
-    }
+                   {{"fingerprint", record.fingerprint_}, {"crashes", record.crashes_.size()}});
 }
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/ledger_sync.h
+++ b/packages/gateway/ledger_sync.h
@@ -11,13 +11,12 @@
 // meanwhile. It reads all rows first if the last read is too old.
 
 #include <functional>
-#include <map>
 #include <string>
 
 #include "base/event_log.h"
 #include "gateway/store_client.h"
+#include "gateway/suspect_rows.h"
 #include "quota/quota_parts.h"
-#include "retry/quarantine.h"
 
 namespace foxtailturn::gateway {
 
@@ -73,7 +72,7 @@
     void read(const std::string &firstKey);
     void onRows(const StoreAnswer &answer);
     void write();
-    void onWritten(const StoreWrite &written, const StoreAnswer &answer);
+    void onWritten(const StoreAnswer &answer);
     void mergeSuspects(const std::vector<StoreRow> &rows);
     [[nodiscard]] Duration jittered(Duration wait);
     [[nodiscard]] Duration currentReadInterval() const;
@@ -81,13 +80,11 @@
     StoreClient &store_;
     EventLog &log_;
     quota::QuotaParts &quotas_;
-    Quarantine &quarantine_;
+    SuspectRows suspects_;
     std::function<double()> jitter_;
     std::function<void()> onRead_;
     asio::steady_timer timer_;
     StoreRows pages_; // of the read in progress
-    std::map<std::string, SuspectRecord> reports_; // to be written, by fingerprint
-    std::map<std::string, std::int64_t> suspectVersions_; // row versions, by fingerprint
     TimePoint dueAt_{}; // of the next sync
     TimePoint readDueAt_{}; // the rows are read again by the first sync after this
     int conflicts_ = 0; // in a row
--- /dev/null
+++ b/packages/gateway/suspect_rows.cpp
@@ -0,0 +1,66 @@
+#include "gateway/suspect_rows.h"
+
+#include <string_view>
+#include <utility>
+
+#include "quota/quota_parts.h"
+
+namespace foxtailturn::gateway {
+
+namespace {
+
+constexpr std::string_view kPrefix = "suspect/"; // of row keys
+
+} // namespace
+
+void SuspectRows::report(const SuspectRecord &record)
+{
+    reports_.insert_or_assign(record.fingerprint_, record);
+}
+
+void SuspectRows::addTo(StoreWrite &write)
+{
+    writing_ = reports_;
+    for (const auto &[fingerprint, record] : writing_) {
+        const std::string key = std::string(kPrefix) + fingerprint;
+        write.puts_.push_back({quota::kFleetTable, quota::kFleetPartition, key, record.toJson()});
+        write.expected_.push_back(
+            {quota::kFleetTable, quota::kFleetPartition, key, "", versions_[fingerprint]});
+    }
+}
+
+std::size_t SuspectRows::finishWrite(WriteOutcome outcome, std::int64_t version)
+{
+    const std::map<std::string, SuspectRecord> written = std::exchange(writing_, {});
+    if (outcome != WriteOutcome::Applied)
+        return 0;
+    for (const auto &[fingerprint, record] : written)
+        versions_[fingerprint] = version;
+    reports_.clear();
+    return written.size();
+}
+
+std::vector<SuspectRecord> SuspectRows::update(const std::vector<StoreRow> &rows)
+{
+    std::vector<SuspectRecord> changed;
+    for (const StoreRow &row : rows) {
+        if (!row.key_.starts_with(kPrefix))
+            continue;
+        const std::string fingerprint = row.key_.substr(kPrefix.size());
+        std::int64_t &version = versions_[fingerprint];
+        if (version == row.version_)
+            continue;
+        version = row.version_;
+        const Result<SuspectRecord> record = SuspectRecord::ofJson(row.value_);
+        if (!record || record->fingerprint_ != fingerprint)
+            continue;
+        const SuspectRecord merged = quarantine_.merge(*record);
+        const auto own = reports_.find(fingerprint);
+        if (own != reports_.end())
+            own->second.merge(merged);
+        changed.push_back(merged);
+    }
+    return changed;
+}
+
+} // namespace foxtailturn::gateway
--- /dev/null
+++ b/packages/gateway/suspect_rows.h
@@ -0,0 +1,52 @@
+#pragma once
+
+// The rows of suspect requests that all entries share, and the records to be written to them.
+//
+//     SuspectRows rows(quarantine);
+//     rows.report(record);                    // to be written
+//     StoreWrite write;
+//     rows.addTo(write);
+//     rows.finishWrite(WriteOutcome::Applied, version);
+//     rows.update(storeRows);                 // after a read, or a conflict
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/store_rows.h"
+#include "retry/quarantine.h"
+
+namespace foxtailturn::gateway {
+
+// Not thread-safe.
+class SuspectRows
+{
+public:
+    // The quarantine must outlive this object.
+    explicit SuspectRows(Quarantine &quarantine)
+        : quarantine_(quarantine)
+    { }
+
+    // Replaces the record that is to be written for its request.
+    void report(const SuspectRecord &record);
+
+    // Adds the records to a write, each on condition that its row is the one last seen.
+    // Precondition: no other write is under way.
+    void addTo(StoreWrite &write);
+
+    // Ends the write that addTo() was called for. version: of the store after it, if it was
+    // applied. Returns the number of records that it has written.
+    std::size_t finishWrite(WriteOutcome outcome, std::int64_t version);
+
+    // Merges rows of the store, of which others are ignored, into the quarantine and into the
+    // records to be written. Returns the records that are new or have changed, as merged.
+    std::vector<SuspectRecord> update(const std::vector<StoreRow> &rows);
+
+private:
+    Quarantine &quarantine_;
+    std::map<std::string, SuspectRecord> reports_; // to be written, by fingerprint
+    std::map<std::string, SuspectRecord> writing_; // in the write under way, by fingerprint
+    std::map<std::string, std::int64_t> versions_; // of the rows, by fingerprint
+};
+
+} // namespace foxtailturn::gateway
--- /dev/null
+++ b/packages/gateway/suspect_rows_test.cpp
@@ -0,0 +1,64 @@
+#include "gateway/suspect_rows.h"
+
+#include <doctest/doctest.h>
+
+#include "quota/quota_testing.h"
+
+namespace foxtailturn::gateway {
+
+namespace {
+
+using quota::testing::FakeStore;
+
+// One entry with its view of the rows in the store.
+struct Entry
+{
+    explicit Entry(const std::string &name)
+        : quarantine_(name, {clock_, wallClock_}, std::chrono::seconds(60))
+        , rows_(quarantine_)
+    { }
+
+    void recordCrash(const std::string &fingerprint, const std::string &crashId)
+    {
+        rows_.report(quarantine_.crashed(fingerprint, crashId));
+    }
+
+    // Returns whether the write was applied. An empty one is not sent.
+    bool write(FakeStore &store)
+    {
+        StoreWrite write;
+        rows_.addTo(write);
+        const bool isApplied = !write.puts_.empty() && store.apply(write);
+        rows_.finishWrite(isApplied ? WriteOutcome::Applied : WriteOutcome::Conflict,
+                          store.version());
+        return isApplied;
+    }
+
+    ManualClock clock_;
+    ManualWallClock wallClock_;
+    Quarantine quarantine_;
+    SuspectRows rows_;
+};
+
+} // namespace
+
+TEST_CASE("a record that one entry writes reaches another, also over a conflict")
+{
+    FakeStore store;
+    Entry a("a");
+    Entry b("b");
+    a.recordCrash("f", "engine-1@1");
+    CHECK(a.write(store));
+    CHECK_FALSE(a.write(store)); // nothing is left to write
+    b.recordCrash("f", "engine-2@1");
+    CHECK_FALSE(b.write(store));
+    CHECK(b.rows_.update(store.rows().rows_).size() == 1);
+    CHECK_FALSE(b.quarantine_.admit("f"));
+    CHECK(b.write(store));
+    CHECK(a.quarantine_.admit("f"));
+    CHECK(a.rows_.update(store.rows().rows_).size() == 1);
+    CHECK_FALSE(a.quarantine_.admit("f"));
+    CHECK(a.rows_.update(store.rows().rows_).empty()); // no change since
+}
+
+} // namespace foxtailturn::gateway
