gateway: a suspect that is recorded during a write is written by the next one

Other entries never learned of some crashes, and went on sending the request.

Cause: after a write was applied, all waiting reports were dropped, also those that had come while the write was under way. Parts of quotas are renewed with the same writes, so one is often under way. A report during a write did not start the next one either.

--- a/packages/gateway/ledger_sync.cpp
+++ b/packages/gateway/ledger_sync.cpp
@@ -122,7 +122,8 @@
     const TimePoint now = store_.now();
     // A lost owner shortens the interval after the last read has set the time of the next one.
     readDueAt_ = std::min(readDueAt_, now + jittered(currentReadInterval()));
-    const TimePoint at = quotas_.needsRead() ? now : std::min(readDueAt_, quotas_.nextWriteAt());
+    const bool isDue = quotas_.needsRead() || suspects_.hasReports();
+    const TimePoint at = isDue ? now : std::min(readDueAt_, quotas_.nextWriteAt());
     schedule(std::max(at - now, kMinDelay));
 }
 
--- a/packages/gateway/suspect_rows.cpp
+++ b/packages/gateway/suspect_rows.cpp
@@ -34,9 +34,12 @@
     const std::map<std::string, SuspectRecord> written = std::exchange(writing_, {});
     if (outcome != WriteOutcome::Applied)
         return 0;
-    for (const auto &[fingerprint, record] : written)
+    for (const auto &[fingerprint, record] : written) {
         versions_[fingerprint] = version;
-    reports_.clear();
+        const auto report = reports_.find(fingerprint);
+        if (report != reports_.end() && report->second == record)
+            reports_.erase(report);
+    }
     return written.size();
 }
 
--- a/packages/gateway/suspect_rows.h
+++ b/packages/gateway/suspect_rows.h
@@ -30,6 +30,9 @@
     // Replaces the record that is to be written for its request.
     void report(const SuspectRecord &record);
 
+    // Returns whether there are records to be written.
+    [[nodiscard]] bool hasReports() const { return !reports_.empty(); }
+
     // Adds the records to a write, each on condition that its row is the one last seen.
     // Precondition: no other write is under way.
     void addTo(StoreWrite &write);
--- a/packages/gateway/suspect_rows_test.cpp
+++ b/packages/gateway/suspect_rows_test.cpp
@@ -61,4 +61,38 @@
     CHECK(a.rows_.update(store.rows().rows_).empty()); // no change since
 }
 
+// Guards against a crash that other entries never learn of because it was recorded during a write.
+TEST_CASE("a record that is reported during a write is written by the next one")
+{
+    FakeStore store;
+    Entry a("a");
+    a.recordCrash("f", "engine-1@1");
+    StoreWrite write;
+    a.rows_.addTo(write);
+    a.recordCrash("f", "engine-2@1");
+    a.recordCrash("g", "engine-2@1");
+    CHECK(store.apply(write));
+    CHECK(a.rows_.finishWrite(WriteOutcome::Applied, store.version()) == 1);
+    CHECK(a.write(store));
+    Entry b("b");
+    CHECK(b.rows_.update(store.rows().rows_).size() == 2);
+    CHECK_FALSE(b.quarantine_.admit("f"));
+    CHECK(b.quarantine_.admit("g") == Standing::Suspect);
+    CHECK_FALSE(a.write(store));
+}
+
+// Guards against a record that is lost with the answer to its write.
+TEST_CASE("a record whose write was not applied, or may not have been, is written again")
+{
+    for (const WriteOutcome outcome : {WriteOutcome::Conflict, WriteOutcome::Unknown}) {
+        FakeStore store;
+        Entry a("a");
+        a.recordCrash("f", "engine-1@1");
+        StoreWrite write;
+        a.rows_.addTo(write);
+        CHECK(a.rows_.finishWrite(outcome, 0) == 0);
+        CHECK(a.write(store));
+    }
+}
+
 } // namespace foxtailturn::gateway
