gateway: a peer may send more than the bound in complete lines

A sidecar disconnected an entry whose lines came in one piece of 64 KB, since the bound for a line without an end was checked before complete lines were taken out. Needed for suspect records, which an entry sends together.

--- a/packages/gateway/line_server.cpp
+++ b/packages/gateway/line_server.cpp
@@ -50,11 +50,11 @@
         return;
     const std::shared_ptr<Peer> current = it->second;
     current->buffer_ += data;
+    const std::vector<std::string> lines = extractLines(current->buffer_);
     if (current->isDropPending_ || current->buffer_.size() > kMaxBufferedBytes) {
         drop(peer);
         return;
     }
-    const std::vector<std::string> lines = extractLines(current->buffer_);
     if (!lines.empty() && onLines_)
         onLines_(peer, lines);
 }
@@ -79,6 +79,14 @@
         send(id, lines);
 }
 
+void LineServer::sendOthers(int except, const std::string &lines)
+{
+    for (const auto &[id, peer] : peers_) {
+        if (id != except)
+            send(id, lines);
+    }
+}
+
 void LineServer::drop(int peer)
 {
     const auto it = peers_.find(peer);
--- a/packages/gateway/line_server.h
+++ b/packages/gateway/line_server.h
@@ -39,10 +39,11 @@
     // Error: InvalidSettings when the address can't be used.
     [[nodiscard]] Result<void> listen(const std::string &address);
 
-    // Sends lines, each of which must end with a line feed. Lines to a disconnected peer are
-    // discarded.
+    // Send lines, each of which must end with a line feed, to one peer, to all, or to all but one.
+    // Lines to a disconnected peer are discarded.
     void send(int peer, const std::string &lines);
     void sendAll(const std::string &lines);
+    void sendOthers(int except, const std::string &lines);
 
     // Returns the number of connected peers.
     [[nodiscard]] std::size_t peers() const { return peers_.size(); }
--- a/packages/gateway/line_server_test.cpp
+++ b/packages/gateway/line_server_test.cpp
@@ -103,4 +103,34 @@
     CHECK(f.server_.peers() == 0);
 }
 
+// Guards against a peer that is disconnected because it sends many short lines at once.
+TEST_CASE("a peer may send more than the bound in complete lines")
+{
+    Fixture f;
+    REQUIRE(f.server_.listen(f.address()));
+    tcp::socket peer = f.connect();
+    constexpr std::size_t kLines = 200;
+    std::string text;
+    for (std::size_t i = 0; i < kLines; ++i)
+        text += std::string(1000, 'x') + "\n";
+    asio::write(peer, asio::buffer(text));
+    CHECK(f.runUntil([&] { return f.lines_.size() == kLines; }));
+    CHECK(f.disconnects_ == 0);
+}
+
+TEST_CASE("lines to all peers but one")
+{
+    Fixture f;
+    REQUIRE(f.server_.listen(f.address()));
+    tcp::socket first = f.connect();
+    CHECK(f.runUntil([&] { return f.connects_ == 1; }));
+    tcp::socket second = f.connect();
+    CHECK(f.runUntil([&] { return f.connects_ == 2; }));
+    f.server_.sendOthers(1, "news\n");
+    std::string received(5, ' ');
+    asio::read(second, asio::buffer(received));
+    CHECK(received == "news\n");
+    CHECK(first.available() == 0);
+}
+
 } // namespace foxtailturn::gateway
