gateway, sidecar: suspects reach all entries at once through sidecars

Callers saw engines end under a request that other entries had already seen crash several: an entry sent it on although it was quarantined elsewhere.

Cause: records reached other entries by rows of the store, which an entry reads each 3 s x (8 + entries) / 8 and up to a third more, 12 s at most, since the parts of quotas. For 21 entries that is 10.9 to 14.5 s; the users allow contact_ms, 4 s there.

Chosen: an entry sends its records to the first three connected sidecars in an order that all entries share; a sidecar passes on what it did not know and gives all to an entry that connects (SuspectRelay, SuspectExchange). The store gets only what quarantines a request or clears a stored record, or everything if no sidecar is connected. Expired records are removed from memory now.

--- a/packages/gateway/agent_messages.cpp
+++ b/packages/gateway/agent_messages.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 #include "base/json.h"
 
@@ -73,6 +74,18 @@
     }
 }
 
+// Returns the records that can be decoded.
+SuspectNotice suspectNoticeOf(const Json &list)
+{
+    SuspectNotice notice;
+    for (const Json &item : list) {
+        Result<SuspectRecord> record = SuspectRecord::ofJson(item.dump());
+        if (record)
+            notice.records_.push_back(std::move(*record));
+    }
+    return notice;
+}
+
 Json toJson(const SidecarReport &sidecar)
 {
     constexpr double kCostStepsPerUnit = 100; // two decimals keep the line short
@@ -188,6 +201,19 @@
                        {"retry_after_us", answer.retryAfter_.count()}});
 }
 
+std::string encode(const SuspectNotice &notice)
+{
+    constexpr std::size_t kMaxRecordsPerLine = 100; // receivers bound the length of a line
+    std::string lines;
+    Json list = Json::array();
+    for (const SuspectRecord &record : notice.records_) {
+        list.push_back(Json::parse(record.toJson()));
+        if (list.size() == kMaxRecordsPerLine || &record == &notice.records_.back())
+            lines += encodeLine({{"suspects", std::exchange(list, Json::array())}});
+    }
+    return lines;
+}
+
 AgentMessage decodeAgentMessage(std::string_view line)
 {
     AgentMessage message;
@@ -208,6 +234,8 @@
         message.grantAnswer_ =
             GrantAnswer{integerOf(json, "grant"), boolOf(json, "granted"), boolOf(json, "keeper"),
                         Duration(countOf(json, "retry_after_us"))};
+    } else if (json.contains("suspects") && json["suspects"].is_array()) {
+        message.suspects_ = suspectNoticeOf(json["suspects"]);
     } else if (json.contains("report") && json["report"].is_object()) {
         message.report_ = ReportUpdate(json["report"]).applyTo({});
     } else if (json.contains("update") && json["update"].is_object()) {
--- a/packages/gateway/agent_messages.h
+++ b/packages/gateway/agent_messages.h
@@ -6,9 +6,10 @@
 //     AgentMessage message = decodeAgentMessage(line);
 //
 // A sidecar reports its engine's load to each connected entry, first in full and then as updates,
-// and accepts requests to load adapters. An entry requests a charge from an entry that owns a part
-// of the workspace's quota. The receiver ignores a line that it can't decode, so that processes of
-// different versions can run together.
+// and accepts requests to load adapters. It passes records of suspect requests on from each entry
+// to the others. An entry requests a charge from an entry that owns a part of the workspace's
+// quota. The receiver ignores a line that it can't decode, so that processes of different versions
+// can run together.
 
 #include <optional>
 #include <string>
@@ -16,6 +17,7 @@
 
 #include "base/json.h"
 #include "gateway/codec.h"
+#include "retry/suspect_record.h"
 
 namespace foxtailturn::gateway {
 
@@ -86,6 +88,14 @@
     bool operator==(const GrantAnswer &) const = default;
 };
 
+// Records of suspect requests that are new or have changed, to be merged by the receiver.
+struct SuspectNotice
+{
+    std::vector<SuspectRecord> records_;
+
+    bool operator==(const SuspectNotice &) const = default;
+};
+
 // A decoded line; at most one member is set.
 struct AgentMessage
 {
@@ -96,9 +106,11 @@
     std::optional<ReportUpdate> update_;
     std::optional<GrantRequest> grantRequest_;
     std::optional<GrantAnswer> grantAnswer_;
+    std::optional<SuspectNotice> suspects_;
 };
 
-// Each returns one line, including its line feed. Thread-safe.
+// Each returns one line, including its line feed; a long SuspectNotice is split into several.
+// Thread-safe.
 [[nodiscard]] std::string encode(const LoadRequest &request);
 [[nodiscard]] std::string encode(const UseNotice &notice);
 [[nodiscard]] std::string encode(const LoadRefusal &refusal);
@@ -106,6 +118,7 @@
 [[nodiscard]] std::string encodeUpdate(const SidecarReport &before, const SidecarReport &after);
 [[nodiscard]] std::string encode(const GrantRequest &request);
 [[nodiscard]] std::string encode(const GrantAnswer &answer);
+[[nodiscard]] std::string encode(const SuspectNotice &notice);
 
 // Decodes a line; no member is set for a line that is not a known message. Thread-safe.
 [[nodiscard]] AgentMessage decodeAgentMessage(std::string_view line);
--- a/packages/gateway/agent_messages_test.cpp
+++ b/packages/gateway/agent_messages_test.cpp
@@ -87,4 +87,27 @@
     CHECK(buffer == "c");
 }
 
+TEST_CASE("suspects are split into lines that a receiver accepts")
+{
+    const UtcTime forgetAt{std::chrono::seconds(1'700'000'000)};
+    SuspectNotice notice;
+    for (int i = 0; i < 250; ++i)
+        notice.records_.push_back({std::to_string(i), {{"engine-1@1", {forgetAt, i % 2 == 0}}}});
+    std::string buffer = encode(notice);
+    const std::vector<std::string> lines = extractLines(buffer);
+    CHECK(lines.size() == 3);
+    SuspectNotice decoded;
+    for (const std::string &line : lines) {
+        CHECK(line.size() < 65'536);
+        const auto part = decodeAgentMessage(line).suspects_;
+        REQUIRE(part);
+        decoded.records_.insert(decoded.records_.end(), part->records_.begin(),
+                                part->records_.end());
+    }
+    CHECK(decoded == notice);
+    CHECK(encode(SuspectNotice{}).empty());
+    // Records of another version of the program are skipped.
+    CHECK(decodeAgentMessage(R"({"suspects":[1,{"fingerprint":2}]})").suspects_ == SuspectNotice{});
+}
+
 } // namespace foxtailturn::gateway
--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -17,6 +17,7 @@
 constexpr Duration kBalancerDetectionTime = milliseconds(2700);
 constexpr Duration kKillMargin = milliseconds(1000); // before the platform kills the process
 constexpr Duration kReleaseTimeout = milliseconds(200); // for one read and one write of the store
+constexpr Duration kPruneInterval = std::chrono::seconds(10); // of expired suspects
 constexpr Duration kShutdownPollInterval = milliseconds(100);
 
 GatewayDependencies gatewayParts(asio::io_context &context, const PlatformCodec &codec,
@@ -58,6 +59,18 @@
     , ledgerSync_(store_, log_, gateway_.quotas(), gateway_.quarantine(),
                   [this] { return gateway_.jitter(); })
     , quotaPeers_(context, clock_, log_, gateway_.quotas(), settings.peerPort_)
+    , suspects_(gateway_.quarantine(), log_,
+                {.send_ =
+                     [this](const std::string &engine, const std::string &lines) {
+                         const auto link = sidecarLinks_.find(engine);
+                         if (link != sidecarLinks_.end())
+                             link->second->send(lines);
+                     },
+                 .store_ = [this](const SuspectRecord &record) { ledgerSync_.report(record); },
+                 .isStored_ =
+                     [this](const std::string &fingerprint) {
+                         return ledgerSync_.isStored(fingerprint);
+                     }})
     , tickTimer_(context)
     , stopTimer_(context)
     , startedAt_(clock_.now())
@@ -85,7 +98,8 @@
                                            const GrantRequester::GrantHandler &handler) {
         quotaPeers_.requestGrant(workspace, charge, handler);
     });
-    gateway_.setSuspectHandler([this](const SuspectRecord &record) { ledgerSync_.report(record); });
+    gateway_.setSuspectHandler(
+        [this](const std::vector<SuspectRecord> &records) { suspects_.publish(records); });
     ledgerSync_.onRead([this] { quotaPeers_.updateConnections(); });
     quotaPeers_.onOwnerLost([this] { ledgerSync_.expedite(); });
 }
@@ -208,6 +222,7 @@
             continue;
         }
         it->second->stop();
+        suspects_.setConnected(it->first, false);
         sidecarReports_.erase(it->first);
         it = sidecarLinks_.erase(it);
     }
@@ -225,6 +240,7 @@
     handlers.onState_ = [this, engine](bool isLinked) {
         sidecarReports_.erase(engine); // a new connection starts with a full report
         gateway_.targets().setAgentConnected(engine, isLinked);
+        suspects_.setConnected(engine, isLinked);
         log_.write(LogDetail::Full, isLinked ? "sidecar_regained" : "sidecar_lost",
                    {{"engine", engine}});
         gateway_.retryWaitingRelays();
@@ -246,6 +262,8 @@
         sidecarReports_[engine] = message.update_->applyTo(sidecarReports_[engine]);
     if (message.report_ || message.update_)
         gateway_.onReport(engine, sidecarReports_[engine]);
+    if (message.suspects_)
+        suspects_.receive(*message.suspects_);
     if (message.refusal_)
         gateway_.onLoadRefused(engine, message.refusal_->name_);
 }
@@ -254,6 +272,10 @@
 {
     gateway_.pool().closeExpired();
     gateway_.targets().removeStale(clock_.now());
+    if (clock_.now() - suspectsPrunedAt_ >= kPruneInterval) {
+        suspects_.removeExpired();
+        suspectsPrunedAt_ = clock_.now();
+    }
     gateway_.requestLoads();
     gateway_.retryWaitingRelays(); // for changes without a report: a failed load, another target
     metrics_.gauge("foxtailturn_caller_connections", "open connections of callers")
--- a/packages/gateway/entry_node.h
+++ b/packages/gateway/entry_node.h
@@ -19,6 +19,7 @@
 #include "gateway/node_settings.h"
 #include "gateway/quota_peers.h"
 #include "gateway/store_client.h"
+#include "gateway/suspect_exchange.h"
 
 namespace foxtailturn::gateway {
 
@@ -67,6 +68,8 @@
     std::map<std::string, SidecarReport> sidecarReports_; // latest report, by the engine's address
     LedgerSync ledgerSync_;
     QuotaPeers quotaPeers_;
+    SuspectExchange suspects_;
+    TimePoint suspectsPrunedAt_{};
     asio::steady_timer tickTimer_;
     asio::steady_timer stopTimer_;
     TimePoint startedAt_;
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -364,6 +364,7 @@
     serving_.recordConnectionLoss(true);
     parts_.log_.write(LogDetail::Full, "target_crashed",
                       {{"target", instance}, {"requests", crash->fingerprints_.size()}});
+    std::vector<SuspectRecord> suspects;
     for (const std::string &fingerprint : crash->fingerprints_) {
         const SuspectRecord record = quarantine_.crashed(fingerprint, crash->id_);
         if (record.standing() == Standing::Clear)
@@ -372,9 +373,10 @@
                           {{"fingerprint", fingerprint},
                            {"target", instance},
                            {"crashes", record.crashes_.size()}});
-        if (suspectHandler_)
-            suspectHandler_(record);
+        suspects.push_back(record);
     }
+    if (suspectHandler_)
+        suspectHandler_(suspects);
 }
 
 void Gateway::recordCompleted(const std::string &fingerprint)
@@ -384,7 +386,7 @@
         return;
     parts_.log_.write(LogDetail::Full, "suspect_cleared", {{"fingerprint", fingerprint}});
     if (suspectHandler_)
-        suspectHandler_(*record);
+        suspectHandler_({*record});
 }
 
 void Gateway::countAnswer(const AdmittedRequest *request, int status, std::string_view reason)
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -131,10 +131,8 @@
     void recordUnreachable(const std::string &instance);
     void recordCompleted(const std::string &fingerprint);
     // Sets the handler for quarantine records that have to reach the other entries.
-    void setSuspectHandler(std::function<void(const SuspectRecord &)> report)
-    {
-        suspectHandler_ = std::move(report);
-    }
+    using SuspectHandler = std::function<void(const std::vector<SuspectRecord> &records)>;
+    void setSuspectHandler(SuspectHandler handler) { suspectHandler_ = std::move(handler); }
 
     // Counts an answer in the request metrics. request is null if none was admitted.
     void countAnswer(const AdmittedRequest *request, int status, std::string_view reason);
@@ -188,7 +186,7 @@
     CrashDetector crashes_;
     LoadRequestHandler loadRequestHandler_;
     AdapterUseHandler adapterUseHandler_;
-    std::function<void(const SuspectRecord &)> suspectHandler_;
+    SuspectHandler suspectHandler_;
     GrantRequestHandler grantRequestHandler_;
     std::uint64_t randomState_;
     ServingMetrics serving_;
--- a/packages/gateway/ledger_sync.h
+++ b/packages/gateway/ledger_sync.h
@@ -65,6 +65,12 @@
     // Writes a suspect's record with the next sync, which is started now.
     void report(const SuspectRecord &record);
 
+    // Returns whether the store has a row of the request.
+    [[nodiscard]] bool isStored(const std::string &fingerprint) const
+    {
+        return suspects_.isStored(fingerprint);
+    }
+
 private:
     void schedule(Duration wait);
     void scheduleNext();
--- a/packages/gateway/suspect_rows.cpp
+++ b/packages/gateway/suspect_rows.cpp
@@ -23,9 +23,10 @@
     writing_ = reports_;
     for (const auto &[fingerprint, record] : writing_) {
         const std::string key = std::string(kPrefix) + fingerprint;
+        const auto version = versions_.find(fingerprint);
         write.puts_.push_back({quota::kFleetTable, quota::kFleetPartition, key, record.toJson()});
-        write.expected_.push_back(
-            {quota::kFleetTable, quota::kFleetPartition, key, "", versions_[fingerprint]});
+        write.expected_.push_back({quota::kFleetTable, quota::kFleetPartition, key, "",
+                                   version == versions_.end() ? 0 : version->second});
     }
 }
 
@@ -59,8 +60,11 @@
             continue;
         const SuspectRecord merged = quarantine_.merge(*record);
         const auto own = reports_.find(fingerprint);
-        if (own != reports_.end())
+        if (own != reports_.end()) {
             own->second.merge(merged);
+            if (own->second == *record)
+                reports_.erase(own); // another entry has written the same
+        }
         changed.push_back(merged);
     }
     return changed;
--- a/packages/gateway/suspect_rows.h
+++ b/packages/gateway/suspect_rows.h
@@ -33,6 +33,12 @@
     // Returns whether there are records to be written.
     [[nodiscard]] bool hasReports() const { return !reports_.empty(); }
 
+    // Returns whether the store has a row of the request.
+    [[nodiscard]] bool isStored(const std::string &fingerprint) const
+    {
+        return versions_.contains(fingerprint);
+    }
+
     // Adds the records to a write, each on condition that its row is the one last seen.
     // Precondition: no other write is under way.
     void addTo(StoreWrite &write);
--- a/packages/retry/quarantine.cpp
+++ b/packages/retry/quarantine.cpp
@@ -139,14 +139,30 @@
     return record;
 }
 
-std::vector<SuspectRecord> Quarantine::records()
+std::optional<SuspectRecord> Quarantine::find(const std::string &fingerprint) const
+{
+    const Shard &shard = shards_[shardIndex(fingerprint)];
+    const std::lock_guard lock(shard.mutex_);
+    const auto it = shard.records_.find(fingerprint);
+    return it == shard.records_.end() ? std::nullopt : std::optional(it->second);
+}
+
+void Quarantine::removeExpired()
 {
     const UtcTime now = clocks_.wallClock_.now();
-    std::vector<SuspectRecord> unexpired;
     for (Shard &shard : shards_) {
         const std::lock_guard lock(shard.mutex_);
         std::erase_if(shard.records_,
                       [now](const auto &entry) { return entry.second.isExpired(now); });
+    }
+}
+
+std::vector<SuspectRecord> Quarantine::records()
+{
+    removeExpired();
+    std::vector<SuspectRecord> unexpired;
+    for (const Shard &shard : shards_) {
+        const std::lock_guard lock(shard.mutex_);
         for (const auto &[fingerprint, record] : shard.records_)
             unexpired.push_back(record);
     }
--- a/packages/retry/quarantine.h
+++ b/packages/retry/quarantine.h
@@ -84,8 +84,14 @@
     // is the reply to the peer; an expired report is returned unchanged. Thread-safe.
     SuspectRecord merge(const SuspectRecord &report);
 
-    // Removes expired records and returns the others, for a new peer. Call it about once a minute
-    // to bound memory use. Thread-safe.
+    // Returns the record of a request; nullopt if there is none. Thread-safe.
+    [[nodiscard]] std::optional<SuspectRecord> find(const std::string &fingerprint) const;
+
+    // Removes expired records. Call it, or records(), about once a minute to bound memory use.
+    // Thread-safe.
+    void removeExpired();
+
+    // Removes expired records and returns the others, for a new peer. Thread-safe.
     [[nodiscard]] std::vector<SuspectRecord> records();
 
 private:
--- a/packages/sidecar/sidecar_node.cpp
+++ b/packages/sidecar/sidecar_node.cpp
@@ -57,12 +57,15 @@
     , entries_(context)
     , pollTimer_(context)
     , adapterManager_(settings.name_, wallMillis(wallClock_))
+    , suspects_(wallClock_)
 {
     entries_.onLines(
         [this](int entry, const std::vector<std::string> &lines) { onEntryLines(entry, lines); });
     entries_.onConnected([this](int entry) {
         if (hasReport_)
             entries_.send(entry, encode(publishedReport_)); // the next update is relative to it
+        if (const std::vector<SuspectRecord> records = suspects_.records(); !records.empty())
+            entries_.send(entry, encode(SuspectNotice{records}));
     });
     entries_.onDisconnected(
         [this](int entry) { adapterManager_.removeEntry(entry, clock_.now()); });
@@ -113,6 +116,11 @@
             adapterManager_.requestLoad(*message.load_, now);
             hasLoadRequest = true;
         }
+        if (message.suspects_) {
+            const std::vector<SuspectRecord> changed = suspects_.merge(message.suspects_->records_);
+            if (!changed.empty())
+                entries_.sendOthers(entry, encode(SuspectNotice{changed}));
+        }
     }
     if (hasLoadRequest && hasReport_)
         publish(); // so that other entries do not request the same adapter from another engine
--- a/packages/sidecar/sidecar_node.h
+++ b/packages/sidecar/sidecar_node.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// The sidecar process of one engine: polls the engine's report, sends it orders and reports its
-// state to the entries.
+// The sidecar process of one engine: polls the engine's report, sends it orders, reports its state
+// to the entries and passes suspect records on between them.
 //
 //     SidecarNode sidecar(context, codec, settings);
 //     Result<void> started = sidecar.start();
@@ -18,6 +18,7 @@
 #include "gateway/http_caller.h"
 #include "gateway/line_server.h"
 #include "gateway/node_settings.h"
+#include "retry/suspect_relay.h"
 #include "sidecar/adapter_manager.h"
 
 namespace foxtailturn::gateway {
@@ -57,6 +58,7 @@
     LineServer entries_;
     asio::steady_timer pollTimer_;
     AdapterManager adapterManager_;
+    SuspectRelay suspects_;
     EngineReport report_;
     std::map<std::string, TimePoint> loadStartTimes_; // times of accepted loads in progress
     bool hasReport_ = false;
