gateway: a request that was quarantined while it waited is not sent

Cause: quarantine was checked once, when a request is admitted. A request may wait for its adapter for 2.5 s after that, and for its next attempt, while its copies crash targets elsewhere. Now it is checked before each send of a request that has not begun to answer; a stream that has begun is not the cause of a crash, and goes on.

Test: a copy that waits for a load of 1.5 s got 200, that is, it was run, after two other copies had crashed engines; it gets 503 and is not run now.

--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -15,7 +15,6 @@
 constexpr Duration kCrashRetention = seconds(60); // how long a crash counts against a request
 constexpr Duration kCheckTimeout = milliseconds(400); // enough for one lost SYN or SYN-ACK
 constexpr Duration kNoConfigRetry = milliseconds(500);
-constexpr Duration kQuarantineRetry = seconds(5);
 // For this time after a new adapter version is declared, the older one is still served while the
 // new one loads.
 constexpr Duration kOldVersionGrace = milliseconds(2500);
@@ -114,7 +113,7 @@
         request.priority_ = workspace->priority_.value_or(route.priority_);
     }
     request.fingerprint_ = fingerprintOf(request.workspace_, head, body);
-    if (!quarantine_.admit(request.fingerprint_).map([](Standing) { return true; }).value_or(false))
+    if (isQuarantined(request.fingerprint_))
         return refusal(503, ErrorCode::Quarantined, id, kQuarantineRetry);
     request.service_ = backendFor(route, hash64(id));
     if (!config_->services_.contains(request.service_))
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -58,6 +58,9 @@
 class Gateway
 {
 public:
+    // Retry-After of a quarantined request.
+    static constexpr Duration kQuarantineRetry = std::chrono::seconds(5);
+
     using LoadRequestHandler =
         std::function<void(const Target &target, const std::string &model,
                            const std::string &adapter, std::int64_t version)>;
@@ -130,6 +133,13 @@
     void recordConnectionLoss(const std::string &instance, const std::string &fingerprint);
     void recordUnreachable(const std::string &instance);
     void recordCompleted(const std::string &fingerprint);
+
+    // Returns whether the request has crashed so many targets that it is not sent any more.
+    [[nodiscard]] bool isQuarantined(const std::string &fingerprint) const
+    {
+        return !quarantine_.admit(fingerprint);
+    }
+
     // Sets the handler for quarantine records that have to reach the other entries.
     using SuspectHandler = std::function<void(const std::vector<SuspectRecord> &records)>;
     void setSuspectHandler(SuspectHandler handler) { suspectHandler_ = std::move(handler); }
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -103,6 +103,12 @@
         cancel();
         return;
     }
+    // The copies of a request may have crashed targets while it waited. One that has begun to
+    // answer is not the cause.
+    if (events_ == 0 && gateway_.isQuarantined(request_.fingerprint_)) {
+        failRequest(ErrorCode::Quarantined);
+        return;
+    }
     const PlacementChoice choice = gateway_.choose(request_.service_, placementRequest());
     if (choice.target_ == nullptr) {
         failRequest(ErrorCode::NoTarget);
@@ -396,9 +402,10 @@
         refuse(isLate ? 504 : 502, isLate ? code : ErrorCode::TargetFailed, std::nullopt);
         return;
     }
-    const Duration spread =
-        std::chrono::duration_cast<Duration>(kBaseRetryAfter * gateway_.jitter());
-    refuse(503, code, kBaseRetryAfter + spread);
+    const Duration base =
+        code == ErrorCode::Quarantined ? Gateway::kQuarantineRetry : kBaseRetryAfter;
+    const Duration spread = std::chrono::duration_cast<Duration>(base * gateway_.jitter());
+    refuse(503, code, base + spread);
 }
 
 void Relay::end()
--- a/packages/gateway/suspect_exchange.cpp
+++ b/packages/gateway/suspect_exchange.cpp
@@ -56,8 +56,9 @@
         const SuspectRecord merged = quarantine_.merge(record);
         if (merged == before)
             continue;
-        log_.write(LogDetail::Full, "suspect_learned",
-                   {{"fingerprint", merged.fingerprint_}, {"crashes", merged.crashes_.size()}});
+        if (merged.standing() == Standing::Quarantined)
+            log_.write(LogDetail::Full, "suspect_learned",
+                       {{"fingerprint", merged.fingerprint_}, {"crashes", merged.crashes_.size()}});
         // Two entries may each record a crash before they know of the other's.
         if (published_.contains(merged.fingerprint_))
             storeIfNeeded(merged);
