gateway: rows of expired suspects are removed

Rows of suspects stayed in the store for ever, and each entry read them all each time. An entry that writes anyway removes up to 20 expired rows with that write, on condition that they are unchanged. A row may vanish now, so a conflict without rows and a read without a row make the entry forget its version; before, its writes would have conflicted for ever ("a record is written although its row was removed"). Rows that can't be read stay, as another version of the program may have written them.

--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -56,7 +56,7 @@
           [this](const std::vector<StoreRow> &rows, bool isSnapshot) {
               onTargetRows(rows, isSnapshot);
           })
-    , ledgerSync_(store_, log_, gateway_.quotas(), gateway_.quarantine(),
+    , ledgerSync_(store_, log_, gateway_.quotas(), gateway_.quarantine(), wallClock_,
                   [this] { return gateway_.jitter(); })
     , quotaPeers_(context, clock_, log_, gateway_.quotas(), settings.peerPort_)
     , suspects_(gateway_.quarantine(), log_,
--- a/packages/gateway/ledger_sync.cpp
+++ b/packages/gateway/ledger_sync.cpp
@@ -50,11 +50,12 @@
 }
 
 LedgerSync::LedgerSync(StoreClient &store, EventLog &log, quota::QuotaParts &quotas,
-                       Quarantine &quarantine, std::function<double()> jitter)
+                       Quarantine &quarantine, const WallClock &wallClock,
+                       std::function<double()> jitter)
     : store_(store)
     , log_(log)
     , quotas_(quotas)
-    , suspects_(quarantine)
+    , suspects_(quarantine, wallClock)
     , jitter_(std::move(jitter))
     , timer_(store.context())
 { }
@@ -161,7 +162,7 @@
         read(pages_.rows_.back().key_ + '\0');
         return;
     }
-    mergeSuspects(pages_.rows_);
+    logLearned(suspects_.update(pages_.rows_));
     quotas_.update(pages_);
     readDueAt_ = store_.now() + jittered(currentReadInterval());
     if (onRead_)
@@ -206,7 +207,7 @@
         return;
     }
     ++conflicts_;
-    mergeSuspects(rows.rows_);
+    logLearned(suspects_.updateSome(rows.rows_));
     quotas_.updateSome(rows);
     if (conflicts_ == 1 && !rows.rows_.empty()) {
         write();
@@ -216,9 +217,9 @@
     schedule(std::chrono::duration_cast<Duration>(delayAfterConflict(conflicts_) * jitter_()));
 }
 
-void LedgerSync::mergeSuspects(const std::vector<StoreRow> &rows)
+void LedgerSync::logLearned(const std::vector<SuspectRecord> &suspects)
 {
-    for (const SuspectRecord &record : suspects_.update(rows))
+    for (const SuspectRecord &record : suspects)
         log_.write(LogDetail::Full, "suspect_learned",
                    {{"fingerprint", record.fingerprint_}, {"crashes", record.crashes_.size()}});
 }
--- a/packages/gateway/ledger_sync.h
+++ b/packages/gateway/ledger_sync.h
@@ -3,7 +3,8 @@
 // Syncs an entry with the rows that all entries share: owners of quota parts, and records of
 // suspect requests.
 //
-//     LedgerSync sync(store, log, quotas, quarantine, [&] { return gateway.jitter(); });
+//     LedgerSync sync(store, log, quotas, quarantine, wallClock,
+//                     [&] { return gateway.jitter(); });
 //     sync.onRead([&] { peers.updateConnections(); });
 //     sync.start();
 //
@@ -46,7 +47,7 @@
     // All references must outlive this object, which must outlive the store's calls. jitter returns
     // numbers from 0 to 1.
     LedgerSync(StoreClient &store, EventLog &log, quota::QuotaParts &quotas, Quarantine &quarantine,
-               std::function<double()> jitter);
+               const WallClock &wallClock, std::function<double()> jitter);
 
     // Sets a handler that is called after each successful read of the rows.
     void onRead(std::function<void()> handler) { onRead_ = std::move(handler); }
@@ -79,7 +80,7 @@
     void onRows(const StoreAnswer &answer);
     void write();
     void onWritten(const StoreAnswer &answer);
-    void mergeSuspects(const std::vector<StoreRow> &rows);
+    void logLearned(const std::vector<SuspectRecord> &suspects);
     [[nodiscard]] Duration jittered(Duration wait);
     [[nodiscard]] Duration currentReadInterval() const;
 
--- a/packages/gateway/suspect_rows.cpp
+++ b/packages/gateway/suspect_rows.cpp
@@ -10,6 +10,13 @@
 namespace {
 
 constexpr std::string_view kPrefix = "suspect/"; // of row keys
+constexpr std::size_t kMaxRemovals = 20; // with one write, whose entries the store bounds
+
+StoreRow rowOf(const std::string &fingerprint, std::string value, std::int64_t version)
+{
+    return {quota::kFleetTable, quota::kFleetPartition, std::string(kPrefix) + fingerprint,
+            std::move(value), version};
+}
 
 } // namespace
 
@@ -22,19 +29,42 @@
 {
     writing_ = reports_;
     for (const auto &[fingerprint, record] : writing_) {
-        const std::string key = std::string(kPrefix) + fingerprint;
         const auto version = versions_.find(fingerprint);
-        write.puts_.push_back({quota::kFleetTable, quota::kFleetPartition, key, record.toJson()});
-        write.expected_.push_back({quota::kFleetTable, quota::kFleetPartition, key, "",
-                                   version == versions_.end() ? 0 : version->second});
+        write.puts_.push_back(rowOf(fingerprint, record.toJson(), 0));
+        write.expected_.push_back(
+            rowOf(fingerprint, "", version == versions_.end() ? 0 : version->second));
+        expired_.erase(fingerprint);
+    }
+    if (write.puts_.empty())
+        return;
+    for (const std::string &fingerprint : expired_) {
+        if (removing_.size() == kMaxRemovals)
+            break;
+        removing_.insert(fingerprint);
+        write.removes_.push_back(rowOf(fingerprint, "", 0));
+        write.expected_.push_back(rowOf(fingerprint, "", versions_[fingerprint]));
     }
 }
 
 std::size_t SuspectRows::finishWrite(WriteOutcome outcome, std::int64_t version)
 {
     const std::map<std::string, SuspectRecord> written = std::exchange(writing_, {});
-    if (outcome != WriteOutcome::Applied)
+    const std::set<std::string> removed = std::exchange(removing_, {});
+    if (outcome == WriteOutcome::Conflict) {
+        // The rows may have been removed, so that a conflict returns none of them.
+        for (const auto &[fingerprint, record] : written)
+            versions_.erase(fingerprint);
+        for (const std::string &fingerprint : removed)
+            versions_.erase(fingerprint);
+    }
+    if (outcome != WriteOutcome::Applied) {
+        expired_.clear(); // the next read tells whether they are still there
         return 0;
+    }
+    for (const std::string &fingerprint : removed) {
+        expired_.erase(fingerprint);
+        versions_.erase(fingerprint);
+    }
     for (const auto &[fingerprint, record] : written) {
         versions_[fingerprint] = version;
         const auto report = reports_.find(fingerprint);
@@ -46,18 +76,28 @@
 
 std::vector<SuspectRecord> SuspectRows::update(const std::vector<StoreRow> &rows)
 {
+    versions_.clear();
+    expired_.clear();
+    return updateSome(rows);
+}
+
+std::vector<SuspectRecord> SuspectRows::updateSome(const std::vector<StoreRow> &rows)
+{
+    const UtcTime now = clock_.now();
     std::vector<SuspectRecord> changed;
     for (const StoreRow &row : rows) {
         if (!row.key_.starts_with(kPrefix))
             continue;
         const std::string fingerprint = row.key_.substr(kPrefix.size());
-        std::int64_t &version = versions_[fingerprint];
-        if (version == row.version_)
-            continue;
-        version = row.version_;
+        versions_[fingerprint] = row.version_;
         const Result<SuspectRecord> record = SuspectRecord::ofJson(row.value_);
         if (!record || record->fingerprint_ != fingerprint)
             continue;
+        if (record->isExpired(now)) {
+            expired_.insert(fingerprint);
+            continue;
+        }
+        const std::optional<SuspectRecord> before = quarantine_.find(fingerprint);
         const SuspectRecord merged = quarantine_.merge(*record);
         const auto own = reports_.find(fingerprint);
         if (own != reports_.end()) {
@@ -65,7 +105,8 @@
             if (own->second == *record)
                 reports_.erase(own); // another entry has written the same
         }
-        changed.push_back(merged);
+        if (merged != before)
+            changed.push_back(merged);
     }
     return changed;
 }
--- a/packages/gateway/suspect_rows.h
+++ b/packages/gateway/suspect_rows.h
@@ -7,9 +7,10 @@
 //     StoreWrite write;
 //     rows.addTo(write);
 //     rows.finishWrite(WriteOutcome::Applied, version);
-//     rows.update(storeRows);                 // after a read, or a conflict
+//     rows.update(storeRows);                 // after a read
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,9 +23,10 @@
 class SuspectRows
 {
 public:
-    // The quarantine must outlive this object.
-    explicit SuspectRows(Quarantine &quarantine)
+    // Both must outlive this object.
+    SuspectRows(Quarantine &quarantine, const WallClock &clock)
         : quarantine_(quarantine)
+        , clock_(clock)
     { }
 
     // Replaces the record that is to be written for its request.
@@ -39,23 +41,29 @@
         return versions_.contains(fingerprint);
     }
 
-    // Adds the records to a write, each on condition that its row is the one last seen.
-    // Precondition: no other write is under way.
+    // Adds the records to a write, each on condition that its row is the one last seen, and to a
+    // write that has other entries the removal of expired rows. Precondition: no other write is
+    // under way.
     void addTo(StoreWrite &write);
 
     // Ends the write that addTo() was called for. version: of the store after it, if it was
     // applied. Returns the number of records that it has written.
     std::size_t finishWrite(WriteOutcome outcome, std::int64_t version);
 
-    // Merges rows of the store, of which others are ignored, into the quarantine and into the
-    // records to be written. Returns the records that are new or have changed, as merged.
+    // Merge rows of the store, of which others are ignored, into the quarantine and into the
+    // records to be written: all rows, or those that a conflict has returned. Return the records
+    // that are new or have changed, as merged.
     std::vector<SuspectRecord> update(const std::vector<StoreRow> &rows);
+    std::vector<SuspectRecord> updateSome(const std::vector<StoreRow> &rows);
 
 private:
     Quarantine &quarantine_;
+    const WallClock &clock_;
     std::map<std::string, SuspectRecord> reports_; // to be written, by fingerprint
     std::map<std::string, SuspectRecord> writing_; // in the write under way, by fingerprint
     std::map<std::string, std::int64_t> versions_; // of the rows, by fingerprint
+    std::set<std::string> expired_; // fingerprints of rows to be removed; keys of versions_
+    std::set<std::string> removing_; // of those in the write under way
 };
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/suspect_rows_test.cpp
+++ b/packages/gateway/suspect_rows_test.cpp
@@ -15,7 +15,7 @@
 {
     explicit Entry(const std::string &name)
         : quarantine_(name, {clock_, wallClock_}, std::chrono::seconds(60))
-        , rows_(quarantine_)
+        , rows_(quarantine_, wallClock_)
     { }
 
     void recordCrash(const std::string &fingerprint, const std::string &crashId)
@@ -28,7 +28,9 @@
     {
         StoreWrite write;
         rows_.addTo(write);
-        const bool isApplied = !write.puts_.empty() && store.apply(write);
+        if (write.puts_.empty())
+            return false;
+        const bool isApplied = store.apply(write);
         rows_.finishWrite(isApplied ? WriteOutcome::Applied : WriteOutcome::Conflict,
                           store.version());
         return isApplied;
@@ -81,6 +83,54 @@
     CHECK_FALSE(a.write(store));
 }
 
+// Guards against rows that stay in the store for ever.
+TEST_CASE("rows of expired records are removed with the next write")
+{
+    FakeStore store;
+    Entry a("a");
+    Entry b("b");
+    a.recordCrash("old", "engine-1@1");
+    CHECK(a.write(store));
+    b.wallClock_.advance(std::chrono::seconds(60));
+    CHECK(b.rows_.update(store.rows().rows_).empty());
+    CHECK_FALSE(b.write(store)); // not worth a write of its own
+    b.recordCrash("new", "engine-2@1");
+    CHECK(b.write(store));
+    CHECK(store.rows().rows_.size() == 1);
+    CHECK_FALSE(b.rows_.isStored("old"));
+    // A row that has changed meanwhile stays.
+    a.wallClock_.advance(std::chrono::seconds(61));
+    CHECK(a.rows_.update(store.rows().rows_).size() == 1);
+    Entry c("c");
+    c.wallClock_.advance(std::chrono::seconds(120));
+    CHECK(c.rows_.update(store.rows().rows_).empty());
+    a.recordCrash("new", "engine-3@1");
+    CHECK(a.write(store));
+    c.recordCrash("other", "engine-4@1");
+    CHECK_FALSE(c.write(store));
+    CHECK(c.rows_.update(store.rows().rows_).size() == 1);
+    CHECK(c.write(store));
+    CHECK(c.rows_.isStored("new"));
+}
+
+// Guards against an entry whose writes conflict for ever because a row it has seen was removed.
+TEST_CASE("a record is written although its row was removed")
+{
+    FakeStore store;
+    Entry a("a");
+    a.recordCrash("f", "engine-1@1");
+    CHECK(a.write(store));
+    StoreWrite removal;
+    removal.removes_ = store.rows().rows_;
+    CHECK(store.apply(removal));
+    a.recordCrash("f", "engine-2@1");
+    CHECK_FALSE(a.write(store));
+    CHECK(a.write(store));
+    CHECK(store.apply(removal));
+    CHECK(a.rows_.update(store.rows().rows_).empty());
+    CHECK_FALSE(a.rows_.isStored("f"));
+}
+
 // Guards against a record that is lost with the answer to its write.
 TEST_CASE("a record whose write was not applied, or may not have been, is written again")
 {
