--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -170,6 +170,7 @@
     sentAt_ = now;
     progressAt_ = now;
     hasFirstEvent_ = false;
+    attemptEvents_ = 0;
     replyHandling_ = ReplyHandling::None;
     bufferedBody_.clear();
     discardedBytes_ = 0;
@@ -584,6 +585,7 @@
         }
         lastEventAt_ = progressAt_;
         ++events_;
+        ++attemptEvents_;
         text += event.text_;
     }
     forward(text);
@@ -663,7 +665,8 @@
                           {"code", errorName(error.code_)},
                           {"execution", executionName(error.execution_)},
                           {"what", error.message_},
-                          {"events", events_}});
+                          {"events", events_},
+                          {"attempt_events", attemptEvents_}});
     if (!mayHaveRun) {
         gateway_.recordUnreachable(instance);
         if (sends_ < kMaxSends)
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -159,6 +159,7 @@
     EventSplitter splitter_;
     std::string lastEventId_;
     int events_ = 0; // forwarded
+    int attemptEvents_ = 0; // of these, by the attempt under way
     bool isForwarding_ = false; // the head was sent to the caller
     bool isChunked_ = false; // the answer to the caller uses chunked encoding
     bool isStreamReply_ = false;
