retry, gateway: a part of prompts that crashes targets is quarantined

Callers lost their streams again and again: requests of one kind ended one engine after the other.

Cause: suspects were whole requests. No two requests with the part are alike, so nothing added up, while each crash made suspects of all requests that were under way.

Now the shared parts of a prompt are suspects beside the request itself. A crash counts against the parts of requests that had not begun to answer (fewer than two events of the attempt); an answer that begins clears them, at all entries. A part is refused after three groups of crashes without a begun answer between them, if it was in flight at two thirds of all crashes of that time, or after six groups.

An error of a target no longer clears a request: it may come before a run.

--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -20,16 +20,43 @@
 constexpr Duration kOldVersionGrace = milliseconds(2500);
 constexpr Duration kLoadRequestInterval = seconds(2); // interval between requests for the same load
 
+// Parts of a prompt that are watched; each crash makes a record for each of them.
+constexpr std::size_t kMaxSuspectParts = 64;
+constexpr std::size_t kMaxPartKeyBytes = 150; // the store bounds the keys of rows
+
+// 128 bits in all, to make collisions unlikely.
+constexpr std::uint64_t kSecondHashSeed = 0x9e3779b97f4a7c15;
+
 std::string fingerprintOf(const std::string &workspace, const MessageHead &head,
                           const std::string &body)
 {
-    constexpr std::uint64_t kSecondHashSeed =
-        0x9e3779b97f4a7c15; // 128 bits in all, to make collisions unlikely
     const std::uint64_t first = hash64(body, hash64(head.target_, hash64(workspace)));
     const std::uint64_t second = hash64(body, hash64(head.target_, kSecondHashSeed));
     return std::to_string(first) + "-" + std::to_string(second);
 }
 
+// Readable for operators, unless the part's id is long.
+std::string fingerprintOfPart(const std::string &service, const std::string &partId)
+{
+    const std::string key = "part/" + service + "/" + partId;
+    if (key.size() <= kMaxPartKeyBytes)
+        return key;
+    return "part/" + std::to_string(hash64(key)) + "-"
+        + std::to_string(hash64(key, kSecondHashSeed));
+}
+
+// Returns the request and the parts of its prompt but the last, which belongs to it or its session.
+std::vector<Suspect> suspectsOf(const AdmittedRequest &request, const MessageHead &head,
+                                const std::string &body)
+{
+    std::vector<Suspect> suspects{{fingerprintOf(request.workspace_, head, body)}};
+    const std::vector<PromptPart> &parts = request.caller_.prefix_;
+    for (std::size_t i = 0; i + 1 < std::min(parts.size(), kMaxSuspectParts + 1); ++i)
+        suspects.push_back(
+            {fingerprintOfPart(request.service_, parts[i].id_), SuspectKind::PromptPart});
+    return suspects;
+}
+
 } // namespace
 
 Gateway::Gateway(const GatewayDependencies &parts, const GatewayOptions &identity)
@@ -112,10 +139,10 @@
         request.workspace_ = workspace->name_;
         request.priority_ = workspace->priority_.value_or(route.priority_);
     }
-    request.fingerprint_ = fingerprintOf(request.workspace_, head, body);
-    if (isQuarantined(request.fingerprint_))
-        return refusal(503, ErrorCode::Quarantined, id, kQuarantineRetry);
     request.service_ = backendFor(route, hash64(id));
+    request.suspects_ = suspectsOf(request, head, body);
+    if (isQuarantined(request.suspects_))
+        return refusal(503, ErrorCode::Quarantined, id, kQuarantineRetry);
     if (!config_->services_.contains(request.service_))
         return refusal(503, ErrorCode::NoTarget, id, kNoConfigRetry);
     if (workspace != nullptr) {
@@ -330,14 +357,15 @@
         relay->retryPlacement();
 }
 
-void Gateway::recordConnectionLoss(const std::string &instance, const std::string &fingerprint)
+void Gateway::recordConnectionLoss(const std::string &instance,
+                                   const std::vector<Suspect> &suspects)
 {
     const Target *target = targets_.find(instance);
     if (target == nullptr)
         return;
     const TargetStart start{instance,
                             instance + "@" + std::to_string(target->record_.startTimeMs_)};
-    if (crashes_.recordLoss(start, fingerprint, now()))
+    if (crashes_.recordLoss(start, suspects, now()))
         checkTarget(instance, target->record_.address_);
 }
 
@@ -362,30 +390,42 @@
         return;
     serving_.recordConnectionLoss(true);
     parts_.log_.write(LogDetail::Full, "target_crashed",
-                      {{"target", instance}, {"requests", crash->fingerprints_.size()}});
-    std::vector<SuspectRecord> suspects;
-    for (const std::string &fingerprint : crash->fingerprints_) {
-        const SuspectRecord record = quarantine_.crashed(fingerprint, crash->id_);
+                      {{"target", instance}, {"suspects", crash->suspects_.size()}});
+    std::vector<SuspectRecord> records;
+    for (const Suspect &suspect : crash->suspects_) {
+        const SuspectRecord record = quarantine_.crashed(suspect, crash->id_);
         if (record.standing() == Standing::Clear)
             continue;
         parts_.log_.write(LogDetail::Full, "suspect",
-                          {{"fingerprint", fingerprint},
+                          {{"fingerprint", suspect.fingerprint_},
                            {"target", instance},
                            {"crashes", record.crashes_.size()}});
-        suspects.push_back(record);
+        records.push_back(record);
     }
     if (suspectHandler_)
-        suspectHandler_(suspects);
+        suspectHandler_(records);
 }
 
-void Gateway::recordCompleted(const std::string &fingerprint)
+void Gateway::recordSound(const std::vector<Suspect> &suspects)
 {
-    const std::optional<SuspectRecord> record = quarantine_.completed(fingerprint);
-    if (!record)
-        return;
-    parts_.log_.write(LogDetail::Full, "suspect_cleared", {{"fingerprint", fingerprint}});
-    if (suspectHandler_)
-        suspectHandler_({*record});
+    std::vector<SuspectRecord> cleared;
+    for (const Suspect &suspect : suspects) {
+        const std::optional<SuspectRecord> record = quarantine_.completed(suspect.fingerprint_);
+        if (!record)
+            continue;
+        cleared.push_back(*record);
+        parts_.log_.write(LogDetail::Full, "suspect_cleared",
+                          {{"fingerprint", suspect.fingerprint_}});
+    }
+    if (!cleared.empty() && suspectHandler_)
+        suspectHandler_(cleared);
+}
+
+bool Gateway::isQuarantined(const std::vector<Suspect> &suspects) const
+{
+    return std::any_of(suspects.begin(), suspects.end(), [this](const Suspect &suspect) {
+        return !quarantine_.admit(suspect.fingerprint_);
+    });
 }
 
 void Gateway::countAnswer(const AdmittedRequest *request, int status, std::string_view reason)
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -130,15 +130,16 @@
     // target could be opened. A target that has lost a connection is checked by opening another
     // one; if that fails, the target has crashed, and each request that was under way there is
     // recorded as a possible cause.
-    void recordConnectionLoss(const std::string &instance, const std::string &fingerprint);
+    void recordConnectionLoss(const std::string &instance, const std::vector<Suspect> &suspects);
     void recordUnreachable(const std::string &instance);
-    void recordCompleted(const std::string &fingerprint);
 
-    // Returns whether the request has crashed so many targets that it is not sent any more.
-    [[nodiscard]] bool isQuarantined(const std::string &fingerprint) const
-    {
-        return !quarantine_.admit(fingerprint);
-    }
+    // Records that a target has run a request to completion, or has begun to answer one with these
+    // parts of its prompt.
+    void recordSound(const std::vector<Suspect> &suspects);
+
+    // Returns whether the request or a part of its prompt has crashed so many targets that it is
+    // not sent any more.
+    [[nodiscard]] bool isQuarantined(const std::vector<Suspect> &suspects) const;
 
     // Sets the handler for quarantine records that have to reach the other entries.
     using SuspectHandler = std::function<void(const std::vector<SuspectRecord> &records)>;
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -32,6 +32,9 @@
 constexpr Duration kBaseRetryAfter = milliseconds(250);
 constexpr Duration kMinRetryAfter = milliseconds(50);
 constexpr int kFirstServerErrorStatus = 500;
+// A target that ends because of a part of the prompt ends as it begins to answer. The first event
+// may leave it before.
+constexpr int kSoundEvents = 2;
 
 } // namespace
 
@@ -105,7 +108,7 @@
     }
     // The copies of a request may have crashed targets while it waited. One that has begun to
     // answer is not the cause.
-    if (events_ == 0 && gateway_.isQuarantined(request_.fingerprint_)) {
+    if (events_ == 0 && gateway_.isQuarantined(request_.suspects_)) {
         failRequest(ErrorCode::Quarantined);
         return;
     }
@@ -506,6 +509,26 @@
         placement.recordCachedPrefix(instance_, placementRequest(), now);
 }
 
+void Relay::recordEvent()
+{
+    if (++attemptEvents_ != kSoundEvents)
+        return;
+    std::vector<Suspect> parts = request_.suspects_;
+    std::erase_if(parts,
+                  [](const Suspect &suspect) { return suspect.kind_ != SuspectKind::PromptPart; });
+    gateway_.recordSound(parts);
+}
+
+// Returns what may have crashed the target of the attempt under way.
+std::vector<Suspect> Relay::suspects() const
+{
+    std::vector<Suspect> list = request_.suspects_;
+    if (attemptEvents_ >= kSoundEvents)
+        std::erase_if(
+            list, [](const Suspect &suspect) { return suspect.kind_ == SuspectKind::PromptPart; });
+    return list;
+}
+
 void Relay::beginDiscard()
 {
     replyHandling_ = ReplyHandling::Discard;
@@ -585,7 +608,7 @@
         }
         lastEventAt_ = progressAt_;
         ++events_;
-        ++attemptEvents_;
+        recordEvent();
         text += event.text_;
     }
     forward(text);
@@ -632,7 +655,8 @@
     }
     recordFirstEvent();
     releaseTarget();
-    gateway_.recordCompleted(request_.fingerprint_);
+    if (replyHead_.status_ < kFirstServerErrorStatus) // an error may come before a run
+        gateway_.recordSound(request_.suspects_);
     if (replyHandling_ == ReplyHandling::Buffer) {
         beginForwarding(replyHead_, bufferedBody_.size());
         forward(bufferedBody_);
@@ -677,7 +701,7 @@
     }
     ++runs_;
     if (error.code_ == ErrorCode::ConnectionLost)
-        gateway_.recordConnectionLoss(instance, request_.fingerprint_);
+        gateway_.recordConnectionLoss(instance, suspects());
     if (mayRetry(error.message_))
         retryAttempt("the attempt failed with an unknown outcome");
     else
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -23,6 +23,7 @@
 #include "gateway/event_splitter.h"
 #include "gateway/placement.h"
 #include "gateway/target_connection.h"
+#include "retry/suspect_record.h"
 
 namespace foxtailturn::gateway {
 
@@ -65,7 +66,8 @@
     int priority_ = 0;
     std::int64_t charge_ = 0; // quota tokens (or requests) that the request costs its workspace
     bool needsGrant_ = false; // the entry's own parts of the quota do not cover the charge
-    std::string fingerprint_;
+    std::vector<Suspect>
+        suspects_; // the request itself, and the parts of its prompt that it shares
     TimePoint receivedAt_{};
     TimePoint deadline_{};
 };
@@ -130,6 +132,8 @@
     void forwardEvents(std::string_view data);
     void forward(std::string_view data);
     void recordFirstEvent();
+    void recordEvent();
+    [[nodiscard]] std::vector<Suspect> suspects() const;
     [[nodiscard]] PlacementRequest placementRequest() const;
 
     Gateway &gateway_;
--- a/packages/gateway/suspect_exchange.cpp
+++ b/packages/gateway/suspect_exchange.cpp
@@ -56,7 +56,7 @@
         const SuspectRecord merged = quarantine_.merge(record);
         if (merged == before)
             continue;
-        if (merged.standing() == Standing::Quarantined)
+        if (!quarantine_.admit(merged.fingerprint_))
             log_.write(LogDetail::Full, "suspect_learned",
                        {{"fingerprint", merged.fingerprint_}, {"crashes", merged.crashes_.size()}});
         // Two entries may each record a crash before they know of the other's.
@@ -75,7 +75,7 @@
 
 void SuspectExchange::storeIfNeeded(const SuspectRecord &record)
 {
-    const bool isQuarantined = record.standing() == Standing::Quarantined;
+    const bool isQuarantined = !quarantine_.admit(record.fingerprint_);
     if (isQuarantined || connected_.empty() || handlers_.isStored_(record.fingerprint_))
         handlers_.store_(record);
 }
--- a/packages/retry/crash_detector.cpp
+++ b/packages/retry/crash_detector.cpp
@@ -1,17 +1,18 @@
 #include "retry/crash_detector.h"
 
+#include <set>
 #include <utility>
 
 namespace foxtailturn {
 
-bool CrashDetector::recordLoss(const TargetStart &start, const std::string &fingerprint,
+bool CrashDetector::recordLoss(const TargetStart &start, const std::vector<Suspect> &suspects,
                                TimePoint now)
 {
     Losses &losses = losses_[start.target_];
     std::erase_if(losses.list_, [now](const Loss &loss) { return loss.expiresAt_ <= now; });
     if (losses.list_.size() >= kMaxLosses)
         losses.list_.erase(losses.list_.begin());
-    losses.list_.push_back({start.crashId_, fingerprint, now + kRetention, !losses.isChecking_});
+    losses.list_.push_back({start.crashId_, suspects, now + kRetention, !losses.isChecking_});
     return !std::exchange(losses.isChecking_, true);
 }
 
@@ -23,13 +24,18 @@
     const Losses losses = std::move(it->second);
     losses_.erase(it);
     std::optional<Crash> crash;
+    std::set<Suspect> known;
     for (const Loss &loss : losses.list_) {
         if (loss.expiresAt_ <= now)
             continue;
         if (!crash)
             crash = Crash{loss.crashId_, {}};
-        if (loss.crashId_ == crash->id_)
-            crash->fingerprints_.push_back(loss.fingerprint_);
+        if (loss.crashId_ != crash->id_)
+            continue;
+        for (const Suspect &suspect : loss.suspects_) {
+            if (known.insert(suspect).second)
+                crash->suspects_.push_back(suspect);
+        }
     }
     return crash;
 }
--- a/packages/retry/crash_detector.h
+++ b/packages/retry/crash_detector.h
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "retry/suspect_record.h"
 
 namespace foxtailturn {
 
@@ -38,7 +39,7 @@
 struct Crash
 {
     std::string id_;
-    std::vector<std::string> fingerprints_; // of the requests that were under way
+    std::vector<Suspect> suspects_; // what was under way, in order and each once
 
     bool operator==(const Crash &) const = default;
 };
@@ -51,9 +52,10 @@
     static constexpr Duration kRetention = std::chrono::seconds(2);
     static constexpr std::size_t kMaxLosses = 256; // of one target
 
-    // Records that the connection of a request was lost. Returns whether the target has to be
-    // checked by a new connection, that is, whether no check of it is under way.
-    [[nodiscard]] bool recordLoss(const TargetStart &start, const std::string &fingerprint,
+    // Records that the connection of a request was lost, which may have crashed the target by
+    // itself or by a part of its prompt: the suspects. Returns whether the target has to be checked
+    // by a new connection, that is, whether no check of it is under way.
+    [[nodiscard]] bool recordLoss(const TargetStart &start, const std::vector<Suspect> &suspects,
                                   TimePoint now);
 
     // Records that the target accepted no connection, which ends a check that is under way. Returns
@@ -72,7 +74,7 @@
     struct Loss
     {
         std::string crashId_;
-        std::string fingerprint_;
+        std::vector<Suspect> suspects_;
         TimePoint expiresAt_;
         bool isBeforeCheck_ = true; // the check that is under way began after it
     };
--- a/packages/retry/crash_detector_test.cpp
+++ b/packages/retry/crash_detector_test.cpp
@@ -16,24 +16,34 @@
 TEST_CASE("one lost connection and a refused one are a crash")
 {
     CrashDetector detector;
-    CHECK(detector.recordLoss(kEngine, "a", kNow));
+    CHECK(detector.recordLoss(kEngine, {{{"a"}}}, kNow));
     CHECK(detector.recordUnreachable("engine-7", kNow + milliseconds(2))
-          == Crash{"engine-7@100", {"a"}});
+          == Crash{"engine-7@100", {{"a"}}});
     CHECK(detector.targetCount() == 0);
 }
 
 TEST_CASE("all requests under way are reported with the crash, and one check is made")
 {
     CrashDetector detector;
-    CHECK(detector.recordLoss(kEngine, "a", kNow));
-    CHECK_FALSE(detector.recordLoss(kEngine, "b", kNow + milliseconds(1)));
-    CHECK(detector.recordLoss({"engine-8", "engine-8@100"}, "c", kNow));
+    CHECK(detector.recordLoss(kEngine, {{{"a"}}}, kNow));
+    CHECK_FALSE(detector.recordLoss(kEngine, {{"b"}}, kNow + milliseconds(1)));
+    CHECK(detector.recordLoss({"engine-8", "engine-8@100"}, {{"c"}}, kNow));
     CHECK(detector.recordUnreachable("engine-7", kNow + milliseconds(2))
-          == Crash{"engine-7@100", {"a", "b"}});
+          == Crash{"engine-7@100", {{"a"}, {"b"}}});
     // Connections whose loss is noticed after the crash was found.
-    CHECK(detector.recordLoss(kEngine, "d", kNow + milliseconds(3)));
+    CHECK(detector.recordLoss(kEngine, {{{"d"}}}, kNow + milliseconds(3)));
     CHECK(detector.recordUnreachable("engine-7", kNow + milliseconds(4))
-          == Crash{"engine-7@100", {"d"}});
+          == Crash{"engine-7@100", {{"d"}}});
+}
+
+TEST_CASE("a part of several prompts under way is reported once")
+{
+    CrashDetector detector;
+    const Suspect part{"part", SuspectKind::PromptPart};
+    (void)detector.recordLoss(kEngine, {{"a"}, part}, kNow);
+    (void)detector.recordLoss(kEngine, {{"b"}, part}, kNow);
+    CHECK(detector.recordUnreachable("engine-7", kNow)
+          == Crash{"engine-7@100", {{"a"}, part, {"b"}}});
 }
 
 // Guards against a request that is taken for the cause of a crash because its connection was reset
@@ -41,7 +51,7 @@
 TEST_CASE("a lost connection of a reachable target is no crash")
 {
     CrashDetector detector;
-    CHECK(detector.recordLoss(kEngine, "a", kNow));
+    CHECK(detector.recordLoss(kEngine, {{{"a"}}}, kNow));
     CHECK_FALSE(detector.recordReachable("engine-7", kNow + milliseconds(2)));
     CHECK(detector.recordUnreachable("engine-7", kNow + milliseconds(3)) == std::nullopt);
 }
@@ -50,27 +60,28 @@
 TEST_CASE("a connection that is lost during a check is checked after it")
 {
     CrashDetector detector;
-    CHECK(detector.recordLoss(kEngine, "a", kNow));
-    CHECK_FALSE(detector.recordLoss(kEngine, "b", kNow + milliseconds(1)));
+    CHECK(detector.recordLoss(kEngine, {{{"a"}}}, kNow));
+    CHECK_FALSE(detector.recordLoss(kEngine, {{"b"}}, kNow + milliseconds(1)));
     CHECK(detector.recordReachable("engine-7", kNow + milliseconds(2)));
-    CHECK_FALSE(detector.recordLoss(kEngine, "c", kNow + milliseconds(3)));
+    CHECK_FALSE(detector.recordLoss(kEngine, {{"c"}}, kNow + milliseconds(3)));
     CHECK(detector.recordUnreachable("engine-7", kNow + milliseconds(4))
-          == Crash{"engine-7@100", {"b", "c"}});
+          == Crash{"engine-7@100", {{"b"}, {"c"}}});
 }
 
 TEST_CASE("losses expire, and their number is bounded")
 {
     CrashDetector detector;
     CHECK(detector.recordUnreachable("engine-7", kNow) == std::nullopt);
-    (void)detector.recordLoss(kEngine, "old", kNow);
+    (void)detector.recordLoss(kEngine, {{"old"}}, kNow);
     const TimePoint later = kNow + CrashDetector::kRetention;
     CHECK(detector.recordUnreachable("engine-7", later) == std::nullopt);
     for (std::size_t i = 0; i < 2 * CrashDetector::kMaxLosses; ++i)
-        (void)detector.recordLoss(kEngine, std::to_string(i), later);
+        (void)detector.recordLoss(kEngine, {{std::to_string(i)}}, later);
     const std::optional<Crash> crash = detector.recordUnreachable("engine-7", later);
     REQUIRE(crash);
-    CHECK(crash->fingerprints_.size() == CrashDetector::kMaxLosses);
-    CHECK(crash->fingerprints_.back() == std::to_string(2 * CrashDetector::kMaxLosses - 1));
+    CHECK(crash->suspects_.size() == CrashDetector::kMaxLosses);
+    CHECK(crash->suspects_.back().fingerprint_
+          == std::to_string(2 * CrashDetector::kMaxLosses - 1));
 }
 
 } // namespace foxtailturn
--- a/packages/retry/quarantine.cpp
+++ b/packages/retry/quarantine.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/hash.h"
+#include "retry/part_policy.h"
 
 namespace foxtailturn {
 
@@ -18,22 +19,45 @@
     return hash64(fingerprint) % kShards;
 }
 
-SuspectRecord &Quarantine::findOrCreateRecord(Shard &shard, const std::string &fingerprint,
-                                              UtcTime now)
+SuspectRecord &Quarantine::findOrCreateRecord(Shard &shard, const Suspect &suspect, UtcTime now)
 {
-    SuspectRecord &record = shard.records_[fingerprint];
+    SuspectRecord &record = shard.records_[suspect.fingerprint_];
     if (record.isExpired(now))
-        record = SuspectRecord{fingerprint};
+        record = SuspectRecord{.fingerprint_ = suspect.fingerprint_, .kind_ = suspect.kind_};
     return record;
 }
 
+Duration Quarantine::retentionOf(SuspectKind kind) const
+{
+    return kind == SuspectKind::PromptPart ? kPartRetention : crashRetention_;
+}
+
+Standing Quarantine::standingOf(const SuspectRecord &record) const
+{
+    const Standing standing = record.standing();
+    if (record.kind_ == SuspectKind::Request || standing == Standing::Clear)
+        return standing;
+    const std::lock_guard lock(crashTimesMutex_);
+    const bool isCause = isCauseOfCrashes(record, crashTimes_, retentionOf(record.kind_));
+    return isCause ? Standing::Quarantined : Standing::Suspect;
+}
+
+void Quarantine::addCrashTimes(const SuspectRecord &record)
+{
+    const std::lock_guard lock(crashTimesMutex_);
+    for (const auto &[id, crash] : record.crashes_)
+        crashTimes_.try_emplace(id, crash.forgetAt_ - retentionOf(record.kind_));
+}
+
 Result<Standing> Quarantine::effectiveStanding(const SuspectRecord &record, UtcTime now) const
 {
-    const std::optional<UtcTime> until = record.latestUnclearedExpiry();
+    std::optional<UtcTime> until = record.latestUnclearedExpiry();
+    if (until && record.kind_ == SuspectKind::PromptPart)
+        until = *until - (kPartRetention - kPartTerm);
     if (!until || *until <= now)
         return Standing::Clear;
-    if (record.standing() != Standing::Quarantined)
-        return record.standing();
+    if (const Standing standing = standingOf(record); standing != Standing::Quarantined)
+        return standing;
     return notRun(ErrorCode::Quarantined, "the request crashed its targets repeatedly",
                   clocks_.clock_.now() + (*until - now));
 }
@@ -48,13 +72,14 @@
     return effectiveStanding(it->second, clocks_.wallClock_.now());
 }
 
-SuspectRecord Quarantine::crashed(const std::string &fingerprint, const std::string &crashId)
+SuspectRecord Quarantine::crashed(const Suspect &suspect, const std::string &crashId)
 {
-    Shard &shard = shards_[shardIndex(fingerprint)];
+    Shard &shard = shards_[shardIndex(suspect.fingerprint_)];
     const UtcTime now = clocks_.wallClock_.now();
     const std::lock_guard lock(shard.mutex_);
-    SuspectRecord &record = findOrCreateRecord(shard, fingerprint, now);
-    record.crashes_.try_emplace(crashId, CrashMark{now + crashRetention_});
+    SuspectRecord &record = findOrCreateRecord(shard, suspect, now);
+    record.crashes_.try_emplace(crashId, CrashMark{now + retentionOf(suspect.kind_)});
+    addCrashTimes(record);
     return record;
 }
 
@@ -75,7 +100,7 @@
     Shard &shard = shards_[shardIndex(fingerprint)];
     const UtcTime now = clocks_.wallClock_.now();
     const std::lock_guard lock(shard.mutex_);
-    SuspectRecord &record = findOrCreateRecord(shard, fingerprint, now);
+    SuspectRecord &record = findOrCreateRecord(shard, {fingerprint}, now);
     RunMark &mark =
         record.runs_.try_emplace(holderId_, RunMark{0, RunState::Ended, now}).first->second;
     if (mark.state_ != RunState::Ended && mark.until_ > now)
@@ -102,7 +127,7 @@
     Shard &shard = shards_[shardIndex(fingerprint)];
     const UtcTime now = clocks_.wallClock_.now();
     const std::lock_guard lock(shard.mutex_);
-    SuspectRecord &record = findOrCreateRecord(shard, fingerprint, now);
+    SuspectRecord &record = findOrCreateRecord(shard, {fingerprint}, now);
     const Result<Standing> standing = effectiveStanding(record, now);
     if (!standing)
         return tl::unexpected(standing.error());
@@ -121,7 +146,7 @@
     Shard &shard = shards_[shardIndex(fingerprint)];
     const UtcTime now = clocks_.wallClock_.now();
     const std::lock_guard lock(shard.mutex_);
-    SuspectRecord &record = findOrCreateRecord(shard, fingerprint, now);
+    SuspectRecord &record = findOrCreateRecord(shard, {fingerprint}, now);
     if (const auto mark = record.runs_.find(holderId_); mark != record.runs_.end())
         mark->second.state_ = RunState::Ended;
     return record;
@@ -134,8 +159,9 @@
     if (report.isExpired(now))
         return report;
     const std::lock_guard lock(shard.mutex_);
-    SuspectRecord &record = findOrCreateRecord(shard, report.fingerprint_, now);
+    SuspectRecord &record = findOrCreateRecord(shard, {report.fingerprint_, report.kind_}, now);
     record.merge(report);
+    addCrashTimes(report);
     return record;
 }
 
@@ -150,6 +176,11 @@
 void Quarantine::removeExpired()
 {
     const UtcTime now = clocks_.wallClock_.now();
+    {
+        const std::lock_guard lock(crashTimesMutex_);
+        std::erase_if(crashTimes_,
+                      [now](const auto &crash) { return crash.second + kPartRetention <= now; });
+    }
     for (Shard &shard : shards_) {
         const std::lock_guard lock(shard.mutex_);
         std::erase_if(shard.records_,
--- a/packages/retry/quarantine.h
+++ b/packages/retry/quarantine.h
@@ -2,6 +2,8 @@
 
 // Limits the damage of a request that crashes its targets: after one crash it is a suspect, which
 // runs alone on its target and one copy at a time; after two it is quarantined, that is, refused.
+// Parts of prompts are suspects too, as one of them may crash the targets of many requests; see
+// part_policy.h.
 //
 //     const Result<Standing> standing = quarantine.admit(fingerprint);  // error: Quarantined
 //     if (*standing == Standing::Suspect) {
@@ -50,8 +52,11 @@
 {
 public:
     // holder is the process's incarnation id, unique among the processes that exchange reports.
-    // Uncleared crashes count, and a quarantine lasts, until crashRetention has passed since the
-    // last of them.
+    // Uncleared crashes of a request count, and its quarantine lasts, until crashRetention has
+    // passed since the last of them. The quarantine of a part lasts kPartTerm, but its crashes
+    // count for kPartRetention, so that one more crash quarantines it again.
+    static constexpr Duration kPartTerm = std::chrono::seconds(60);
+    static constexpr Duration kPartRetention = std::chrono::minutes(5);
     Quarantine(std::string holder, const QuarantineClocks &clocks, Duration crashRetention);
 
     // Returns Clear or Suspect. Error: Quarantined (NotRun, with retryAt_). Thread-safe.
@@ -60,11 +65,15 @@
     // Records that a target crashed with the request in flight. crashId identifies the crash and
     // must be the same in all processes, for example target name and boot id. Returns the report
     // for the peers. Thread-safe.
-    SuspectRecord crashed(const std::string &fingerprint, const std::string &crashId);
+    SuspectRecord crashed(const std::string &fingerprint, const std::string &crashId)
+    {
+        return crashed(Suspect{fingerprint}, crashId);
+    }
+    SuspectRecord crashed(const Suspect &suspect, const std::string &crashId);
 
-    // Records that the request ran to completion, which clears it of its crashes so far. Call it
-    // for every completed request. Returns the report if the request had uncleared crashes.
-    // Thread-safe.
+    // Records that the request ran to completion, or that a target has begun to answer a request
+    // with the part, which clears it of its crashes so far. Call it each time. Returns the report
+    // if there were uncleared crashes. Thread-safe.
     std::optional<SuspectRecord> completed(const std::string &fingerprint);
 
     // Sets this process's run mark for a suspect to Waiting; the mark expires at until. Returns the
@@ -104,18 +113,22 @@
     };
 
     // Precondition of both: the shard's lock is held.
-    static SuspectRecord &findOrCreateRecord(Shard &shard, const std::string &fingerprint,
-                                             UtcTime now);
+    static SuspectRecord &findOrCreateRecord(Shard &shard, const Suspect &suspect, UtcTime now);
     [[nodiscard]] bool hasPrecedence(const SuspectRecord &record, UtcTime now) const;
 
     [[nodiscard]] Result<Standing> effectiveStanding(const SuspectRecord &record,
                                                      UtcTime now) const;
+    [[nodiscard]] Standing standingOf(const SuspectRecord &record) const;
+    [[nodiscard]] Duration retentionOf(SuspectKind kind) const;
+    void addCrashTimes(const SuspectRecord &record);
     [[nodiscard]] static std::size_t shardIndex(const std::string &fingerprint);
 
     std::string holderId_;
     QuarantineClocks clocks_;
     Duration crashRetention_;
     std::array<Shard, kShards> shards_;
+    mutable std::mutex crashTimesMutex_; // may be locked while a shard is
+    std::map<std::string, UtcTime> crashTimes_; // of all crashes of the records, by crash id
 };
 
 } // namespace foxtailturn
--- a/packages/retry/suspect_record.cpp
+++ b/packages/retry/suspect_record.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int kRunStates = 3;
+constexpr const char *kPartKind = "prompt_part"; // value of "kind"; a request has no such field
 
 bool isOlderMark(const RunMark &a, const RunMark &b)
 {
@@ -90,7 +91,8 @@
     });
     if (uncleared == 0)
         return Standing::Clear;
-    return uncleared < kCrashesToQuarantine ? Standing::Suspect : Standing::Quarantined;
+    const bool isQuarantined = kind_ == SuspectKind::Request && uncleared >= kCrashesToQuarantine;
+    return isQuarantined ? Standing::Quarantined : Standing::Suspect;
 }
 
 std::optional<UtcTime> SuspectRecord::latestUnclearedExpiry() const
@@ -122,7 +124,10 @@
                         {"state", static_cast<int>(run.state_)},
                         {"until_us", microsOf(run.until_)}};
     }
-    return Json({{"fingerprint", fingerprint_}, {"crashes", crashes}, {"runs", runs}}).dump();
+    Json json = {{"fingerprint", fingerprint_}, {"crashes", crashes}, {"runs", runs}};
+    if (kind_ == SuspectKind::PromptPart)
+        json["kind"] = kPartKind;
+    return json.dump();
 }
 
 Result<SuspectRecord> SuspectRecord::ofJson(std::string_view text)
@@ -133,6 +138,11 @@
     JsonObject object(*json, "suspect");
     SuspectRecord record{object.string("fingerprint"), readMarks(object, "crashes", readCrash),
                          readMarks(object, "runs", readRun)};
+    const std::string kind = object.string("kind", "");
+    if (kind == kPartKind)
+        record.kind_ = SuspectKind::PromptPart;
+    else if (!kind.empty())
+        object.fail("kind", "is unknown");
     if (object.error())
         return notRun(ErrorCode::Internal, object.error()->message_);
     return record;
--- a/packages/retry/suspect_record.h
+++ b/packages/retry/suspect_record.h
@@ -1,8 +1,8 @@
 #pragma once
 
-// Replicated state of one request that was in flight when a target crashed. Processes exchange
-// whole records; merge() is idempotent, commutative and associative, so reports may be delayed,
-// duplicated or reordered.
+// Replicated state of a suspect: a request that was in flight when a target crashed, or a part of
+// its prompt. Processes exchange whole records; merge() is idempotent, commutative and associative,
+// so reports may be delayed, duplicated or reordered.
 //
 //     SuspectRecord known{fingerprint};
 //     known.merge(reportFromPeer);
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 #include "base/error.h"
 #include "base/wall_clock.h"
@@ -23,6 +24,23 @@
 [[nodiscard]] std::string requestFingerprint(std::string_view workspace, std::string_view route,
                                              std::string_view body);
 
+enum class SuspectKind {
+    Request, // quarantined after kCrashesToQuarantine crashes
+    PromptPart, // a part of a prompt that requests share; quarantined by isCauseOfCrashes()
+};
+
+struct Suspect
+{
+    std::string fingerprint_;
+    SuspectKind kind_ = SuspectKind::Request;
+
+    bool operator==(const Suspect &) const = default;
+    bool operator<(const Suspect &other) const
+    {
+        return std::tie(kind_, fingerprint_) < std::tie(other.kind_, other.fingerprint_);
+    }
+};
+
 enum class Standing {
     Clear, // runs like any other request
     Suspect, // runs alone on its target, one copy at a time
@@ -60,11 +78,13 @@
     std::string fingerprint_;
     std::map<std::string, CrashMark> crashes_ = {}; // by crash id
     std::map<std::string, RunMark> runs_ = {}; // by holder
+    SuspectKind kind_ = SuspectKind::Request;
 
-    // Merges the crashes and runs of the other record. Precondition: same fingerprint.
+    // Merges the crashes and runs of the other record. Precondition: same fingerprint and kind.
     void merge(const SuspectRecord &other);
 
-    // Returns the standing according to the number of uncleared crashes, including expired ones.
+    // Returns the standing according to the number of uncleared crashes, including expired ones. A
+    // part is a suspect at most, since its standing depends on other crashes too.
     [[nodiscard]] Standing standing() const;
 
     // Returns the latest expiry of an uncleared crash; nullopt if there is none.
