gateway: a target that rejects requests gets fewer of them, none while it wants none

Cause: a rejection changed nothing for the target's place, and a target that rejects is idle, so it looked like the best one; the retries that followed spent the budget. The field Retry-After was not read.

Now a rejection lowers the target's place for 50 ms to 1 s, growing, and closes it for as long as it says (TargetBackoff; seconds with fractions, decoded once in platform/, 24 h at most, dates and negative ones ignored, the longest of several). Half of a service's targets are avoided at most: if all reject, the ones whose rejection is longest ago get the next requests. Entries return over a quarter of the time, 1 s at most, one request at a time, twice as many after each that was run. If all targets of a service want nothing, a request waits if that is short against its objective, else the caller gets 503 at once with the time of the first that opens and up to a quarter more. There is no probe while a target is closed. A new start of a target has said nothing.

The decoders' fuzz target links again, which it did not since suspects are messages.

--- a/packages/gateway/codec.h
+++ b/packages/gateway/codec.h
@@ -70,6 +70,8 @@
     bool isNotRun_ = false; // the target states that it did not run the request
     bool isOtherInstance_ = false; // not run because instance or weight version differ
     std::optional<Duration> idleTimeout_; // how long the target keeps an idle connection
+    std::optional<Duration>
+        retryAfter_; // how long a target that rejects the request wants no other
 
     bool operator==(const TargetReply &) const = default;
 };
--- a/packages/gateway/placement.cpp
+++ b/packages/gateway/placement.cpp
@@ -1,6 +1,7 @@
 #include "gateway/placement.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "base/hash.h"
 
@@ -156,37 +157,89 @@
     return loadTime_ + spread + eviction;
 }
 
-PlacementChoice Placement::choose(const std::vector<Target *> &targets,
-                                  const PlacementRequest &request, TimePoint now) const
+// A target that can take the request.
+struct Placement::Option
 {
-    PlacementChoice choice;
-    const Query query = queryOf(request, now);
-    bool isChosenSuspect = false;
+    Target *target_ = nullptr;
+    std::size_t candidate_ = 0; // index in the choice
+    Duration expected_{};
+    bool needsLoad_ = false;
+    bool isAvoided_ = false;
+    bool isSuspect_ = false;
+
+    [[nodiscard]] bool isBetterThan(const Option &other) const
+    {
+        return std::tie(isSuspect_, isAvoided_, expected_)
+            < std::tie(other.isSuspect_, other.isAvoided_, other.expected_);
+    }
+};
+
+std::vector<Placement::Option> Placement::optionsOf(const std::vector<Target *> &targets,
+                                                    const Query &query,
+                                                    PlacementChoice &choice) const
+{
+    const PlacementRequest &request = query.request_;
+    std::vector<Option> options;
+    options.reserve(targets.size());
     choice.candidates_.reserve(targets.size());
     for (Target *target : targets) {
         const bool hasAdapter = request.isEngine_ && hasRequiredVersion(*target, request);
         PlacementCandidate candidate{target->record_.instance_, Duration::zero(),
                                      ineligibilityReason(*target, request, hasAdapter)};
+        if (candidate.reason_.empty() && target->backoff_.isClosed(query.now_)) {
+            const TimePoint opensAt = target->backoff_.closedUntil();
+            choice.opensAt_ = std::min(choice.opensAt_.value_or(opensAt), opensAt);
+            candidate.reason_ = "wants no requests yet";
+        }
         if (candidate.reason_.empty()) {
             candidate.expected_ = request.isEngine_
                 ? engineTime(*target, query, hasAdapter)
                 : kPlainRequestTime * target->inFlight_ / std::max(1, target->record_.slots_);
             if (target->record_.dataCentre_ != request.dataCentre_)
                 candidate.expected_ += kOtherDataCentrePenalty;
-            const bool isSuspect = target->isSuspect(now);
-            const bool isBetter = choice.target_ == nullptr || (isChosenSuspect && !isSuspect)
-                || (isChosenSuspect == isSuspect && candidate.expected_ < choice.expected_);
-            if (isBetter) {
-                choice.target_ = target;
-                choice.expected_ = candidate.expected_;
-                choice.needsLoad_ = request.isEngine_ && !hasAdapter;
-                isChosenSuspect = isSuspect;
-            }
-            if (isSuspect)
-                candidate.reason_ = "suspect";
+            options.push_back({target, choice.candidates_.size(), candidate.expected_,
+                               request.isEngine_ && !hasAdapter,
+                               target->backoff_.isAvoided(query.now_)
+                                   || target->backoff_.isAtLimit(target->inFlight_),
+                               target->isSuspect(query.now_)});
         }
         choice.candidates_.push_back(std::move(candidate));
     }
+    return options;
+}
+
+PlacementChoice Placement::choose(const std::vector<Target *> &targets,
+                                  const PlacementRequest &request, TimePoint now) const
+{
+    PlacementChoice choice;
+    std::vector<Option> options = optionsOf(targets, queryOf(request, now), choice);
+    // If more than half are avoided, the ones whose avoidance ends first are not.
+    std::vector<Option *> avoided;
+    for (Option &option : options) {
+        if (option.isAvoided_)
+            avoided.push_back(&option);
+    }
+    const std::size_t mostAvoided = options.size() / 2;
+    if (avoided.size() > mostAvoided) {
+        std::sort(avoided.begin(), avoided.end(), [](const Option *a, const Option *b) {
+            return a->target_->backoff_.avoidedUntil() < b->target_->backoff_.avoidedUntil();
+        });
+        for (std::size_t i = 0; i < avoided.size() - mostAvoided; ++i)
+            avoided[i]->isAvoided_ = false;
+    }
+    const Option *best = nullptr;
+    for (const Option &option : options) {
+        if (best == nullptr || option.isBetterThan(*best))
+            best = &option;
+        if (option.isSuspect_ || option.isAvoided_)
+            choice.candidates_[option.candidate_].reason_ =
+                option.isSuspect_ ? "suspect" : "avoided";
+    }
+    if (best != nullptr) {
+        choice.target_ = best->target_;
+        choice.needsLoad_ = best->needsLoad_;
+        choice.expected_ = best->expected_;
+    }
     return choice;
 }
 
--- a/packages/gateway/placement.h
+++ b/packages/gateway/placement.h
@@ -10,10 +10,13 @@
 // For an engine, the estimate is the sum of the prefill time of earlier prompts, the prefill time
 // of the request's own prompt less its prefix that is probably in the engine's KV cache, and the
 // load time of an adapter that is missing. For a plain service, it grows with the share of busy
-// slots.
+// slots. Targets that have failed lately come last, and those that have rejected a request lately
+// after the others, but half of a service's targets at most: if all reject, the ones whose
+// rejection is longest ago get the next requests.
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -40,7 +43,7 @@
 {
     std::string instance_;
     Duration expected_{}; // time to the first event or answer
-    std::string reason_; // why it was not eligible, or "suspect"; otherwise empty
+    std::string reason_; // why it was not eligible, "suspect" or "avoided"; otherwise empty
 
     bool operator==(const PlacementCandidate &) const = default;
 };
@@ -48,6 +51,8 @@
 struct PlacementChoice
 {
     Target *target_ = nullptr; // null: no target can take it
+    // When the first of the targets that want no requests now wants some again, if there are any.
+    std::optional<TimePoint> opensAt_;
     bool needsLoad_ = false; // the target must load the adapter first
     Duration expected_{};
     std::vector<PlacementCandidate> candidates_;
@@ -90,8 +95,11 @@
 
 private:
     struct Query;
+    struct Option;
     using LastUses = std::map<std::string, TimePoint>; // time of the last use, by instance
 
+    [[nodiscard]] std::vector<Option> optionsOf(const std::vector<Target *> &targets,
+                                                const Query &query, PlacementChoice &choice) const;
     [[nodiscard]] Query queryOf(const PlacementRequest &request, TimePoint now) const;
     [[nodiscard]] Duration engineTime(const Target &target, const Query &query,
                                       bool hasAdapter) const;
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -31,7 +31,10 @@
 constexpr Duration kMaxReportAge = milliseconds(800);
 constexpr Duration kBaseRetryAfter = milliseconds(250);
 constexpr Duration kMinRetryAfter = milliseconds(50);
+constexpr Duration kMaxWaitForTarget = milliseconds(250); // that wants no requests now
 constexpr int kFirstServerErrorStatus = 500;
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
 // A target that ends because of a part of the prompt ends as it begins to answer. The first event
 // may leave it before.
 constexpr int kSoundEvents = 2;
@@ -96,6 +99,7 @@
     if (isEnded_)
         return;
     const TimePoint now = gateway_.now();
+    placeAt_ = TimePoint::max();
     if (now >= request_.deadline_) {
         failRequest(ErrorCode::DeadlineExceeded);
         return;
@@ -113,6 +117,10 @@
         return;
     }
     const PlacementChoice choice = gateway_.choose(request_.service_, placementRequest());
+    if (choice.target_ == nullptr && choice.opensAt_) {
+        waitForTarget(*choice.opensAt_);
+        return;
+    }
     if (choice.target_ == nullptr) {
         failRequest(ErrorCode::NoTarget);
         return;
@@ -163,6 +171,31 @@
     send(*choice.target_);
 }
 
+// All targets want no requests for now. A wait that is short against the route's objective is
+// better for the caller than a rejection.
+void Relay::waitForTarget(TimePoint opensAt)
+{
+    const TimePoint now = gateway_.now();
+    const Duration wait = opensAt - now;
+    const bool isShort = wait <= std::min(request_.route_->objective_ / 2, kMaxWaitForTarget);
+    if (!isShort || opensAt >= request_.deadline_) {
+        if (runs_ > 0) {
+            failRequest(ErrorCode::Overloaded);
+            return;
+        }
+        const Duration spread = std::max(kBaseRetryAfter, wait / 4);
+        refuse(503, ErrorCode::Overloaded,
+               wait + std::chrono::duration_cast<Duration>(spread * gateway_.jitter()));
+        return;
+    }
+    placeAt_ = opensAt;
+    if (!isWaiting_) {
+        isWaiting_ = true;
+        gateway_.addWaiting(shared_from_this());
+    }
+    armTimer();
+}
+
 void Relay::send(Target &target)
 {
     const TimePoint now = gateway_.now();
@@ -250,8 +283,10 @@
 void Relay::armTimer()
 {
     TimePoint expiry = request_.deadline_ + kDeadlineGrace;
-    if (isWaiting_)
+    if (isWaiting_ && waitUntil_ != TimePoint{})
         expiry = std::min(expiry, waitUntil_);
+    if (isWaiting_)
+        expiry = std::min(expiry, placeAt_);
     const Duration idle = idleLimit();
     if (connection_ && idle != Duration::max())
         expiry = std::min(expiry, progressAt_ + idle);
@@ -436,6 +471,8 @@
 {
     progressAt_ = gateway_.now();
     reply_ = reply;
+    if (head.status_ == kUnavailable || (reply.isNotRun_ && head.status_ == kTooManyRequests))
+        recordRejection(reply);
     if (reply.isNotRun_) {
         beginDiscard();
         return;
@@ -529,6 +566,22 @@
     return list;
 }
 
+void Relay::recordRejection(const TargetReply &reply)
+{
+    Target *target = gateway_.targets().find(instance_);
+    // A 503 that says neither is the target's own answer to this request.
+    if (target == nullptr || (!reply.isNotRun_ && !reply.retryAfter_))
+        return;
+    const TimePoint now = gateway_.now();
+    const bool wasClosed = target->backoff_.isClosed(now);
+    target->backoff_.recordRejection(now, reply.retryAfter_, gateway_.jitter());
+    gateway_.serving().recordRejection(request_.service_);
+    if (!wasClosed && target->backoff_.isClosed(now))
+        gateway_.log().write(
+            LogDetail::Full, "target_closed",
+            {{"target", instance_}, {"for_us", (target->backoff_.closedUntil() - now).count()}});
+}
+
 void Relay::beginDiscard()
 {
     replyHandling_ = ReplyHandling::Discard;
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -108,6 +108,7 @@
 
     void onGrant(const Result<void> &granted);
     void place();
+    void waitForTarget(TimePoint opensAt);
     void send(Target &target);
     void releaseTarget();
     void armTimer();
@@ -126,6 +127,7 @@
     void onExchangeFailure(const Error &error) override;
 
     void beginForwarding(const MessageHead &head, std::optional<std::size_t> length);
+    void recordRejection(const TargetReply &reply);
     void beginDiscard();
     void discard(std::size_t bytes);
     void finishDiscard();
@@ -150,6 +152,7 @@
     TimePoint progressAt_{}; // when the request was sent or the answer last went on; an event, for
                              // a stream
     TimePoint waitUntil_{}; // latest end of the wait for an adapter load
+    TimePoint placeAt_ = TimePoint::max(); // when a target is expected to want requests again
     bool wasOnlyPrefill_ =
         false; // when sent, no other prompt was known to be in prefill at the target
     std::int64_t uncachedTokens_ = 0;
--- a/packages/gateway/serving_metrics.cpp
+++ b/packages/gateway/serving_metrics.cpp
@@ -117,6 +117,14 @@
         .add();
 }
 
+void ServingMetrics::recordRejection(const std::string &service)
+{
+    metrics_
+        .counter("foxtailturn_target_rejections_total", "requests that targets did not take",
+                 {{"service", service}})
+        .add();
+}
+
 void ServingMetrics::connections(std::uint64_t opened, std::uint64_t reused)
 {
     raiseCounterTo(opened_, opened);
--- a/packages/gateway/serving_metrics.h
+++ b/packages/gateway/serving_metrics.h
@@ -62,6 +62,9 @@
     // accepted no other one.
     void recordConnectionLoss(bool isCrash);
 
+    // Counts a rejection by a target.
+    void recordRejection(const std::string &service);
+
     // Sets the totals of the target connection pool. Lower values than before are ignored.
     void connections(std::uint64_t opened, std::uint64_t reused);
 
--- a/packages/gateway/target_registry.cpp
+++ b/packages/gateway/target_registry.cpp
@@ -111,6 +111,7 @@
         slot->loadRequestedAt_.clear();
         slot->consecutiveFailures_ = 0;
         slot->suspectUntil_ = now;
+        slot->backoff_ = TargetBackoff();
     }
     const TargetRecord &previous = slot->record_;
     const bool isChanged = isRestarted || previous.phase_ != record.phase_
@@ -197,6 +198,7 @@
 {
     target.consecutiveFailures_ = 0;
     target.suspectUntil_ = TimePoint{};
+    target.backoff_.recordAcceptance();
 }
 
 void TargetRegistry::failed(Target &target, TimePoint now)
--- a/packages/gateway/target_registry.h
+++ b/packages/gateway/target_registry.h
@@ -16,6 +16,7 @@
 
 #include "base/clock.h"
 #include "gateway/codec.h"
+#include "gateway/target_backoff.h"
 
 namespace foxtailturn::gateway {
 
@@ -44,6 +45,7 @@
 
     int consecutiveFailures_ = 0;
     TimePoint suspectUntil_{};
+    TargetBackoff backoff_; // after rejections
 
     // Returns the version of the adapter on the target; nullopt if it is absent or being loaded.
     // The base model has version 0.
--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -9,7 +9,8 @@
 mkdir -p "$build"
 sources=(platform/fuzz/fleet_codec_fuzz.cpp platform/fields.cpp platform/fleet_rows_codec.cpp
   platform/message_codec.cpp platform/store_codec.cpp packages/gateway/agent_messages.cpp
-  packages/gateway/serving_config.cpp packages/http1/message.cpp packages/http1/message_parser.cpp
+  packages/gateway/serving_config.cpp packages/retry/suspect_record.cpp packages/base/hash.cpp
+  packages/http1/message.cpp packages/http1/message_parser.cpp
   packages/base/error.cpp packages/base/json.cpp)
 objects=()
 for source in "${sources[@]}"; do
@@ -19,7 +20,7 @@
     -fno-sanitize-recover=undefined -Ipackages -I. -c "$source" -o "$object" &
 done
 wait
-clang++ -fsanitize=fuzzer,address,undefined "${objects[@]}" -lhttp_parser -o "$build/fleet_codec_fuzz"
+clang++ -fsanitize=fuzzer,address,undefined "${objects[@]}" -lhttp_parser -lcrypto -lxxhash -o "$build/fleet_codec_fuzz"
 corpus=$(mktemp -d) # new inputs go here, so that a run leaves the repository as it is
 trap 'rm -rf "$corpus"' EXIT
 cp platform/fuzz/corpus/* "$corpus"
