--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -14,6 +14,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -70,6 +71,14 @@
         self._popen.wait()
 
 
+def _end(number, frame):
+    sys.exit(2)
+
+
+# A run that is ended early still ends what it started.
+signal.signal(signal.SIGTERM, _end)
+
+
 class Deployment:
     """bounds: drain_ms, contact_ms, grace_s and quota_slack of the site."""
 
