gateway: a stream that ends inside an event has been broken off

An engine that is killed closes its connections without a reset, and an answer may have neither length nor chunks.

Cause: Relay::onReplyEnd took each end of a body for the end of the answer and forwarded the beginning of an event as its last bytes. The end of a connection says nothing; the unfinished event says that the engine broke off.

Now the attempt has failed: the half event is dropped, the stream is resumed where its route allows that, else the connection to the caller is reset. The same holds for each framing, and for a stream without length whose connection closes before the first event. Such an end of a body without length counts as a lost connection, so a request that crashes its targets this way is found too. The parser's endsWithConnection() moves to the head, where the relay reads it.

Ruled out: closes by a reset, chunks that break off, an error of the next engine within a resumed stream; each has a test that passes before. The gRPC deployment checks its engines' end marker.

--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -471,6 +471,7 @@
 {
     progressAt_ = gateway_.now();
     reply_ = reply;
+    endsWithConnection_ = head.endsWithConnection_;
     if (head.status_ == kUnavailable || (reply.isNotRun_ && head.status_ == kTooManyRequests))
         recordRejection(reply);
     if (reply.isNotRun_) {
@@ -700,6 +701,11 @@
             failRequest(isOther ? ErrorCode::WrongAdapter : ErrorCode::Overloaded);
         return;
     }
+    if (replyHandling_ != ReplyHandling::Discard && isTornStream()) {
+        failAttempt(Error{endsWithConnection_ ? ErrorCode::ConnectionLost : ErrorCode::TargetFailed,
+                          Execution::OutcomeUnknown, "the stream ended inside an event"});
+        return;
+    }
     ++runs_;
     if (replyHandling_ == ReplyHandling::Discard) {
         releaseTarget();
@@ -714,13 +720,20 @@
         beginForwarding(replyHead_, bufferedBody_.size());
         forward(bufferedBody_);
     } else {
-        forward(splitter_.remainder());
         if (isChunked_)
             answer_.sendAnswer(std::string(kLastChunk));
     }
     end();
 }
 
+// Returns whether the stream that has just ended was broken off. The end of the connection says
+// nothing of a body without length, so at least one event must have come whole.
+bool Relay::isTornStream() const
+{
+    return isStreamReply_
+        && (!splitter_.remainder().empty() || (endsWithConnection_ && attemptEvents_ == 0));
+}
+
 void Relay::onExchangeFailure(const Error &error)
 {
     const std::shared_ptr<Relay> self = shared_from_this();
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -135,6 +135,7 @@
     void forward(std::string_view data);
     void recordFirstEvent();
     void recordEvent();
+    [[nodiscard]] bool isTornStream() const;
     [[nodiscard]] std::vector<Suspect> suspects() const;
     [[nodiscard]] PlacementRequest placementRequest() const;
 
@@ -170,6 +171,7 @@
     bool isForwarding_ = false; // the head was sent to the caller
     bool isChunked_ = false; // the answer to the caller uses chunked encoding
     bool isStreamReply_ = false;
+    bool endsWithConnection_ = false; // the target's answer has neither a length nor chunks
     bool hasFirstEvent_ = false;
     bool isWaiting_ = false;
     bool isCharged_ = true; // the charge was taken from the quota
--- a/packages/http1/message.h
+++ b/packages/http1/message.h
@@ -33,6 +33,7 @@
     std::vector<HeaderField> fields_ = {};
     std::optional<std::uint64_t> contentLength_ = std::nullopt; // bytes
     bool isChunked_ = false;
+    bool endsWithConnection_ = false; // responses only: the body has neither a length nor chunks
     bool keepsAlive_ = true; // whether another message may follow on the connection
 
     // Returns the value of the first field of this name, in any case of letters; null if absent.
--- a/packages/http1/message_parser.cpp
+++ b/packages/http1/message_parser.cpp
@@ -128,8 +128,8 @@
             && parser_.content_length != std::numeric_limits<std::uint64_t>::max())
             head_.contentLength_ = parser_.content_length;
         head_.keepsAlive_ = http_should_keep_alive(&parser_) != 0;
-        endsWithConnection_ = kind_ == MessageKind::Response && !hasNoBody_ && !head_.isChunked_
-            && !head_.contentLength_ && hasBody(head_.status_);
+        head_.endsWithConnection_ = kind_ == MessageKind::Response && !hasNoBody_
+            && !head_.isChunked_ && !head_.contentLength_ && hasBody(head_.status_);
         sink_.onHead(std::move(head_));
         head_ = MessageHead();
         return hasNoBody_ ? kSkipBody : 0;
@@ -163,7 +163,6 @@
     bool isInMessage_ = false;
     bool isComplete_ = false;
     bool hasNoBody_ = false;
-    bool endsWithConnection_ = false;
     std::optional<Error> error_;
 };
 
@@ -198,7 +197,6 @@
 {
     state_->reset();
     state_->isInTrailer_ = false;
-    state_->endsWithConnection_ = false;
 }
 
 void MessageParser::expectNoBody()
@@ -216,11 +214,6 @@
     return state_->isInMessage_;
 }
 
-bool MessageParser::endsWithConnection() const
-{
-    return state_->endsWithConnection_;
-}
-
 const std::optional<Error> &MessageParser::error() const
 {
     return state_->error_;
--- a/packages/http1/message_parser.h
+++ b/packages/http1/message_parser.h
@@ -68,9 +68,6 @@
     // Returns whether a message has begun and not ended.
     [[nodiscard]] bool isInMessage() const;
 
-    // Returns whether the body of the response under way ends with the connection.
-    [[nodiscard]] bool endsWithConnection() const;
-
     // Returns why the bytes are no message: BadRequest or PayloadTooLarge (header too long).
     [[nodiscard]] const std::optional<Error> &error() const;
 
--- a/packages/http1/message_parser_test.cpp
+++ b/packages/http1/message_parser_test.cpp
@@ -93,14 +93,14 @@
     Recorder recorder;
     MessageParser parser(MessageKind::Response, kHeaderLimit, recorder);
     parser.feed("HTTP/1.1 200 OK\r\n\r\nab");
-    CHECK(parser.endsWithConnection());
+    CHECK(recorder.head_.endsWithConnection_);
     CHECK_FALSE(parser.isComplete());
     parser.finish();
     CHECK(parser.isComplete());
 
     parser.next();
     parser.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab");
-    CHECK_FALSE(parser.endsWithConnection());
+    CHECK_FALSE(recorder.head_.endsWithConnection_);
     parser.finish();
     REQUIRE(parser.error());
 }
