gateway, sidecar: a target that says that it leaves gets no new requests

Cause: nothing read the field. A leaving target was known from its record in the store only, and at engines from its report, whose next version could take it back.

The codec decodes the field with the head of each answer. The registry holds one mark per target and incarnation, set by any head that the relay reads and by an engine's report, cleared by a restart of the target only. Requests under way are finished.

Ruled out: late records (in the tests the record says ready all the while), reused connections.

--- a/packages/gateway/codec.h
+++ b/packages/gateway/codec.h
@@ -69,6 +69,7 @@
     bool isSigned_ = false; // the head carries the signature of a target's own answer
     bool isNotRun_ = false; // the target states that it did not run the request
     bool isOtherInstance_ = false; // not run because instance or weight version differ
+    bool isLeaving_ = false; // the target is about to stop and wants no new requests
     std::optional<Duration> idleTimeout_; // how long the target keeps an idle connection
     std::optional<Duration>
         retryAfter_; // how long a target that rejects the request wants no other
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -271,6 +271,8 @@
     if (target == nullptr)
         return;
     target->evictionCost_ = report.evictionCost_;
+    if (report.engine_.isDraining_)
+        recordLeaving(target->record_.instance_);
     if (changes.names_.empty())
         return; // most reports change only the load figures
     std::erase_if(target->loadRequestedAt_, [&](const auto &asked) {
@@ -307,8 +309,7 @@
     for (Target *target : targets_.all()) {
         const auto service = config_->services_.find(target->record_.service_);
         if (service == config_->services_.end() || !service->second.engine_
-            || !target->isAgentConnected_ || !target->hasReport() || target->isSuperseded_
-            || target->record_.phase_ != TargetPhase::Ready)
+            || !target->isAgentConnected_ || !target->hasReport() || !target->isInService())
             continue;
         const std::vector<std::string> &models = service->second.engine_->models_;
         if (target->report_.models_.empty() && !models.empty()) {
@@ -357,6 +358,14 @@
         relay->retryPlacement();
 }
 
+void Gateway::recordLeaving(const std::string &instance)
+{
+    if (!targets_.markLeaving(instance))
+        return;
+    serving_.recordLeaving(targets_.find(instance)->record_.service_);
+    parts_.log_.write(LogDetail::Full, "target_leaving", {{"target", instance}});
+}
+
 void Gateway::recordConnectionLoss(const std::string &instance,
                                    const std::vector<Suspect> &suspects)
 {
@@ -449,6 +458,7 @@
                            {"service", target->record_.service_},
                            {"address", target->record_.address_},
                            {"draining", target->record_.phase_ == TargetPhase::Draining},
+                           {"leaving", target->isLeaving_},
                            {"listed", target->usableUntil_ == TimePoint::max()},
                            {"superseded", target->isSuperseded_},
                            {"suspect", target->isSuspect(now())},
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -126,6 +126,10 @@
     // Takes one retry from the service's retry budget. Returns whether it was allowed.
     [[nodiscard]] bool tryRetry(const std::string &service);
 
+    // Records that a target has said, in an answer or a report, that it is about to stop. It gets
+    // no new requests.
+    void recordLeaving(const std::string &instance);
+
     // Records that a connection was lost while a target ran a request, or that no connection to the
     // target could be opened. A target that has lost a connection is checked by opening another
     // one; if that fails, the target has crashed, and each request that was under way there is
--- a/packages/gateway/http_caller.cpp
+++ b/packages/gateway/http_caller.cpp
@@ -43,9 +43,10 @@
     }
 
 private:
-    void onReplyHead(const MessageHead &head, const TargetReply &) override
+    void onReplyHead(const MessageHead &head, const TargetReply &reply) override
     {
         answer_.status_ = head.status_;
+        answer_.isLeaving_ = reply.isLeaving_;
     }
 
     void onReplyBody(std::string_view data) override
--- a/packages/gateway/http_caller.h
+++ b/packages/gateway/http_caller.h
@@ -19,6 +19,7 @@
 {
     int status_ = 0;
     std::string body_;
+    bool isLeaving_ = false; // the target has said that it is about to stop
 
     bool operator==(const HttpAnswer &) const = default;
 };
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -472,6 +472,8 @@
     progressAt_ = gateway_.now();
     reply_ = reply;
     endsWithConnection_ = head.endsWithConnection_;
+    if (reply.isLeaving_)
+        gateway_.recordLeaving(reply.instance_.empty() ? instance_ : reply.instance_);
     if (head.status_ == kUnavailable || (reply.isNotRun_ && head.status_ == kTooManyRequests))
         recordRejection(reply);
     if (reply.isNotRun_) {
--- a/packages/gateway/serving_metrics.cpp
+++ b/packages/gateway/serving_metrics.cpp
@@ -117,6 +117,14 @@
         .add();
 }
 
+void ServingMetrics::recordLeaving(const std::string &service)
+{
+    metrics_
+        .counter("foxtailturn_targets_leaving_total",
+                 "targets that said that they are about to stop", {{"service", service}})
+        .add();
+}
+
 void ServingMetrics::recordRejection(const std::string &service)
 {
     metrics_
--- a/packages/gateway/serving_metrics.h
+++ b/packages/gateway/serving_metrics.h
@@ -62,6 +62,9 @@
     // accepted no other one.
     void recordConnectionLoss(bool isCrash);
 
+    // Counts a target that has said that it is about to stop.
+    void recordLeaving(const std::string &service);
+
     // Counts a rejection by a target.
     void recordRejection(const std::string &service);
 
--- a/packages/gateway/target_registry.cpp
+++ b/packages/gateway/target_registry.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace foxtailturn::gateway {
 
@@ -120,8 +121,10 @@
     const std::string previousAddress = previous.address_;
     slot->record_ = record;
     slot->usableUntil_ = TimePoint::max();
-    if (isRestarted)
+    if (isRestarted) {
         slot->isSuperseded_ = false;
+        slot->isLeaving_ = false;
+    }
     if (previousAddress != record.address_)
         markOlderSuperseded(previousAddress);
     markOlderSuperseded(record.address_);
@@ -148,6 +151,12 @@
     target.isSuperseded_ = true;
 }
 
+bool TargetRegistry::markLeaving(const std::string &instance)
+{
+    Target *target = find(instance);
+    return target != nullptr && !std::exchange(target->isLeaving_, true);
+}
+
 void TargetRegistry::markUnlisted(const std::string &instance, TimePoint now)
 {
     const auto it = targets_.find(instance);
@@ -212,8 +221,8 @@
 {
     std::vector<Target *> list;
     for (const auto &[instance, target] : targets_) {
-        if (target->record_.service_ == service && target->record_.phase_ == TargetPhase::Ready
-            && !target->report_.isDraining_ && !target->isSuperseded_ && now < target->usableUntil_)
+        if (target->record_.service_ == service && target->isInService()
+            && now < target->usableUntil_)
             list.push_back(target.get());
     }
     return list;
--- a/packages/gateway/target_registry.h
+++ b/packages/gateway/target_registry.h
@@ -28,6 +28,7 @@
 {
     TargetRecord record_;
     TimePoint usableUntil_ = TimePoint::max(); // set when its record was removed from the store
+    bool isLeaving_ = false; // it has said itself that it is about to stop
     // A newer incarnation was seen at its address. This one's record stays in the store for some
     // seconds.
     bool isSuperseded_ = false;
@@ -52,6 +53,12 @@
     [[nodiscard]] std::optional<std::int64_t> versionOf(const std::string &model,
                                                         const std::string &adapter) const;
 
+    // Returns whether this incarnation may get new work.
+    [[nodiscard]] bool isInService() const
+    {
+        return record_.phase_ == TargetPhase::Ready && !isLeaving_ && !isSuperseded_;
+    }
+
     // Returns whether the base model is loaded.
     [[nodiscard]] bool hostsModel(const std::string &model) const;
 
@@ -101,6 +108,10 @@
     // Marks the target as superseded: another instance answers at its address.
     void markSuperseded(Target &target);
 
+    // Records that the target has said that it is about to stop. This holds until it is started
+    // again, whatever its record says. Returns whether it is news.
+    bool markLeaving(const std::string &instance);
+
     // Records that the store has no record of the target any more.
     void markUnlisted(const std::string &instance, TimePoint now);
 
--- a/packages/gateway/target_registry_test.cpp
+++ b/packages/gateway/target_registry_test.cpp
@@ -65,6 +65,34 @@
     CHECK(registry.availableTargets("s", kStart + milliseconds(2000)).size() == 1);
 }
 
+// Guards against requests to a target that has said that it leaves, because its record says later
+// that it is ready or is read again, and against a target that is unused after a restart.
+TEST_CASE("a target that has said that it leaves gets no requests until it is started again")
+{
+    TargetRegistry registry(kUnlistedGrace);
+    registry.list(record("a"), kStart);
+    CHECK(registry.markLeaving("a"));
+    CHECK_FALSE(registry.markLeaving("a"));
+    CHECK_FALSE(registry.markLeaving("unknown"));
+    registry.list(record("a"), kStart);
+    CHECK(registry.availableTargets("s", kStart).empty());
+    registry.markUnlisted("a", kStart);
+    registry.list(record("a"), kStart);
+    registry.retainOnly({"a"}, kStart);
+    CHECK(registry.availableTargets("s", kStart).empty());
+    registry.report("10.0.0.1:80", reportOf(1), kStart);
+    CHECK(registry.availableTargets("s", kStart).empty());
+    SUBCASE("under its id")
+    {
+        registry.list(record("a", 2), kStart);
+    }
+    SUBCASE("under another id at its address")
+    {
+        registry.list(record("b", 2), kStart);
+    }
+    CHECK(registry.availableTargets("s", kStart).size() == 1);
+}
+
 // Guards against a target that stays in use although a full read of the table does not contain it.
 TEST_CASE("keepOnly() unlists all other targets")
 {
--- a/packages/sidecar/sidecar_node.cpp
+++ b/packages/sidecar/sidecar_node.cpp
@@ -137,21 +137,22 @@
     caller_.call(settings_.engineAddress_, codec_.reportCall(), kReportTimeout,
                  [this](const HttpAnswer &answer) {
                      isCallInFlight_ = false;
-                     onReport(answer.status_, answer.body_);
+                     onReport(answer);
                  });
 }
 
-void SidecarNode::onReport(int status, const std::string &body)
+void SidecarNode::onReport(const HttpAnswer &answer)
 {
-    const Result<EngineReport> report = codec_.decodeReport(body);
-    const std::string state = status == 200 && report ? "reachable" : "unreachable";
+    Result<EngineReport> report = codec_.decodeReport(answer.body_);
+    const std::string state = answer.status_ == 200 && report ? "reachable" : "unreachable";
     if (state != engineState_)
-        log_.write(LogDetail::Full, "engine_" + state, {{"status", status}});
+        log_.write(LogDetail::Full, "engine_" + state, {{"status", answer.status_}});
     engineState_ = state;
     if (state != "reachable") {
         schedulePoll();
         return;
     }
+    report->isDraining_ = report->isDraining_ || answer.isLeaving_;
     const bool isChanged = !hasReport_ || report->models_ != report_.models_
         || report->loading_ != report_.loading_ || report->startTimeMs_ != report_.startTimeMs_
         || report->isDraining_ != report_.isDraining_;
--- a/packages/sidecar/sidecar_node.h
+++ b/packages/sidecar/sidecar_node.h
@@ -40,7 +40,7 @@
 private:
     void onEntryLines(int entry, const std::vector<std::string> &lines);
     void poll();
-    void onReport(int status, const std::string &body);
+    void onReport(const HttpAnswer &answer);
     void sendNextOrder();
     void onOrderAnswer(int status);
     void schedulePoll();
