--- a/packages/gateway/target_connection_test.cpp
+++ b/packages/gateway/target_connection_test.cpp
@@ -242,6 +242,29 @@
     }
 }
 
+// Guards against a target that closes within the head of its response, which would then be taken
+// for a response without a body.
+TEST_CASE("a response whose head is cut at any byte fails")
+{
+    for (const std::string before : {"", "HTTP/1.1 103 Early\r\n\r\n"}) {
+        const std::string head = before + "HTTP/1.1 200 OK\r\nId: 7\r\nConnection: close\r\n\r\n";
+        for (std::size_t size = before.size(); size < head.size(); ++size) {
+            CAPTURE(head.substr(0, size));
+            Fixture fixture;
+            Recorder recorder;
+            fixture.connect()->exchange("GET / HTTP/1.1\r\n\r\n", "7", false, recorder);
+            fixture.accept();
+            fixture.readRequest();
+            fixture.reply(head.substr(0, size));
+            fixture.peer_.shutdown(asio::ip::tcp::socket::shutdown_send);
+            CHECK(fixture.runUntil([&] { return recorder.error_.has_value(); }));
+            CHECK(recorder.error_->execution_ == Execution::OutcomeUnknown);
+            CHECK(recorder.status_ == 0);
+            CHECK(recorder.ends_ == 0);
+        }
+    }
+}
+
 // Guards against sending the next request where the target still expects the rest of a body: it may
 // respond before it has read a long body.
 TEST_CASE("after an early response the rest of the body is still sent")
--- a/packages/http1/message_parser_test.cpp
+++ b/packages/http1/message_parser_test.cpp
@@ -105,6 +105,30 @@
     REQUIRE(parser.error());
 }
 
+// Guards against a response that counts as whole although the peer closed within its head.
+TEST_CASE("a response head that is cut at any byte is an error")
+{
+    const std::string heads[] = {
+        "HTTP/1.1 200 OK\r\nA: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nA: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nA: 1\r\nConnection: close\r\n\r\n",
+        "HTTP/1.1 503 No\r\nA: 1\r\n\r\n",
+        "HTTP/1.0 200 OK\nA: 1\n\n",
+    };
+    for (const std::string &head : heads) {
+        for (std::size_t size = 1; size < head.size(); ++size) {
+            CAPTURE(head.substr(0, size));
+            Recorder recorder;
+            MessageParser parser(MessageKind::Response, kHeaderLimit, recorder);
+            parser.feed(head.substr(0, size));
+            parser.finish();
+            CHECK(parser.error());
+            CHECK(recorder.head_.status_ == 0);
+            CHECK(recorder.ended_ == 0);
+        }
+    }
+}
+
 // Guards against forwarding fields of one connection to the next.
 TEST_CASE("hop-by-hop fields and those that Connection names are not forwarded")
 {
