gateway: a stopping entry takes what it can end, and answers the rest

Cause: how long a stopping entry serves was decided in three places.

ShutdownSchedule now decides all of it, on injected time. A late request is taken if its deadline passes before the cut, else refused with 503 shutting_down (not run, back after 50 ms, elsewhere). Relay::abandonAttempt() counts an attempt as a possible run only if bytes were sent and the target has not rejected it, at a deadline too.

Ruled out for the gRPC deployment: its entry refuses all requests after its drain grace.

--- a/packages/gateway/caller_connection.cpp
+++ b/packages/gateway/caller_connection.cpp
@@ -237,6 +237,12 @@
         close();
 }
 
+void CallerConnection::shutDown()
+{
+    if (const std::shared_ptr<Relay> relay = relay_)
+        relay->shutDown();
+}
+
 void CallerConnection::close()
 {
     const auto self = shared_from_this();
@@ -297,6 +303,13 @@
         connection->drain();
 }
 
+void CallerListener::endRequests()
+{
+    const std::set<std::shared_ptr<CallerConnection>> connections = connections_;
+    for (const std::shared_ptr<CallerConnection> &connection : connections)
+        connection->shutDown();
+}
+
 void CallerListener::stopAccepting()
 {
     asio::error_code ignored; // closed anyway
--- a/packages/gateway/caller_connection.h
+++ b/packages/gateway/caller_connection.h
@@ -32,6 +32,9 @@
     // listener is draining.
     void drain();
 
+    // Ends the request in progress because the process is about to stop.
+    void shutDown();
+
     // Closes the connection and cancels its request.
     void close();
 
@@ -89,6 +92,9 @@
     // Closes connections without a request in progress.
     void closeIdle();
 
+    // Ends all requests in progress because the process is about to stop.
+    void endRequests();
+
     // Accepts no further connections.
     void stopAccepting();
 
--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -13,9 +13,6 @@
 // An entry that finds no owner for a quota still reports ready after this time, since it can serve
 // the other workspaces.
 constexpr Duration kMaxWaitForOwners = std::chrono::seconds(4);
-// The load balancer probes once a second and removes an entry after two failed probes.
-constexpr Duration kBalancerDetectionTime = milliseconds(2700);
-constexpr Duration kKillMargin = milliseconds(1000); // before the platform kills the process
 constexpr Duration kReleaseTimeout = milliseconds(200); // for one read and one write of the store
 constexpr Duration kPruneInterval = std::chrono::seconds(10); // of expired suspects
 constexpr Duration kShutdownPollInterval = milliseconds(100);
@@ -308,27 +305,27 @@
     onStopped_ = std::move(onStopped);
     log_.write(LogDetail::Full, "stopping", {{"connections", callers_.connections()}});
     callers_.drain();
-    acceptDeadline_ = clock_.now() + std::min(kBalancerDetectionTime, settings_.stopGrace_ / 2);
-    stopDeadline_ = clock_.now() + std::max(settings_.stopGrace_ - kKillMargin, Duration::zero());
+    schedule_.emplace(clock_.now(), settings_.stopGrace_);
+    gateway_.beginShutdown(*schedule_);
     pollShutdown();
 }
 
 void EntryNode::pollShutdown()
 {
     const TimePoint now = clock_.now();
-    if (now >= acceptDeadline_) {
+    if (now >= schedule_->acceptUntil()) {
         callers_.stopAccepting();
         callers_.closeIdle();
     }
-    const bool isDrained = now >= acceptDeadline_ && callers_.connections() == 0;
-    const bool mayStop = isDrained || now >= stopDeadline_;
-    if (mayStop && releaseDeadline_ == TimePoint{}) {
+    const bool isDrained = now >= schedule_->acceptUntil() && callers_.connections() == 0;
+    if ((isDrained || now >= schedule_->releaseAt()) && releaseDeadline_ == TimePoint{}) {
         // Not earlier: the process grants from the parts that it owns until it ends, and its
         // successor on this VM may start immediately afterwards.
         ledgerSync_.release();
         releaseDeadline_ = now + kReleaseTimeout;
     }
-    if (mayStop && now >= releaseDeadline_) {
+    const bool isReleased = releaseDeadline_ != TimePoint{} && now >= releaseDeadline_;
+    if (isReleased && (isDrained || hasEndedRequests_)) {
         log_.write(LogDetail::Full, "stopped", {{"connections", callers_.connections()}});
         log_.flush();
         operatorWatch_.stop();
@@ -336,6 +333,11 @@
         onStopped_();
         return;
     }
+    if (now >= schedule_->cutAt() && !hasEndedRequests_) {
+        log_.write(LogDetail::Full, "requests_cut", {{"connections", callers_.connections()}});
+        callers_.endRequests(); // the answers leave the process before the next poll
+        hasEndedRequests_ = true;
+    }
     stopTimer_.expires_after(kShutdownPollInterval);
     stopTimer_.async_wait([this](const asio::error_code &error) {
         if (!error)
--- a/packages/gateway/entry_node.h
+++ b/packages/gateway/entry_node.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 #include "gateway/admin_port.h"
 #include "gateway/agent_link.h"
@@ -73,8 +74,8 @@
     asio::steady_timer tickTimer_;
     asio::steady_timer stopTimer_;
     TimePoint startedAt_;
-    TimePoint acceptDeadline_ = TimePoint::max();
-    TimePoint stopDeadline_ = TimePoint::max();
+    std::optional<ShutdownSchedule> schedule_; // once the shutdown has begun
+    bool hasEndedRequests_ = false;
     TimePoint releaseDeadline_{}; // the release has until then to reach the store
     std::function<void()> onStopped_;
     bool isStopping_ = false;
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -145,14 +145,16 @@
         return refusal(503, ErrorCode::Quarantined, id, kQuarantineRetry);
     if (!config_->services_.contains(request.service_))
         return refusal(503, ErrorCode::NoTarget, id, kNoConfigRetry);
+    request.receivedAt_ = receivedAt;
+    request.deadline_ =
+        receivedAt + std::min(route.timeout_, request.caller_.timeLeft_.value_or(route.timeout_));
+    if (shutdown_ && !shutdown_->admits(now(), request.deadline_))
+        return refusal(503, ErrorCode::ShuttingDown, id, kShutdownRetry);
     if (workspace != nullptr) {
         if (std::optional<Refusal> refused = chargeQuota(request, *workspace))
             return *refused;
     }
     budget_.onRequest(request.service_);
-    request.receivedAt_ = receivedAt;
-    request.deadline_ =
-        receivedAt + std::min(route.timeout_, request.caller_.timeLeft_.value_or(route.timeout_));
     request.head_ = head;
     request.body_ = std::move(body);
     if (parts_.log_.admits(LogDetail::Sampled, "admitted"))
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -23,6 +24,7 @@
 #include "gateway/placement.h"
 #include "gateway/relay.h"
 #include "gateway/serving_metrics.h"
+#include "gateway/shutdown_schedule.h"
 #include "gateway/target_connection.h"
 #include "gateway/target_registry.h"
 #include "quota/quota_parts.h"
@@ -58,6 +60,8 @@
 class Gateway
 {
 public:
+    // Retry-After of a request that another entry should take.
+    static constexpr Duration kShutdownRetry = std::chrono::milliseconds(50);
     // Retry-After of a quarantined request.
     static constexpr Duration kQuarantineRetry = std::chrono::seconds(5);
 
@@ -83,6 +87,9 @@
     [[nodiscard]] std::variant<AdmittedRequest, Refusal>
     admit(const MessageHead &head, std::string body, TimePoint receivedAt);
 
+    // Refuses from now on what the schedule does not admit.
+    void beginShutdown(const ShutdownSchedule &schedule) { shutdown_ = schedule; }
+
     // Chooses a target for a relay.
     [[nodiscard]] PlacementChoice choose(const std::string &service,
                                          const PlacementRequest &request);
@@ -190,6 +197,7 @@
     GatewayDependencies parts_;
     GatewayOptions options_;
     std::shared_ptr<const ServingConfig> config_;
+    std::optional<ShutdownSchedule> shutdown_;
     TargetRegistry targets_;
     ConnectionPool pool_;
     quota::QuotaParts quotas_;
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -267,6 +267,16 @@
     }
 }
 
+// Ends the attempt under way, if there is one. It may have run, unless the target has said
+// otherwise or was sent nothing.
+void Relay::abandonAttempt()
+{
+    const bool isRejected = replyHandling_ == ReplyHandling::Discard && reply_.isNotRun_;
+    if (connection_ && connection_->hasSent() && !isRejected)
+        ++runs_;
+    releaseTarget();
+}
+
 Duration Relay::idleLimit() const
 {
     const Route &route = *request_.route_;
@@ -304,9 +314,7 @@
 {
     const TimePoint now = gateway_.now();
     if (now >= request_.deadline_ + kDeadlineGrace) {
-        if (connection_ && runs_ == 0)
-            ++runs_; // the attempt may have run
-        releaseTarget();
+        abandonAttempt();
         failRequest(ErrorCode::DeadlineExceeded);
         return;
     }
@@ -359,6 +367,15 @@
                               {"events", events_}});
 }
 
+void Relay::shutDown()
+{
+    const std::shared_ptr<Relay> self = shared_from_this();
+    if (isEnded_)
+        return;
+    abandonAttempt();
+    failRequest(ErrorCode::ShuttingDown);
+}
+
 void Relay::retryPlacement()
 {
     if (isWaiting())
@@ -437,12 +454,15 @@
 void Relay::failRequest(ErrorCode code)
 {
     const bool isLate = code == ErrorCode::DeadlineExceeded;
+    const bool isShutdown = code == ErrorCode::ShuttingDown;
     if (runs_ > 0) {
-        refuse(isLate ? 504 : 502, isLate ? code : ErrorCode::TargetFailed, std::nullopt);
+        refuse(isLate ? 504 : 502, isLate || isShutdown ? code : ErrorCode::TargetFailed,
+               std::nullopt);
         return;
     }
-    const Duration base =
-        code == ErrorCode::Quarantined ? Gateway::kQuarantineRetry : kBaseRetryAfter;
+    const Duration base = code == ErrorCode::Quarantined ? Gateway::kQuarantineRetry
+        : isShutdown                                     ? Gateway::kShutdownRetry
+                                                         : kBaseRetryAfter;
     const Duration spread = std::chrono::duration_cast<Duration>(base * gateway_.jitter());
     refuse(503, code, base + spread);
 }
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -88,6 +88,10 @@
     // reset, so that the target drops its work.
     void cancel();
 
+    // Ends the request because the process is about to stop: with an answer, or by a reset of the
+    // connection if a forwarded answer has begun. The target drops its work.
+    void shutDown();
+
     // Retries the placement of a waiting request, for example after a load. Does nothing if the
     // request does not wait.
     void retryPlacement();
@@ -111,6 +115,7 @@
     void waitForTarget(TimePoint opensAt);
     void send(Target &target);
     void releaseTarget();
+    void abandonAttempt();
     void armTimer();
     void onTimer();
     [[nodiscard]] Duration idleLimit() const;
--- a/packages/gateway/target_connection.h
+++ b/packages/gateway/target_connection.h
@@ -60,6 +60,9 @@
     void pause();
     void resume();
 
+    // Returns whether bytes of the request may have reached the network.
+    [[nodiscard]] bool hasSent() const { return isSent_; }
+
     [[nodiscard]] const std::string &address() const { return address_; }
     [[nodiscard]] bool isReused() const { return exchanges_ > 1; }
     [[nodiscard]] bool isUsable(TimePoint now) const;
