quota: a part's row tells when it was renewed, by the store's clock

Cause: an entry counted a lost owner's silence from the time at which it had seen the row change itself, and for a process that starts, that is its own start. So each restart blocked the parts for another 24 s or 60 s. Removed entries also stood in the order of succession for a minute.

The row now holds the time at which its write was sent, by the store's clock. StoreClock bounds it so that a renewal never seems earlier than it was: the writer takes the latest time that the store can show, the reader the latest local time for it. A takeover counts from there, or from the change that the entry saw itself, if that is earlier. Owners that have let a term run out leave the order.

--- a/packages/gateway/ledger_sync.cpp
+++ b/packages/gateway/ledger_sync.cpp
@@ -141,6 +141,7 @@
 void LedgerSync::read(const std::string &firstKey)
 {
     isSyncing_ = true;
+    sentAt_ = store_.now();
     store_.call(store_.codec().readCall(quota::kFleetTable, quota::kFleetPartition, firstKey),
                 kStoreTimeout, [this](const StoreAnswer &answer) { onRows(answer); });
 }
@@ -153,6 +154,7 @@
         schedule(jittered(kFailureDelay));
         return;
     }
+    quotas_.observeStoreClock(rows->nowMs_, sentAt_, store_.now());
     // Rows may change between two pages; each row is used with its own version.
     if (pages_.rows_.empty())
         pages_.version_ = rows->version_;
@@ -179,6 +181,7 @@
         return;
     }
     isSyncing_ = true;
+    sentAt_ = store_.now();
     store_.call(store_.codec().writeCall(write), kStoreTimeout,
                 [this](const StoreAnswer &answer) { onWritten(answer); });
 }
@@ -192,6 +195,7 @@
         : answer.status_ == 0                          ? WriteOutcome::Unknown
                                                        : WriteOutcome::Conflict;
     const StoreRows rows = store_.codec().decodeRows(answer.body_).value_or(StoreRows());
+    quotas_.observeStoreClock(rows.nowMs_, sentAt_, store_.now());
     quotas_.finishWrite(outcome, rows.version_);
     if (const std::size_t count = suspects_.finishWrite(outcome, rows.version_); count > 0)
         log_.write(LogDetail::Full, "suspects_stored", {{"records", count}});
--- a/packages/gateway/ledger_sync.h
+++ b/packages/gateway/ledger_sync.h
@@ -92,6 +92,7 @@
     std::function<void()> onRead_;
     asio::steady_timer timer_;
     StoreRows pages_; // of the read in progress
+    TimePoint sentAt_{}; // of the call in progress
     TimePoint dueAt_{}; // of the next sync
     TimePoint readDueAt_{}; // the rows are read again by the first sync after this
     int conflicts_ = 0; // in a row
--- a/packages/quota/part_row.cpp
+++ b/packages/quota/part_row.cpp
@@ -21,12 +21,15 @@
     const auto counter = json.find("writes");
     if (counter != json.end() && counter->is_number_integer())
         row.counter_ = counter->get<std::int64_t>();
+    const auto renewedAt = json.find("renewed_at_ms");
+    if (renewedAt != json.end() && renewedAt->is_number_integer())
+        row.renewedAtMs_ = renewedAt->get<std::int64_t>();
     return row;
 }
 
 std::string PartRow::encode() const
 {
-    return Json{{"owner", owner_}, {"writes", counter_}}.dump();
+    return Json{{"owner", owner_}, {"writes", counter_}, {"renewed_at_ms", renewedAtMs_}}.dump();
 }
 
 } // namespace foxtailturn::quota
--- a/packages/quota/part_row.h
+++ b/packages/quota/part_row.h
@@ -14,6 +14,7 @@
 {
     std::string owner_; // name of the owning entry; empty for none
     std::int64_t counter_ = 0; // incremented by each write
+    std::int64_t renewedAtMs_ = 0; // when the write was sent, by the store's clock; 0: not known
 
     // Returns the row key of a part. Thread-safe.
     [[nodiscard]] static std::string keyOf(const std::string &workspace, int part);
--- a/packages/quota/quota_parts.cpp
+++ b/packages/quota/quota_parts.cpp
@@ -174,7 +174,6 @@
     const TimePoint now = clock_.now();
     needsRead_ = false;
     records_.update(rows.rows_, now);
-    order_ = DutyOrder(records_.alive(now));
     std::map<std::string, const StoreRow *> byKey;
     for (const StoreRow &row : rows.rows_)
         byKey[row.key_] = &row;
@@ -188,6 +187,7 @@
                 applyRow(part, *row->second);
         }
     }
+    order_ = DutyOrder(entriesInService());
 }
 
 void QuotaParts::updateSome(const StoreRows &rows)
@@ -203,6 +203,29 @@
     }
 }
 
+// Returns the latest time at which the part's owner may have sent the write that its row shows.
+TimePoint QuotaParts::renewedAt(const Part &part) const
+{
+    return std::min(storeClock_.latestLocal(part.row_.renewedAtMs_).value_or(TimePoint::max()),
+                    part.changedAt_);
+}
+
+// Returns the processor shares of the entries that are alive, without those that have let a term
+// run out: a takeover need not wait for their turn.
+std::map<std::string, std::int64_t> QuotaParts::entriesInService() const
+{
+    const TimePoint now = clock_.now();
+    std::map<std::string, std::int64_t> entries = records_.alive(now);
+    for (const auto &[workspace, ledger] : ledgers_) {
+        for (const Part &part : ledger.parts_) {
+            if (part.row_.owner_ != self_.name_
+                && renewedAt(part) + kShortTerms.reclaimAfter_ <= now)
+                entries.erase(part.row_.owner_);
+        }
+    }
+    return entries;
+}
+
 std::optional<TimePoint> QuotaParts::takeAt(const std::string &workspace, int part) const
 {
     const Part &known = ledgers_.at(workspace).parts_[static_cast<std::size_t>(part)];
@@ -212,7 +235,7 @@
     const Duration turn = kSuccessionStep * *rank;
     if (known.row_.owner_.empty())
         return std::max(startedAt_ + kSettleTime, known.changedAt_) + turn;
-    return known.changedAt_ + termsOf(part).reclaimAfter_ + turn;
+    return renewedAt(known) + termsOf(part).reclaimAfter_ + turn;
 }
 
 std::optional<PartRow> QuotaParts::nextRow(const std::string &workspace, int index)
@@ -223,12 +246,12 @@
     if (isReleasing_) {
         part.share_.reset();
         part.grantUntil_ = TimePoint{};
-        return isOwn ? std::optional(PartRow{"", part.row_.counter_ + 1}) : std::nullopt;
+        return isOwn ? std::optional(PartRow{"", part.row_.counter_ + 1, 0}) : std::nullopt;
     }
     const std::optional<TimePoint> dueAt = isOwn ? part.renewAt_ : takeAt(workspace, index);
     if (!dueAt || now < *dueAt)
         return std::nullopt;
-    return PartRow{self_.name_, part.row_.counter_ + 1};
+    return PartRow{self_.name_, part.row_.counter_ + 1, storeClock_.latest(sentAt_)};
 }
 
 bool QuotaParts::hasQuota() const
--- a/packages/quota/quota_parts.h
+++ b/packages/quota/quota_parts.h
@@ -17,8 +17,9 @@
 // many entries is refused nothing that it is entitled to.
 //
 // An owner writes its rows each kRenewInterval, on condition that they are unchanged, and grants
-// until PartTerms::grantFor_ after it sent its last write that was applied. Another entry takes
-// over a part whose row has not changed for PartTerms::reclaimAfter_, on the same condition. So a
+// until PartTerms::grantFor_ after it sent its last write that was applied. The row tells that time
+// by the store's clock. Another entry takes over a part that was not renewed for
+// PartTerms::reclaimAfter_, on the same condition, however long that entry itself has run. So a
 // part never has two owners that grant, whatever writes or answers are lost or late, and whichever
 // process is suspended (spec/part.pml). A lost owner takes its part of the rate along until the
 // takeover; the other parts have other owners. Granting needs no store access for grantFor_.
@@ -38,6 +39,7 @@
 #include "quota/entry_records.h"
 #include "quota/part_row.h"
 #include "quota/quota_share.h"
+#include "quota/store_clock.h"
 
 namespace foxtailturn::quota {
 
@@ -129,6 +131,12 @@
     // Gives up all parts with the next write, for an entry that is about to stop.
     void release() { isReleasing_ = true; }
 
+    // Records what an answer of the store showed of its clock; see StoreClock.
+    void observeStoreClock(std::int64_t storeMs, TimePoint sentAt, TimePoint answeredAt)
+    {
+        storeClock_.observe(storeMs, sentAt, answeredAt);
+    }
+
     // Applies all rows of kFleetTable/kFleetPartition, as read. Rows older than those known are
     // ignored.
     void update(const StoreRows &rows);
@@ -196,6 +204,8 @@
     [[nodiscard]] bool mayGrant(const Part &part) const;
     [[nodiscard]] bool hasUsableOwner(const Part &part) const;
     [[nodiscard]] bool hasQuota() const;
+    [[nodiscard]] TimePoint renewedAt(const Part &part) const;
+    [[nodiscard]] std::map<std::string, std::int64_t> entriesInService() const;
     [[nodiscard]] std::optional<TimePoint> takeAt(const std::string &workspace, int part) const;
     [[nodiscard]] std::optional<PartRow> nextRow(const std::string &workspace, int part);
     void planPart(StoreWrite &write, const std::string &workspace, int index, const PartRow &next);
@@ -211,6 +221,7 @@
     TimePoint startedAt_;
     std::map<std::string, Ledger> ledgers_; // by workspace
     EntryRecords records_;
+    StoreClock storeClock_;
     DutyOrder order_;
     std::set<std::string> answering_;
     std::vector<Planned> planned_;
--- a/packages/quota/quota_parts_test.cpp
+++ b/packages/quota/quota_parts_test.cpp
@@ -84,6 +84,7 @@
             if (index == disconnected || !chance(40))
                 continue;
             QuotaParts &entry = fleet.entry(index);
+            fleet.observeStoreClock(entry, milliseconds(random() % 500));
             entry.update(fleet.store_.rows());
             const std::vector<std::string> now = entry.ownersOf("w");
             for (std::size_t part = 0; part < now.size(); ++part)
@@ -181,6 +182,37 @@
         CHECK(fleet.entry(i).canSpend());
 }
 
+// Guards against a fleet that can't grant for another term because all processes were restarted
+// while parts belonged to entries that are gone.
+TEST_CASE("a term that has run out stays run out when all entries are restarted")
+{
+    Fleet fleet(12);
+    fleet.syncAll(30);
+    std::set<std::string> owners;
+    for (const std::string &owner : fleet.entry(0).ownersOf("w"))
+        owners.insert(owner);
+    REQUIRE(owners.size() == QuotaParts::kParts);
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        if (owners.contains(Fleet::nameOf(i)))
+            fleet.kill(i);
+    }
+    fleet.clock_.advance(QuotaParts::kShortTerms.reclaimAfter_);
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        if (fleet.isUp(i))
+            fleet.restart(i);
+    }
+    fleet.syncAll(8); // 4 s
+    CHECK(fleet.units() == QuotaShare::kTotalUnits / 2);
+    fleet.clock_.advance(QuotaParts::kLongTerms.reclaimAfter_
+                         - QuotaParts::kShortTerms.reclaimAfter_ - seconds(4));
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        if (fleet.isUp(i))
+            fleet.restart(i);
+    }
+    fleet.syncAll(8);
+    CHECK(fleet.units() == QuotaShare::kTotalUnits);
+}
+
 // Guards against tokens of a killed process that its successor has again: buckets start empty.
 TEST_CASE("a part that is taken or resumed starts with an empty bucket")
 {
--- a/packages/quota/quota_testing.h
+++ b/packages/quota/quota_testing.h
@@ -104,12 +104,23 @@
     QuotaParts &entry(std::size_t index) { return *entries_[index]; }
     [[nodiscard]] std::size_t size() const { return entries_.size(); }
 
+    // Tells the entry the store's time, as an answer that was on its way for this long.
+    void observeStoreClock(QuotaParts &entry, Duration delay = Duration::zero()) const
+    {
+        constexpr std::int64_t kOffsetMs = 1'000'000; // from the entries' clocks
+        const TimePoint now = clock_.now();
+        const auto storeTime =
+            std::chrono::floor<std::chrono::milliseconds>((now - delay).time_since_epoch());
+        entry.observeStoreClock(kOffsetMs + storeTime.count(), now - 2 * delay, now);
+    }
+
     // Reads the rows, writes what is due and tells the entry who answers.
     void sync(std::size_t index)
     {
         QuotaParts *entry = entries_[index].get();
         if (entry == nullptr)
             return;
+        observeStoreClock(*entry);
         entry->update(store_.rows());
         if (const std::optional<StoreWrite> write = entry->plan()) {
             const bool isApplied = store_.apply(*write);
