gateway: a read of a table in pages goes on beside writers

Cause: TableWatch dropped a read whenever the store's version had moved between two pages, and any write to any table moves it. Beside heartbeats each 30 ms a read of 20 pages never ends.

Pages of different versions are now taken together, and the changes since the version of the first page follow: they hold each row that was written or removed meanwhile. A failed page is asked for again, without the ones before. Pages that lag behind what was read are refused as before.

--- a/packages/gateway/store_client.cpp
+++ b/packages/gateway/store_client.cpp
@@ -64,7 +64,8 @@
 {
     snapshotRows_.clear();
     snapshotVersion_ = 0;
-    readPage("");
+    isReading_ = true;
+    readNextPage();
 }
 
 void TableWatch::stop()
@@ -74,8 +75,9 @@
     lifetimeToken_.reset();
 }
 
-void TableWatch::readPage(const std::string &firstKey)
+void TableWatch::readNextPage()
 {
+    const std::string firstKey = snapshotRows_.empty() ? "" : snapshotRows_.back().key_ + '\0';
     store_.call(store_.codec().readCall(settings_.table_, "", firstKey), kReadTimeout,
                 [this, weak = std::weak_ptr<int>(lifetimeToken_)](const StoreAnswer &answer) {
                     if (!weak.expired())
@@ -86,25 +88,22 @@
 void TableWatch::onPage(const StoreAnswer &answer)
 {
     Result<StoreRows> rows = store_.codec().decodeRows(answer.body_);
-    if (answer.status_ != kHttpOk || !rows) {
-        onFailure(answer);
-        return;
-    }
-    // All pages must have the same version. A store that lags behind the version applied before
-    // would revert the table to older rows.
-    const bool isOtherVersion = !snapshotRows_.empty() && rows->version_ != snapshotVersion_;
-    if (rows->version_ < version_ || isOtherVersion) {
+    // A store that lags behind what was read before would revert the table to older rows.
+    if (answer.status_ != kHttpOk || !rows
+        || rows->version_ < std::max(version_, snapshotVersion_)) {
         onFailure(answer);
         return;
     }
-    snapshotVersion_ = rows->version_;
+    if (snapshotRows_.empty())
+        snapshotVersion_ = rows->version_;
     snapshotRows_.insert(snapshotRows_.end(), std::make_move_iterator(rows->rows_.begin()),
                          std::make_move_iterator(rows->rows_.end()));
     if (rows->isTruncated_ && !rows->rows_.empty()) {
-        readPage(snapshotRows_.back().key_ + '\0');
+        readNextPage();
         return;
     }
-    version_ = rows->version_;
+    isReading_ = false;
+    version_ = snapshotVersion_;
     if (failures_ > 0 || !isLoaded_)
         log_.write(
             LogDetail::Full, "store_regained",
@@ -162,14 +161,13 @@
     if (failures_ == 1)
         log_.write(LogDetail::Full, "store_lost",
                    {{"table", settings_.table_}, {"status", answer.status_}});
-    snapshotRows_.clear();
     const Duration wait =
         std::min(kBackoffBase * (1 << std::min(failures_, kMaxDoublings)), kMaxBackoff);
     scheduleAfter(wait, [this] {
-        if (isLoaded_ && snapshotVersion_ <= version_ && snapshotVersion_ != 0)
-            requestChanges();
+        if (isReading_)
+            readNextPage();
         else
-            start();
+            requestChanges();
     });
 }
 
--- a/packages/gateway/store_client.h
+++ b/packages/gateway/store_client.h
@@ -67,11 +67,16 @@
 };
 
 // Follows the rows of one table. Not thread-safe.
+//
+// A table is read page by page, while others write to it, so the pages may show different versions.
+// The changes since the version of the first page make the read whole: they hold each row that was
+// written or removed meanwhile. So a read ends however much is written.
 class TableWatch
 {
 public:
-    // isSnapshot: rows holds the whole table; otherwise only the changed rows, including removed
-    // ones.
+    // isSnapshot: rows holds the whole table, in which rows that have changed during the read may
+    // be missing or outdated; they follow at once. Otherwise rows holds the changed rows only,
+    // including removed ones.
     using Handler = std::function<void(const std::vector<StoreRow> &rows, bool isSnapshot)>;
 
     TableWatch(StoreClient &store, EventLog &log, TableWatchSettings settings, Handler handler);
@@ -85,7 +90,7 @@
     [[nodiscard]] TimePoint lastConfirmedAt() const { return lastConfirmedAt_; }
 
 private:
-    void readPage(const std::string &firstKey);
+    void readNextPage();
     void onPage(const StoreAnswer &answer);
     void requestChanges();
     void onChanges(const StoreAnswer &answer);
@@ -99,9 +104,10 @@
     asio::steady_timer timer_;
     std::shared_ptr<int> lifetimeToken_ =
         std::make_shared<int>(0); // callbacks hold a weak reference
-    std::vector<StoreRow> snapshotRows_;
-    std::int64_t version_ = 0; // newest version applied; never decreases
-    std::int64_t snapshotVersion_ = 0;
+    std::vector<StoreRow> snapshotRows_; // of the read in progress
+    std::int64_t version_ = 0; // all changes up to this version were applied; never decreases
+    std::int64_t snapshotVersion_ = 0; // of the first page of the read in progress
+    bool isReading_ = false; // the whole table, page by page
     int failures_ = 0;
     bool isLoaded_ = false;
     bool isStopped_ = false;
