gateway: naming a version costs a look-up, not a walk over all versions

Cause: each named version, each report that changed an adapter and each tick walked over all versions times all targets: N * N * T steps on the thread that serves callers.

AdapterVersions keeps versions by adapter. The update pass looks at the adapters that targets hold and runs once per answer of the store. Which copies are updated, and when, is as before: one of an adapter at a time until the version is required, then all.

--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -148,12 +148,15 @@
 void EntryNode::onOperatorRows(const std::vector<StoreRow> &rows)
 {
     bool isChanged = false;
+    bool hasNewVersion = false;
     for (const StoreRow &row : rows) {
         if (std::optional<ServingConfig> config = codec_.decodeConfig(row))
             isChanged = gateway_.configure(std::move(*config)) || isChanged;
         else if (const auto version = codec_.decodeAdapterVersion(row))
-            gateway_.declareVersion(*version);
+            hasNewVersion = gateway_.declareVersion(*version) || hasNewVersion;
     }
+    if (hasNewVersion)
+        gateway_.requestLoads();
     if (!isChanged)
         return;
     updateSidecarLinks();
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -213,28 +213,20 @@
 {
     PlacementRequest complete = request;
     complete.dataCentre_ = options_.dataCentre_;
-    complete.minVersion_ = minVersion(adapterName(request.model_, request.adapter_));
+    complete.minVersion_ =
+        versions_.minVersion(adapterName(request.model_, request.adapter_), now());
     return placements_[service].choose(targets_.availableTargets(service, now()), complete, now());
 }
 
-std::int64_t Gateway::minVersion(const std::string &name) const
+bool Gateway::declareVersion(const AdapterVersion &version)
 {
-    const auto it = versions_.find(name);
-    if (it == versions_.end() || now() < it->second.requiredFrom_)
-        return 0;
-    return it->second.version_;
-}
-
-void Gateway::declareVersion(const AdapterVersion &version)
-{
-    DeclaredVersion &declared = versions_[adapterName(version.model_, version.adapter_)];
-    if (version.version_ <= declared.version_)
-        return;
-    declared = {version.version_, now() + kOldVersionGrace};
-    parts_.log_.write(LogDetail::Full, "adapter_version_declared",
-                      {{"adapter", adapterName(version.model_, version.adapter_)},
-                       {"version", version.version_}});
-    requestLoads();
+    if (!versions_.declare(version, now() + kOldVersionGrace))
+        return false;
+    if (parts_.log_.admits(LogDetail::Full, "adapter_version_declared"))
+        parts_.log_.write(LogDetail::Full, "adapter_version_declared",
+                          {{"adapter", adapterName(version.model_, version.adapter_)},
+                           {"version", version.version_}});
+    return true;
 }
 
 void Gateway::requestLoad(Target &target, const std::string &model, const std::string &adapter)
@@ -244,10 +236,8 @@
     if (asked != target.loadRequestedAt_.end() && now() - asked->second < kLoadRequestInterval)
         return;
     target.loadRequestedAt_[name] = now();
-    const auto declared = versions_.find(name);
     if (loadRequestHandler_)
-        loadRequestHandler_(target, model, adapter,
-                            declared == versions_.end() ? 0 : declared->second.version_);
+        loadRequestHandler_(target, model, adapter, versions_.newest(name));
 }
 
 void Gateway::onLoadRefused(const std::string &address, const std::string &name)
@@ -283,9 +273,7 @@
         const std::string adapter = name.substr(std::min(slash + 1, name.size()));
         const std::optional<std::int64_t> version =
             target->versionOf(name.substr(0, slash), adapter);
-        const auto declared = versions_.find(name);
-        const bool isThere =
-            version && (declared == versions_.end() || *version >= declared->second.version_);
+        const bool isThere = version && *version >= versions_.newest(name);
         if (isThere && !adapter.empty())
             placements_[target->record_.service_].recordLoadTime(now() - asked.second);
         return isThere;
@@ -327,30 +315,8 @@
 
 void Gateway::requestAdapterUpdates()
 {
-    // A replacement waits until the adapter's running requests have ended and admits no new ones
-    // until then. So targets are updated one at a time until the new version is required.
-    const std::vector<Target *> targets = targets_.all();
-    for (const auto &[name, declared] : versions_) {
-        const std::size_t slash = std::min(name.find('/'), name.size());
-        const std::string model = name.substr(0, slash);
-        const std::string adapter = name.substr(std::min(slash + 1, name.size()));
-        const bool isRequired = now() >= declared.requiredFrom_;
-        const bool isLoadInProgress =
-            std::any_of(targets.begin(), targets.end(), [&name = name](const Target *target) {
-                return target->isAgentConnected_ && target->isLoading(name);
-            });
-        if (isLoadInProgress && !isRequired)
-            continue;
-        for (Target *target : targets) {
-            const std::optional<std::int64_t> version = target->versionOf(model, adapter);
-            if (!version || *version >= declared.version_ || !target->isAgentConnected_
-                || target->isSuperseded_)
-                continue;
-            requestLoad(*target, model, adapter);
-            if (!isRequired)
-                break;
-        }
-    }
+    for (const AdapterUpdate &update : versions_.dueUpdates(targets_.all(), now()))
+        requestLoad(*update.target_, update.model_, update.adapter_);
 }
 
 void Gateway::retryWaitingRelays()
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -19,6 +19,7 @@
 
 #include "base/event_log.h"
 #include "base/metrics.h"
+#include "gateway/adapter_versions.h"
 #include "gateway/codec.h"
 #include "gateway/grant_requester.h"
 #include "gateway/placement.h"
@@ -78,9 +79,10 @@
     bool configure(ServingConfig config);
     [[nodiscard]] const std::shared_ptr<const ServingConfig> &config() const { return config_; }
 
-    // Records a newer version of an adapter and requests its load on targets that hold an older
-    // one. The older version is served for a short grace time only.
-    void declareVersion(const AdapterVersion &version);
+    // Records a newer version of an adapter, which requestLoads() brings to the targets that hold
+    // an older one. The older version is served for a short grace time only. Returns whether it is
+    // newer than those known.
+    bool declareVersion(const AdapterVersion &version);
 
     // Checks route, key, quarantine and quota of a request. Returns the admitted request, or the
     // answer that refuses it.
@@ -180,17 +182,10 @@
     [[nodiscard]] double jitter();
 
 private:
-    struct DeclaredVersion
-    {
-        std::int64_t version_ = 0;
-        TimePoint requiredFrom_{};
-    };
-
     [[nodiscard]] Refusal refusal(int status, ErrorCode code, const std::string &requestId,
                                   std::optional<Duration> retryAfter);
     [[nodiscard]] std::optional<Refusal> chargeQuota(AdmittedRequest &request,
                                                      const Workspace &workspace);
-    [[nodiscard]] std::int64_t minVersion(const std::string &name) const;
     void requestAdapterUpdates();
     void checkTarget(const std::string &instance, const std::string &address);
 
@@ -204,7 +199,7 @@
     RetryBudget budget_;
     Quarantine quarantine_;
     std::map<std::string, Placement> placements_; // by service
-    std::map<std::string, DeclaredVersion> versions_; // by adapter name
+    AdapterVersions versions_;
     std::set<std::shared_ptr<Relay>> waiting_;
     CrashDetector crashes_;
     LoadRequestHandler loadRequestHandler_;
--- a/packages/gateway/target_registry.cpp
+++ b/packages/gateway/target_registry.cpp
@@ -74,8 +74,7 @@
 std::optional<std::int64_t> Target::versionOf(const std::string &model,
                                               const std::string &adapter) const
 {
-    const std::vector<HostedModel> &models = hasReport() ? report_.models_ : record_.models_;
-    for (const HostedModel &hosted : models) {
+    for (const HostedModel &hosted : hostedModels()) {
         if (hosted.name_ != model)
             continue;
         if (adapter.empty())
--- a/packages/gateway/target_registry.h
+++ b/packages/gateway/target_registry.h
@@ -48,6 +48,12 @@
     TimePoint suspectUntil_{};
     TargetBackoff backoff_; // after rejections
 
+    // Returns what the target hosts: as it has reported, or as its record says.
+    [[nodiscard]] const std::vector<HostedModel> &hostedModels() const
+    {
+        return hasReport() ? report_.models_ : record_.models_;
+    }
+
     // Returns the version of the adapter on the target; nullopt if it is absent or being loaded.
     // The base model has version 0.
     [[nodiscard]] std::optional<std::int64_t> versionOf(const std::string &model,
