gateway: each version of an adapter is required at its own deadline

Cause: an entry kept one version and one deadline for each adapter, and each newer version moved the deadline on, so no minimum ever came into force. Passes over the copies began with the same target, and a load request for a newer version within 2 s counted as a repeat.

AdapterVersions keeps each version with its own deadline until a newer one has reached its own; the minimum is the newest whose deadline has passed. Copies are replaced oldest first, and usable ones only while no other copy of the adapter is being replaced. RequestedLoad holds the version.

--- a/packages/gateway/adapter_versions.h
+++ b/packages/gateway/adapter_versions.h
@@ -3,11 +3,12 @@
 // Versions of adapters that the operator has declared, and the copies to update because of them.
 //
 //     AdapterVersions versions;
-//     versions.declare({"m", "a1", 2}, now + grace);
+//     versions.declare({"m", "a1", 2}, now);
 //     request.minVersion_ = versions.minVersion("m/a1", now);
 //     for (const AdapterUpdate &update : versions.dueUpdates(targets, now))
 //         requestLoad(*update.target_, update.model_, update.adapter_);
 //
+// Each version is required a grace time after it was declared, whether or not newer ones follow.
 // Declaring a version costs the same however many there are, and an update pass looks only at the
 // adapters that targets hold.
 
@@ -33,9 +34,11 @@
 class AdapterVersions
 {
 public:
-    // Records a version, which requests must not go below after requiredFrom. Returns whether it is
-    // newer than those known.
-    bool declare(const AdapterVersion &version, TimePoint requiredFrom);
+    // How long requests may still begin on older versions.
+    static constexpr Duration kGrace = std::chrono::milliseconds(2500);
+
+    // Records a version that was declared now. Returns whether it is newer than those known.
+    bool declare(const AdapterVersion &version, TimePoint now);
 
     // Returns the newest version of the adapter of this name; 0 if none was declared.
     [[nodiscard]] std::int64_t newest(const std::string &name) const;
@@ -44,8 +47,8 @@
     [[nodiscard]] std::int64_t minVersion(const std::string &name, TimePoint now) const;
 
     // Returns the copies to replace now: all that no request may use any more, and otherwise one of
-    // an adapter at a time. A replacement waits until the copy's running requests have ended and
-    // admits no new ones until then.
+    // an adapter at a time, the oldest version first. A replacement waits until the copy's running
+    // requests have ended and admits no new ones until then.
     [[nodiscard]] std::vector<AdapterUpdate> dueUpdates(const std::vector<Target *> &targets,
                                                         TimePoint now) const;
 
@@ -56,7 +59,8 @@
         TimePoint requiredFrom_{};
     };
 
-    std::map<std::string, Declared> declared_; // by adapter name
+    // By adapter name, oldest first; only the first one may be required already.
+    std::map<std::string, std::vector<Declared>> declared_;
 };
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/adapter_versions_test.cpp
+++ b/packages/gateway/adapter_versions_test.cpp
@@ -9,7 +9,7 @@
 using std::chrono::milliseconds;
 
 constexpr TimePoint kStart{std::chrono::seconds(100)};
-constexpr Duration kGrace = milliseconds(2500);
+constexpr Duration kGrace = AdapterVersions::kGrace;
 
 // Targets that hold one version of the adapter m/a each.
 struct Fixture
@@ -55,7 +55,7 @@
 {
     AdapterVersions versions;
     CHECK(versions.newest("m/a") == 0);
-    CHECK(versions.declare({"m", "a", 2}, kStart + kGrace));
+    CHECK(versions.declare({"m", "a", 2}, kStart));
     CHECK_FALSE(versions.declare({"m", "a", 2}, kStart));
     CHECK_FALSE(versions.declare({"m", "a", 1}, kStart));
     CHECK(versions.newest("m/a") == 2);
@@ -64,13 +64,46 @@
     CHECK(versions.minVersion("m/b", kStart + kGrace) == 0);
 }
 
+// Guards against requests on versions that are out of date for long, because newer ones follow so
+// fast that none of them is ever required.
+TEST_CASE("a version is required in time although newer ones follow")
+{
+    for (const int interval : {100, 1000, 2000, 4000}) {
+        CAPTURE(interval);
+        AdapterVersions versions;
+        std::int64_t required = 0;
+        TimePoint now = kStart;
+        for (std::int64_t version = 2; version < 30; ++version) {
+            versions.declare({"m", "a", version}, now);
+            now += milliseconds(interval);
+            // The versions were declared at kStart, kStart + interval and so on.
+            if (now - kGrace >= kStart)
+                required = 2 + (now - kGrace - kStart) / milliseconds(interval);
+            CHECK(versions.minVersion("m/a", now) == std::min(required, version));
+        }
+        CHECK(versions.minVersion("m/a", now + kGrace) == 29);
+    }
+}
+
+// Guards against updates that always begin with the same copies, so that the others stay old.
+TEST_CASE("the oldest copy is replaced first")
+{
+    Fixture fixture({3, 1, 2});
+    fixture.versions_.declare({"m", "a", 4}, kStart);
+    CHECK(fixture.due(kStart) == std::vector<std::size_t>{1});
+    fixture.setVersion(1, 4);
+    CHECK(fixture.due(kStart) == std::vector<std::size_t>{2});
+    fixture.versions_.declare({"m", "a", 5}, kStart + kGrace);
+    CHECK(fixture.due(kStart + kGrace) == std::vector<std::size_t>{2, 0});
+}
+
 // Guards against an adapter that no target serves because all its copies are replaced at once, and
 // against copies that stay old.
 TEST_CASE("copies are replaced one at a time until the version is required, then all")
 {
     Fixture fixture({1, 1, 2});
     CHECK(fixture.due(kStart).empty());
-    fixture.versions_.declare({"m", "a", 2}, kStart + kGrace);
+    fixture.versions_.declare({"m", "a", 2}, kStart);
     CHECK(fixture.due(kStart).size() == 1);
     CHECK(fixture.due(kStart + kGrace) == std::vector<std::size_t>{0, 1});
     fixture.targets_[0].report_.loading_ = {"m/a"};
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -17,7 +17,6 @@
 constexpr Duration kNoConfigRetry = milliseconds(500);
 // For this time after a new adapter version is declared, the older one is still served while the
 // new one loads.
-constexpr Duration kOldVersionGrace = milliseconds(2500);
 constexpr Duration kLoadRequestInterval = seconds(2); // interval between requests for the same load
 
 // Parts of a prompt that are watched; each crash makes a record for each of them.
@@ -220,7 +219,7 @@
 
 bool Gateway::declareVersion(const AdapterVersion &version)
 {
-    if (!versions_.declare(version, now() + kOldVersionGrace))
+    if (!versions_.declare(version, now()))
         return false;
     if (parts_.log_.admits(LogDetail::Full, "adapter_version_declared"))
         parts_.log_.write(LogDetail::Full, "adapter_version_declared",
@@ -232,19 +231,21 @@
 void Gateway::requestLoad(Target &target, const std::string &model, const std::string &adapter)
 {
     const std::string name = adapterName(model, adapter);
-    const auto asked = target.loadRequestedAt_.find(name);
-    if (asked != target.loadRequestedAt_.end() && now() - asked->second < kLoadRequestInterval)
+    const RequestedLoad load{now(), versions_.newest(name)};
+    const auto asked = target.requestedLoads_.find(name);
+    if (asked != target.requestedLoads_.end() && asked->second.version_ == load.version_
+        && load.at_ - asked->second.at_ < kLoadRequestInterval)
         return;
-    target.loadRequestedAt_[name] = now();
+    target.requestedLoads_[name] = load;
     if (loadRequestHandler_)
-        loadRequestHandler_(target, model, adapter, versions_.newest(name));
+        loadRequestHandler_(target, model, adapter, load.version_);
 }
 
 void Gateway::onLoadRefused(const std::string &address, const std::string &name)
 {
     for (Target *target : targets_.all()) {
-        if (target->record_.address_ == address && target->loadRequestedAt_.contains(name))
-            target->loadRequestedAt_[name] =
+        if (target->record_.address_ == address && target->requestedLoads_.contains(name))
+            target->requestedLoads_[name].at_ =
                 now() - placements_[target->record_.service_].loadTimeout();
     }
     retryWaitingRelays();
@@ -267,7 +268,7 @@
         recordLeaving(target->record_.instance_);
     if (changes.names_.empty())
         return; // most reports change only the load figures
-    std::erase_if(target->loadRequestedAt_, [&](const auto &asked) {
+    std::erase_if(target->requestedLoads_, [&](const auto &asked) {
         const std::string &name = asked.first;
         const std::size_t slash = std::min(name.find('/'), name.size());
         const std::string adapter = name.substr(std::min(slash + 1, name.size()));
@@ -275,7 +276,7 @@
             target->versionOf(name.substr(0, slash), adapter);
         const bool isThere = version && *version >= versions_.newest(name);
         if (isThere && !adapter.empty())
-            placements_[target->record_.service_].recordLoadTime(now() - asked.second);
+            placements_[target->record_.service_].recordLoadTime(now() - asked.second.at_);
         return isThere;
     });
     requestAdapterUpdates();
--- a/packages/gateway/placement.cpp
+++ b/packages/gateway/placement.cpp
@@ -142,9 +142,9 @@
 
 Duration Placement::loadTime(const Target &target, const Query &query) const
 {
-    const auto requested = target.loadRequestedAt_.find(query.adapterName_);
-    const bool isRequested = requested != target.loadRequestedAt_.end();
-    if (isRequested && query.now_ - requested->second > loadTimeout())
+    const auto requested = target.requestedLoads_.find(query.adapterName_);
+    const bool isRequested = requested != target.requestedLoads_.end();
+    if (isRequested && query.now_ - requested->second.at_ > loadTimeout())
         return loadTime_ * 3; // the load has probably failed
     if (isRequested || target.isLoading(query.adapterName_))
         return loadTime_ / 3; // in progress
--- a/packages/gateway/placement_test.cpp
+++ b/packages/gateway/placement_test.cpp
@@ -101,7 +101,7 @@
     const Placement placement;
     const PlacementRequest request = requestFor("a1");
     Target *first = placement.choose(engines.list(), request, kStart).target_;
-    first->loadRequestedAt_["m/a1"] = kStart;
+    first->requestedLoads_["m/a1"] = {kStart};
     CHECK(placement.choose(engines.list(), request, kStart + milliseconds(300)).target_ == first);
     const TimePoint late = kStart + placement.loadTimeout() + milliseconds(1);
     CHECK(placement.choose(engines.list(), request, late).target_ != first);
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -709,7 +709,7 @@
     if (replyHandling_ == ReplyHandling::Discard && reply_.isNotRun_) {
         const bool isOther = reply_.isOtherInstance_;
         if (Target *target = gateway_.targets().find(instance_); target != nullptr && isOther) {
-            target->loadRequestedAt_.erase(
+            target->requestedLoads_.erase(
                 adapterName(request_.caller_.model_, request_.caller_.adapter_));
             if (!reply_.instance_.empty() && reply_.instance_ != instance_)
                 gateway_.targets().markSuperseded(*target);
--- a/packages/gateway/target_registry.cpp
+++ b/packages/gateway/target_registry.cpp
@@ -108,7 +108,7 @@
         // Requests in flight are still counted until they end.
         slot->report_ = EngineReport();
         slot->reportedAt_ = TimePoint{};
-        slot->loadRequestedAt_.clear();
+        slot->requestedLoads_.clear();
         slot->consecutiveFailures_ = 0;
         slot->suspectUntil_ = now;
         slot->backoff_ = TargetBackoff();
@@ -198,7 +198,7 @@
             continue;
         target->isAgentConnected_ = isLinked;
         if (!isLinked)
-            target->loadRequestedAt_.clear();
+            target->requestedLoads_.clear();
     }
 }
 
--- a/packages/gateway/target_registry.h
+++ b/packages/gateway/target_registry.h
@@ -23,6 +23,15 @@
 // Returns the name of an adapter on a target: MODEL/ADAPTER, or MODEL for the base model.
 [[nodiscard]] std::string adapterName(const std::string &model, const std::string &adapter);
 
+// A load that the entry has requested from a target's sidecar.
+struct RequestedLoad
+{
+    TimePoint at_{};
+    std::int64_t version_ = 0; // 0: the newest
+
+    bool operator==(const RequestedLoad &) const = default;
+};
+
 // A target and what the entry knows about it.
 struct Target
 {
@@ -42,7 +51,7 @@
     std::int64_t pendingPrompt_ =
         0; // uncached prompt tokens of this entry's requests without a first event
     int pendingCount_ = 0; // this entry's requests without a first event
-    std::map<std::string, TimePoint> loadRequestedAt_; // time of the load request, by adapter name
+    std::map<std::string, RequestedLoad> requestedLoads_; // by adapter name
 
     int consecutiveFailures_ = 0;
     TimePoint suspectUntil_{};
--- a/packages/gateway/target_registry_test.cpp
+++ b/packages/gateway/target_registry_test.cpp
@@ -38,10 +38,10 @@
     registry.list(record("i", 1), kStart);
     REQUIRE(registry.report("10.0.0.1:80", reportOf(1), kStart).target_ != nullptr);
     CHECK(registry.find("i")->versionOf("m", "a1") == 3);
-    registry.find("i")->loadRequestedAt_["m/a2"] = kStart;
+    registry.find("i")->requestedLoads_["m/a2"] = {kStart};
     CHECK(registry.list(record("i", 2), kStart));
     CHECK_FALSE(registry.find("i")->versionOf("m", "a1"));
-    CHECK(registry.find("i")->loadRequestedAt_.empty());
+    CHECK(registry.find("i")->requestedLoads_.empty());
     CHECK(registry.report("10.0.0.1:80", reportOf(1), kStart).target_
           == nullptr); // late report of the old incarnation
 }
