gateway: a record of another service does not supersede a target

Cause: markOlderSuperseded() went by the address alone. It now compares records of one service. A server of another service that has taken over an address rejects requests for this one by itself (Expect-Instance, 421), as before a record is known.

"a record of another service supersedes nothing" fails on the code before.

--- a/packages/gateway/target_registry.cpp
+++ b/packages/gateway/target_registry.cpp
@@ -117,6 +117,7 @@
     const bool isChanged = isRestarted || previous.phase_ != record.phase_
         || previous.address_ != record.address_ || previous.service_ != record.service_
         || slot->usableUntil_ != TimePoint::max();
+    const std::string previousService = previous.service_;
     const std::string previousAddress = previous.address_;
     slot->record_ = record;
     slot->usableUntil_ = TimePoint::max();
@@ -125,22 +126,27 @@
         slot->isLeaving_ = false;
     }
     if (previousAddress != record.address_)
-        markOlderSuperseded(previousAddress);
-    markOlderSuperseded(record.address_);
+        markOlderSuperseded(previousService, previousAddress);
+    markOlderSuperseded(record.service_, record.address_);
     return isChanged;
 }
 
-void TargetRegistry::markOlderSuperseded(const std::string &address)
+void TargetRegistry::markOlderSuperseded(const std::string &service, const std::string &address)
 {
+    const auto isMeant = [&](const Target &target) {
+        return target.record_.service_ == service && target.record_.address_ == address;
+    };
     // The old record of a target that restarts under a new id stays in the store until its missing
-    // heartbeats are detected. Only the incarnation started last can answer at the address.
+    // heartbeats are detected. Only the incarnation started last can answer at the address. A
+    // record of another service may be another writer's; a server that has taken the address over
+    // rejects requests for this one by itself.
     std::int64_t newest = 0;
     for (const auto &[instance, target] : targets_) {
-        if (target->record_.address_ == address && target->usableUntil_ == TimePoint::max())
+        if (isMeant(*target) && target->usableUntil_ == TimePoint::max())
             newest = std::max(newest, target->record_.startTimeMs_);
     }
     for (const auto &[instance, target] : targets_) {
-        if (target->record_.address_ == address && target->record_.startTimeMs_ < newest)
+        if (isMeant(*target) && target->record_.startTimeMs_ < newest)
             target->isSuperseded_ = true;
     }
 }
--- a/packages/gateway/target_registry.h
+++ b/packages/gateway/target_registry.h
@@ -155,7 +155,7 @@
     void removeStale(TimePoint now);
 
 private:
-    void markOlderSuperseded(const std::string &address);
+    void markOlderSuperseded(const std::string &service, const std::string &address);
 
     Duration unlistedGrace_;
     std::map<std::string, std::unique_ptr<Target>> targets_; // by instance
--- a/packages/gateway/target_registry_test.cpp
+++ b/packages/gateway/target_registry_test.cpp
@@ -150,6 +150,22 @@
     CHECK(registry.availableTargets("s", kStart).size() == 1);
 }
 
+// Guards against an odd record that takes a live target out of use for good, by naming its address
+// under another service.
+TEST_CASE("a record of another service supersedes nothing")
+{
+    TargetRegistry registry(kUnlistedGrace);
+    registry.list(record("live", 1), kStart);
+    TargetRecord odd = record("odd", 2);
+    odd.service_ = "unknown";
+    registry.list(odd, kStart);
+    REQUIRE(registry.availableTargets("s", kStart).size() == 1);
+    CHECK(registry.availableTargets("s", kStart).front()->record_.instance_ == "live");
+    odd.address_ = "10.0.0.2:80";
+    registry.list(odd, kStart);
+    CHECK(registry.availableTargets("s", kStart).size() == 1);
+}
+
 // Guards against the same failure before the new record is in the store: the sidecar's report comes
 // first.
 TEST_CASE("a report of a later incarnation supersedes the earlier one")
