--- a/packages/gateway/target_connection.cpp
+++ b/packages/gateway/target_connection.cpp
@@ -1,6 +1,7 @@
 #include "gateway/target_connection.h"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 #include "gateway/read_limits.h"
@@ -20,18 +21,19 @@
 
 Result<asio::ip::tcp::endpoint> endpointOf(const std::string &address)
 {
-    const std::size_t colon = address.rfind(':');
+    const std::size_t colon = std::min(address.rfind(':'), address.size());
     asio::error_code error;
-    const auto ip =
-        asio::ip::make_address(address.substr(0, std::min(colon, address.size())), error);
-    const int port = colon == std::string::npos ? 0 : std::atoi(address.c_str() + colon + 1);
-    constexpr int kMaxPort = 65'535;
-    if (error || port < 1 || port > kMaxPort)
+    const auto ip = asio::ip::make_address(address.substr(0, colon), error);
+    const std::string_view text =
+        std::string_view(address).substr(std::min(colon + 1, address.size()));
+    std::uint16_t port = 0;
+    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), port);
+    if (error || failure != std::errc() || end != text.data() + text.size() || port == 0)
         return notRun(
             ErrorCode::InvalidSettings,
             "invalid address, expected IP:port with an IP literal and a port from 1 to 65535: "
                 + address);
-    return asio::ip::tcp::endpoint(ip, static_cast<std::uint16_t>(port));
+    return asio::ip::tcp::endpoint(ip, port);
 }
 
 Result<void> listenOn(asio::ip::tcp::acceptor &acceptor, const std::string &address)
--- a/packages/gateway/target_connection_test.cpp
+++ b/packages/gateway/target_connection_test.cpp
@@ -308,7 +308,8 @@
 TEST_CASE("endpointOf() accepts only an IP address with a port")
 {
     CHECK(endpointOf("10.0.0.1:80"));
-    for (const std::string bad : {"", "10.0.0.1", "host:80", "10.0.0.1:0", "10.0.0.1:99999"}) {
+    for (const std::string bad : {"", "10.0.0.1", "host:80", "10.0.0.1:0", "10.0.0.1:99999",
+                                  "10.0.0.1:80x", "10.0.0.1:+80", "10.0.0.1: 80", ":80"}) {
         CAPTURE(bad);
         CHECK_FALSE(endpointOf(bad));
     }
