gateway: a write holds as many suspects as the store takes

A store that has more than 48 records to take in one write refuses it each time, and the renewals of quota parts in it too (found by the review by reading).

SuspectRows adds records while the write stays within 100 entries; the rest follows with the next one, which is due at once.

'many records are written in several writes' fails on the code before.

--- a/packages/gateway/suspect_rows.cpp
+++ b/packages/gateway/suspect_rows.cpp
@@ -10,7 +10,15 @@
 namespace {
 
 constexpr std::string_view kPrefix = "suspect/"; // of row keys
-constexpr std::size_t kMaxRemovals = 20; // with one write, whose entries the store bounds
+constexpr std::size_t kMaxRemovals = 20; // with one write
+constexpr std::size_t kMaxEntries = 100; // of one write, as the store demands
+constexpr std::size_t kEntriesPerRow = 2; // a change and its condition
+
+bool hasRoom(const StoreWrite &write)
+{
+    return write.expected_.size() + write.puts_.size() + write.removes_.size() + kEntriesPerRow
+        <= kMaxEntries;
+}
 
 StoreRow rowOf(const std::string &fingerprint, std::string value, std::int64_t version)
 {
@@ -27,8 +35,11 @@
 
 void SuspectRows::addTo(StoreWrite &write)
 {
-    writing_ = reports_;
-    for (const auto &[fingerprint, record] : writing_) {
+    writing_.clear();
+    for (const auto &[fingerprint, record] : reports_) {
+        if (!hasRoom(write))
+            break;
+        writing_.emplace(fingerprint, record);
         const auto version = versions_.find(fingerprint);
         write.puts_.push_back(rowOf(fingerprint, record.toJson(), 0));
         write.expected_.push_back(
@@ -38,7 +49,7 @@
     if (write.puts_.empty())
         return;
     for (const std::string &fingerprint : expired_) {
-        if (removing_.size() == kMaxRemovals)
+        if (removing_.size() == kMaxRemovals || !hasRoom(write))
             break;
         removing_.insert(fingerprint);
         write.removes_.push_back(rowOf(fingerprint, "", 0));
--- a/packages/gateway/suspect_rows.h
+++ b/packages/gateway/suspect_rows.h
@@ -41,9 +41,9 @@
         return versions_.contains(fingerprint);
     }
 
-    // Adds the records to a write, each on condition that its row is the one last seen, and to a
-    // write that has other entries the removal of expired rows. Precondition: no other write is
-    // under way.
+    // Adds as many records to a write as the store takes entries, each on condition that its row is
+    // the one last seen, and to a write that has other entries the removal of expired rows.
+    // Precondition: no other write is under way.
     void addTo(StoreWrite &write);
 
     // Ends the write that addTo() was called for. version: of the store after it, if it was
--- a/packages/gateway/suspect_rows_test.cpp
+++ b/packages/gateway/suspect_rows_test.cpp
@@ -131,6 +131,35 @@
     CHECK_FALSE(a.rows_.isStored("f"));
 }
 
+// Guards against a write that the store refuses each time because it has more entries than the
+// store takes: the renewals of quota parts are in the same write.
+TEST_CASE("many records are written in several writes")
+{
+    constexpr std::size_t kMaxEntries = 100; // as the users' platform says
+    constexpr int kRecords = 130;
+    FakeStore store;
+    Entry a("a");
+    for (int i = 0; i < kRecords; ++i)
+        a.recordCrash("f" + std::to_string(i), "engine-1@1");
+    int writes = 0;
+    while (a.rows_.hasReports() && writes < kRecords) {
+        StoreWrite write;
+        for (int part = 0; part < 40; ++part) {
+            const std::string key = "part/" + std::to_string(writes) + "/" + std::to_string(part);
+            write.puts_.push_back({quota::kFleetTable, quota::kFleetPartition, key, "x"});
+            write.expected_.push_back({quota::kFleetTable, quota::kFleetPartition, key, "", 0});
+        }
+        a.rows_.addTo(write);
+        CHECK(write.puts_.size() + write.expected_.size() + write.removes_.size() <= kMaxEntries);
+        REQUIRE(store.apply(write));
+        a.rows_.finishWrite(WriteOutcome::Applied, store.version());
+        ++writes;
+    }
+    CHECK_FALSE(a.rows_.hasReports());
+    for (int i = 0; i < kRecords; ++i)
+        CHECK(a.rows_.isStored("f" + std::to_string(i)));
+}
+
 // Guards against a record that is lost with the answer to its write.
 TEST_CASE("a record whose write was not applied, or may not have been, is written again")
 {
