--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -13,7 +13,6 @@
 // An entry that finds no owner for a quota still reports ready after this time, since it can serve
 // the other workspaces.
 constexpr Duration kMaxWaitForOwners = std::chrono::seconds(4);
-constexpr Duration kReleaseTimeout = milliseconds(200); // for one read and one write of the store
 constexpr Duration kPruneInterval = std::chrono::seconds(10); // of expired suspects
 constexpr Duration kShutdownPollInterval = milliseconds(100);
 
@@ -325,7 +324,7 @@
         // Not earlier: the process grants from the parts that it owns until it ends, and its
         // successor on this VM may start immediately afterwards.
         ledgerSync_.release();
-        releaseDeadline_ = now + kReleaseTimeout;
+        releaseDeadline_ = now + ShutdownSchedule::kReleaseTime;
     }
     const bool isReleased = releaseDeadline_ != TimePoint{} && now >= releaseDeadline_;
     if (isReleased && (isDrained || hasEndedRequests_)) {
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -15,8 +15,6 @@
 constexpr Duration kCrashRetention = seconds(60); // how long a crash counts against a request
 constexpr Duration kCheckTimeout = milliseconds(400); // enough for one lost SYN or SYN-ACK
 constexpr Duration kNoConfigRetry = milliseconds(500);
-// For this time after a new adapter version is declared, the older one is still served while the
-// new one loads.
 constexpr Duration kLoadRequestInterval = seconds(2); // interval between requests for the same load
 
 // Parts of a prompt that are watched; each crash makes a record for each of them.
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -741,9 +741,8 @@
     if (replyHandling_ == ReplyHandling::Buffer) {
         beginForwarding(replyHead_, bufferedBody_.size());
         forward(bufferedBody_);
-    } else {
-        if (isChunked_)
-            answer_.sendAnswer(std::string(kLastChunk));
+    } else if (isChunked_) {
+        answer_.sendAnswer(std::string(kLastChunk));
     }
     end();
 }
--- a/packages/gateway/shutdown_schedule.cpp
+++ b/packages/gateway/shutdown_schedule.cpp
@@ -13,7 +13,6 @@
 // From the end of the requests to the kill: the last answers leave the process.
 constexpr Duration kMaxKillMargin = milliseconds(800);
 constexpr int kKillMarginDivisor = 6; // part of a short grace
-constexpr Duration kReleaseTime = milliseconds(200); // for one read and one write of the store
 
 } // namespace
 
--- a/packages/gateway/shutdown_schedule.h
+++ b/packages/gateway/shutdown_schedule.h
@@ -18,6 +18,9 @@
 class ShutdownSchedule
 {
 public:
+    // Time for the release: one read and one write of the store.
+    static constexpr Duration kReleaseTime = std::chrono::milliseconds(200);
+
     // begin: when the process was told to stop; it is killed grace later.
     ShutdownSchedule(TimePoint begin, Duration grace);
 
