daemon: signals are caught before anything else

Cause: the signals were asked for after the node had started, and until then SIGHUP ends a process by default. runNode now catches them first and handles them once the node serves.

--- a/packages/daemon/node_main.cpp
+++ b/packages/daemon/node_main.cpp
@@ -14,16 +14,19 @@
 constexpr int kExitOk = 0;
 constexpr int kExitUsage = 2;
 
-// Calls onStop at SIGTERM or SIGINT and onReload at each SIGHUP.
+// Catches the signals from its construction on, and handles them once it is started: calls onStop
+// at SIGTERM or SIGINT and onReload at each SIGHUP.
 class SignalWatch
 {
 public:
-    SignalWatch(asio::io_context &context, std::function<void()> onStop,
-                std::function<void()> onReload)
+    explicit SignalWatch(asio::io_context &context)
         : signals_(context, SIGTERM, SIGINT, SIGHUP)
-        , onStop_(std::move(onStop))
-        , onReload_(std::move(onReload))
+    { }
+
+    void start(std::function<void()> onStop, std::function<void()> onReload)
     {
+        onStop_ = std::move(onStop);
+        onReload_ = std::move(onReload);
         wait();
     }
 
@@ -47,15 +50,15 @@
 };
 
 template <typename Node>
-int serve(Node &node, asio::io_context &context, std::function<void()> onReload)
+int serve(Node &node, asio::io_context &context, SignalWatch &signals,
+          const std::function<void()> &onReload)
 {
     const Result<void> started = node.start();
     if (!started) {
         std::cerr << "foxtailturnd: " << started.error().message_ << '\n';
         return kExitUsage;
     }
-    const SignalWatch signals(
-        context, [&] { node.stop([&context] { context.stop(); }); }, std::move(onReload));
+    signals.start([&] { node.stop([&context] { context.stop(); }); }, onReload);
     context.run();
     return kExitOk;
 }
@@ -73,19 +76,21 @@
 
 int runNode(const std::string &settingsPath, const PlatformCodec &codec)
 {
+    // First of all, as a signal that nobody has asked for ends the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    asio::io_context context(1);
+    SignalWatch signals(context);
     const Result<NodeSettings> settings = NodeSettings::read(settingsPath);
     if (!settings) {
         std::cerr << "foxtailturnd: " << settings.error().message_ << '\n';
         return kExitUsage;
     }
-    std::signal(SIGPIPE, SIG_IGN);
-    asio::io_context context(1);
     if (settings->role_ == NodeRole::Sidecar) {
         SidecarNode sidecar(context, codec, *settings);
-        return serve(sidecar, context, [] {});
+        return serve(sidecar, context, signals, [] {});
     }
     EntryNode entry(context, codec, *settings);
-    return serve(entry, context, [&] {
+    return serve(entry, context, signals, [&] {
         const Result<NodeSettings> changed = NodeSettings::read(settingsPath);
         if (changed)
             entry.reload(*changed);
