--- a/packages/gateway/target_connection.h
+++ b/packages/gateway/target_connection.h
@@ -19,6 +19,7 @@
 #include "base/clock.h"
 #include "gateway/byte_stream.h"
 #include "gateway/codec.h"
+#include "gateway/endpoint.h"
 #include "http1/message_parser.h"
 
 namespace foxtailturn::gateway {
@@ -151,7 +152,4 @@
 // Opens, binds and listens. Error: InvalidSettings when the address can't be used.
 [[nodiscard]] Result<void> listenOn(asio::ip::tcp::acceptor &acceptor, const std::string &address);
 
-// Returns the endpoint of IP:port text. Error: InvalidSettings. Thread-safe.
-[[nodiscard]] Result<asio::ip::tcp::endpoint> endpointOf(const std::string &address);
-
 } // namespace foxtailturn::gateway
