http1: one value tells how a body is framed

MessageHead had two flags for what RFC 9112, section 6.3, calls the length of a message body. No change of behaviour; the framing of an answer to its caller needs the value next.

--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -491,7 +491,7 @@
 {
     progressAt_ = gateway_.now();
     reply_ = reply;
-    endsWithConnection_ = head.endsWithConnection_;
+    replyFraming_ = head.framing_;
     if (reply.isLeaving_)
         gateway_.recordLeaving(reply.instance_.empty() ? instance_ : reply.instance_);
     if (head.status_ == kUnavailable || (reply.isNotRun_ && head.status_ == kTooManyRequests))
@@ -724,7 +724,8 @@
         return;
     }
     if (replyHandling_ != ReplyHandling::Discard && isTornStream()) {
-        failAttempt(Error{endsWithConnection_ ? ErrorCode::ConnectionLost : ErrorCode::TargetFailed,
+        failAttempt(Error{replyFraming_ == BodyFraming::UntilClose ? ErrorCode::ConnectionLost
+                                                                   : ErrorCode::TargetFailed,
                           Execution::OutcomeUnknown, "the stream ended inside an event"});
         return;
     }
@@ -752,7 +753,8 @@
 bool Relay::isTornStream() const
 {
     return isStreamReply_
-        && (!splitter_.remainder().empty() || (endsWithConnection_ && attemptEvents_ == 0));
+        && (!splitter_.remainder().empty()
+            || (replyFraming_ == BodyFraming::UntilClose && attemptEvents_ == 0));
 }
 
 void Relay::onExchangeFailure(const Error &error)
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -176,7 +176,7 @@
     bool isForwarding_ = false; // the head was sent to the caller
     bool isChunked_ = false; // the answer to the caller uses chunked encoding
     bool isStreamReply_ = false;
-    bool endsWithConnection_ = false; // the target's answer has neither a length nor chunks
+    BodyFraming replyFraming_ = BodyFraming::None; // of the target's answer
     bool hasFirstEvent_ = false;
     bool isWaiting_ = false;
     bool isCharged_ = true; // the charge was taken from the quota
--- a/packages/http1/message.h
+++ b/packages/http1/message.h
@@ -24,6 +24,14 @@
     bool operator==(const HeaderField &) const = default;
 };
 
+// How the end of a body is told (RFC 9112, section 6.3).
+enum class BodyFraming {
+    None, // there is no body
+    Length,
+    Chunks,
+    UntilClose, // responses only: the body ends with its connection
+};
+
 // Start line and header fields of a request or a response. Reading from several threads is safe.
 struct MessageHead
 {
@@ -32,8 +40,7 @@
     int status_ = 0; // responses only
     std::vector<HeaderField> fields_ = {};
     std::optional<std::uint64_t> contentLength_ = std::nullopt; // bytes
-    bool isChunked_ = false;
-    bool endsWithConnection_ = false; // responses only: the body has neither a length nor chunks
+    BodyFraming framing_ = BodyFraming::None;
     bool keepsAlive_ = true; // whether another message may follow on the connection
 
     // Returns the value of the first field of this name, in any case of letters; null if absent.
--- a/packages/http1/message_parser.cpp
+++ b/packages/http1/message_parser.cpp
@@ -129,18 +129,29 @@
             fail(ErrorCode::BadRequest, "the transfer coding or upgrade is not supported");
             return -1;
         }
-        head_.isChunked_ = (parser_.flags & F_CHUNKED) != 0;
         if ((parser_.flags & F_CONTENTLENGTH) != 0
             && parser_.content_length != std::numeric_limits<std::uint64_t>::max())
             head_.contentLength_ = parser_.content_length;
         head_.keepsAlive_ = http_should_keep_alive(&parser_) != 0;
-        head_.endsWithConnection_ = kind_ == MessageKind::Response && !hasNoBody_
-            && !head_.isChunked_ && !head_.contentLength_ && hasBody(head_.status_);
+        head_.framing_ = framing();
         sink_.onHead(std::move(head_));
         head_ = MessageHead();
         return hasNoBody_ ? kSkipBody : 0;
     }
 
+    // Of the message under way. Precondition: the length in its head was read.
+    [[nodiscard]] BodyFraming framing() const
+    {
+        const bool isResponse = kind_ == MessageKind::Response;
+        if (isResponse && (hasNoBody_ || !hasBody(head_.status_)))
+            return BodyFraming::None;
+        if ((parser_.flags & F_CHUNKED) != 0)
+            return BodyFraming::Chunks;
+        if (head_.contentLength_)
+            return BodyFraming::Length;
+        return isResponse ? BodyFraming::UntilClose : BodyFraming::None;
+    }
+
     int end()
     {
         isComplete_ = true;
--- a/packages/http1/message_parser_test.cpp
+++ b/packages/http1/message_parser_test.cpp
@@ -78,7 +78,7 @@
     CHECK(parser.isComplete());
     CHECK(recorder.head_.target_ == "/x/y?z=1");
     CHECK(*recorder.head_.find("host") == "a");
-    CHECK(recorder.head_.isChunked_);
+    CHECK(recorder.head_.framing_ == BodyFraming::Chunks);
     CHECK(recorder.body_ == "abc");
 }
 
@@ -98,14 +98,14 @@
     Recorder recorder;
     MessageParser parser(MessageKind::Response, kHeaderLimit, recorder);
     parser.feed("HTTP/1.1 200 OK\r\n\r\nab");
-    CHECK(recorder.head_.endsWithConnection_);
+    CHECK(recorder.head_.framing_ == BodyFraming::UntilClose);
     CHECK_FALSE(parser.isComplete());
     parser.finish();
     CHECK(parser.isComplete());
 
     parser.next();
     parser.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab");
-    CHECK_FALSE(recorder.head_.endsWithConnection_);
+    CHECK(recorder.head_.framing_ == BodyFraming::Length);
     parser.finish();
     REQUIRE(parser.error());
 }
