gateway: logs and counts how an answer of a target ended

Neither logs nor metrics told an answer whose end was stated from one that ended with its connection, so the hypotheses of the incident could not be told apart. end_not_stated names target, bytes, events and what the caller was told; foxtailturn_target_answer_ends_total counts the ends; explain names them. No change of what callers get.

--- a/packages/ctl/explain.cpp
+++ b/packages/ctl/explain.cpp
@@ -84,6 +84,17 @@
     return concat("refused with ", code);
 }
 
+// What the logs say of an answer whose target did not state its end, for the end of a sentence.
+std::string noteOfEnd(const std::vector<StoryLine> &lines)
+{
+    const StoryLine *end = lastOf(lines, "end_not_stated");
+    if (end == nullptr)
+        return "";
+    return concat("; target ", textOf(end->fields_, "target"),
+                  " did not state the end of its answer (", textOf(end->fields_, "end"),
+                  "), the caller was told \"", textOf(end->fields_, "told"), "\"");
+}
+
 std::string causeOf(const std::vector<StoryLine> &lines)
 {
     if (const StoryLine *broken = lastOf(lines, "broken_off")) {
@@ -96,7 +107,7 @@
         return causeOfRefusal(lines, refused->fields_);
     if (const StoryLine *answered = lastOf(lines, "answered"))
         return concat("answered with ", textOf(answered->fields_, "status"), " after ",
-                      millisText(answered->fields_, "elapsed_us"));
+                      millisText(answered->fields_, "elapsed_us"), noteOfEnd(lines));
     return "the logs hold no end of this request";
 }
 
--- a/packages/ctl/explain_test.cpp
+++ b/packages/ctl/explain_test.cpp
@@ -49,6 +49,14 @@
              + R"({"kind":"answered","request":"r","status":200,"elapsed_us":5000,"time_us":9})"
                "\n",
          "answered with 200 after 5 ms"},
+        {sent
+             + R"({"kind":"end_not_stated","request":"r","target":"t1","end":"close",)"
+               R"("told":"close","time_us":8})"
+               "\n"
+               R"({"kind":"answered","request":"r","status":200,"elapsed_us":5000,"time_us":9})"
+               "\n",
+         "after 5 ms; target t1 did not state the end of its answer (close), the caller was told "
+         "\"close\""},
         {sent, "no end of this request"},
     };
     for (const Case &c : cases) {
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -209,6 +209,7 @@
     attemptEvents_ = 0;
     replyHandling_ = ReplyHandling::None;
     bufferedBody_.clear();
+    replyBytes_ = 0;
     discardedBytes_ = 0;
     splitter_.clear();
     wasOnlyPrefill_ = target.pendingCount_ == 0 && target.report_.prefilling_ == 0;
@@ -635,6 +636,7 @@
 {
     if (!isStreamReply_)
         progressAt_ = gateway_.now();
+    replyBytes_ += data.size();
     switch (replyHandling_) {
     case ReplyHandling::None:
         return;
@@ -706,6 +708,7 @@
 {
     const std::shared_ptr<Relay> self = shared_from_this();
     connection_.reset(); // already released to the pool or closed
+    gateway_.serving().recordAnswerEnd(framingName(replyFraming_));
     if (replyHandling_ == ReplyHandling::Discard && reply_.isNotRun_) {
         const bool isOther = reply_.isOtherInstance_;
         if (Target *target = gateway_.targets().find(instance_); target != nullptr && isOther) {
@@ -736,6 +739,8 @@
         return;
     }
     recordFirstEvent();
+    if (replyFraming_ == BodyFraming::UntilClose)
+        logUnstatedEnd();
     releaseTarget();
     if (replyHead_.status_ < kFirstServerErrorStatus) // an error may come before a run
         gateway_.recordSound(request_.suspects_);
@@ -748,6 +753,19 @@
     end();
 }
 
+void Relay::logUnstatedEnd()
+{
+    const bool isChunked = replyHandling_ == ReplyHandling::Forward;
+    gateway_.log().write(
+        LogDetail::Full, "end_not_stated",
+        {{"request", request_.caller_.id_},
+         {"target", instance_},
+         {"end", framingName(replyFraming_)},
+         {"bytes", replyBytes_},
+         {"events", attemptEvents_},
+         {"told", framingName(isChunked ? BodyFraming::Chunks : BodyFraming::Length)}});
+}
+
 // Returns whether the stream that has just ended was broken off. The end of the connection says
 // nothing of a body without length, so at least one event must have come whole.
 bool Relay::isTornStream() const
@@ -768,6 +786,8 @@
 void Relay::failAttempt(const Error &error)
 {
     const std::string instance = instance_;
+    if (replyHandling_ != ReplyHandling::None)
+        gateway_.serving().recordAnswerEnd("broken");
     const bool mayHaveRun = error.execution_ == Execution::OutcomeUnknown;
     if (Target *target = gateway_.targets().find(instance))
         gateway_.targets().failed(*target, gateway_.now());
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -141,6 +141,7 @@
     void recordFirstEvent();
     void recordEvent();
     [[nodiscard]] bool isTornStream() const;
+    void logUnstatedEnd();
     [[nodiscard]] std::vector<Suspect> suspects() const;
     [[nodiscard]] PlacementRequest placementRequest() const;
 
@@ -167,6 +168,7 @@
     MessageHead replyHead_;
     TargetReply reply_;
     std::string bufferedBody_;
+    std::size_t replyBytes_ = 0; // of the body, in this attempt
     std::size_t discardedBytes_ = 0;
     TimePoint discardUntil_{}; // the rest of a discarded answer is not read after this
     EventSplitter splitter_;
--- a/packages/gateway/serving_metrics.cpp
+++ b/packages/gateway/serving_metrics.cpp
@@ -125,6 +125,14 @@
         .add();
 }
 
+void ServingMetrics::recordAnswerEnd(std::string_view end)
+{
+    metrics_
+        .counter("foxtailturn_target_answer_ends_total", "answers of targets by how they ended",
+                 {{"end", std::string(end)}})
+        .add();
+}
+
 void ServingMetrics::recordRejection(const std::string &service)
 {
     metrics_
--- a/packages/gateway/serving_metrics.h
+++ b/packages/gateway/serving_metrics.h
@@ -65,6 +65,9 @@
     // Counts a target that has said that it is about to stop.
     void recordLeaving(const std::string &service);
 
+    // Counts how an answer of a target ended: a framingName(), or "broken" if it ended earlier.
+    void recordAnswerEnd(std::string_view end);
+
     // Counts a rejection by a target.
     void recordRejection(const std::string &service);
 
--- a/packages/http1/message.cpp
+++ b/packages/http1/message.cpp
@@ -74,6 +74,21 @@
 
 } // namespace
 
+std::string_view framingName(BodyFraming framing)
+{
+    switch (framing) {
+    case BodyFraming::None:
+        return "none";
+    case BodyFraming::Length:
+        return "length";
+    case BodyFraming::Chunks:
+        return "last_chunk";
+    case BodyFraming::UntilClose:
+        return "close";
+    }
+    return "unknown";
+}
+
 bool equalsIgnoringCase(std::string_view a, std::string_view b)
 {
     return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](unsigned char x, unsigned char y) {
--- a/packages/http1/message.h
+++ b/packages/http1/message.h
@@ -32,6 +32,9 @@
     UntilClose, // responses only: the body ends with its connection
 };
 
+// Returns "none", "length", "last_chunk" or "close". Thread-safe.
+[[nodiscard]] std::string_view framingName(BodyFraming framing);
+
 // Start line and header fields of a request or a response. Reading from several threads is safe.
 struct MessageHead
 {
