gateway: a connection that is finished reads on before it closes

What callers saw: an answer with Connection: close could be lost to a reset when its caller had sent more, as a close with unread bytes resets the connection (RFC 9112, section 9.6). ByteStream::finish() now shuts its side down and discards what arrives for a second, 1 MB at most. It also ends for a peer that takes no bytes for 10 s; before, it waited for good.

resetUnlessFinished() is for messages that only the close ends: any other end of the connection, the process's own too, is a reset. Nothing uses it yet.

--- a/packages/gateway/byte_stream.cpp
+++ b/packages/gateway/byte_stream.cpp
@@ -7,6 +7,11 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 65'536;
+// A peer that takes none of the queued bytes for this long gets no more.
+constexpr Duration kFlushTime = std::chrono::seconds(10);
+// What is read and discarded behind the last byte that was sent.
+constexpr Duration kLingerTime = std::chrono::seconds(1);
+constexpr std::size_t kMaxLingerBytes = 1'048'576;
 
 std::array<char, kReadBytes> &readBuffer()
 {
@@ -46,7 +51,7 @@
 
 void ByteStream::waitReadable()
 {
-    if (isReading_ || isPaused_ || isFinishing_ || !isOpen())
+    if (isReading_ || isPaused_ || (isFinishing_ && !isSendingEnded_) || !isOpen())
         return;
     isReading_ = true;
     socket_.async_wait(asio::ip::tcp::socket::wait_read,
@@ -61,7 +66,7 @@
 
 void ByteStream::read()
 {
-    while (isOpen() && !isPaused_ && !isFinishing_) {
+    while (isOpen() && !isPaused_ && (!isFinishing_ || isSendingEnded_)) {
         asio::error_code error;
         const std::size_t size = socket_.read_some(asio::buffer(readBuffer()), error);
         if (error == asio::error::would_block)
@@ -70,7 +75,11 @@
             fail(error);
             return;
         }
-        if (onData_)
+        if (isSendingEnded_) {
+            discardedBytes_ += size;
+            if (discardedBytes_ > kMaxLingerBytes)
+                close();
+        } else if (onData_)
             onData_(std::string_view(readBuffer().data(), size));
         if (size < kReadBytes)
             break; // the next wait shows whether there is more
@@ -117,13 +126,13 @@
                                    return;
                                }
                                self->write();
-                               if (self->queue_.empty() && self->onDrain_)
+                               if (self->queue_.empty() && self->onDrain_ && !self->isFinishing_)
                                    self->onDrain_();
                            });
         return;
     }
     if (queue_.empty() && isFinishing_)
-        close();
+        endSending();
 }
 
 bool ByteStream::hasPeerClosed()
@@ -138,18 +147,60 @@
 
 void ByteStream::finish()
 {
+    if (!isOpen() || isFinishing_)
+        return;
     isFinishing_ = true;
-    if (queue_.empty()) {
-        asio::error_code ignored; // closed anyway
-        socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-        close();
-    }
+    if (queue_.empty())
+        endSending();
+    else
+        armFinishTimer(kFlushTime);
+}
+
+void ByteStream::endSending()
+{
+    if (isSendingEnded_ || !isOpen())
+        return;
+    isSendingEnded_ = true;
+    isPaused_ = false;
+    setLinger(false);
+    asio::error_code ignored; // the peer has closed already
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    armFinishTimer(kLingerTime);
+    waitReadable();
+}
+
+void ByteStream::resetUnlessFinished()
+{
+    setLinger(true);
+}
+
+void ByteStream::setLinger(bool isReset)
+{
+    asio::error_code ignored; // a broken connection ends without it
+    socket_.set_option(asio::socket_base::linger(isReset, 0), ignored);
+}
+
+void ByteStream::armFinishTimer(Duration wait)
+{
+    if (!finishTimer_)
+        finishTimer_ = std::make_unique<asio::steady_timer>(socket_.get_executor());
+    finishTimer_->expires_after(wait);
+    finishTimer_->async_wait(
+        [self = shared_from_this(), queued = queuedBytes_](const asio::error_code &error) {
+            if (error || !self->isOpen())
+                return;
+            if (!self->isSendingEnded_ && self->queuedBytes_ < queued)
+                self->armFinishTimer(kFlushTime);
+            else
+                self->close();
+        });
 }
 
 void ByteStream::close()
 {
     if (!isOpen())
         return;
+    finishTimer_.reset();
     asio::error_code ignored; // nothing can be done about a failed close
     socket_.close(ignored);
     queue_.clear();
@@ -166,8 +217,7 @@
 {
     if (!isOpen())
         return;
-    asio::error_code ignored; // the close below ends the connection in any case
-    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    setLinger(true);
     close();
 }
 
@@ -178,7 +228,7 @@
     const CloseHandler onClose = std::move(onClose_);
     onClose_ = nullptr;
     close();
-    if (onClose)
+    if (onClose && !isFinishing_)
         onClose(error);
 }
 
--- a/packages/gateway/byte_stream.h
+++ b/packages/gateway/byte_stream.h
@@ -18,6 +18,8 @@
 
 #include <asio.hpp>
 
+#include "base/clock.h"
+
 namespace foxtailturn::gateway {
 
 // Not thread-safe: all calls come from the loop's thread. Handlers run on the loop, never within
@@ -47,9 +49,15 @@
     // Queues bytes, and writes as many as the socket accepts without blocking.
     void send(std::string data);
 
-    // Closes after all queued bytes are written; reads no more bytes.
+    // Closes after all queued bytes are written. Bytes that still arrive are discarded for a while
+    // before that, as unread ones would reset the connection and so take the last bytes from the
+    // peer. No handler is called afterwards.
     void finish();
 
+    // From now on only finish() closes in an orderly way; any other end of the connection, also
+    // that of the process, is a TCP reset. For messages that only the close ends.
+    void resetUnlessFinished();
+
     // Closes immediately. No handler is called afterwards.
     void close();
 
@@ -70,6 +78,9 @@
     void waitReadable();
     void read();
     void write();
+    void endSending();
+    void setLinger(bool isReset);
+    void armFinishTimer(Duration wait);
     void fail(const asio::error_code &error);
 
     asio::ip::tcp::socket socket_;
@@ -83,6 +94,9 @@
     bool isReading_ = false;
     bool isWriting_ = false;
     bool isFinishing_ = false;
+    bool isSendingEnded_ = false;
+    std::size_t discardedBytes_ = 0; // after the end of sending
+    std::unique_ptr<asio::steady_timer> finishTimer_;
 };
 
 } // namespace foxtailturn::gateway
--- /dev/null
+++ b/packages/gateway/byte_stream_test.cpp
@@ -0,0 +1,97 @@
+#include "gateway/byte_stream.h"
+
+#include <doctest/doctest.h>
+
+#include <thread>
+
+namespace foxtailturn::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kAnswerBytes = 200'000;
+constexpr std::size_t kUnreadBytes = 80'000;
+
+// A stream on a loop, and its peer, which blocks.
+struct Fixture
+{
+    Fixture()
+        : acceptor_(context_, {asio::ip::make_address("127.0.0.1"), 0})
+        , peer_(context_)
+    {
+        peer_.connect(acceptor_.local_endpoint());
+        stream_ = ByteStream::create(acceptor_.accept());
+        stream_->start([](std::string_view) {}, [](const asio::error_code &) {});
+    }
+
+    void run(milliseconds time)
+    {
+        context_.restart();
+        context_.run_for(time);
+    }
+
+    // Reads until the connection ends.
+    asio::error_code readAll()
+    {
+        asio::error_code error;
+        std::thread loop([this] { run(milliseconds(2000)); });
+        asio::read(peer_, asio::dynamic_buffer(received_), error);
+        peer_.close();
+        loop.join();
+        return error;
+    }
+
+    asio::io_context context_;
+    asio::ip::tcp::acceptor acceptor_;
+    asio::ip::tcp::socket peer_;
+    std::shared_ptr<ByteStream> stream_;
+    std::string received_;
+};
+
+} // namespace
+
+// Guards against a reset that takes an answer from a peer because it sent more than was read.
+TEST_CASE("a finished stream delivers all bytes although unread ones arrive")
+{
+    Fixture fixture;
+    fixture.stream_->pause();
+    asio::write(fixture.peer_, asio::buffer(std::string(kUnreadBytes, 'u')));
+    fixture.stream_->send(std::string(kAnswerBytes, 'a'));
+    fixture.stream_->finish();
+    fixture.run(milliseconds(50));
+    CHECK(fixture.readAll() == asio::error::eof);
+    CHECK(fixture.received_.size() == kAnswerBytes);
+}
+
+// Guards against a connection that a peer keeps open for good.
+TEST_CASE("a finished stream closes although its peer doesn't")
+{
+    Fixture fixture;
+    fixture.stream_->send("answer");
+    fixture.stream_->finish();
+    fixture.run(milliseconds(200));
+    CHECK(fixture.stream_->isOpen());
+    fixture.run(milliseconds(1500));
+    CHECK_FALSE(fixture.stream_->isOpen());
+}
+
+// Guards against a broken message that looks whole because its connection closed.
+TEST_CASE("a stream whose close ends its message is reset unless it is finished")
+{
+    Fixture broken;
+    broken.stream_->resetUnlessFinished();
+    broken.stream_->send("ans");
+    broken.run(milliseconds(50));
+    broken.stream_->close();
+    CHECK(broken.readAll() == asio::error::connection_reset);
+
+    Fixture whole;
+    whole.stream_->resetUnlessFinished();
+    whole.stream_->send("answer");
+    whole.stream_->finish();
+    CHECK(whole.readAll() == asio::error::eof);
+    CHECK(whole.received_ == "answer");
+}
+
+} // namespace foxtailturn::gateway
