gateway: an answer's end is told to its caller as its target told it

Cause: Relay::beginForwarding chose the framing from what the entry had buffered, never from what the target had said; by RFC 9112, section 6.3, such a body's end is known from the close alone.

Now callerFraming() decides: such an answer goes without length and chunks, with Connection: close, and ends by a close; if it breaks, or the process ends, the connection is reset. A stream that began in chunks and goes on at a target without framing is asked for at another one; if none may be asked, it breaks off. Requests behind such an answer are not read.

--- a/packages/gateway/caller_connection.cpp
+++ b/packages/gateway/caller_connection.cpp
@@ -211,6 +211,12 @@
     stream_->reset();
 }
 
+void CallerConnection::endWithConnection()
+{
+    keepsAlive_ = false;
+    stream_->resetUnlessFinished();
+}
+
 bool CallerConnection::closesAfterAnswer() const
 {
     return !keepsAlive_ || listener_.isDraining();
--- a/packages/gateway/caller_connection.h
+++ b/packages/gateway/caller_connection.h
@@ -56,6 +56,7 @@
     void sendAnswer(std::string bytes) override;
     void endAnswer() override;
     void abortAnswer() override;
+    void endWithConnection() override;
     [[nodiscard]] bool closesAfterAnswer() const override;
     [[nodiscard]] std::size_t unsentBytes() const override;
     [[nodiscard]] bool hasCallerLeft() override;
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -532,21 +532,26 @@
     replyHead_ = head;
     replyHandling_ = isStreamReply_ ? ReplyHandling::Forward : ReplyHandling::Buffer;
     if (replyHandling_ == ReplyHandling::Forward)
-        beginForwarding(head, std::nullopt);
+        beginForwarding(AnswerBody::Stream);
 }
 
-void Relay::beginForwarding(const MessageHead &head, std::optional<std::size_t> length)
+// Sends the head of the answer. Of a whole body, all bytes are in bufferedBody_.
+void Relay::beginForwarding(AnswerBody body)
 {
+    framing_ = callerFraming(replyFraming_, body, /*canReadChunks=*/true);
+    if (framing_ == BodyFraming::UntilClose)
+        answer_.endWithConnection();
     MessageHead out;
-    out.status_ = head.status_;
-    out.fields_ = forwardableFields(head);
+    out.status_ = replyHead_.status_;
+    out.fields_ = forwardableFields(replyHead_);
     if (answer_.closesAfterAnswer())
         out.add("Connection", "close");
-    isChunked_ = !length.has_value();
-    if (isChunked_)
+    if (framing_ == BodyFraming::Chunks)
         out.add("Transfer-Encoding", "chunked");
-    else
-        out.add("Content-Length", std::to_string(*length));
+    if (framing_ == BodyFraming::Length)
+        out.add("Content-Length",
+                std::to_string(body == AnswerBody::Whole ? bufferedBody_.size()
+                                                         : replyHead_.contentLength_.value_or(0)));
     isForwarding_ = true;
     answer_.sendAnswer(responseText(out));
 }
@@ -647,7 +652,7 @@
         recordFirstEvent();
         bufferedBody_ += data;
         if (bufferedBody_.size() > kMaxBufferedBytes) {
-            beginForwarding(replyHead_, std::nullopt);
+            beginForwarding(AnswerBody::Plain);
             replyHandling_ = ReplyHandling::Forward;
             forward(bufferedBody_);
             bufferedBody_.clear();
@@ -699,7 +704,8 @@
 {
     if (data.empty())
         return;
-    answer_.sendAnswer(isChunked_ ? chunkText(data) : std::string(data));
+    const bool isChunked = framing_ == BodyFraming::Chunks;
+    answer_.sendAnswer(isChunked ? chunkText(data) : std::string(data));
     if (answer_.unsentBytes() > kPauseThreshold && connection_)
         connection_->pause();
 }
@@ -739,31 +745,45 @@
         return;
     }
     recordFirstEvent();
+    if (replyHandling_ == ReplyHandling::Buffer)
+        beginForwarding(AnswerBody::Whole);
     if (replyFraming_ == BodyFraming::UntilClose)
         logUnstatedEnd();
     releaseTarget();
     if (replyHead_.status_ < kFirstServerErrorStatus) // an error may come before a run
         gateway_.recordSound(request_.suspects_);
-    if (replyHandling_ == ReplyHandling::Buffer) {
-        beginForwarding(replyHead_, bufferedBody_.size());
+    if (!mayEnd(framing_, replyFraming_)) {
+        askForMore();
+        return;
+    }
+    if (replyHandling_ == ReplyHandling::Buffer)
         forward(bufferedBody_);
-    } else if (isChunked_) {
+    else if (framing_ == BodyFraming::Chunks)
         answer_.sendAnswer(std::string(kLastChunk));
-    }
     end();
 }
 
+// Learns from another target whether the stream goes on behind its last event. Its caller waits for
+// a last chunk, and the last target has not stated that the stream has ended.
+void Relay::askForMore()
+{
+    constexpr std::string_view kWhy = "the target did not state the end of the stream";
+    if (mayRetry(kWhy))
+        retryAttempt(kWhy);
+    else
+        failRequest(ErrorCode::TargetFailed);
+}
+
 void Relay::logUnstatedEnd()
 {
-    const bool isChunked = replyHandling_ == ReplyHandling::Forward;
-    gateway_.log().write(
-        LogDetail::Full, "end_not_stated",
-        {{"request", request_.caller_.id_},
-         {"target", instance_},
-         {"end", framingName(replyFraming_)},
-         {"bytes", replyBytes_},
-         {"events", attemptEvents_},
-         {"told", framingName(isChunked ? BodyFraming::Chunks : BodyFraming::Length)}});
+    const bool isTold = mayEnd(framing_, replyFraming_);
+    gateway_.log().write(LogDetail::Full, "end_not_stated",
+                         {{"request", request_.caller_.id_},
+                          {"target", instance_},
+                          {"end", framingName(replyFraming_)},
+                          {"bytes", replyBytes_},
+                          {"events", attemptEvents_},
+                          {"told", isTold ? framingName(framing_) : "nothing"}});
 }
 
 // Returns whether the stream that has just ended was broken off. The end of the connection says
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -19,6 +19,7 @@
 
 #include <asio.hpp>
 
+#include "gateway/answer_framing.h"
 #include "gateway/codec.h"
 #include "gateway/event_splitter.h"
 #include "gateway/placement.h"
@@ -41,9 +42,13 @@
     virtual void endAnswer() = 0;
 
     // Called if a forwarded answer can't be completed. The implementation must close the connection
-    // in a way that the caller can't take for the end of a complete answer, such as a reset.
+    // in a way that the caller can't take for the end of a complete answer.
     virtual void abortAnswer() = 0;
 
+    // Called before the head of an answer that only the connection's close ends (RFC 9112, section
+    // 6.3). closesAfterAnswer() returns true from then on.
+    virtual void endWithConnection() = 0;
+
     // Returns whether the connection closes after this answer.
     [[nodiscard]] virtual bool closesAfterAnswer() const = 0;
 
@@ -131,7 +136,8 @@
     void onReplyEnd() override;
     void onExchangeFailure(const Error &error) override;
 
-    void beginForwarding(const MessageHead &head, std::optional<std::size_t> length);
+    void beginForwarding(AnswerBody body);
+    void askForMore();
     void recordRejection(const TargetReply &reply);
     void beginDiscard();
     void discard(std::size_t bytes);
@@ -176,7 +182,7 @@
     int events_ = 0; // forwarded
     int attemptEvents_ = 0; // of these, by the attempt under way
     bool isForwarding_ = false; // the head was sent to the caller
-    bool isChunked_ = false; // the answer to the caller uses chunked encoding
+    BodyFraming framing_ = BodyFraming::None; // of the answer to the caller
     bool isStreamReply_ = false;
     BodyFraming replyFraming_ = BodyFraming::None; // of the target's answer
     bool hasFirstEvent_ = false;
