gateway: an answer whose framing shows that it broke off ends by a close, not a reset

What callers saw: events of a stream, and bytes of an answer, that the entry had passed on were lost to those that had not read them when the reset came. Cause: abortAnswer() reset the connection in each framing; only an answer with neither length nor chunks needs that. Chunks without the last one and a length that is not reached show the break (RFC 9112, section 8), so the connection is closed behind what was sent.

--- a/packages/gateway/caller_connection.cpp
+++ b/packages/gateway/caller_connection.cpp
@@ -208,12 +208,17 @@
     relay_.reset();
     listener_.connections_.erase(shared_from_this());
     timer_.cancel();
-    stream_->reset();
+    // A reset would also take from the caller what it has not read yet.
+    if (endsWithConnection_)
+        stream_->reset();
+    else
+        stream_->finish();
 }
 
 void CallerConnection::endWithConnection()
 {
     keepsAlive_ = false;
+    endsWithConnection_ = true;
     stream_->resetUnlessFinished();
 }
 
--- a/packages/gateway/caller_connection.h
+++ b/packages/gateway/caller_connection.h
@@ -71,6 +71,7 @@
     std::string body_;
     bool hasHead_ = false;
     bool keepsAlive_ = true;
+    bool endsWithConnection_ = false; // the answer under way has neither a length nor chunks
     bool isDiscarding_ = false; // after a final refusal: further input is discarded
     bool isReading_ = false; // in readRequests(), which must not be re-entered
     TimePoint receivedAt_{};
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -10,7 +10,7 @@
 // The route decides what may be retried: a request that may have run is sent again only if its
 // route is repeatable, and an interrupted stream is resumed at another target after the last
 // complete event that was forwarded. 429 and 503 are sent only if the request certainly did not
-// run; otherwise the answer is 502 or 504, or the connection is reset if the answer has begun.
+// run; otherwise the answer is 502 or 504, or it is broken off if it has begun.
 
 #include <memory>
 #include <optional>
@@ -93,8 +93,8 @@
     // reset, so that the target drops its work.
     void cancel();
 
-    // Ends the request because the process is about to stop: with an answer, or by a reset of the
-    // connection if a forwarded answer has begun. The target drops its work.
+    // Ends the request because the process is about to stop: with an answer, or by breaking it off
+    // if a forwarded answer has begun. The target drops its work.
     void shutDown();
 
     // Retries the placement of a waiting request, for example after a load. Does nothing if the
