http1: a response without a body ends with its head, whatever its fields say

What callers saw: an answer 304 with a Content-Length, or 204 with chunks, from a target kept the entry waiting for a body until the deadline, and the caller got 504. Cause: http-parser skips the body of such answers only if its caller says so; the parser said so for HEAD alone (RFC 9112, section 6.3, rule 1).

message_parser_test on the code before: 6 checks fail.

--- a/packages/http1/message_parser.cpp
+++ b/packages/http1/message_parser.cpp
@@ -134,9 +134,11 @@
             head_.contentLength_ = parser_.content_length;
         head_.keepsAlive_ = http_should_keep_alive(&parser_) != 0;
         head_.framing_ = framing();
+        const bool endsWithHead =
+            kind_ == MessageKind::Response && head_.framing_ == BodyFraming::None;
         sink_.onHead(std::move(head_));
         head_ = MessageHead();
-        return hasNoBody_ ? kSkipBody : 0;
+        return endsWithHead ? kSkipBody : 0;
     }
 
     // Of the message under way. Precondition: the length in its head was read.
--- a/packages/http1/message_parser_test.cpp
+++ b/packages/http1/message_parser_test.cpp
@@ -110,6 +110,23 @@
     REQUIRE(parser.error());
 }
 
+// Guards against a wait for a body that a status or method rules out, whatever the fields say.
+TEST_CASE("a response without a body ends with its head")
+{
+    for (const std::string status : {"204 No", "304 No", "100 Go"}) {
+        for (const std::string field :
+             {"", "Content-Length: 12\r\n", "Transfer-Encoding: chunked\r\n"}) {
+            CAPTURE(status);
+            CAPTURE(field);
+            Recorder recorder;
+            MessageParser parser(MessageKind::Response, kHeaderLimit, recorder);
+            parser.feed("HTTP/1.1 " + status + "\r\n" + field + "\r\n");
+            CHECK(parser.isComplete());
+            CHECK(recorder.head_.framing_ == BodyFraming::None);
+        }
+    }
+}
+
 // Guards against a response that counts as whole although the peer closed within its head.
 TEST_CASE("a response head that is cut at any byte is an error")
 {
