gateway: an answer without a body bears its target's length, or none

What callers saw: Content-Length: 0 in answers to HEAD, in 204 and in 304. Cause: the length was that of the body that the entry held.

--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -552,6 +552,10 @@
         out.add("Content-Length",
                 std::to_string(body == AnswerBody::Whole ? bufferedBody_.size()
                                                          : replyHead_.contentLength_.value_or(0)));
+    constexpr int kNoContent = 204; // has no length (RFC 9110, section 8.6)
+    if (framing_ == BodyFraming::None && replyHead_.contentLength_
+        && replyHead_.status_ != kNoContent)
+        out.add("Content-Length", std::to_string(*replyHead_.contentLength_));
     isForwarding_ = true;
     answer_.sendAnswer(responseText(out));
 }
