gateway: a caller of HTTP/1.0 gets no chunks

What callers saw: a stream in chunks, which HTTP/1.0 does not know, so that the sizes of the chunks stood in the body (RFC 9112, section 6.1). Cause: the version of a request was not read. Such a stream goes without chunks and ends with its connection; one that breaks off is reset.

--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -538,7 +538,7 @@
 // Sends the head of the answer. Of a whole body, all bytes are in bufferedBody_.
 void Relay::beginForwarding(AnswerBody body)
 {
-    framing_ = callerFraming(replyFraming_, body, /*canReadChunks=*/true);
+    framing_ = callerFraming(replyFraming_, body, request_.head_.canReadChunks_);
     if (framing_ == BodyFraming::UntilClose)
         answer_.endWithConnection();
     MessageHead out;
--- a/packages/http1/message.h
+++ b/packages/http1/message.h
@@ -45,6 +45,7 @@
     std::optional<std::uint64_t> contentLength_ = std::nullopt; // bytes
     BodyFraming framing_ = BodyFraming::None;
     bool keepsAlive_ = true; // whether another message may follow on the connection
+    bool canReadChunks_ = true; // whether its sender reads chunks: not before HTTP/1.1
 
     // Returns the value of the first field of this name, in any case of letters; null if absent.
     [[nodiscard]] const std::string *find(std::string_view name) const;
--- a/packages/http1/message_parser.cpp
+++ b/packages/http1/message_parser.cpp
@@ -133,6 +133,8 @@
             && parser_.content_length != std::numeric_limits<std::uint64_t>::max())
             head_.contentLength_ = parser_.content_length;
         head_.keepsAlive_ = http_should_keep_alive(&parser_) != 0;
+        head_.canReadChunks_ =
+            parser_.http_major > 1 || (parser_.http_major == 1 && parser_.http_minor > 0);
         head_.framing_ = framing();
         const bool endsWithHead =
             kind_ == MessageKind::Response && head_.framing_ == BodyFraming::None;
--- a/packages/http1/message_parser_test.cpp
+++ b/packages/http1/message_parser_test.cpp
@@ -66,6 +66,19 @@
     CHECK(recorder.ended_ == 2);
 }
 
+// Guards against chunks for a peer that does not know them.
+TEST_CASE("a head tells whether its sender reads chunks")
+{
+    for (const auto &[version, canReadChunks] :
+         {std::pair("1.0", false), std::pair("1.1", true), std::pair("0.9", false)}) {
+        CAPTURE(version);
+        Recorder recorder;
+        MessageParser parser(MessageKind::Request, kHeaderLimit, recorder);
+        parser.feed(std::string("GET / HTTP/") + version + "\r\nHost: a\r\n\r\n");
+        CHECK(recorder.head_.canReadChunks_ == canReadChunks);
+    }
+}
+
 // Guards against a header split over reads being counted or joined wrongly.
 TEST_CASE("a request in single bytes gives the same head")
 {
