gateway: the end of an event is searched in linear time

A read of 64 KB with many events cost a search of the rest of the read for each of them: the second kind of line end was looked for behind the event's end.

event_splitter_test has the mixed line ends; no result changes.

--- a/packages/gateway/event_splitter.cpp
+++ b/packages/gateway/event_splitter.cpp
@@ -15,10 +15,12 @@
 std::size_t endOfEvent(std::string_view text, std::size_t from)
 {
     const std::size_t lf = text.find(kEmptyLine, from);
-    const std::size_t crlf = text.find(kEmptyCrlfLine, from);
-    if (lf == std::string_view::npos && crlf == std::string_view::npos)
-        return std::string_view::npos;
-    return lf < crlf ? lf + kEmptyLine.size() : crlf + kEmptyCrlfLine.size();
+    // Not behind the event's end: a search of the whole text for each event would be quadratic.
+    const std::size_t last = lf == std::string_view::npos ? lf : lf + 1;
+    const std::size_t crlf = text.substr(0, last).find(kEmptyCrlfLine, from);
+    if (crlf != std::string_view::npos)
+        return crlf + kEmptyCrlfLine.size();
+    return lf == std::string_view::npos ? lf : lf + kEmptyLine.size();
 }
 
 std::string idOf(std::string_view event)
--- a/packages/gateway/event_splitter_test.cpp
+++ b/packages/gateway/event_splitter_test.cpp
@@ -38,6 +38,21 @@
     }
 }
 
+// Guards against an end that is found behind the first one.
+TEST_CASE("an event ends at the first empty line, whichever its line ends are")
+{
+    for (const std::string rest : {"", "\n", "\n\n", "b\n\n", "\r\n\r\n"}) {
+        for (const std::string first : {"a\n\n", "a\r\n\r\n"}) {
+            CAPTURE(first);
+            CAPTURE(rest);
+            EventSplitter splitter;
+            const std::vector<StreamEvent> events = splitter.feed(first + rest);
+            REQUIRE(!events.empty());
+            CHECK(events[0].text_ == first);
+        }
+    }
+}
+
 // Guards against a stream that seems to go on although its engine sends comments only.
 TEST_CASE("an event of comments only is a comment")
 {
