gateway: a stream that brings bytes but no event for 256 KB has failed

Cause: only the bytes of one event were bounded, and a comment is a whole one. The bound covers both now: bytes since the last event.

--- a/packages/gateway/read_limits.h
+++ b/packages/gateway/read_limits.h
@@ -14,8 +14,8 @@
 
 // Start line and fields of a response.
 constexpr std::size_t kMaxHeadBytes = 65'536;
-// One event of a stream. Events hold a few tokens each.
-constexpr std::size_t kMaxEventBytes = 262'144;
+// Of a stream since its last event: a part of the next one, which holds a few tokens, or comments.
+constexpr std::size_t kMaxBytesBetweenEvents = 262'144;
 // Answer to a call of our own: an engine's report, rows of the store. The store returns at most
 // 1 MB of rows, whose values are encoded in base64.
 constexpr std::size_t kMaxAnswerBytes = 4'194'304;
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -212,6 +212,7 @@
     replyBytes_ = 0;
     discardedBytes_ = 0;
     splitter_.clear();
+    bytesSinceEvent_ = 0;
     wasOnlyPrefill_ = target.pendingCount_ == 0 && target.report_.prefilling_ == 0;
     const std::int64_t cached =
         gateway_.placement(request_.service_).cachedTokens(instance_, placement);
@@ -675,6 +676,7 @@
 void Relay::forwardEvents(std::string_view data)
 {
     std::string text;
+    bytesSinceEvent_ += data.size();
     for (const StreamEvent &event : splitter_.feed(data)) {
         const std::optional<std::int64_t> number = eventNumber(event.id_);
         const std::optional<std::int64_t> last = eventNumber(lastEventId_);
@@ -685,6 +687,7 @@
             continue;
         }
         progressAt_ = gateway_.now();
+        bytesSinceEvent_ = 0;
         if (!event.id_.empty())
             lastEventId_ = event.id_;
         if (events_ == 0) {
@@ -699,9 +702,10 @@
         text += event.text_;
     }
     forward(text);
-    if (splitter_.remainder().size() > read_limits::kMaxEventBytes)
+    bytesSinceEvent_ = std::max(bytesSinceEvent_, splitter_.remainder().size());
+    if (bytesSinceEvent_ > read_limits::kMaxBytesBetweenEvents)
         onExchangeFailure(Error{ErrorCode::TargetFailed, Execution::OutcomeUnknown,
-                                "an event of the stream is longer than the limit"});
+                                "too many bytes of the stream without an event"});
 }
 
 void Relay::forward(std::string_view data)
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -179,6 +179,7 @@
     TimePoint discardUntil_{}; // the rest of a discarded answer is not read after this
     EventSplitter splitter_;
     std::string lastEventId_;
+    std::size_t bytesSinceEvent_ = 0; // of the stream under way
     int events_ = 0; // forwarded
     int attemptEvents_ = 0; // of these, by the attempt under way
     bool isForwarding_ = false; // the head was sent to the caller
