agent: what is read from a target is bounded

What would be seen: a target that sends a head without end takes the agent's memory, and with it the requests of all callers on that VM (operators' report). Cause: cpp-httplib reads a head and a body as long as they come; its timeouts hold for a single read. The calls of the agent now read with the parser of the event-loop entry: 64 KB for a head with its interim answers, 4 MB for an answer that is kept whole, and the deadline for the call.

--- a/packages/agent/http_engine_orders.cpp
+++ b/packages/agent/http_engine_orders.cpp
@@ -2,7 +2,6 @@
 
 #include <utility>
 
-#include "agent/http_timeouts.h"
 #include "base/json.h"
 #include "base/log.h"
 
@@ -39,9 +38,7 @@
 
 HttpEngineOrders::HttpEngineOrders(std::string host, int port, const Clock &clock,
                                    ObjectNameFunction objectName)
-    : host_(std::move(host))
-    , port_(port)
-    , clock_(&clock)
+    : exchange_(std::move(host), port, clock)
     , objectName_(std::move(objectName))
 { }
 
@@ -63,30 +60,30 @@
 Result<void> HttpEngineOrders::postOrder(const std::string &path, const std::string &body,
                                          FencingNumber fencing, TimePoint deadline)
 {
-    httplib::Client client(host_, port_);
-    setTimeouts(client, deadline - clock_->now());
-    const httplib::Headers headers = {{"x-fencing-number", std::to_string(fencing)}};
-    const httplib::Result result = client.Post(path, headers, body, "application/json");
-    if (!result && failedBeforeSending(result.error()))
+    MessageHead head;
+    head.method_ = "POST";
+    head.target_ = path;
+    head.add("Content-Type", "application/json");
+    head.add("x-fencing-number", std::to_string(fencing));
+    const Result<BufferedAnswer> result = exchange_.call(std::move(head), body, deadline);
+    if (!result && result.error().execution_ == Execution::NotRun)
         return notRun(ErrorCode::TargetFailed, "engine refused the connection");
     if (!result)
         return outcomeUnknown(ErrorCode::TargetFailed, "engine did not answer the order");
-    if (result->status == 200)
+    if (result->status_ == 200)
         return {};
-    if (result->status == 412)
+    if (result->status_ == 412)
         return notRun(ErrorCode::StaleFencingNumber, "engine follows a larger fencing number");
     return notRun(ErrorCode::AdapterLoadFailed,
-                  concat("engine refused the order with status ", result->status));
+                  concat("engine refused the order with status ", result->status_));
 }
 
 Result<std::string> HttpEngineOrders::get(const std::string &path, TimePoint deadline)
 {
-    httplib::Client client(host_, port_);
-    setTimeouts(client, deadline - clock_->now());
-    const httplib::Result result = client.Get(path);
-    if (!result || result->status != 200)
+    const Result<BufferedAnswer> result = exchange_.get(path, deadline);
+    if (!result || result->status_ != 200)
         return notRun(ErrorCode::TargetFailed, "engine did not answer");
-    return result->body;
+    return result->body_;
 }
 
 Result<std::vector<EngineAdapter>> HttpEngineOrders::list(TimePoint deadline)
--- a/packages/agent/http_engine_orders.h
+++ b/packages/agent/http_engine_orders.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "adapters/engine_orders.h"
+#include "agent/http_exchange.h"
 #include "base/clock.h"
 
 namespace foxtailturn {
@@ -41,9 +42,7 @@
                                          FencingNumber fencing, TimePoint deadline);
     [[nodiscard]] Result<std::string> get(const std::string &path, TimePoint deadline);
 
-    std::string host_;
-    int port_;
-    const Clock *clock_;
+    HttpExchange exchange_;
     ObjectNameFunction objectName_;
 };
 
--- a/packages/agent/target_client.h
+++ b/packages/agent/target_client.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <string_view>
 
+#include "agent/http_exchange.h"
+#include "agent/target_sink.h"
 #include "base/clock.h"
 #include "base/error.h"
 
@@ -27,17 +29,6 @@
     bool operator==(const TargetRequest &) const = default;
 };
 
-// Receives the answer of a call, on the thread that called TargetClient::call().
-class TargetSink
-{
-public:
-    virtual ~TargetSink() = default;
-
-    // Return false to abort the call.
-    virtual bool onHead(int status, const std::string &contentType) = 0;
-    virtual bool onData(std::string_view data) = 0;
-};
-
 // Client interface of a target, independent of the protocol.
 class TargetClient
 {
@@ -66,8 +57,7 @@
     [[nodiscard]] bool isReachable() const;
 
 private:
-    std::string host_;
-    int port_;
+    HttpExchange exchange_;
     const Clock *clock_;
 };
 
--- /dev/null
+++ b/packages/agent/target_sink.h
@@ -0,0 +1,24 @@
+#pragma once
+
+// Receives the answer of a call to the agent's target.
+//
+//     class Recorder : public TargetSink { ... };
+//     client.call(request, recorder);
+
+#include <string>
+#include <string_view>
+
+namespace foxtailturn {
+
+// Called on the thread that made the call.
+class TargetSink
+{
+public:
+    virtual ~TargetSink() = default;
+
+    // Return false to abort the call.
+    virtual bool onHead(int status, const std::string &contentType) = 0;
+    virtual bool onData(std::string_view data) = 0;
+};
+
+} // namespace foxtailturn
