agent: an answer that has to be held is given up at 4 MB

A JSON body, the events before the one that names the adapter, one line of events and an answer that is recorded for replay were kept as long as they came. Class: a reader whose end its peer decides.

Test: model_answer_test, whose three cases were unbounded before by reading; it needs the limit to compile.

--- a/packages/agent/answer_check.cpp
+++ b/packages/agent/answer_check.cpp
@@ -29,16 +29,28 @@
 
 std::string AnswerCheck::feed(std::string_view bytes)
 {
+    if (isTooLong_)
+        return {};
     unreleased_.append(bytes);
     if (streaming_)
         parseLines(bytes);
-    if (!streaming_ || adapterMatch_ != AdapterMatch::Matched)
+    const bool isHeld = !streaming_ || adapterMatch_ != AdapterMatch::Matched;
+    if (partialLine_.size() > kMaxBufferedBytes
+        || (isHeld && unreleased_.size() > kMaxBufferedBytes)) {
+        isTooLong_ = true;
+        unreleased_ = std::string();
+        partialLine_ = std::string();
+        return {};
+    }
+    if (isHeld)
         return {};
     return std::exchange(unreleased_, {});
 }
 
 std::string AnswerCheck::end()
 {
+    if (isTooLong_)
+        return {};
     if (!streaming_)
         parseObject(unreleased_);
     if (adapterMatch_ == AdapterMatch::Pending)
--- a/packages/agent/answer_check.h
+++ b/packages/agent/answer_check.h
@@ -6,6 +6,7 @@
 //     std::string released = check.feed(bytes);   // data that may be sent to the caller
 //     if (check.adapterMatch() == AdapterMatch::Mismatched) ...
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -19,6 +20,9 @@
 class AnswerCheck
 {
 public:
+    // A JSON body, or the events before the one that names the adapter; also one line of events.
+    static constexpr std::size_t kMaxBufferedBytes = 4'194'304;
+
     // expected is the model name of the adapter version, for example "acme-reports@3". streaming is
     // true for a stream of server-sent events (SSE) and false for a single JSON body.
     AnswerCheck(std::string expected, bool streaming);
@@ -36,6 +40,10 @@
     // Returns the sum of prompt and completion tokens that the engine reported, 0 if it did not.
     [[nodiscard]] std::uint64_t usedTokens() const { return usedTokens_; }
 
+    // Returns whether more than kMaxBufferedBytes would have to be buffered. feed() and end()
+    // return nothing from then on.
+    [[nodiscard]] bool isTooLong() const { return isTooLong_; }
+
     // Returns whether an SSE answer had its final [DONE] line. A JSON body with the right adapter
     // is complete.
     [[nodiscard]] bool isComplete() const { return complete_; }
@@ -48,6 +56,7 @@
     std::string expectedModel_;
     bool streaming_;
     bool complete_ = false;
+    bool isTooLong_ = false;
     AdapterMatch adapterMatch_ = AdapterMatch::Pending;
     std::uint64_t usedTokens_ = 0;
     std::string unreleased_; // bytes not returned yet
--- a/packages/agent/executor.cpp
+++ b/packages/agent/executor.cpp
@@ -77,14 +77,18 @@
 
     bool onData(std::string_view data) override
     {
-        answer_.body_.append(data);
-        return true;
+        isTooLong_ = answer_.body_.size() + data.size() > HttpExchange::kMaxBufferedBytes;
+        if (!isTooLong_)
+            answer_.body_.append(data);
+        return !isTooLong_;
     }
 
+    [[nodiscard]] bool isTooLong() const { return isTooLong_; }
     [[nodiscard]] const RecordedAnswer &answer() const { return answer_; }
 
 private:
     RecordedAnswer answer_;
+    bool isTooLong_ = false;
 };
 
 class ClientOnceTarget final : public OnceTarget
@@ -103,6 +107,8 @@
         request_.deadline_ = answerDeadline;
         CollectingSink sink;
         const Result<void> called = client_->call(request_, sink);
+        if (sink.isTooLong())
+            return outcomeUnknown(ErrorCode::TargetFailed, "the answer is longer than the limit");
         if (!called)
             return tl::unexpected(called.error());
         return sink.answer();
@@ -168,7 +174,7 @@
             scheduler_->engineChanged();
         return ended;
     }
-    if (sink.isWrongAdapter())
+    if (sink.isRejected())
         return sink.end();
     scheduler_->engineChanged();
     return tl::unexpected(called.error());
--- a/packages/agent/model_answer.cpp
+++ b/packages/agent/model_answer.cpp
@@ -48,6 +48,8 @@
         return true;
     }
     const std::string released = check_.feed(data);
+    if (check_.isTooLong())
+        return false;
     if (check_.adapterMatch() == AdapterMatch::Mismatched)
         return false;
     return released.empty() || forward(released);
@@ -66,8 +68,11 @@
 {
     if (status_ != kOk)
         return endWithErrorStatus();
+    if (check_.isTooLong())
+        return outcomeUnknown(ErrorCode::TargetFailed,
+                              "the answer, or a line of it, is longer than the limit");
     const std::string rest = check_.end();
-    if (isWrongAdapter())
+    if (check_.adapterMatch() == AdapterMatch::Mismatched)
         return outcomeUnknown(ErrorCode::WrongAdapter, "engine did not name the adapter asked for");
     if (!check_.isComplete())
         return outcomeUnknown(ErrorCode::TargetFailed, "engine ended the answer early");
--- a/packages/agent/model_answer.h
+++ b/packages/agent/model_answer.h
@@ -26,13 +26,14 @@
     bool onData(std::string_view data) override;
 
     // Ends the answer after the client's call succeeded, and returns the tokens used. Errors:
-    // WrongAdapter; TargetFailed if the answer is truncated or has an error status, with NotRun for
-    // a status by which the engine did not run the request; Cancelled.
+    // WrongAdapter; TargetFailed if the answer is truncated, too long or has an error status, with
+    // NotRun for a status by which the engine did not run the request; Cancelled.
     [[nodiscard]] Result<std::uint64_t> end();
 
-    [[nodiscard]] bool isWrongAdapter() const
+    // Returns whether the sink itself aborted the call; end() tells why.
+    [[nodiscard]] bool isRejected() const
     {
-        return check_.adapterMatch() == AdapterMatch::Mismatched;
+        return check_.isTooLong() || check_.adapterMatch() == AdapterMatch::Mismatched;
     }
 
 private:
--- /dev/null
+++ b/packages/agent/model_answer_test.cpp
@@ -0,0 +1,42 @@
+#include "agent/model_answer.h"
+
+#include <doctest/doctest.h>
+
+namespace foxtailturn {
+
+// Guards against memory that grows with an engine's answer that can't be passed on and never ends.
+TEST_CASE("an answer that has to be held is given up at the limit")
+{
+    struct Case
+    {
+        bool isStreaming_;
+        std::string first_;
+        std::string repeated_;
+    };
+    const std::string named = "data: {\"model\":\"a@1\"}\n\n";
+    const std::string noise(65'536, 'x');
+    const Case cases[] = {
+        {false, "{\"model\":\"a@1\",\"text\":\"", noise}, // a JSON body
+        {true, "", ": comment\n\n" + noise + "\n\n"}, // no adapter is named
+        {true, named + "data: ", noise}, // a line
+    };
+    const SystemClock clock;
+    for (const Case &c : cases) {
+        CAPTURE(c.first_);
+        AnswerBuffer buffer(clock);
+        ModelAnswerSink sink("a@1", c.isStreaming_, buffer);
+        REQUIRE(sink.onHead(200, "text/event-stream"));
+        CHECK(sink.onData(c.first_));
+        std::size_t bytes = 0;
+        while (bytes <= 2 * AnswerCheck::kMaxBufferedBytes && sink.onData(c.repeated_))
+            bytes += c.repeated_.size();
+        CHECK(bytes <= AnswerCheck::kMaxBufferedBytes);
+        CHECK(sink.isRejected());
+        const Result<std::uint64_t> ended = sink.end();
+        REQUIRE_FALSE(ended);
+        CHECK(ended.error().code_ == ErrorCode::TargetFailed);
+        CHECK(ended.error().execution_ == Execution::OutcomeUnknown);
+    }
+}
+
+} // namespace foxtailturn
