gateway: attempts that fail at a target are counted by reason

Such attempts fail with payload_too_large now, also for a start line or trailer without end, which the parser called malformed; foxtailturn_failed_attempts_total counts the reasons.

--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -626,6 +626,7 @@
 // Gives the rest of a discarded answer up; the head has told all that matters.
 void Relay::finishDiscard()
 {
+    gateway_.serving().recordFailedAttempt("answer_given_up");
     gateway_.log().write(
         LogDetail::Full, "answer_given_up",
         {{"request", request_.caller_.id_}, {"target", instance_}, {"bytes", discardedBytes_}});
@@ -704,7 +705,7 @@
     forward(text);
     bytesSinceEvent_ = std::max(bytesSinceEvent_, splitter_.remainder().size());
     if (bytesSinceEvent_ > read_limits::kMaxBytesBetweenEvents)
-        onExchangeFailure(Error{ErrorCode::TargetFailed, Execution::OutcomeUnknown,
+        onExchangeFailure(Error{ErrorCode::PayloadTooLarge, Execution::OutcomeUnknown,
                                 "too many bytes of the stream without an event"});
 }
 
@@ -816,6 +817,7 @@
     const std::string instance = instance_;
     if (replyHandling_ != ReplyHandling::None)
         gateway_.serving().recordAnswerEnd("broken");
+    gateway_.serving().recordFailedAttempt(errorName(error.code_));
     const bool mayHaveRun = error.execution_ == Execution::OutcomeUnknown;
     if (Target *target = gateway_.targets().find(instance))
         gateway_.targets().failed(*target, gateway_.now());
--- a/packages/gateway/serving_metrics.cpp
+++ b/packages/gateway/serving_metrics.cpp
@@ -133,6 +133,14 @@
         .add();
 }
 
+void ServingMetrics::recordFailedAttempt(std::string_view reason)
+{
+    metrics_
+        .counter("foxtailturn_failed_attempts_total", "attempts that failed at a target",
+                 {{"reason", std::string(reason)}})
+        .add();
+}
+
 void ServingMetrics::recordRejection(const std::string &service)
 {
     metrics_
--- a/packages/gateway/target_connection.cpp
+++ b/packages/gateway/target_connection.cpp
@@ -184,11 +184,13 @@
             return; // the sink has abandoned the exchange
         skippedBytes_ += isSkipping_ ? used : 0;
         if (skippedBytes_ > read_limits::kMaxSkippedBytes) {
-            fail(ErrorCode::TargetFailed, "too many bytes before the response to the request");
+            fail(ErrorCode::PayloadTooLarge, "too many bytes before the response to the request");
             return;
         }
         if (parser_->error()) {
-            fail(ErrorCode::TargetFailed, "malformed HTTP response: " + parser_->error()->message_);
+            const bool isTooLong = parser_->error()->code_ == ErrorCode::PayloadTooLarge;
+            fail(isTooLong ? ErrorCode::PayloadTooLarge : ErrorCode::TargetFailed,
+                 "malformed HTTP response: " + parser_->error()->message_);
             return;
         }
         if (!parser_->isComplete())
--- a/packages/http1/message_parser.cpp
+++ b/packages/http1/message_parser.cpp
@@ -201,7 +201,9 @@
         http_parser_execute(&state_->parser_, &state_->settings_, data.data(), data.size());
     const http_errno result = HTTP_PARSER_ERRNO(&state_->parser_);
     if (result != HPE_OK && result != HPE_PAUSED)
-        state_->fail(ErrorCode::BadRequest, http_errno_description(result));
+        state_->fail(result == HPE_HEADER_OVERFLOW ? ErrorCode::PayloadTooLarge
+                                                   : ErrorCode::BadRequest,
+                     http_errno_description(result));
     return used;
 }
 
--- a/packages/http1/message_parser_test.cpp
+++ b/packages/http1/message_parser_test.cpp
@@ -105,6 +105,22 @@
     CHECK(parser.error()->code_ == ErrorCode::PayloadTooLarge);
 }
 
+// Guards against the same for bytes that no field or target holds.
+TEST_CASE("a start line or trailer without end is PayloadTooLarge")
+{
+    for (const std::string begin :
+         {"HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nA: "}) {
+        CAPTURE(begin);
+        Recorder recorder;
+        MessageParser parser(MessageKind::Response, kHeaderLimit, recorder);
+        parser.feed(begin);
+        for (int i = 0; i < 200 && !parser.error(); ++i)
+            parser.feed(std::string(1000, 'x'));
+        REQUIRE(parser.error());
+        CHECK(parser.error()->code_ == ErrorCode::PayloadTooLarge);
+    }
+}
+
 // Guards against a truncated answer that looks whole, and a whole one that looks truncated.
 TEST_CASE("a response without a length ends with its connection")
 {
