gateway: a plain answer that has begun goes on at no other target

What callers saw: the events of a stream behind the text of a large failure (MIXED): on a route of resumable streams a target's 404 of over 256 KB broke off, the request was sent again, and the next target's stream was appended. On idempotent routes a large answer that broke off cost runs in vain, whose answers were dropped.

Cause: mayRetry() asked the route, not the answer that the caller had begun to get. mayGoOnElsewhere() asks both, also when a target is silent.

--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -333,7 +333,7 @@
     const Duration idle = idleLimit();
     if (connection_ && idle != Duration::max() && now >= progressAt_ + idle) {
         const bool isLastAttempt = runs_ + 1 >= request_.route_->maxAttempts_;
-        if (!isLastAttempt && gateway_.tryRetry(request_.service_)) {
+        if (!isLastAttempt && mayGoOnElsewhere() && gateway_.tryRetry(request_.service_)) {
             if (Target *target = gateway_.targets().find(instance_))
                 gateway_.targets().failed(*target, now);
             // If a device on the network path has lost its connection state, all connections
@@ -401,9 +401,16 @@
     place();
 }
 
+// Returns whether another target may be sent the request although one may have run it. A plain
+// answer that has begun can't go on at another one.
+bool Relay::mayGoOnElsewhere() const
+{
+    return request_.route_->isRepeatable() && (!isForwarding_ || isForwardingStream_);
+}
+
 bool Relay::mayRetry(std::string_view why)
 {
-    const bool isAllowed = request_.route_->isRepeatable() && runs_ < request_.route_->maxAttempts_
+    const bool isAllowed = mayGoOnElsewhere() && runs_ < request_.route_->maxAttempts_
         && sends_ < kMaxSends && gateway_.now() < request_.deadline_;
     if (!isAllowed)
         return false;
@@ -558,6 +565,7 @@
         && replyHead_.status_ != kNoContent)
         out.add("Content-Length", std::to_string(*replyHead_.contentLength_));
     isForwarding_ = true;
+    isForwardingStream_ = body == AnswerBody::Stream;
     answer_.sendAnswer(responseText(out));
 }
 
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -124,6 +124,7 @@
     void armTimer();
     void onTimer();
     [[nodiscard]] Duration idleLimit() const;
+    [[nodiscard]] bool mayGoOnElsewhere() const;
     [[nodiscard]] bool mayRetry(std::string_view why);
     void retryAttempt(std::string_view why);
     void failAttempt(const Error &error);
@@ -183,6 +184,7 @@
     int events_ = 0; // forwarded
     int attemptEvents_ = 0; // of these, by the attempt under way
     bool isForwarding_ = false; // the head was sent to the caller
+    bool isForwardingStream_ = false; // it was that of a stream
     BodyFraming framing_ = BodyFraming::None; // of the answer to the caller
     bool isStreamReply_ = false;
     BodyFraming replyFraming_ = BodyFraming::None; // of the target's answer
