--- a/packages/gateway/read_limits.h
+++ b/packages/gateway/read_limits.h
@@ -14,6 +14,8 @@
 
 // Start line and fields of a response.
 constexpr std::size_t kMaxHeadBytes = 65'536;
+// Body of a plain answer that is held until its end; a longer one is passed on as it comes.
+constexpr std::size_t kMaxBufferedBytes = 262'144;
 // Of a stream since its last event: a part of the next one, which holds a few tokens, or comments.
 constexpr std::size_t kMaxBytesBetweenEvents = 262'144;
 // Answer to a call of our own: an engine's report, rows of the store. The store returns at most
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -108,6 +108,8 @@
     [[nodiscard]] bool isWaiting() const { return isWaiting_ && !isEnded_; }
 
 private:
+    static constexpr int kMaxSends = 5; // at most maxAttempts_ of them may have run
+
     enum class ReplyHandling {
         None, // no answer yet
         Forward, // forwarded to the caller as it arrives
@@ -132,10 +134,13 @@
     void failRequest(ErrorCode code);
     void end();
 
+    void onExchangeFailure(const Error &error) override;
+    [[nodiscard]] PlacementRequest placementRequest() const;
+
+    // In relay_reply.cpp.
     void onReplyHead(const MessageHead &head, const TargetReply &reply) override;
     void onReplyBody(std::string_view data) override;
     void onReplyEnd() override;
-    void onExchangeFailure(const Error &error) override;
 
     void beginForwarding(AnswerBody body);
     void askForMore();
@@ -150,7 +155,6 @@
     [[nodiscard]] bool isTornStream() const;
     void logUnstatedEnd();
     [[nodiscard]] std::vector<Suspect> suspects() const;
-    [[nodiscard]] PlacementRequest placementRequest() const;
 
     Gateway &gateway_;
     AdmittedRequest request_;
