gateway: a caller's connection outlives the end of its answer

What could be seen: an entry that ends by itself, or worse, whenever an answer that closes its connection ended or broke off by its target's doing.

Found by AddressSanitizer on the new tests, which passed: the caller had its answer, and nobody looked whether the entry still ran.

Leaks are not checked: a process ends with its idle connections.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 	'platform/*.h' 'platform/*.cpp' ':!platform/fuzz/*' \
 	':!packages/wire/generated')
 
-.PHONY: all build-packages install-deps configure check demo format format-check fuzz lint proto spec
+.PHONY: all build-packages install-deps configure check demo format format-check fuzz lint proto sanitize spec
 
 all: configure
 	cmake --build $(BUILD)
@@ -17,7 +17,7 @@
 configure: install-deps
 	cmake -S . -B $(BUILD) -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache
 
-check: all spec fuzz
+check: all spec fuzz sanitize
 	ctest --test-dir $(BUILD) --output-on-failure --no-tests=error -j 4 \
 	  $$(python3 -B testing/known_red.py --ctest-arguments)
 
@@ -29,6 +29,10 @@
 fuzz: install-deps
 	tools/fuzz.sh $(BUILD)
 
+# Runs process tests on a build that checks each access to memory.
+sanitize: install-deps
+	tools/sanitize.sh $(BUILD)
+
 demo: all
 	python3 -B testing/demo.py $(BUILD)
 
--- a/packages/gateway/caller_connection.cpp
+++ b/packages/gateway/caller_connection.cpp
@@ -186,6 +186,7 @@
 
 void CallerConnection::endAnswer()
 {
+    const auto self = shared_from_this(); // the listener's may be the last reference
     relay_.reset();
     if (closesAfterAnswer()) {
         listener_.connections_.erase(shared_from_this());
@@ -205,6 +206,7 @@
 
 void CallerConnection::abortAnswer()
 {
+    const auto self = shared_from_this();
     relay_.reset();
     listener_.connections_.erase(shared_from_this());
     timer_.cancel();
