quota: a new owner of a part starts with what nobody granted since

Cause: buckets of parts started empty, though nobody grants between the end of an owner's term and the takeover, after an owner gave a part up, or before a workspace had any owner. An entry reports ready as soon as a part has an owner, so the first requests got 429 for the time that their tokens take to flow in.

Ruled out: readiness that waits until buckets fill (it would flap for a workspace over its rate).

--- a/packages/quota/quota_parts.cpp
+++ b/packages/quota/quota_parts.cpp
@@ -210,6 +210,24 @@
                     part.changedAt_);
 }
 
+// Returns a time since which no entry has granted from the part; nullopt if none ever has. For a
+// part that this entry is about to take, or to resume after a restart.
+std::optional<TimePoint> QuotaParts::unusedSince(const Ledger &ledger, int index) const
+{
+    const bool hasRows = std::any_of(ledger.parts_.begin(), ledger.parts_.end(),
+                                     [](const Part &part) { return part.version_ != 0; });
+    if (!hasRows)
+        return std::nullopt;
+    const Part &part = ledger.parts_[static_cast<std::size_t>(index)];
+    const TimePoint renewed = renewedAt(part);
+    if (part.row_.owner_.empty())
+        return renewed; // when it was given up
+    if (part.row_.owner_ != self_.name_)
+        return renewed + termsOf(index).grantFor_;
+    // A row from before the start was written by a predecessor, which had ended by then.
+    return renewed < startedAt_ ? startedAt_ : part.changedAt_;
+}
+
 // Returns the processor shares of the entries that are alive, without those that have let a term
 // run out: a takeover need not wait for their turn.
 std::map<std::string, std::int64_t> QuotaParts::entriesInService() const
@@ -246,7 +264,9 @@
     if (isReleasing_) {
         part.share_.reset();
         part.grantUntil_ = TimePoint{};
-        return isOwn ? std::optional(PartRow{"", part.row_.counter_ + 1, 0}) : std::nullopt;
+        if (!isOwn)
+            return std::nullopt;
+        return PartRow{"", part.row_.counter_ + 1, storeClock_.latest(sentAt_)};
     }
     const std::optional<TimePoint> dueAt = isOwn ? part.renewAt_ : takeAt(workspace, index);
     if (!dueAt || now < *dueAt)
@@ -289,9 +309,10 @@
 {
     const auto position = static_cast<std::size_t>(index);
     const std::string key = PartRow::keyOf(workspace, index);
-    write.expected_.push_back(rowAt(key, ledgers_.at(workspace).parts_[position].version_));
+    const Ledger &ledger = ledgers_.at(workspace);
+    write.expected_.push_back(rowAt(key, ledger.parts_[position].version_));
     write.puts_.push_back(rowAt(key, 0, next.encode()));
-    planned_.push_back({workspace, position, next});
+    planned_.push_back({workspace, position, next, unusedSince(ledger, index)});
 }
 
 std::optional<StoreWrite> QuotaParts::plan()
@@ -336,22 +357,27 @@
         part.version_ = version;
         part.changedAt_ = clock_.now();
         if (planned.row_.owner_ == self_.name_)
-            startGrants(it->second, static_cast<int>(planned.part_));
+            startGrants(planned);
     }
     // More parts may be due than one write takes.
     needsRead_ = needsRead_ || planned_.size() >= kMaxPartsPerWrite;
     planned_.clear();
 }
 
-void QuotaParts::startGrants(Ledger &ledger, int index)
+void QuotaParts::startGrants(const Planned &planned)
 {
-    Part &part = ledger.parts_[static_cast<std::size_t>(index)];
+    const TimePoint now = clock_.now();
+    Ledger &ledger = ledgers_.at(planned.workspace_);
+    Part &part = ledger.parts_[planned.part_];
     if (!part.share_) {
-        // How much the previous owner has granted is unknown, so the bucket starts empty.
-        part.share_.emplace(clock_.now());
+        part.share_.emplace(now);
         applyQuota(ledger, *part.share_);
+        // Bounds on the store's clock may lie ahead of this one.
+        part.share_->addUnused(
+            planned.unusedSince_ ? std::max<Duration>(now - *planned.unusedSince_, Duration::zero())
+                                 : Duration::max());
     }
-    part.grantUntil_ = sentAt_ + termsOf(index).grantFor_;
+    part.grantUntil_ = sentAt_ + termsOf(static_cast<int>(planned.part_)).grantFor_;
     part.renewAt_ = sentAt_ + kRenewInterval;
 }
 
--- a/packages/quota/quota_parts.h
+++ b/packages/quota/quota_parts.h
@@ -22,7 +22,9 @@
 // PartTerms::reclaimAfter_, on the same condition, however long that entry itself has run. So a
 // part never has two owners that grant, whatever writes or answers are lost or late, and whichever
 // process is suspended (spec/part.pml). A lost owner takes its part of the rate along until the
-// takeover; the other parts have other owners. Granting needs no store access for grantFor_.
+// takeover; the other parts have other owners. Granting needs no store access for grantFor_. How
+// much a lost owner granted is unknown, so a new owner starts with what the part has gained since
+// that owner's term ended, and with the burst if the workspace never had an owner.
 //
 // DutyOrder tells which entry takes a part first. Each entry writes a record of itself for it.
 
@@ -198,6 +200,7 @@
         std::string workspace_;
         std::size_t part_ = 0;
         PartRow row_;
+        std::optional<TimePoint> unusedSince_; // as unusedSince() tells
     };
 
     [[nodiscard]] Ledger *limitedLedger(const std::string &workspace);
@@ -205,6 +208,7 @@
     [[nodiscard]] bool hasUsableOwner(const Part &part) const;
     [[nodiscard]] bool hasQuota() const;
     [[nodiscard]] TimePoint renewedAt(const Part &part) const;
+    [[nodiscard]] std::optional<TimePoint> unusedSince(const Ledger &ledger, int index) const;
     [[nodiscard]] std::map<std::string, std::int64_t> entriesInService() const;
     [[nodiscard]] std::optional<TimePoint> takeAt(const std::string &workspace, int part) const;
     [[nodiscard]] std::optional<PartRow> nextRow(const std::string &workspace, int part);
@@ -212,7 +216,7 @@
     void planRecord(StoreWrite &write);
     void applyRow(Part &part, const StoreRow &row);
     void applyAbsence(Part &part, std::int64_t storeVersion);
-    void startGrants(Ledger &ledger, int index);
+    void startGrants(const Planned &planned);
     void applyQuota(const Ledger &ledger, QuotaShare &share) const;
 
     EntryIdentity self_;
--- a/packages/quota/quota_share.cpp
+++ b/packages/quota/quota_share.cpp
@@ -45,6 +45,11 @@
     refill(now);
 }
 
+void QuotaShare::addUnused(Duration time)
+{
+    level_ = std::min(capacity(), level_ + rate() * secondsOf(time));
+}
+
 double QuotaShare::neededLevel(std::int64_t charge) const
 {
     // Charges up to the tolerance all need the same level. If small charges needed a lower level
--- a/packages/quota/quota_share.h
+++ b/packages/quota/quota_share.h
@@ -36,6 +36,10 @@
 
     [[nodiscard]] std::int64_t units() const { return units_; }
 
+    // Adds what the share gains in this time, up to its capacity: for a share in whose name nobody
+    // has taken anything for so long.
+    void addUnused(Duration time);
+
     // Takes the charge if level and tolerance cover it, and never while the level is negative. A
     // charge above capacity and tolerance is taken from a full bucket and leaves a larger debt: a
     // small share must not refuse a large request forever.
