agent: an answer that only a close ends is not taken as whole

Cause: HttpExchange reports the end of a message without telling whether the target stated it, so a service's answer that a close cut was passed on, and recorded for calls that run at most once, as whole. Streams and JSON of models were safe, as AnswerCheck looks for [DONE] and a whole body.

--- a/packages/agent/http_exchange.cpp
+++ b/packages/agent/http_exchange.cpp
@@ -133,6 +133,7 @@
             return;
         const std::string *contentType = head.find("Content-Type");
         isAborted_ = !sink_.onHead(head.status_, contentType == nullptr ? "" : *contentType);
+        framing_ = head.framing_;
     }
 
     void onBody(std::string_view data) override
@@ -142,7 +143,13 @@
             isAborted_ = !sink_.onData(data);
     }
 
-    void onMessageEnd() override { isDone_ = !isInterim_; }
+    void onMessageEnd() override
+    {
+        if (framing_ == BodyFraming::UntilClose && !sink_.acceptsUnstatedEnd())
+            fail("target ended its answer by a close, without a length or chunks");
+        else
+            isDone_ = !isInterim_;
+    }
 
     const Clock &clock_;
     TimePoint deadline_;
@@ -152,6 +159,7 @@
     MessageParser parser_;
     std::array<char, kReadBytes> buffer_{};
     std::size_t interimBytes_ = 0;
+    BodyFraming framing_ = BodyFraming::None;
     bool isInterim_ = true; // no final answer has begun
     bool isDone_ = false;
     bool isLate_ = false; // the body goes on behind the deadline
@@ -177,6 +185,9 @@
         return !isTooLong_;
     }
 
+    // What is called this way answers with JSON, which its reader checks.
+    [[nodiscard]] bool acceptsUnstatedEnd() const override { return true; }
+
     [[nodiscard]] bool isTooLong() const { return isTooLong_; }
     [[nodiscard]] BufferedAnswer &answer() { return answer_; }
 
--- a/packages/agent/http_exchange.h
+++ b/packages/agent/http_exchange.h
@@ -41,7 +41,8 @@
     // Sends a request and passes the answer to sink. head needs neither Host nor the fields of
     // framing and connection. Errors: TargetFailed with NotRun if no connection was made; Cancelled
     // if the sink aborted, TargetTimeout at the deadline and TargetFailed for an answer that breaks
-    // off, is no HTTP or is too long, each with OutcomeUnknown.
+    // off, is no HTTP, is too long or ends in a way that sink does not accept, each with
+    // OutcomeUnknown.
     [[nodiscard]] Result<void> run(MessageHead head, std::string_view body, TimePoint deadline,
                                    TargetSink &sink) const;
 
--- a/packages/agent/http_exchange_test.cpp
+++ b/packages/agent/http_exchange_test.cpp
@@ -77,6 +77,74 @@
     }
 }
 
+namespace {
+
+// Keeps an answer.
+class Recorder : public TargetSink
+{
+public:
+    explicit Recorder(bool accepts)
+        : accepts_(accepts)
+    { }
+
+    bool onHead(int, const std::string &) override { return true; }
+    bool onData(std::string_view data) override
+    {
+        body_ += data;
+        return true;
+    }
+    [[nodiscard]] bool acceptsUnstatedEnd() const override { return accepts_; }
+
+    std::string body_;
+
+private:
+    bool accepts_;
+};
+
+} // namespace
+
+// Guards against a cut answer that is passed on, or recorded for good, as whole.
+TEST_CASE("an answer that ends by a close has failed unless the sink accepts it")
+{
+    struct Case
+    {
+        std::string answer_;
+        bool accepts_;
+        bool isWhole_;
+    };
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    const Case cases[] = {
+        {status + "\r\nwhole", false, false},
+        {status + "\r\nwho", false, false},
+        {status + "\r\n", false, false},
+        {"HTTP/1.0 200 OK\r\n\r\nwhole", false, false},
+        {"HTTP/1.1 100 Continue\r\n\r\n" + status + "\r\nwhole", false, false},
+        {status + "\r\nwhole", true, true},
+        {status + "Content-Length: 5\r\n\r\nwhole", false, true},
+        {status + "Content-Length: 5\r\n\r\nwho", true, false},
+        {status + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", false, true},
+        {status + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n", true, false},
+        {"HTTP/1.1 204 No Content\r\n\r\n", false, true},
+    };
+    const SystemClock clock;
+    for (const Case &c : cases) {
+        CAPTURE(c.answer_);
+        CAPTURE(c.accepts_);
+        const Server server(c.answer_, "");
+        const HttpExchange exchange("127.0.0.1", server.port(), clock);
+        MessageHead head;
+        head.method_ = "GET";
+        head.target_ = "/";
+        Recorder sink(c.accepts_);
+        const Result<void> result = exchange.run(head, "", clock.now() + kDeadline, sink);
+        CHECK(result.has_value() == c.isWhole_);
+        if (!result) {
+            CHECK(result.error().code_ == ErrorCode::TargetFailed);
+            CHECK(result.error().execution_ == Execution::OutcomeUnknown);
+        }
+    }
+}
+
 // Guards against memory that grows, and a call that is held to its deadline, with a target that
 // sends bytes without end.
 TEST_CASE("bytes without end fail the call long before its deadline")
--- a/packages/agent/model_answer.cpp
+++ b/packages/agent/model_answer.cpp
@@ -64,6 +64,13 @@
     return buffer_->append(data);
 }
 
+bool ModelAnswerSink::acceptsUnstatedEnd() const
+{
+    const bool isErrorPassedOn =
+        status_ != kOk && status_ < kMinServerError && !isNotRunStatus(status_);
+    return !isErrorPassedOn;
+}
+
 Result<std::uint64_t> ModelAnswerSink::end()
 {
     if (status_ != kOk)
--- a/packages/agent/model_answer.h
+++ b/packages/agent/model_answer.h
@@ -25,6 +25,10 @@
     bool onHead(int status, const std::string &contentType) override;
     bool onData(std::string_view data) override;
 
+    // An answer's end is known from its last event or its JSON. The body of a refusal that is
+    // passed on tells nothing.
+    [[nodiscard]] bool acceptsUnstatedEnd() const override;
+
     // Ends the answer after the client's call succeeded, and returns the tokens used. Errors:
     // WrongAdapter; TargetFailed if the answer is truncated, too long or has an error status, with
     // NotRun for a status by which the engine did not run the request; Cancelled.
--- a/packages/agent/model_answer_test.cpp
+++ b/packages/agent/model_answer_test.cpp
@@ -39,4 +39,25 @@
     }
 }
 
+// Guards against a refusal's body that is passed on as whole although it may be cut.
+TEST_CASE("an end that was not stated is accepted where the answer tells its own end")
+{
+    const SystemClock clock;
+    struct Case
+    {
+        int status_;
+        bool accepts_;
+    };
+    for (const Case &c :
+         {Case{200, true}, {400, false}, {422, false}, {404, true}, {500, true}, {503, true}}) {
+        CAPTURE(c.status_);
+        AnswerBuffer buffer(clock);
+        ModelAnswerSink sink("acme-reports@3", true, buffer);
+        REQUIRE(sink.onHead(c.status_, "application/json"));
+        CHECK(sink.acceptsUnstatedEnd() == c.accepts_);
+    }
+    AnswerBuffer buffer(clock);
+    CHECK_FALSE(ServiceAnswerSink(buffer).acceptsUnstatedEnd());
+}
+
 } // namespace foxtailturn
--- a/packages/agent/target_client_test.cpp
+++ b/packages/agent/target_client_test.cpp
@@ -66,7 +66,7 @@
 // an answer without a body.
 TEST_CASE("an answer whose head is cut at any byte fails")
 {
-    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
     const SystemClock clock;
     for (std::size_t size = 0; size <= head.size(); ++size) {
         CAPTURE(head.substr(0, size));
