gateway: the wait for owners of quotas begins with the configuration

Cause: readiness waits up to 4 s for owners, counted from the start of the process. With 100,000 rows in the operator's table the read alone takes longer (5.6 s before the stand-in), so the entry reported ready at once with its configuration and refused all requests of limited workspaces with 503 until its first look at the owners.

StartCost.test_cpu_of_a_start failed before (503 for the first request in 2 of 2 starts with 100,000 rows, 0 of 8 with 10,000) and passes now, 200 in 2 of 2. It also holds the cost of a start: 0.07 s of processor time for 10,000 rows, 0.8 s for 100,000.

--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -69,7 +69,6 @@
                      }})
     , tickTimer_(context)
     , stopTimer_(context)
-    , startedAt_(clock_.now())
 {
     gateway_.setLoadRequestHandler([this](const Target &target, const std::string &model,
                                           const std::string &adapter, std::int64_t version) {
@@ -141,7 +140,7 @@
 {
     if (isStopping_ || !gateway_.config() || !targetWatch_.isLoaded())
         return false;
-    return gateway_.quotas().canSpend() || clock_.now() - startedAt_ > kMaxWaitForOwners;
+    return gateway_.quotas().canSpend() || clock_.now() > awaitsOwnersUntil_;
 }
 
 void EntryNode::onOperatorRows(const std::vector<StoreRow> &rows)
@@ -158,6 +157,9 @@
         gateway_.requestLoads();
     if (!isChanged)
         return;
+    // Which quotas there are is known only now, however long the read of a large table took.
+    if (awaitsOwnersUntil_ == TimePoint::max())
+        awaitsOwnersUntil_ = clock_.now() + kMaxWaitForOwners;
     updateSidecarLinks();
     if (!gateway_.quotas().canSpend())
         ledgerSync_.syncNow();
--- a/packages/gateway/entry_node.h
+++ b/packages/gateway/entry_node.h
@@ -73,7 +73,7 @@
     TimePoint suspectsPrunedAt_{};
     asio::steady_timer tickTimer_;
     asio::steady_timer stopTimer_;
-    TimePoint startedAt_;
+    TimePoint awaitsOwnersUntil_ = TimePoint::max(); // set when a configuration is in force
     std::optional<ShutdownSchedule> schedule_; // once the shutdown has begun
     bool hasEndedRequests_ = false;
     TimePoint releaseDeadline_{}; // the release has until then to reach the store
