gateway: a version of a model without an adapter requires nothing

Cause: a row of a version without an adapter was declared as the adapter with an empty name, so that requests for the model itself needed a target with newer weights. No process loads weights, so from 2.5 s after the declaration they were held for 2.5 s and refused with 503 until the end.

test_new_version_of_a_model failed before (503), passes now.

Ruled out: loads of the new weights in turn at each target.

--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -222,6 +222,12 @@
 
 bool Gateway::declareVersion(const AdapterVersion &version)
 {
+    if (version.adapter_.empty()) {
+        if (parts_.log_.admits(LogDetail::Sampled, "model_version_declared"))
+            parts_.log_.write(LogDetail::Sampled, "model_version_declared",
+                              {{"model", version.model_}, {"version", version.version_}});
+        return false;
+    }
     if (!versions_.declare(version, now()))
         return false;
     if (parts_.log_.admits(LogDetail::Full, "adapter_version_declared"))
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -81,7 +81,8 @@
 
     // Records a newer version of an adapter, which requestLoads() brings to the targets that hold
     // an older one. The older version is served for a short grace time only. Returns whether it is
-    // newer than those known.
+    // newer than those known. A version of a model itself, without an adapter, is only logged:
+    // nothing here replaces the weights of targets, so to require it would end the model's service.
     bool declareVersion(const AdapterVersion &version);
 
     // Checks route, key, quarantine and quota of a request. Returns the admitted request, or the
