gateway: a large table is looked at for versions in slices

Cause: all rows of a read were handled in one turn of the event loop, also when the table is read anew while callers are served. 100,000 rows took 0.23 s between two log lines of one turn; on 0.09 of a core 10,000 would take about as long.

RowQueue handles rows for 2 ms, then lets other handlers have a turn, in the order in which they came. A few rows are handled at once, as before.

Ruled out: a copy of the rows (25 MB for 100,000); TableWatch hands them over instead.

--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -41,11 +41,14 @@
                 .milliCores_ = settings.milliCores_})
     , callers_(gateway_)
     , admin_(context)
+    , versionRows_(
+          context, clock_, [this](const StoreRow &row) { onVersionRow(row); },
+          [this] { onVersionsRead(); })
     , operatorWatch_(store_, log_,
                      {.table_ = codec.operatorTable(),
                       .longPollTimeout_ = longPollTimeoutFor(settings.storeSilenceLimit_),
                       .pause_ = kOperatorTablePause},
-                     [this](const std::vector<StoreRow> &rows, bool) { onOperatorRows(rows); })
+                     [this](std::vector<StoreRow> rows, bool) { onOperatorRows(std::move(rows)); })
     , targetWatch_(
           store_, log_,
           {.table_ = codec.targetTable(), .pause_ = targetTimesFor(settings.drainNotice_).pause_},
@@ -138,23 +141,19 @@
 
 bool EntryNode::isReady() const
 {
-    if (isStopping_ || !gateway_.config() || !targetWatch_.isLoaded())
+    if (isStopping_ || !gateway_.config() || !targetWatch_.isLoaded() || !hasReadVersions_)
         return false;
     return gateway_.quotas().canSpend() || clock_.now() > awaitsOwnersUntil_;
 }
 
-void EntryNode::onOperatorRows(const std::vector<StoreRow> &rows)
+void EntryNode::onOperatorRows(std::vector<StoreRow> rows)
 {
     bool isChanged = false;
-    bool hasNewVersion = false;
     for (const StoreRow &row : rows) {
         if (std::optional<ServingConfig> config = codec_.decodeConfig(row))
             isChanged = gateway_.configure(std::move(*config)) || isChanged;
-        else if (const auto version = codec_.decodeAdapterVersion(row))
-            hasNewVersion = gateway_.declareVersion(*version) || hasNewVersion;
     }
-    if (hasNewVersion)
-        gateway_.requestLoads();
+    versionRows_.add(std::move(rows));
     if (!isChanged)
         return;
     // Which quotas there are is known only now, however long the read of a large table took.
@@ -165,6 +164,19 @@
         ledgerSync_.syncNow();
 }
 
+void EntryNode::onVersionRow(const StoreRow &row)
+{
+    if (const std::optional<AdapterVersion> version = codec_.decodeAdapterVersion(row))
+        hasNewVersion_ = gateway_.declareVersion(*version) || hasNewVersion_;
+}
+
+void EntryNode::onVersionsRead()
+{
+    hasReadVersions_ = true;
+    if (std::exchange(hasNewVersion_, false))
+        gateway_.requestLoads();
+}
+
 void EntryNode::onTargetRows(const std::vector<StoreRow> &rows, bool isSnapshot)
 {
     const TimePoint now = clock_.now();
--- a/packages/gateway/entry_node.h
+++ b/packages/gateway/entry_node.h
@@ -19,6 +19,7 @@
 #include "gateway/ledger_sync.h"
 #include "gateway/node_settings.h"
 #include "gateway/quota_peers.h"
+#include "gateway/row_queue.h"
 #include "gateway/store_client.h"
 #include "gateway/suspect_exchange.h"
 
@@ -42,7 +43,9 @@
     void stop(std::function<void()> onStopped);
 
 private:
-    void onOperatorRows(const std::vector<StoreRow> &rows);
+    void onOperatorRows(std::vector<StoreRow> rows);
+    void onVersionRow(const StoreRow &row);
+    void onVersionsRead();
     void onTargetRows(const std::vector<StoreRow> &rows, bool isSnapshot);
     void updateSidecarLinks();
     void ensureSidecarLink(const Target &target);
@@ -63,6 +66,7 @@
     Gateway gateway_;
     CallerListener callers_;
     AdminPort admin_;
+    RowQueue versionRows_; // rows of the operator's table that are to be looked at for versions
     TableWatch operatorWatch_;
     TableWatch targetWatch_;
     std::map<std::string, std::shared_ptr<AgentLink>> sidecarLinks_; // by the engine's address
@@ -76,6 +80,8 @@
     TimePoint awaitsOwnersUntil_ = TimePoint::max(); // set when a configuration is in force
     std::optional<ShutdownSchedule> schedule_; // once the shutdown has begun
     bool hasEndedRequests_ = false;
+    bool hasReadVersions_ = false; // all that were declared when the operator's table was read
+    bool hasNewVersion_ = false; // since the last load requests
     TimePoint releaseDeadline_{}; // the release has until then to reach the store
     std::function<void()> onStopped_;
     bool isStopping_ = false;
--- a/packages/gateway/store_client.cpp
+++ b/packages/gateway/store_client.cpp
@@ -111,9 +111,7 @@
     failures_ = 0;
     isLoaded_ = true;
     lastConfirmedAt_ = store_.now();
-    const std::vector<StoreRow> all = std::move(snapshotRows_);
-    snapshotRows_.clear();
-    handler_(all, true);
+    handler_(std::exchange(snapshotRows_, {}), true);
     scheduleAfter(settings_.pause_, [this] { requestChanges(); });
 }
 
@@ -151,7 +149,7 @@
     }
     version_ = std::max(version_, rows->version_);
     if (!changed.empty())
-        handler_(changed, false);
+        handler_(std::move(changed), false);
     scheduleAfter(settings_.pause_, [this] { requestChanges(); });
 }
 
--- a/packages/gateway/store_client.h
+++ b/packages/gateway/store_client.h
@@ -77,7 +77,7 @@
     // isSnapshot: rows holds the whole table, in which rows that have changed during the read may
     // be missing or outdated; they follow at once. Otherwise rows holds the changed rows only,
     // including removed ones.
-    using Handler = std::function<void(const std::vector<StoreRow> &rows, bool isSnapshot)>;
+    using Handler = std::function<void(std::vector<StoreRow> rows, bool isSnapshot)>;
 
     TableWatch(StoreClient &store, EventLog &log, TableWatchSettings settings, Handler handler);
 
