http1: any bytes are read the same way in whichever portions they come

A property test: start lines, fields, chunks and noise in random order, read at once and in random portions, must give the same heads, bodies, ends and errors.

--- a/packages/http1/message_parser_test.cpp
+++ b/packages/http1/message_parser_test.cpp
@@ -1,6 +1,7 @@
 #include "http1/message_parser.h"
 
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
 
 namespace foxtailturn {
 
@@ -19,6 +20,79 @@
 
 constexpr std::size_t kHeaderLimit = 200;
 
+const std::vector<std::string> kStartLines = {
+    "GET / HTTP/1.1\r\n",        "POST /x HTTP/1.0\r\n",        "HTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 100 Continue\r\n", "HTTP/1.0 204 No Content\r\n", "HTTP/1.1 304 Not Modified\r\n",
+};
+
+// What may follow in any order, sound or not.
+const std::vector<std::string> kPieces = {
+    "Content-Length: 3\r\n",
+    "Content-Length : 3\r\n",
+    "Content-Length: 99999999999999999999\r\n",
+    "Transfer-Encoding: chunked\r\n",
+    "Transfer-Encoding: gzip\r\n",
+    "Host: a\r\n",
+    "Connection: close\r\n",
+    " folded\r\n",
+    "\r\n",
+    "\n",
+    "3\r\nabc\r\n",
+    "0\r\n",
+    "ffffffffffffffff1\r\n",
+    "abc",
+    std::string(150, 'x'),
+    std::string("\0\xff", 2),
+};
+
+// Everything that a parser tells about a connection's bytes.
+struct Reading
+{
+    std::vector<MessageHead> heads_;
+    std::string body_; // of all messages, each with its end
+    bool isError_ = false;
+
+    bool operator==(const Reading &) const = default;
+};
+
+struct ReadingSink final : MessageSink
+{
+    void onHead(MessageHead head) override { reading_.heads_.push_back(std::move(head)); }
+    void onBody(std::string_view data) override { reading_.body_ += data; }
+    void onMessageEnd() override { reading_.body_ += '|'; }
+
+    Reading reading_;
+};
+
+// Reads one message after the other from bytes that come in portions, up to the peer's close.
+Reading readAll(MessageKind kind, const std::vector<std::string> &portions)
+{
+    ReadingSink sink;
+    MessageParser parser(kind, kHeaderLimit, sink);
+    for (std::string_view rest : portions) {
+        while (!rest.empty() && !parser.error()) {
+            rest.remove_prefix(parser.feed(rest));
+            if (parser.isComplete())
+                parser.next();
+        }
+    }
+    if (!parser.error())
+        parser.finish();
+    sink.reading_.isError_ = parser.error().has_value();
+    return std::move(sink.reading_);
+}
+
+std::vector<std::string> portionsOf(std::string_view text, const std::vector<unsigned> &sizes)
+{
+    std::vector<std::string> portions;
+    for (std::size_t i = 0; !text.empty(); ++i) {
+        const std::size_t size = i < sizes.size() ? sizes[i] % 20 + 1 : text.size();
+        portions.emplace_back(text.substr(0, size));
+        text.remove_prefix(std::min(size, text.size()));
+    }
+    return portions;
+}
+
 } // namespace
 
 // Guards against smuggling: what one side takes for a body the other could take for a request.
@@ -104,6 +178,21 @@
     CHECK(recorder.body_ == "abc");
 }
 
+// Guards against bytes that are a message, or its end, in one portion and not in several: an entry
+// and a target may read them in different ones.
+TEST_CASE("any bytes are read the same way in whichever portions they come")
+{
+    CHECK(rc::check([](const std::vector<unsigned> &picks, const std::vector<unsigned> &sizes) {
+        std::string text;
+        for (std::size_t i = 0; i < picks.size(); ++i) {
+            const std::vector<std::string> &from = i % 6 == 0 ? kStartLines : kPieces;
+            text += from[picks[i] % from.size()];
+        }
+        for (const MessageKind kind : {MessageKind::Request, MessageKind::Response})
+            RC_ASSERT(readAll(kind, {text}) == readAll(kind, portionsOf(text, sizes)));
+    }));
+}
+
 // Guards against unbounded memory for a header without end.
 TEST_CASE("a header over the limit is PayloadTooLarge")
 {
