gateway: log what a caller was told when a request goes on elsewhere

A stream that is joined at a wrong place and an answer whose end nobody stated looked alike in the log. resent and resumed now say how many events were forwarded before and which framing the caller was told, answered says the latter.

--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -386,6 +386,8 @@
                           {"why", why},
                           {"sends", sends_},
                           {"runs", runs_},
+                          {"events", events_},
+                          {"told", isForwarding_ ? framingName(framing_) : "nothing"},
                           {"last_event", lastEventId_}});
     place();
 }
@@ -480,6 +482,7 @@
              {"target", tried_.empty() ? "" : tried_.back()},
              {"sends", sends_},
              {"events", events_},
+             {"told", framingName(framing_)},
              {"first_us", events_ > 0 ? (firstEventAt_ - request_.receivedAt_).count() : -1},
              {"elapsed_us", (gateway_.now() - request_.receivedAt_).count()}});
     answer_.endAnswer();
