gateway: event streams are read as the format defines them

Callers saw a stream whose lines end in CR held back until its end and then broken off, though it was sound. Cause: an event ended at LF LF or at CR LF CR LF only; also the first id of an event counted and not the last, an id with a null byte counted, and an event whose first line is a comment counted as a comment.

Lines now end with CR, LF or CRLF, also mixed and split between two reads; a byte order mark is no part of the first line; comments behind the last event are not the inside of an event.

Ruled out: a wrong end of an event that lets a torn stream look complete. LF LF is an empty line in each mixture.

--- a/packages/gateway/event_splitter.cpp
+++ b/packages/gateway/event_splitter.cpp
@@ -2,45 +2,15 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace foxtailturn::gateway {
 
 namespace {
 
-constexpr std::string_view kEmptyLine = "\n\n";
-constexpr std::string_view kEmptyCrlfLine = "\r\n\r\n";
-
-// Returns the offset after the empty line that ends the first event; npos if it is incomplete. The
-// search begins at an offset.
-std::size_t endOfEvent(std::string_view text, std::size_t from)
+bool isLineEnd(char c)
 {
-    const std::size_t lf = text.find(kEmptyLine, from);
-    // Not behind the event's end: a search of the whole text for each event would be quadratic.
-    const std::size_t last = lf == std::string_view::npos ? lf : lf + 1;
-    const std::size_t crlf = text.substr(0, last).find(kEmptyCrlfLine, from);
-    if (crlf != std::string_view::npos)
-        return crlf + kEmptyCrlfLine.size();
-    return lf == std::string_view::npos ? lf : lf + kEmptyLine.size();
-}
-
-std::string idOf(std::string_view event)
-{
-    constexpr std::string_view kField = "id:";
-    std::size_t begin = 0;
-    while (begin < event.size()) {
-        const std::size_t end = std::min(event.find('\n', begin), event.size());
-        std::string_view line = event.substr(begin, end - begin);
-        begin = end + 1;
-        if (!line.starts_with(kField))
-            continue;
-        line.remove_prefix(kField.size());
-        if (line.starts_with(' '))
-            line.remove_prefix(1);
-        if (line.ends_with('\r'))
-            line.remove_suffix(1);
-        return std::string(line);
-    }
-    return "";
+    return c == '\n' || c == '\r';
 }
 
 } // namespace
@@ -49,22 +19,70 @@
 {
     std::vector<StreamEvent> events;
     remainder_ += data;
-    std::string_view text = remainder_;
-    for (std::size_t end = endOfEvent(text, searchedBytes_); end != std::string_view::npos;
-         end = endOfEvent(text, 0)) {
-        events.push_back({std::string(text.substr(0, end)), idOf(text.substr(0, end))});
-        text.remove_prefix(end);
+    const std::string_view text = remainder_;
+    std::size_t begin = 0; // of the event under way
+    while (searched_ < text.size()) {
+        if (std::exchange(isAfterCr_, false) && text[searched_] == '\n') {
+            lineBegin_ = ++searched_;
+            if (begin + 1 < searched_)
+                continue;
+            // The carriage return has ended the last event.
+            begin = searched_;
+            if (events.empty())
+                events.emplace_back();
+            events.back().text_ += '\n';
+            continue;
+        }
+        const auto *const end = std::find_if(text.begin() + searched_, text.end(), isLineEnd);
+        searched_ = end - text.begin();
+        if (end == text.end())
+            break;
+        const std::string_view line = withoutMark(text.substr(lineBegin_, searched_ - lineBegin_));
+        isAfterCr_ = *end == '\r';
+        isFirstLine_ = false;
+        lineBegin_ = ++searched_;
+        if (!line.empty()) {
+            endLine(line);
+            continue;
+        }
+        event_.text_ = text.substr(begin, searched_ - begin);
+        events.push_back(std::exchange(event_, StreamEvent()));
+        hasField_ = false;
+        begin = searched_;
     }
-    remainder_.erase(0, remainder_.size() - text.size());
-    // An empty line may have begun in these bytes.
-    searchedBytes_ = remainder_.size() - std::min(remainder_.size(), kEmptyCrlfLine.size() - 1);
+    remainder_.erase(0, begin);
+    lineBegin_ -= begin;
+    searched_ -= begin;
     return events;
 }
 
-void EventSplitter::clear()
+void EventSplitter::endLine(std::string_view line)
+{
+    if (line.starts_with(':'))
+        return;
+    hasField_ = true;
+    const std::size_t colon = std::min(line.find(':'), line.size());
+    const std::string_view name = line.substr(0, colon);
+    std::string_view value = line.substr(std::min(colon + 1, line.size()));
+    if (value.starts_with(' '))
+        value.remove_prefix(1);
+    const bool isId = name == "id" && value.find('\0') == std::string_view::npos;
+    if (isId)
+        event_.id_ = value;
+    event_.hasContent_ = event_.hasContent_ || isId || name == "data";
+}
+
+std::string_view EventSplitter::withoutMark(std::string_view line) const
+{
+    if (isFirstLine_ && line.starts_with(kByteOrderMark))
+        line.remove_prefix(kByteOrderMark.size());
+    return line;
+}
+
+bool EventSplitter::isInsideEvent() const
 {
-    remainder_.clear();
-    searchedBytes_ = 0;
+    const std::string_view line = withoutMark(std::string_view(remainder_).substr(lineBegin_));
+    return hasField_ || (!line.empty() && !line.starts_with(':'));
 }
 
 std::optional<std::int64_t> eventNumber(std::string_view id)
--- a/packages/gateway/relay_reply.cpp
+++ b/packages/gateway/relay_reply.cpp
@@ -334,7 +334,7 @@
 bool Relay::isTornStream() const
 {
     return isStreamReply_
-        && (!splitter_.remainder().empty()
+        && (splitter_.isInsideEvent()
             || (replyFraming_ == BodyFraming::UntilClose && attemptEvents_ == 0));
 }
 
