gateway: a stream goes on elsewhere only where caller and target agree

Callers saw events twice, two runs joined, or an early end, in streams that ended as complete: a resumable stream whose events have no ids, or only the first, broke off and the next target began anew; the caller's own Last-Event-Id did not count while nothing was forwarded; a next run that ended before the caller's last event ended the stream. Also, a sound run with an id twice lost an event.

Cause: nothing stood for what the caller knows. The relay kept the last id that it had seen and took it for the caller's place, whatever came behind it.

AnswerState holds what the caller has been told (head, framing, place in the stream) and decides on each part of a target's answer; StreamPosition tells whether a run can be joined.

--- /dev/null
+++ b/packages/gateway/answer_sequences_test.cpp
@@ -0,0 +1,481 @@
+// Drives AnswerState through every sequence of up to three attempts, and judges what the caller
+// gets by a reader of its own.
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "gateway/answer_state.h"
+#include "gateway/caller_view_testing.h"
+#include "http1/message_parser.h"
+
+namespace foxtailturn::gateway {
+
+namespace {
+
+constexpr int kEvents = 4; // of a whole stream
+constexpr int kMaxAttempts = 3;
+constexpr std::size_t kMaxHeaderBytes = 4096;
+constexpr std::size_t kLargeEvent = 100'000; // bytes; a few exceed what is held of a plain answer
+
+enum class Route { Resumable, Stream, Plain, LargePlain, AtMostOnce };
+enum class Caller { Http11, Http10, HasFirstEvent };
+enum class Place {
+    InsideHead,
+    BehindHead,
+    BetweenEvents,
+    InsideEvent,
+    BeforeEmptyLine,
+    InsideChunkSize,
+    BeforeLastChunk,
+    InTrailer,
+    End,
+};
+enum class How { Stated, Close, Reset, Silence };
+enum class Ids {
+    All,
+    Some, // every other event
+    None, // the stream begins anew, as the target can't know where to go on
+    Repeated, // the same id twice; begins anew
+    Anew, // all, and the stream begins anew all the same
+};
+
+struct Setup
+{
+    Route route_ = Route::Resumable;
+    Caller caller_ = Caller::Http11;
+    std::string lineEnd_ = "\n";
+    int idStep_ = 1; // between the ids of two events
+    std::size_t portion_ = 0; // bytes that are read at once; 0: all
+
+    [[nodiscard]] bool isStream() const
+    {
+        return route_ == Route::Resumable || route_ == Route::Stream;
+    }
+    [[nodiscard]] bool isRepeatable() const
+    {
+        return route_ == Route::Resumable || route_ == Route::Plain || route_ == Route::LargePlain;
+    }
+    [[nodiscard]] std::optional<std::string> callersId() const
+    {
+        return caller_ == Caller::HasFirstEvent ? std::optional(std::to_string(idStep_))
+                                                : std::nullopt;
+    }
+};
+
+struct Attempt
+{
+    BodyFraming framing_ = BodyFraming::Length;
+    Place place_ = Place::End;
+    How how_ = How::Stated;
+    Ids ids_ = Ids::All;
+    int status_ = 200;
+
+    [[nodiscard]] bool isInsideEvent() const
+    {
+        return place_ == Place::InsideEvent || place_ == Place::BeforeEmptyLine;
+    }
+    [[nodiscard]] bool hasAllEvents() const
+    {
+        return place_ == Place::End || place_ == Place::BeforeLastChunk
+            || place_ == Place::InTrailer;
+    }
+};
+
+// An answer as a target sends it.
+struct Sent
+{
+    std::string bytes_;
+    std::string body_;
+    int first_ = 1; // number of its first event
+    int last_ = 0; // of the last whole one; first_ - 1 if there is none
+    bool isFirstNumbered_ = false; // the first event has an id
+};
+
+std::vector<Attempt> allAttempts(bool isStream)
+{
+    std::vector<Attempt> attempts;
+    const std::vector<Ids> ids = isStream
+        ? std::vector{Ids::All, Ids::Some, Ids::None, Ids::Repeated, Ids::Anew}
+        : std::vector{Ids::All};
+    for (const BodyFraming framing :
+         {BodyFraming::Length, BodyFraming::Chunks, BodyFraming::UntilClose}) {
+        for (int place = 0; place <= static_cast<int>(Place::End); ++place) {
+            for (const How how : {How::Stated, How::Close, How::Reset, How::Silence}) {
+                Attempt attempt{framing, static_cast<Place>(place), how};
+                const bool isOfChunks =
+                    attempt.place_ >= Place::InsideChunkSize && attempt.place_ <= Place::InTrailer;
+                const bool isStated = how == How::Stated;
+                const bool canBeStated = framing != BodyFraming::UntilClose
+                    && attempt.place_ != Place::InsideHead && !isOfChunks;
+                const bool isOverAnyway =
+                    attempt.place_ == Place::End && framing != BodyFraming::UntilClose;
+                if ((isOfChunks && framing != BodyFraming::Chunks) || (isStated && !canBeStated)
+                    || (isOverAnyway && !isStated))
+                    continue;
+                for (const Ids i : ids) {
+                    attempt.ids_ = i;
+                    attempts.push_back(attempt);
+                }
+            }
+        }
+        attempts.push_back({framing, Place::End,
+                            framing == BodyFraming::UntilClose ? How::Close : How::Stated, Ids::All,
+                            404});
+    }
+    return attempts;
+}
+
+bool hasId(Ids ids, int number)
+{
+    return ids != Ids::None && (ids != Ids::Some || number % 2 == 1);
+}
+
+std::string fieldsOf(const Setup &setup, Ids ids, int number)
+{
+    std::string text;
+    const int shown = ids == Ids::Repeated && number > 2 ? number - 1 : number;
+    if (hasId(ids, number))
+        text += "id: " + std::to_string(shown * setup.idStep_) + setup.lineEnd_;
+    text += "data: " + std::to_string(number);
+    if (setup.route_ == Route::LargePlain)
+        text += std::string(kLargeEvent, 'x');
+    return text + setup.lineEnd_;
+}
+
+// The answer of a target that is asked to go on behind an event.
+Sent sentBy(const Setup &setup, const Attempt &attempt, int index,
+            const std::optional<std::string> &lastEventId)
+{
+    Sent sent;
+    // An answer without events says nothing but that none follows.
+    const bool goesOn = attempt.ids_ == Ids::All || attempt.ids_ == Ids::Some
+        || attempt.place_ == Place::BehindHead;
+    if (setup.isStream() && goesOn && lastEventId)
+        sent.first_ = std::stoi(*lastEventId) / setup.idStep_ + 1;
+    sent.isFirstNumbered_ = hasId(attempt.ids_, sent.first_);
+    const int cut = attempt.hasAllEvents()    ? kEvents
+        : attempt.place_ <= Place::BehindHead ? 0
+                                              : std::min(index + 2, kEvents - 1);
+    sent.last_ = std::max(cut, sent.first_ - 1);
+    std::vector<std::string> pieces;
+    for (int number = sent.first_; number <= cut; ++number)
+        pieces.push_back(fieldsOf(setup, attempt.ids_, number) + setup.lineEnd_);
+    const std::string next = fieldsOf(setup, attempt.ids_, sent.last_ + 1);
+    if (attempt.place_ == Place::InsideEvent)
+        pieces.push_back(next.substr(0, next.size() - setup.lineEnd_.size()));
+    if (attempt.place_ == Place::BeforeEmptyLine)
+        pieces.push_back(next);
+    std::string framed;
+    for (const std::string &piece : pieces) {
+        sent.body_ += piece;
+        framed += attempt.framing_ == BodyFraming::Chunks ? chunkText(piece) : piece;
+    }
+    sent.bytes_ = "HTTP/1.1 " + std::to_string(attempt.status_) + " OK\r\nServer: s\r\n";
+    const bool isWhole = attempt.how_ == How::Stated;
+    if (attempt.framing_ == BodyFraming::Length)
+        sent.bytes_ +=
+            "Content-Length: " + std::to_string(sent.body_.size() + (isWhole ? 0 : 1000)) + "\r\n";
+    if (attempt.framing_ == BodyFraming::Chunks)
+        sent.bytes_ += "Transfer-Encoding: chunked\r\n";
+    if (attempt.place_ == Place::InsideHead)
+        return sent;
+    sent.bytes_ += "\r\n" + framed;
+    if (attempt.framing_ == BodyFraming::Chunks && isWhole)
+        sent.bytes_ += "0\r\n\r\n";
+    if (attempt.place_ == Place::InsideChunkSize)
+        sent.bytes_ += "1";
+    if (attempt.place_ == Place::InTrailer)
+        sent.bytes_ += "0\r\n";
+    return sent;
+}
+
+// Reads one target's answer as TargetConnection does, and passes it on as Relay does.
+class Exchange final : MessageSink
+{
+public:
+    Exchange(AnswerState &state, std::string &callersBytes)
+        : state_(state)
+        , callersBytes_(callersBytes)
+        , parser_(MessageKind::Response, kMaxHeaderBytes, *this)
+    { }
+
+    AnswerVerdict play(std::string_view bytes, How how, std::size_t portion)
+    {
+        while (!bytes.empty() && !isOver()) {
+            const std::string_view part = bytes.substr(0, portion == 0 ? bytes.size() : portion);
+            bytes.remove_prefix(std::min(parser_.feed(part), bytes.size()));
+            if (parser_.error())
+                break;
+        }
+        if (how == How::Close && !isOver())
+            parser_.finish();
+        if (parser_.error() || !isOver())
+            return AnswerVerdict::Failed;
+        if (verdict_ == AnswerVerdict::Continue)
+            apply(state_.onEnd());
+        return verdict_;
+    }
+
+private:
+    [[nodiscard]] bool isOver() const
+    {
+        return parser_.isComplete() || verdict_ != AnswerVerdict::Continue;
+    }
+
+    void onHead(MessageHead head) override { apply(state_.onHead(head)); }
+    void onBody(std::string_view data) override
+    {
+        if (verdict_ == AnswerVerdict::Continue)
+            apply(state_.onBody(data));
+    }
+    void onMessageEnd() override { }
+
+    void apply(const AnswerStep &step)
+    {
+        if (step.head_)
+            callersBytes_ += responseText(*step.head_);
+        callersBytes_ += step.body_;
+        verdict_ = step.verdict_;
+    }
+
+    AnswerState &state_;
+    std::string &callersBytes_;
+    MessageParser parser_;
+    AnswerVerdict verdict_ = AnswerVerdict::Continue;
+};
+
+// What the caller has after a sequence, and the last attempt of it.
+struct Outcome
+{
+    CallerView view_;
+    int attempts_ = 1;
+    Attempt attempt_;
+    Sent sent_;
+};
+
+// Returns whether the target's answer may be whole for all that its reader can know, and whether
+// it certainly is.
+bool mayBeWhole(const Setup &setup, const Attempt &attempt)
+{
+    if (setup.isStream() && attempt.status_ == 200 && attempt.isInsideEvent())
+        return false;
+    const bool endsByClose = attempt.framing_ == BodyFraming::UntilClose
+        && attempt.how_ == How::Close && attempt.place_ != Place::InsideHead;
+    return attempt.how_ == How::Stated || endsByClose;
+}
+
+bool isWhole(const Setup &setup, const Attempt &attempt)
+{
+    return mayBeWhole(setup, attempt)
+        && (attempt.how_ == How::Stated || attempt.place_ == Place::End);
+}
+
+std::string judgeEvents(const Setup &setup, const Outcome &outcome)
+{
+    const EventsView events = readEvents(outcome.view_.body_);
+    if (events.endsInside_)
+        return "a part of an event was sent";
+    int last = 0;
+    for (const std::string &data : events.data_) {
+        const int number = std::stoi(data);
+        const bool isFirst = &data == &events.data_.front();
+        const bool mayBeginLater = setup.caller_ == Caller::HasFirstEvent;
+        if (isFirst ? number != 1 && !(mayBeginLater && number == 2) : number != last + 1)
+            return "event " + data + " behind " + std::to_string(last);
+        last = number;
+    }
+    const bool isJoinedByIds = setup.route_ == Route::Resumable && outcome.sent_.isFirstNumbered_;
+    if (setup.caller_ == Caller::HasFirstEvent && isJoinedByIds && outcome.attempts_ == 1
+        && !events.data_.empty() && events.data_.front() == "1")
+        return "the caller's own event came again";
+    const int callers = setup.caller_ == Caller::HasFirstEvent ? std::max(last, 1) : last;
+    if (outcome.view_.isComplete_ && callers != std::max(outcome.sent_.last_, 0)
+        && !(setup.caller_ == Caller::HasFirstEvent && last == 0 && outcome.sent_.last_ <= 1))
+        return "complete with event " + std::to_string(last) + ", the target's last one is "
+            + std::to_string(outcome.sent_.last_);
+    return "";
+}
+
+// Returns what is wrong with what the caller has; empty if nothing is.
+std::string judge(const Setup &setup, const Outcome &outcome)
+{
+    const CallerView &view = outcome.view_;
+    const bool isStream = setup.isStream() && view.status_ == 200;
+    if (view.isComplete_ && !mayBeWhole(setup, outcome.attempt_))
+        return "complete, and the target's answer was not";
+    if (view.isComplete_ && view.framing_ != "close" && outcome.attempt_.how_ != How::Stated)
+        return "told of an end that no target has stated";
+    if (isStream) {
+        if (std::string fault = judgeEvents(setup, outcome); !fault.empty())
+            return fault;
+    } else if (view.isComplete_ && view.body_ != outcome.sent_.body_) {
+        return "the body is not the target's";
+    }
+    // An unframed stream that closes before its first event was broken off.
+    const bool isEmptyStream = isStream && outcome.sent_.body_.empty()
+        && outcome.attempt_.framing_ == BodyFraming::UntilClose;
+    const bool isFirst = outcome.attempts_ == 1;
+    if (isFirst && isWhole(setup, outcome.attempt_) && !isEmptyStream) {
+        const bool isOwn =
+            setup.route_ == Route::Resumable && setup.caller_ == Caller::HasFirstEvent;
+        // A run that begins anew may end before the event that the caller has.
+        const bool endsEarly = isOwn && outcome.sent_.last_ < 1;
+        const bool repeats = isOwn && outcome.attempt_.ids_ == Ids::Repeated;
+        if (!view.isComplete_ && !endsEarly && !repeats)
+            return "broken off, and the target's answer was whole";
+        if (view.isComplete_ && !isOwn && view.body_ != outcome.sent_.body_)
+            return "the body is not the target's";
+    }
+    const bool goesOn = !isFirst && isStream && outcome.attempt_.ids_ == Ids::All
+        && outcome.attempt_.status_ == 200 && outcome.attempt_.how_ == How::Stated;
+    if (goesOn && isWhole(setup, outcome.attempt_) && !view.isComplete_)
+        return "broken off, and the last target went on with it";
+    return "";
+}
+
+// A point where a sequence goes on at another target. Equal ones go on in the same way.
+struct Branch
+{
+    AnswerState state_;
+    std::string callersBytes_;
+    std::uint64_t sequences_ = 0; // that lead here
+};
+
+class Enumeration
+{
+public:
+    explicit Enumeration(Setup setup)
+        : setup_(std::move(setup))
+        , attempts_(allAttempts(setup_.isStream()))
+    { }
+
+    void run()
+    {
+        AnswerState state({.isStream_ = setup_.isStream(),
+                           .isResumable_ = setup_.route_ == Route::Resumable,
+                           .canReadChunks_ = setup_.caller_ != Caller::Http10,
+                           .lastEventId_ = setup_.callersId()});
+        state.beginAttempt();
+        std::vector<Branch> branches = {{std::move(state), "", 1}};
+        for (int index = 0; index < kMaxAttempts; ++index) {
+            next_.clear();
+            for (const Branch &branch : branches) {
+                for (const Attempt &attempt : attempts_)
+                    play(branch, attempt, index);
+            }
+            branches = std::move(next_);
+        }
+    }
+
+    std::uint64_t sequences_ = 0;
+    std::map<std::string, std::uint64_t> faults_; // sequences by fault
+
+private:
+    void play(const Branch &branch, const Attempt &attempt, int index)
+    {
+        Branch after = branch;
+        const std::optional<std::string> resumeId = after.state_.resumeId();
+        Outcome outcome;
+        outcome.attempts_ = index + 1;
+        outcome.attempt_ = attempt;
+        outcome.sent_ = sentBy(setup_, attempt, index, resumeId ? resumeId : setup_.callersId());
+        const AnswerVerdict verdict =
+            Exchange(after.state_, after.callersBytes_)
+                .play(outcome.sent_.bytes_, attempt.how_, setup_.portion_);
+        const bool isComplete = verdict == AnswerVerdict::Complete;
+        if (!isComplete && setup_.isRepeatable() && after.state_.mayGoOn()
+            && index + 1 < kMaxAttempts) {
+            goOn(std::move(after));
+            return;
+        }
+        sequences_ += branch.sequences_;
+        ConnectionEnd end = ConnectionEnd::Open;
+        if (isComplete && after.state_.framing() == BodyFraming::UntilClose)
+            end = ConnectionEnd::Close;
+        if (!isComplete)
+            end = after.state_.breakOff() == AnswerBreak::Reset ? ConnectionEnd::Reset
+                                                                : ConnectionEnd::Close;
+        outcome.view_ = readAnswer(after.callersBytes_, end);
+        if (const std::string fault = judge(setup_, outcome); !fault.empty())
+            faults_[fault + describe(outcome)] += branch.sequences_;
+    }
+
+    [[nodiscard]] std::string describe(const Outcome &outcome) const
+    {
+        const Attempt &last = outcome.attempt_;
+        return " (route " + std::to_string(static_cast<int>(setup_.route_)) + ", caller "
+            + std::to_string(static_cast<int>(setup_.caller_)) + ", attempt "
+            + std::to_string(outcome.attempts_) + ": " + std::string(framingName(last.framing_))
+            + ", place " + std::to_string(static_cast<int>(last.place_)) + ", how "
+            + std::to_string(static_cast<int>(last.how_)) + ", ids "
+            + std::to_string(static_cast<int>(last.ids_)) + ", status "
+            + std::to_string(last.status_) + ")";
+    }
+
+    void goOn(Branch branch)
+    {
+        branch.state_.beginAttempt();
+        for (Branch &known : next_) {
+            if (known.callersBytes_ == branch.callersBytes_ && known.state_ == branch.state_) {
+                known.sequences_ += branch.sequences_;
+                return;
+            }
+        }
+        next_.push_back(std::move(branch));
+    }
+
+    Setup setup_;
+    std::vector<Attempt> attempts_;
+    std::vector<Branch> next_;
+};
+
+std::vector<Setup> allSetups()
+{
+    std::vector<Setup> setups;
+    for (const Route route :
+         {Route::Resumable, Route::Stream, Route::Plain, Route::LargePlain, Route::AtMostOnce}) {
+        for (const Caller caller : {Caller::Http11, Caller::Http10, Caller::HasFirstEvent}) {
+            const bool isStream = Setup{route}.isStream();
+            for (const std::string lineEnd : {"\n", "\r\n", "\r"}) {
+                for (const int idStep : {1, 10}) {
+                    for (const std::size_t portion : {0, 1}) {
+                        const bool isPlainAgain = !isStream && (idStep > 1 || lineEnd != "\n");
+                        const bool isLargeInBytes = route == Route::LargePlain && portion > 0;
+                        if (!isPlainAgain && !isLargeInBytes)
+                            setups.push_back({route, caller, lineEnd, idStep, portion});
+                    }
+                }
+            }
+        }
+    }
+    return setups;
+}
+
+} // namespace
+
+// Guards against an answer that its caller takes for complete and isn't, events twice, missing or
+// of two runs, and sound answers that are broken off.
+TEST_CASE("callers get the truth from every sequence of up to three attempts")
+{
+    std::uint64_t sequences = 0;
+    std::map<std::string, std::uint64_t> faults;
+    for (const Setup &setup : allSetups()) {
+        Enumeration enumeration(setup);
+        enumeration.run();
+        sequences += enumeration.sequences_;
+        for (const auto &[fault, count] : enumeration.faults_)
+            faults[fault] += count;
+    }
+    MESSAGE("sequences: " << sequences);
+    for (const auto &[fault, count] : faults)
+        FAIL_CHECK(fault << ": " << count << " sequences");
+    CHECK(sequences > 1'000'000);
+}
+
+} // namespace foxtailturn::gateway
--- a/packages/gateway/caller_connection.cpp
+++ b/packages/gateway/caller_connection.cpp
@@ -204,14 +204,14 @@
         });
 }
 
-void CallerConnection::abortAnswer()
+void CallerConnection::abortAnswer(AnswerBreak how)
 {
     const auto self = shared_from_this();
     relay_.reset();
     listener_.connections_.erase(shared_from_this());
     timer_.cancel();
     // A reset would also take from the caller what it has not read yet.
-    if (endsWithConnection_)
+    if (how == AnswerBreak::Reset)
         stream_->reset();
     else
         stream_->finish();
@@ -220,7 +220,6 @@
 void CallerConnection::endWithConnection()
 {
     keepsAlive_ = false;
-    endsWithConnection_ = true;
     stream_->resetUnlessFinished();
 }
 
--- a/packages/gateway/caller_connection.h
+++ b/packages/gateway/caller_connection.h
@@ -55,7 +55,7 @@
 
     void sendAnswer(std::string bytes) override;
     void endAnswer() override;
-    void abortAnswer() override;
+    void abortAnswer(AnswerBreak how) override;
     void endWithConnection() override;
     [[nodiscard]] bool closesAfterAnswer() const override;
     [[nodiscard]] std::size_t unsentBytes() const override;
@@ -71,7 +71,6 @@
     std::string body_;
     bool hasHead_ = false;
     bool keepsAlive_ = true;
-    bool endsWithConnection_ = false; // the answer under way has neither a length nor chunks
     bool isDiscarding_ = false; // after a final refusal: further input is discarded
     bool isReading_ = false; // in readRequests(), which must not be re-entered
     TimePoint receivedAt_{};
--- a/packages/gateway/event_splitter_test.cpp
+++ b/packages/gateway/event_splitter_test.cpp
@@ -37,7 +37,8 @@
     for (const std::string &first : ends) {
         for (const std::string &second : ends) {
             for (const std::string &empty : ends) {
-                const std::string event = "id: 1" + first + "data: a" + second + empty;
+                std::string event = "id: 1";
+                event.append(first).append("data: a").append(second).append(empty);
                 // CR and LF would be one line end.
                 if (second == "\r" && empty == "\n")
                     continue;
@@ -47,7 +48,8 @@
                     EventSplitter splitter;
                     std::string joined;
                     int count = 0;
-                    const std::string text = event + event + event;
+                    std::string text = event;
+                    text.append(event).append(event);
                     for (std::size_t at = 0; at < text.size(); at += portion) {
                         for (const StreamEvent &e : splitter.feed(text.substr(at, portion))) {
                             joined += e.text_;
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -35,6 +35,11 @@
     , request_(std::move(request))
     , answer_(answer)
     , timer_(gateway.context())
+    , state_({.isStream_ = request_.route_->kind_ == RouteKind::Stream,
+              .isResumable_ =
+                  request_.route_->kind_ == RouteKind::Stream && request_.route_->isRepeatable(),
+              .canReadChunks_ = request_.head_.canReadChunks_,
+              .lastEventId_ = request_.caller_.lastEventId_})
 { }
 
 Relay::~Relay()
@@ -101,7 +106,7 @@
     }
     // The copies of a request may have crashed targets while it waited. One that has begun to
     // answer is not the cause.
-    if (events_ == 0 && gateway_.isQuarantined(request_.suspects_)) {
+    if (state_.events() == 0 && gateway_.isQuarantined(request_.suspects_)) {
         failRequest(ErrorCode::Quarantined);
         return;
     }
@@ -195,13 +200,9 @@
     sentAt_ = now;
     progressAt_ = now;
     hasFirstEvent_ = false;
-    attemptEvents_ = 0;
     replyHandling_ = ReplyHandling::None;
-    bufferedBody_.clear();
-    replyBytes_ = 0;
     discardedBytes_ = 0;
-    splitter_.clear();
-    bytesSinceEvent_ = 0;
+    state_.beginAttempt();
     wasOnlyPrefill_ = target.pendingCount_ == 0 && target.report_.prefilling_ == 0;
     const std::int64_t cached =
         gateway_.placement(request_.service_).cachedTokens(instance_, placement);
@@ -222,8 +223,7 @@
     call.timeLeft_ = request_.deadline_ - now;
     call.instance_ = instance_;
     call.workspace_ = request_.workspace_;
-    if (!lastEventId_.empty())
-        call.lastEventId_ = lastEventId_;
+    call.lastEventId_ = state_.resumeId();
     call.priority_ = std::min(request_.priority_, 9);
     std::string text = gateway_.codec().targetHead(request_.head_, call, request_.body_.size());
     text += request_.body_;
@@ -355,7 +355,7 @@
                              {{"request", request_.caller_.id_},
                               {"by", "caller"},
                               {"sends", sends_},
-                              {"events", events_}});
+                              {"events", state_.events()}});
 }
 
 void Relay::shutDown()
@@ -381,26 +381,27 @@
 
 void Relay::retryAttempt(std::string_view why)
 {
-    gateway_.log().write(LogDetail::Full, lastEventId_.empty() ? "resent" : "resumed",
+    const std::string lastEvent = state_.resumeId().value_or("");
+    gateway_.log().write(LogDetail::Full, lastEvent.empty() ? "resent" : "resumed",
                          {{"request", request_.caller_.id_},
                           {"why", why},
                           {"sends", sends_},
                           {"runs", runs_},
-                          {"events", events_},
-                          {"told", isForwarding_ ? framingName(framing_) : "nothing"},
-                          {"last_event", lastEventId_}});
+                          {"events", state_.events()},
+                          {"told", toldFraming()},
+                          {"last_event", lastEvent}});
     place();
 }
 
-// Returns whether another target may be sent the request although one may have run it. A plain
-// answer that has begun can't go on at another one.
+// Returns whether another target may be sent the request although one may have run it.
 bool Relay::mayGoOnElsewhere() const
 {
-    return request_.route_->isRepeatable() && (!isForwarding_ || isForwardingStream_);
+    return request_.route_->isRepeatable() && state_.mayGoOn();
 }
 
 bool Relay::mayRetry(std::string_view why)
 {
+    gap_ = state_.gap();
     const bool isAllowed = mayGoOnElsewhere() && runs_ < request_.route_->maxAttempts_
         && sends_ < kMaxSends && gateway_.now() < request_.deadline_;
     if (!isAllowed)
@@ -412,6 +413,11 @@
     return false;
 }
 
+std::string_view Relay::toldFraming() const
+{
+    return state_.isTold() ? framingName(state_.framing()) : "nothing";
+}
+
 void Relay::refuse(int status, ErrorCode code, std::optional<Duration> retryAfter)
 {
     if (isEnded_)
@@ -429,7 +435,7 @@
                              {"code", errorName(code)},
                              {"sends", sends_},
                              {"runs", runs_},
-                             {"events", events_},
+                             {"events", state_.events()},
                              {"elapsed_us", (gateway_.now() - request_.receivedAt_).count()}};
     if (retryAfter)
         fields["retry_after_us"] = retryAfter->count();
@@ -439,12 +445,18 @@
         fields["units"] = gateway_.quotas().unitsOf(request_.workspace_);
         fields["owners"] = gateway_.quotas().ownersOf(request_.workspace_);
     }
-    gateway_.log().write(LogDetail::Full, isForwarding_ ? "broken_off" : "refused",
-                         std::move(fields));
-    if (isForwarding_) {
-        answer_.abortAnswer();
+    const AnswerBreak how = state_.breakOff();
+    if (gap_) {
+        fields["not_resumed"] = positionGapName(*gap_);
+        gateway_.serving().recordNotResumed(positionGapName(*gap_));
+    }
+    if (how != AnswerBreak::Refuse) {
+        fields["told"] = toldFraming();
+        gateway_.log().write(LogDetail::Full, "broken_off", std::move(fields));
+        answer_.abortAnswer(how);
         return;
     }
+    gateway_.log().write(LogDetail::Full, "refused", std::move(fields));
     Refusal refusal{status, request_.caller_.id_, std::string(errorName(code)), retryAfter,
                     answer_.closesAfterAnswer()};
     answer_.sendAnswer(gateway_.codec().refusal(refusal));
@@ -471,19 +483,20 @@
 {
     isEnded_ = true;
     timer_.cancel();
-    gateway_.countAnswer(&request_, replyHead_.status_, "target");
-    if (events_ > 1)
+    gateway_.countAnswer(&request_, state_.status(), "target");
+    if (state_.events() > 1)
         gateway_.serving().pause(longestPause_);
     if (gateway_.log().admits(LogDetail::Sampled, "answered"))
         gateway_.log().write(
             LogDetail::Sampled, "answered",
             {{"request", request_.caller_.id_},
-             {"status", replyHead_.status_},
+             {"status", state_.status()},
              {"target", tried_.empty() ? "" : tried_.back()},
              {"sends", sends_},
-             {"events", events_},
-             {"told", framingName(framing_)},
-             {"first_us", events_ > 0 ? (firstEventAt_ - request_.receivedAt_).count() : -1},
+             {"events", state_.events()},
+             {"told", toldFraming()},
+             {"first_us",
+              state_.events() > 0 ? (firstEventAt_ - request_.receivedAt_).count() : -1},
              {"elapsed_us", (gateway_.now() - request_.receivedAt_).count()}});
     answer_.endAnswer();
 }
@@ -512,8 +525,8 @@
                           {"code", errorName(error.code_)},
                           {"execution", executionName(error.execution_)},
                           {"what", error.message_},
-                          {"events", events_},
-                          {"attempt_events", attemptEvents_}});
+                          {"events", state_.events()},
+                          {"attempt_events", state_.attemptEvents()}});
     if (!mayHaveRun) {
         gateway_.recordUnreachable(instance);
         if (sends_ < kMaxSends)
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -19,9 +19,8 @@
 
 #include <asio.hpp>
 
-#include "gateway/answer_framing.h"
+#include "gateway/answer_state.h"
 #include "gateway/codec.h"
-#include "gateway/event_splitter.h"
 #include "gateway/placement.h"
 #include "gateway/target_connection.h"
 #include "retry/suspect_record.h"
@@ -41,9 +40,8 @@
     // Called once the answer is complete.
     virtual void endAnswer() = 0;
 
-    // Called if a forwarded answer can't be completed. The implementation must close the connection
-    // in a way that the caller can't take for the end of a complete answer.
-    virtual void abortAnswer() = 0;
+    // Called if a forwarded answer can't be completed: ends the connection by Close or Reset.
+    virtual void abortAnswer(AnswerBreak how) = 0;
 
     // Called before the head of an answer that only the connection's close ends (RFC 9112, section
     // 6.3). closesAfterAnswer() returns true from then on.
@@ -112,8 +110,7 @@
 
     enum class ReplyHandling {
         None, // no answer yet
-        Forward, // forwarded to the caller as it arrives
-        Buffer, // buffered, so that an incomplete answer can be replaced by a retry
+        PassOn, // AnswerState decides what the caller gets of it, and when
         Discard, // ignored: the target did not run the request, or it is retried
     };
 
@@ -127,6 +124,7 @@
     void onTimer();
     [[nodiscard]] Duration idleLimit() const;
     [[nodiscard]] bool mayGoOnElsewhere() const;
+    [[nodiscard]] std::string_view toldFraming() const;
     [[nodiscard]] bool mayRetry(std::string_view why);
     void retryAttempt(std::string_view why);
     void failAttempt(const Error &error);
@@ -142,18 +140,15 @@
     void onReplyBody(std::string_view data) override;
     void onReplyEnd() override;
 
-    void beginForwarding(AnswerBody body);
+    void passOn(AnswerStep step);
     void askForMore();
     void recordRejection(const TargetReply &reply);
     void beginDiscard();
     void discard(std::size_t bytes);
     void finishDiscard();
-    void forwardEvents(std::string_view data);
-    void forward(std::string_view data);
     void recordFirstEvent();
-    void recordEvent();
-    [[nodiscard]] bool isTornStream() const;
-    void logUnstatedEnd();
+    void recordEvents(const AnswerStep &step);
+    void logUnstatedEnd(AnswerVerdict verdict);
     [[nodiscard]] std::vector<Suspect> suspects() const;
 
     Gateway &gateway_;
@@ -176,22 +171,11 @@
     std::int64_t uncachedTokens_ = 0;
 
     ReplyHandling replyHandling_ = ReplyHandling::None;
-    MessageHead replyHead_;
     TargetReply reply_;
-    std::string bufferedBody_;
-    std::size_t replyBytes_ = 0; // of the body, in this attempt
     std::size_t discardedBytes_ = 0;
     TimePoint discardUntil_{}; // the rest of a discarded answer is not read after this
-    EventSplitter splitter_;
-    std::string lastEventId_;
-    std::size_t bytesSinceEvent_ = 0; // of the stream under way
-    int events_ = 0; // forwarded
-    int attemptEvents_ = 0; // of these, by the attempt under way
-    bool isForwarding_ = false; // the head was sent to the caller
-    bool isForwardingStream_ = false; // it was that of a stream
-    BodyFraming framing_ = BodyFraming::None; // of the answer to the caller
-    bool isStreamReply_ = false;
-    BodyFraming replyFraming_ = BodyFraming::None; // of the target's answer
+    AnswerState state_;
+    std::optional<PositionGap> gap_; // why the stream was not resumed
     bool hasFirstEvent_ = false;
     bool isWaiting_ = false;
     bool isCharged_ = true; // the charge was taken from the quota
--- a/packages/gateway/relay_reply.cpp
+++ b/packages/gateway/relay_reply.cpp
@@ -1,4 +1,4 @@
-// The part of Relay that reads targets' answers and passes them on.
+// The part of Relay that reads targets' answers.
 
 #include "gateway/relay.h"
 
@@ -26,7 +26,6 @@
 {
     progressAt_ = gateway_.now();
     reply_ = reply;
-    replyFraming_ = head.framing_;
     if (reply.isLeaving_)
         gateway_.recordLeaving(reply.instance_.empty() ? instance_ : reply.instance_);
     if (head.status_ == kUnavailable || (reply.isNotRun_ && head.status_ == kTooManyRequests))
@@ -46,53 +45,34 @@
                   "the response lacks the target's signature or has a Content-Encoding"});
         return;
     }
-    isStreamReply_ = isSuccess && request_.route_->kind_ == RouteKind::Stream;
-    if (isForwarding_ && !isStreamReply_) {
-        onExchangeFailure(
-            Error{ErrorCode::TargetFailed, Execution::OutcomeUnknown,
-                  "the target answered the resumed stream with a status other than 2xx"});
-        return;
-    }
-    const bool isFailure = head.status_ >= kFirstServerErrorStatus && !isForwarding_;
+    const bool isFailure = head.status_ >= kFirstServerErrorStatus && !state_.isTold();
     if (isFailure && runs_ + 1 < request_.route_->maxAttempts_ && request_.route_->isRepeatable()
         && gateway_.tryRetry(request_.service_)) {
         beginDiscard();
         return;
     }
-    if (isForwarding_) {
-        replyHandling_ = ReplyHandling::Forward;
-        return;
-    }
-    replyHead_ = head;
-    replyHandling_ = isStreamReply_ ? ReplyHandling::Forward : ReplyHandling::Buffer;
-    if (replyHandling_ == ReplyHandling::Forward)
-        beginForwarding(AnswerBody::Stream);
+    replyHandling_ = ReplyHandling::PassOn;
+    passOn(state_.onHead(head));
 }
 
-// Sends the head of the answer. Of a whole body, all bytes are in bufferedBody_.
-void Relay::beginForwarding(AnswerBody body)
+// Sends what a part of the answer has brought for the caller. Ends the attempt if it has failed.
+void Relay::passOn(AnswerStep step)
 {
-    framing_ = callerFraming(replyFraming_, body, request_.head_.canReadChunks_);
-    if (framing_ == BodyFraming::UntilClose)
-        answer_.endWithConnection();
-    MessageHead out;
-    out.status_ = replyHead_.status_;
-    out.fields_ = forwardableFields(replyHead_);
-    if (answer_.closesAfterAnswer())
-        out.add("Connection", "close");
-    if (framing_ == BodyFraming::Chunks)
-        out.add("Transfer-Encoding", "chunked");
-    if (framing_ == BodyFraming::Length)
-        out.add("Content-Length",
-                std::to_string(body == AnswerBody::Whole ? bufferedBody_.size()
-                                                         : replyHead_.contentLength_.value_or(0)));
-    constexpr int kNoContent = 204; // has no length (RFC 9110, section 8.6)
-    if (framing_ == BodyFraming::None && replyHead_.contentLength_
-        && replyHead_.status_ != kNoContent)
-        out.add("Content-Length", std::to_string(*replyHead_.contentLength_));
-    isForwarding_ = true;
-    isForwardingStream_ = body == AnswerBody::Stream;
-    answer_.sendAnswer(responseText(out));
+    if (step.head_) {
+        if (state_.framing() == BodyFraming::UntilClose)
+            answer_.endWithConnection();
+        if (answer_.closesAfterAnswer())
+            step.head_->add("Connection", "close");
+        answer_.sendAnswer(responseText(*step.head_));
+    }
+    recordEvents(step);
+    if (!step.body_.empty()) {
+        answer_.sendAnswer(std::move(step.body_));
+        if (answer_.unsentBytes() > kPauseThreshold && connection_)
+            connection_->pause();
+    }
+    if (step.verdict_ == AnswerVerdict::Failed)
+        onExchangeFailure(*step.error_);
 }
 
 void Relay::recordFirstEvent()
@@ -108,27 +88,41 @@
     }
     Placement &placement = gateway_.placement(request_.service_);
     const TimePoint now = gateway_.now();
-    if (wasOnlyPrefill_ && isStreamReply_)
+    if (wasOnlyPrefill_ && state_.isStream())
         placement.recordPrefillTime(uncachedTokens_, now - sentAt_);
     if (!request_.caller_.prefix_.empty())
         placement.recordCachedPrefix(instance_, placementRequest(), now);
 }
 
-void Relay::recordEvent()
+void Relay::recordEvents(const AnswerStep &step)
 {
-    if (++attemptEvents_ != kSoundEvents)
+    if (step.seenEvents_ == 0)
+        return;
+    const TimePoint now = gateway_.now();
+    progressAt_ = now;
+    const int before = state_.attemptEvents() - step.seenEvents_;
+    if (before < kSoundEvents && state_.attemptEvents() >= kSoundEvents) {
+        std::vector<Suspect> parts = request_.suspects_;
+        std::erase_if(
+            parts, [](const Suspect &suspect) { return suspect.kind_ != SuspectKind::PromptPart; });
+        gateway_.recordSound(parts);
+    }
+    if (step.events_ == 0)
         return;
-    std::vector<Suspect> parts = request_.suspects_;
-    std::erase_if(parts,
-                  [](const Suspect &suspect) { return suspect.kind_ != SuspectKind::PromptPart; });
-    gateway_.recordSound(parts);
+    if (state_.events() == step.events_) {
+        firstEventAt_ = now;
+        gateway_.serving().recordFirstEvent(firstEventAt_ - request_.receivedAt_);
+    } else {
+        longestPause_ = std::max(longestPause_, now - lastEventAt_);
+    }
+    lastEventAt_ = now;
 }
 
 // Returns what may have crashed the target of the attempt under way.
 std::vector<Suspect> Relay::suspects() const
 {
     std::vector<Suspect> list = request_.suspects_;
-    if (attemptEvents_ >= kSoundEvents)
+    if (state_.attemptEvents() >= kSoundEvents)
         std::erase_if(
             list, [](const Suspect &suspect) { return suspect.kind_ == SuspectKind::PromptPart; });
     return list;
@@ -179,85 +173,21 @@
 
 void Relay::onReplyBody(std::string_view data)
 {
-    if (!isStreamReply_)
-        progressAt_ = gateway_.now();
-    replyBytes_ += data.size();
-    switch (replyHandling_) {
-    case ReplyHandling::None:
-        return;
-    case ReplyHandling::Discard:
+    if (replyHandling_ == ReplyHandling::Discard)
         discard(data.size());
+    if (replyHandling_ != ReplyHandling::PassOn)
         return;
-    case ReplyHandling::Buffer:
-        recordFirstEvent();
-        bufferedBody_ += data;
-        if (bufferedBody_.size() > read_limits::kMaxBufferedBytes) {
-            beginForwarding(AnswerBody::Plain);
-            replyHandling_ = ReplyHandling::Forward;
-            forward(bufferedBody_);
-            bufferedBody_.clear();
-        }
-        return;
-    case ReplyHandling::Forward:
-        recordFirstEvent();
-        if (isStreamReply_)
-            forwardEvents(data);
-        else
-            forward(data);
-        return;
-    }
-}
-
-void Relay::forwardEvents(std::string_view data)
-{
-    std::string text;
-    bytesSinceEvent_ += data.size();
-    for (const StreamEvent &event : splitter_.feed(data)) {
-        const std::optional<std::int64_t> number = eventNumber(event.id_);
-        const std::optional<std::int64_t> last = eventNumber(lastEventId_);
-        if (number && last && *number <= *last)
-            continue; // already forwarded
-        if (event.isComment()) {
-            text += event.text_;
-            continue;
-        }
+    if (!state_.isStream())
         progressAt_ = gateway_.now();
-        bytesSinceEvent_ = 0;
-        if (!event.id_.empty())
-            lastEventId_ = event.id_;
-        if (events_ == 0) {
-            firstEventAt_ = gateway_.now();
-            gateway_.serving().recordFirstEvent(firstEventAt_ - request_.receivedAt_);
-        } else {
-            longestPause_ = std::max(longestPause_, progressAt_ - lastEventAt_);
-        }
-        lastEventAt_ = progressAt_;
-        ++events_;
-        recordEvent();
-        text += event.text_;
-    }
-    forward(text);
-    bytesSinceEvent_ = std::max(bytesSinceEvent_, splitter_.remainder().size());
-    if (bytesSinceEvent_ > read_limits::kMaxBytesBetweenEvents)
-        onExchangeFailure(Error{ErrorCode::PayloadTooLarge, Execution::OutcomeUnknown,
-                                "too many bytes of the stream without an event"});
-}
-
-void Relay::forward(std::string_view data)
-{
-    if (data.empty())
-        return;
-    const bool isChunked = framing_ == BodyFraming::Chunks;
-    answer_.sendAnswer(isChunked ? chunkText(data) : std::string(data));
-    if (answer_.unsentBytes() > kPauseThreshold && connection_)
-        connection_->pause();
+    recordFirstEvent();
+    passOn(state_.onBody(data));
 }
 
 void Relay::onReplyEnd()
 {
     const std::shared_ptr<Relay> self = shared_from_this();
     connection_.reset(); // already released to the pool or closed
-    gateway_.serving().recordAnswerEnd(framingName(replyFraming_));
+    gateway_.serving().recordAnswerEnd(framingName(state_.targetFraming()));
     if (replyHandling_ == ReplyHandling::Discard && reply_.isNotRun_) {
         const bool isOther = reply_.isOtherInstance_;
         if (Target *target = gateway_.targets().find(instance_); target != nullptr && isOther) {
@@ -275,35 +205,30 @@
             failRequest(isOther ? ErrorCode::WrongAdapter : ErrorCode::Overloaded);
         return;
     }
-    if (replyHandling_ != ReplyHandling::Discard && isTornStream()) {
-        failAttempt(Error{replyFraming_ == BodyFraming::UntilClose ? ErrorCode::ConnectionLost
-                                                                   : ErrorCode::TargetFailed,
-                          Execution::OutcomeUnknown, "the stream ended inside an event"});
-        return;
-    }
-    ++runs_;
     if (replyHandling_ == ReplyHandling::Discard) {
+        ++runs_;
         releaseTarget();
         retryAttempt("the target answered with a server error");
         return;
     }
+    AnswerStep step = state_.onEnd();
+    const AnswerVerdict verdict = step.verdict_;
+    if (verdict == AnswerVerdict::Failed) {
+        failAttempt(*step.error_);
+        return;
+    }
+    ++runs_;
     recordFirstEvent();
-    if (replyHandling_ == ReplyHandling::Buffer)
-        beginForwarding(AnswerBody::Whole);
-    if (replyFraming_ == BodyFraming::UntilClose)
-        logUnstatedEnd();
+    if (state_.targetFraming() == BodyFraming::UntilClose)
+        logUnstatedEnd(verdict);
     releaseTarget();
-    if (replyHead_.status_ < kFirstServerErrorStatus) // an error may come before a run
+    if (state_.status() < kFirstServerErrorStatus) // an error may come before a run
         gateway_.recordSound(request_.suspects_);
-    if (!mayEnd(framing_, replyFraming_)) {
+    passOn(std::move(step));
+    if (verdict == AnswerVerdict::EndNotStated)
         askForMore();
-        return;
-    }
-    if (replyHandling_ == ReplyHandling::Buffer)
-        forward(bufferedBody_);
-    else if (framing_ == BodyFraming::Chunks)
-        answer_.sendAnswer(std::string(kLastChunk));
-    end();
+    else
+        end();
 }
 
 // Learns from another target whether the stream goes on behind its last event. Its caller waits for
@@ -317,25 +242,16 @@
         failRequest(ErrorCode::TargetFailed);
 }
 
-void Relay::logUnstatedEnd()
+void Relay::logUnstatedEnd(AnswerVerdict verdict)
 {
-    const bool isTold = mayEnd(framing_, replyFraming_);
+    const bool isTold = verdict == AnswerVerdict::Complete;
     gateway_.log().write(LogDetail::Full, "end_not_stated",
                          {{"request", request_.caller_.id_},
                           {"target", instance_},
-                          {"end", framingName(replyFraming_)},
-                          {"bytes", replyBytes_},
-                          {"events", attemptEvents_},
-                          {"told", isTold ? framingName(framing_) : "nothing"}});
-}
-
-// Returns whether the stream that has just ended was broken off. The end of the connection says
-// nothing of a body without length, so at least one event must have come whole.
-bool Relay::isTornStream() const
-{
-    return isStreamReply_
-        && (splitter_.isInsideEvent()
-            || (replyFraming_ == BodyFraming::UntilClose && attemptEvents_ == 0));
+                          {"end", framingName(state_.targetFraming())},
+                          {"bytes", state_.bytes()},
+                          {"events", state_.attemptEvents()},
+                          {"told", isTold ? framingName(BodyFraming::UntilClose) : "nothing"}});
 }
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/serving_metrics.cpp
+++ b/packages/gateway/serving_metrics.cpp
@@ -133,6 +133,15 @@
         .add();
 }
 
+void ServingMetrics::recordNotResumed(std::string_view reason)
+{
+    metrics_
+        .counter("foxtailturn_streams_not_resumed_total",
+                 "streams broken off since no further run could be joined to them, by reason",
+                 {{"reason", std::string(reason)}})
+        .add();
+}
+
 void ServingMetrics::recordFailedAttempt(std::string_view reason)
 {
     metrics_
--- a/packages/gateway/serving_metrics.h
+++ b/packages/gateway/serving_metrics.h
@@ -68,6 +68,10 @@
     // Counts how an answer of a target ended: a framingName(), or "broken" if it ended earlier.
     void recordAnswerEnd(std::string_view end);
 
+    // Counts a stream that was broken off since no further run could be joined to it, by the name
+    // of a PositionGap.
+    void recordNotResumed(std::string_view reason);
+
     // Counts an attempt that failed at a target: the name of an ErrorCode, or "answer_given_up" for
     // a rejection or failure whose body did not end.
     void recordFailedAttempt(std::string_view reason);
--- a/packages/gateway/serving_metrics_test.cpp
+++ b/packages/gateway/serving_metrics_test.cpp
@@ -25,6 +25,7 @@
     serving.retry("models", true, 4);
     serving.retry("models", false, 0);
     serving.recordAnswerEnd("close");
+    serving.recordNotResumed("event_without_id");
     serving.recordFailedAttempt("payload_too_large");
     serving.connections(3, 11);
     serving.connections(4, 11);
@@ -45,6 +46,7 @@
              R"(foxtailturn_retries_total{outcome="denied",service="models"} 1)",
              R"(foxtailturn_retry_budget_left{service="models"} 0)",
              R"(foxtailturn_failed_attempts_total{reason="payload_too_large"} 1)",
+             R"(foxtailturn_streams_not_resumed_total{reason="event_without_id"} 1)",
              R"(foxtailturn_target_answer_ends_total{end="close"} 1)",
              R"(foxtailturn_target_connections_total{use="opened"} 4)",
              R"(foxtailturn_target_connections_total{use="reused"} 11)",
