--- a/packages/gateway/answer_state.cpp
+++ b/packages/gateway/answer_state.cpp
@@ -35,6 +35,23 @@
 
 } // namespace
 
+std::string_view answerPlaceName(AnswerPlace place)
+{
+    switch (place) {
+    case AnswerPlace::BeforeHead:
+        return "before_head";
+    case AnswerPlace::BehindHead:
+        return "behind_head";
+    case AnswerPlace::InsideBody:
+        return "inside_body";
+    case AnswerPlace::BetweenEvents:
+        return "between_events";
+    case AnswerPlace::InsideEvent:
+        return "inside_event";
+    }
+    return "unknown";
+}
+
 AnswerState::AnswerState(AnswerRequest request)
     : request_(std::move(request))
     , position_(request_.isResumable_ ? request_.lastEventId_ : std::nullopt)
@@ -43,6 +60,7 @@
 void AnswerState::beginAttempt()
 {
     position_.beginRun();
+    hasHead_ = false;
     isStream_ = false;
     targetFraming_ = BodyFraming::None;
     buffer_.clear();
@@ -56,6 +74,7 @@
 AnswerStep AnswerState::onHead(const MessageHead &head)
 {
     const bool isSuccess = head.status_ >= kFirstSuccess && head.status_ <= kLastSuccess;
+    hasHead_ = true;
     isStream_ = isSuccess && request_.isStream_;
     targetFraming_ = head.framing_;
     if (isTold_) {
@@ -216,6 +235,17 @@
     return step;
 }
 
+AnswerPlace AnswerState::place() const
+{
+    if (!hasHead_)
+        return AnswerPlace::BeforeHead;
+    if (bytes_ == 0)
+        return AnswerPlace::BehindHead;
+    if (!isStream_)
+        return AnswerPlace::InsideBody;
+    return splitter_.isInsideEvent() ? AnswerPlace::InsideEvent : AnswerPlace::BetweenEvents;
+}
+
 bool AnswerState::mayGoOn() const
 {
     return !isTold_ || (isStreamTold_ && request_.isResumable_ && !position_.gap());
--- a/packages/gateway/answer_state.h
+++ b/packages/gateway/answer_state.h
@@ -66,6 +66,12 @@
     Reset, // only a reset shows it
 };
 
+// How far the answer of an attempt has come.
+enum class AnswerPlace { BeforeHead, BehindHead, InsideBody, BetweenEvents, InsideEvent };
+
+// Returns the name of a place in logs. Thread-safe.
+[[nodiscard]] std::string_view answerPlaceName(AnswerPlace place);
+
 // Not thread-safe.
 class AnswerState
 {
@@ -97,7 +103,9 @@
     [[nodiscard]] bool isTold() const { return isTold_; }
     // How the caller is told of the end. Precondition: isTold().
     [[nodiscard]] BodyFraming framing() const { return framing_; }
-    // Of the attempt under way: its framing, bytes of its body, events, whether it is a stream.
+    // Of the attempt under way: how far it has come, its framing, bytes of its body, events,
+    // whether it is a stream.
+    [[nodiscard]] AnswerPlace place() const;
     [[nodiscard]] BodyFraming targetFraming() const { return targetFraming_; }
     [[nodiscard]] std::size_t bytes() const { return bytes_; }
     [[nodiscard]] int attemptEvents() const { return attemptEvents_; }
@@ -136,6 +144,7 @@
 
     // The attempt under way.
     MessageHead head_;
+    bool hasHead_ = false;
     bool isStream_ = false;
     BodyFraming targetFraming_ = BodyFraming::None;
     std::string buffer_; // of a plain answer that was not told yet
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -35,11 +35,13 @@
     , request_(std::move(request))
     , answer_(answer)
     , timer_(gateway.context())
+    , use_(gateway, request_)
     , state_({.isStream_ = request_.route_->kind_ == RouteKind::Stream,
               .isResumable_ =
                   request_.route_->kind_ == RouteKind::Stream && request_.route_->isRepeatable(),
               .canReadChunks_ = request_.head_.canReadChunks_,
               .lastEventId_ = request_.caller_.lastEventId_})
+    , log_(gateway.log(), request_, state_)
 { }
 
 Relay::~Relay()
@@ -142,26 +144,7 @@
         failRequest(ErrorCode::Overloaded);
         return;
     }
-    if (gateway_.log().admits(LogDetail::Sampled, "sent")) {
-        nlohmann::json ineligible = nlohmann::json::object();
-        for (const PlacementCandidate &candidate : choice.candidates_) {
-            if (!candidate.reason_.empty())
-                ineligible[candidate.instance_] = candidate.reason_;
-        }
-        gateway_.log().write(
-            LogDetail::Sampled, "sent",
-            {{"request", request_.caller_.id_},
-             {"target", choice.target_->record_.instance_},
-             {"adapter", adapterName(request_.caller_.model_, request_.caller_.adapter_)},
-             {"attempt", sends_ + 1},
-             {"expected_us", choice.expected_.count()},
-             {"considered", choice.candidates_.size()},
-             {"running", choice.target_->report_.running_},
-             {"queued", choice.target_->report_.queued_},
-             {"report_age_us",
-              choice.target_->hasReport() ? (now - choice.target_->reportedAt_).count() : -1},
-             {"passed_over", std::move(ineligible)}});
-    }
+    log_.sent(choice, sends_ + 1, now);
     send(*choice.target_);
 }
 
@@ -193,35 +176,21 @@
 void Relay::send(Target &target)
 {
     const TimePoint now = gateway_.now();
-    const PlacementRequest placement = placementRequest();
-    instance_ = target.record_.instance_;
-    tried_.push_back(instance_);
+    PlacementRequest placement = placementRequest();
+    if (placement.isEngine_ && !placement.adapter_.empty())
+        gateway_.serving().recordPlacement(waitUntil_ == TimePoint{});
+    use_.begin(target, std::move(placement));
+    tried_.push_back(use_.instance());
     ++sends_;
-    sentAt_ = now;
     progressAt_ = now;
-    hasFirstEvent_ = false;
     replyHandling_ = ReplyHandling::None;
     discardedBytes_ = 0;
     state_.beginAttempt();
-    wasOnlyPrefill_ = target.pendingCount_ == 0 && target.report_.prefilling_ == 0;
-    const std::int64_t cached =
-        gateway_.placement(request_.service_).cachedTokens(instance_, placement);
-    uncachedTokens_ = request_.caller_.promptTokens_ - cached;
-    if (placement.isEngine_)
-        gateway_.serving().prompt(cached, uncachedTokens_);
     if (sends_ == 1)
         gateway_.serving().recordQueueTime(now - request_.receivedAt_);
-    if (placement.isEngine_ && !placement.adapter_.empty())
-        gateway_.serving().recordPlacement(waitUntil_ == TimePoint{});
-    ++target.inFlight_;
-    ++target.pendingCount_;
-    target.pendingPrompt_ += uncachedTokens_;
-    if (!request_.caller_.adapter_.empty())
-        gateway_.reportAdapterUse(
-            target, adapterName(request_.caller_.model_, request_.caller_.adapter_), true);
     TargetCall call;
     call.timeLeft_ = request_.deadline_ - now;
-    call.instance_ = instance_;
+    call.instance_ = use_.instance();
     call.workspace_ = request_.workspace_;
     call.lastEventId_ = state_.resumeId();
     call.priority_ = std::min(request_.priority_, 9);
@@ -238,20 +207,9 @@
 
 void Relay::releaseTarget()
 {
-    if (instance_.empty())
+    if (use_.instance().empty())
         return;
-    Target *target = gateway_.targets().find(instance_);
-    if (target != nullptr) {
-        --target->inFlight_;
-        if (!hasFirstEvent_) {
-            --target->pendingCount_;
-            target->pendingPrompt_ -= uncachedTokens_;
-        }
-        if (!request_.caller_.adapter_.empty())
-            gateway_.reportAdapterUse(
-                *target, adapterName(request_.caller_.model_, request_.caller_.adapter_), false);
-    }
-    instance_.clear();
+    use_.end();
     if (connection_) {
         connection_->abandon();
         connection_.reset();
@@ -275,7 +233,7 @@
         return Duration::max();
     if (route.kind_ == RouteKind::Idempotent)
         return std::clamp<Duration>(route.objective_ * 2, kMinIdleTime, kMaxPlainIdleTime);
-    const Target *target = gateway_.targets().find(instance_);
+    const Target *target = use_.target();
     const bool hasRecentReport =
         target != nullptr && gateway_.now() - target->reportedAt_ < kMaxReportAge;
     return hasRecentReport ? kReportedStreamIdleTime : kStreamIdleTime;
@@ -323,7 +281,7 @@
     if (connection_ && idle != Duration::max() && now >= progressAt_ + idle) {
         const bool isLastAttempt = runs_ + 1 >= request_.route_->maxAttempts_;
         if (!isLastAttempt && mayGoOnElsewhere() && gateway_.tryRetry(request_.service_)) {
-            if (Target *target = gateway_.targets().find(instance_))
+            if (Target *target = use_.target())
                 gateway_.targets().failed(*target, now);
             // If a device on the network path has lost its connection state, all connections
             // stop delivering data, not just this one.
@@ -350,12 +308,7 @@
         gateway_.quotas().refund(request_.workspace_, request_.charge_);
     releaseTarget();
     gateway_.countAnswer(&request_, 0, "caller_left");
-    if (gateway_.log().admits(LogDetail::Full, "broken_off"))
-        gateway_.log().write(LogDetail::Full, "broken_off",
-                             {{"request", request_.caller_.id_},
-                              {"by", "caller"},
-                              {"sends", sends_},
-                              {"events", state_.events()}});
+    log_.callerLeft(counts());
 }
 
 void Relay::shutDown()
@@ -381,15 +334,7 @@
 
 void Relay::retryAttempt(std::string_view why)
 {
-    const std::string lastEvent = state_.resumeId().value_or("");
-    gateway_.log().write(LogDetail::Full, lastEvent.empty() ? "resent" : "resumed",
-                         {{"request", request_.caller_.id_},
-                          {"why", why},
-                          {"sends", sends_},
-                          {"runs", runs_},
-                          {"events", state_.events()},
-                          {"told", toldFraming()},
-                          {"last_event", lastEvent}});
+    log_.goesOn(why, counts());
     place();
 }
 
@@ -408,14 +353,13 @@
         return false;
     if (gateway_.tryRetry(request_.service_))
         return true;
-    gateway_.log().write(LogDetail::Full, "retry_budget_exhausted",
-                         {{"request", request_.caller_.id_}, {"why", why}});
+    log_.retryBudgetExhausted(why);
     return false;
 }
 
-std::string_view Relay::toldFraming() const
+RequestCounts Relay::counts() const
 {
-    return state_.isTold() ? framingName(state_.framing()) : "nothing";
+    return {sends_, runs_, gateway_.now() - request_.receivedAt_};
 }
 
 void Relay::refuse(int status, ErrorCode code, std::optional<Duration> retryAfter)
@@ -430,13 +374,7 @@
     if (runs_ == 0 && isCharged_)
         gateway_.quotas().refund(request_.workspace_, request_.charge_);
     gateway_.countAnswer(&request_, status, errorName(code));
-    nlohmann::json fields = {{"request", request_.caller_.id_},
-                             {"status", status},
-                             {"code", errorName(code)},
-                             {"sends", sends_},
-                             {"runs", runs_},
-                             {"events", state_.events()},
-                             {"elapsed_us", (gateway_.now() - request_.receivedAt_).count()}};
+    nlohmann::json fields = nlohmann::json::object();
     if (retryAfter)
         fields["retry_after_us"] = retryAfter->count();
     if (code == ErrorCode::RateLimited) {
@@ -445,18 +383,16 @@
         fields["units"] = gateway_.quotas().unitsOf(request_.workspace_);
         fields["owners"] = gateway_.quotas().ownersOf(request_.workspace_);
     }
-    const AnswerBreak how = state_.breakOff();
     if (gap_) {
         fields["not_resumed"] = positionGapName(*gap_);
         gateway_.serving().recordNotResumed(positionGapName(*gap_));
     }
+    log_.refused(status, code, counts(), std::move(fields));
+    const AnswerBreak how = state_.breakOff();
     if (how != AnswerBreak::Refuse) {
-        fields["told"] = toldFraming();
-        gateway_.log().write(LogDetail::Full, "broken_off", std::move(fields));
         answer_.abortAnswer(how);
         return;
     }
-    gateway_.log().write(LogDetail::Full, "refused", std::move(fields));
     Refusal refusal{status, request_.caller_.id_, std::string(errorName(code)), retryAfter,
                     answer_.closesAfterAnswer()};
     answer_.sendAnswer(gateway_.codec().refusal(refusal));
@@ -486,18 +422,9 @@
     gateway_.countAnswer(&request_, state_.status(), "target");
     if (state_.events() > 1)
         gateway_.serving().pause(longestPause_);
-    if (gateway_.log().admits(LogDetail::Sampled, "answered"))
-        gateway_.log().write(
-            LogDetail::Sampled, "answered",
-            {{"request", request_.caller_.id_},
-             {"status", state_.status()},
-             {"target", tried_.empty() ? "" : tried_.back()},
-             {"sends", sends_},
-             {"events", state_.events()},
-             {"told", toldFraming()},
-             {"first_us",
-              state_.events() > 0 ? (firstEventAt_ - request_.receivedAt_).count() : -1},
-             {"elapsed_us", (gateway_.now() - request_.receivedAt_).count()}});
+    log_.answered(tried_.empty() ? "" : tried_.back(), counts(),
+                  state_.events() > 0 ? std::optional(firstEventAt_ - request_.receivedAt_)
+                                      : std::nullopt);
     answer_.endAnswer();
 }
 
@@ -511,7 +438,7 @@
 
 void Relay::failAttempt(const Error &error)
 {
-    const std::string instance = instance_;
+    const std::string instance = use_.instance();
     if (replyHandling_ != ReplyHandling::None)
         gateway_.serving().recordAnswerEnd("broken");
     gateway_.serving().recordFailedAttempt(errorName(error.code_));
@@ -519,14 +446,7 @@
     if (Target *target = gateway_.targets().find(instance))
         gateway_.targets().failed(*target, gateway_.now());
     releaseTarget();
-    gateway_.log().write(LogDetail::Full, "attempt_failed",
-                         {{"request", request_.caller_.id_},
-                          {"target", instance},
-                          {"code", errorName(error.code_)},
-                          {"execution", executionName(error.execution_)},
-                          {"what", error.message_},
-                          {"events", state_.events()},
-                          {"attempt_events", state_.attemptEvents()}});
+    log_.attemptFailed(instance, error);
     if (!mayHaveRun) {
         gateway_.recordUnreachable(instance);
         if (sends_ < kMaxSends)
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -19,11 +19,12 @@
 
 #include <asio.hpp>
 
+#include "gateway/admitted_request.h"
 #include "gateway/answer_state.h"
-#include "gateway/codec.h"
 #include "gateway/placement.h"
+#include "gateway/request_log.h"
 #include "gateway/target_connection.h"
-#include "retry/suspect_record.h"
+#include "gateway/target_use.h"
 
 namespace foxtailturn::gateway {
 
@@ -56,25 +57,6 @@
     [[nodiscard]] virtual bool hasCallerLeft() = 0;
 };
 
-// A request that was admitted.
-struct AdmittedRequest
-{
-    MessageHead head_;
-    std::string body_;
-    CallerRequest caller_;
-    std::shared_ptr<const ServingConfig> config_;
-    const Route *route_ = nullptr; // in config_
-    std::string service_;
-    std::string workspace_;
-    int priority_ = 0;
-    std::int64_t charge_ = 0; // quota tokens (or requests) that the request costs its workspace
-    bool needsGrant_ = false; // the entry's own parts of the quota do not cover the charge
-    std::vector<Suspect>
-        suspects_; // the request itself, and the parts of its prompt that it shares
-    TimePoint receivedAt_{};
-    TimePoint deadline_{};
-};
-
 // Not thread-safe. Owned by the caller's connection until the answer has ended.
 class Relay final : public std::enable_shared_from_this<Relay>, ExchangeSink
 {
@@ -124,7 +106,6 @@
     void onTimer();
     [[nodiscard]] Duration idleLimit() const;
     [[nodiscard]] bool mayGoOnElsewhere() const;
-    [[nodiscard]] std::string_view toldFraming() const;
     [[nodiscard]] bool mayRetry(std::string_view why);
     void retryAttempt(std::string_view why);
     void failAttempt(const Error &error);
@@ -134,6 +115,7 @@
 
     void onExchangeFailure(const Error &error) override;
     [[nodiscard]] PlacementRequest placementRequest() const;
+    [[nodiscard]] RequestCounts counts() const;
 
     // In relay_reply.cpp.
     void onReplyHead(const MessageHead &head, const TargetReply &reply) override;
@@ -146,9 +128,7 @@
     void beginDiscard();
     void discard(std::size_t bytes);
     void finishDiscard();
-    void recordFirstEvent();
     void recordEvents(const AnswerStep &step);
-    void logUnstatedEnd(AnswerVerdict verdict);
     [[nodiscard]] std::vector<Suspect> suspects() const;
 
     Gateway &gateway_;
@@ -157,26 +137,23 @@
     asio::steady_timer timer_;
 
     std::shared_ptr<TargetConnection> connection_;
-    std::string instance_; // target of the attempt under way
+    TargetUse use_; // by the attempt under way
     std::vector<std::string> tried_; // instances that the request was sent to
     int runs_ = 0; // attempts that may have run
     int sends_ = 0;
-    TimePoint sentAt_{};
     TimePoint progressAt_{}; // when the request was sent or the answer last went on; an event, for
                              // a stream
     TimePoint waitUntil_{}; // latest end of the wait for an adapter load
     TimePoint placeAt_ = TimePoint::max(); // when a target is expected to want requests again
-    bool wasOnlyPrefill_ =
-        false; // when sent, no other prompt was known to be in prefill at the target
-    std::int64_t uncachedTokens_ = 0;
 
     ReplyHandling replyHandling_ = ReplyHandling::None;
     TargetReply reply_;
+    BodyFraming replyFraming_ = BodyFraming::None;
     std::size_t discardedBytes_ = 0;
     TimePoint discardUntil_{}; // the rest of a discarded answer is not read after this
     AnswerState state_;
+    RequestLog log_;
     std::optional<PositionGap> gap_; // why the stream was not resumed
-    bool hasFirstEvent_ = false;
     bool isWaiting_ = false;
     bool isCharged_ = true; // the charge was taken from the quota
     bool isEnded_ = false;
--- a/packages/gateway/relay_reply.cpp
+++ b/packages/gateway/relay_reply.cpp
@@ -26,8 +26,9 @@
 {
     progressAt_ = gateway_.now();
     reply_ = reply;
+    replyFraming_ = head.framing_;
     if (reply.isLeaving_)
-        gateway_.recordLeaving(reply.instance_.empty() ? instance_ : reply.instance_);
+        gateway_.recordLeaving(reply.instance_.empty() ? use_.instance() : reply.instance_);
     if (head.status_ == kUnavailable || (reply.isNotRun_ && head.status_ == kTooManyRequests))
         recordRejection(reply);
     if (reply.isNotRun_) {
@@ -75,25 +76,6 @@
         onExchangeFailure(*step.error_);
 }
 
-void Relay::recordFirstEvent()
-{
-    if (hasFirstEvent_)
-        return;
-    hasFirstEvent_ = true;
-    Target *target = gateway_.targets().find(instance_);
-    if (target != nullptr) {
-        --target->pendingCount_;
-        target->pendingPrompt_ -= uncachedTokens_;
-        gateway_.targets().succeeded(*target);
-    }
-    Placement &placement = gateway_.placement(request_.service_);
-    const TimePoint now = gateway_.now();
-    if (wasOnlyPrefill_ && state_.isStream())
-        placement.recordPrefillTime(uncachedTokens_, now - sentAt_);
-    if (!request_.caller_.prefix_.empty())
-        placement.recordCachedPrefix(instance_, placementRequest(), now);
-}
-
 void Relay::recordEvents(const AnswerStep &step)
 {
     if (step.seenEvents_ == 0)
@@ -130,7 +112,7 @@
 
 void Relay::recordRejection(const TargetReply &reply)
 {
-    Target *target = gateway_.targets().find(instance_);
+    Target *target = use_.target();
     // A 503 that says neither is the target's own answer to this request.
     if (target == nullptr || (!reply.isNotRun_ && !reply.retryAfter_))
         return;
@@ -139,9 +121,9 @@
     target->backoff_.recordRejection(now, reply.retryAfter_, gateway_.jitter());
     gateway_.serving().recordRejection(request_.service_);
     if (!wasClosed && target->backoff_.isClosed(now))
-        gateway_.log().write(
-            LogDetail::Full, "target_closed",
-            {{"target", instance_}, {"for_us", (target->backoff_.closedUntil() - now).count()}});
+        gateway_.log().write(LogDetail::Full, "target_closed",
+                             {{"target", use_.instance()},
+                              {"for_us", (target->backoff_.closedUntil() - now).count()}});
 }
 
 void Relay::beginDiscard()
@@ -155,10 +137,8 @@
 void Relay::finishDiscard()
 {
     gateway_.serving().recordFailedAttempt("answer_given_up");
-    gateway_.log().write(
-        LogDetail::Full, "answer_given_up",
-        {{"request", request_.caller_.id_}, {"target", instance_}, {"bytes", discardedBytes_}});
-    if (Target *target = gateway_.targets().find(instance_))
+    log_.answerGivenUp(use_.instance(), discardedBytes_);
+    if (Target *target = use_.target())
         gateway_.targets().failed(*target, gateway_.now());
     connection_->abandon();
     onReplyEnd();
@@ -179,7 +159,7 @@
         return;
     if (!state_.isStream())
         progressAt_ = gateway_.now();
-    recordFirstEvent();
+    use_.recordFirstBytes(state_.isStream());
     passOn(state_.onBody(data));
 }
 
@@ -187,13 +167,13 @@
 {
     const std::shared_ptr<Relay> self = shared_from_this();
     connection_.reset(); // already released to the pool or closed
-    gateway_.serving().recordAnswerEnd(framingName(state_.targetFraming()));
+    gateway_.serving().recordAnswerEnd(framingName(replyFraming_));
     if (replyHandling_ == ReplyHandling::Discard && reply_.isNotRun_) {
         const bool isOther = reply_.isOtherInstance_;
-        if (Target *target = gateway_.targets().find(instance_); target != nullptr && isOther) {
+        if (Target *target = use_.target(); target != nullptr && isOther) {
             target->requestedLoads_.erase(
                 adapterName(request_.caller_.model_, request_.caller_.adapter_));
-            if (!reply_.instance_.empty() && reply_.instance_ != instance_)
+            if (!reply_.instance_.empty() && reply_.instance_ != use_.instance())
                 gateway_.targets().markSuperseded(*target);
         }
         releaseTarget();
@@ -218,9 +198,9 @@
         return;
     }
     ++runs_;
-    recordFirstEvent();
-    if (state_.targetFraming() == BodyFraming::UntilClose)
-        logUnstatedEnd(verdict);
+    use_.recordFirstBytes(state_.isStream());
+    if (replyFraming_ == BodyFraming::UntilClose)
+        log_.endNotStated(use_.instance(), verdict);
     releaseTarget();
     if (state_.status() < kFirstServerErrorStatus) // an error may come before a run
         gateway_.recordSound(request_.suspects_);
@@ -242,16 +222,4 @@
         failRequest(ErrorCode::TargetFailed);
 }
 
-void Relay::logUnstatedEnd(AnswerVerdict verdict)
-{
-    const bool isTold = verdict == AnswerVerdict::Complete;
-    gateway_.log().write(LogDetail::Full, "end_not_stated",
-                         {{"request", request_.caller_.id_},
-                          {"target", instance_},
-                          {"end", framingName(state_.targetFraming())},
-                          {"bytes", state_.bytes()},
-                          {"events", state_.attemptEvents()},
-                          {"told", isTold ? framingName(BodyFraming::UntilClose) : "nothing"}});
-}
-
 } // namespace foxtailturn::gateway
