ctl: explain tells each answer's framing, where it ended and what the caller was told

For one request id, in order: how a target's answer told its end, where and after how many bytes and events it broke off, behind which event the next one went on, and which framing the caller was told.

--- a/packages/ctl/explain.cpp
+++ b/packages/ctl/explain.cpp
@@ -95,6 +95,50 @@
                   "), the caller was told \"", textOf(end->fields_, "told"), "\"");
 }
 
+std::string toldText(const Json &json)
+{
+    return concat("the caller was told \"", textOf(json, "told"), "\" and got ",
+                  textOf(json, "events"), " events");
+}
+
+// What a line says of a target's answer, or of what the caller was told; empty if nothing.
+std::string answerText(const StoryLine &line)
+{
+    const Json &json = line.fields_;
+    const std::string target = concat("target ", textOf(json, "target"), ": ");
+    if (line.kind_ == "attempt_failed")
+        return concat(target, "framed by \"", textOf(json, "framing"), "\", broke off ",
+                      textOf(json, "ended"), " after ", textOf(json, "bytes"), " bytes and ",
+                      textOf(json, "attempt_events"), " events: ", textOf(json, "what"));
+    if (line.kind_ == "end_not_stated")
+        return concat(target, "framed by \"", textOf(json, "end"),
+                      "\", ended with its connection after ", textOf(json, "bytes"), " bytes and ",
+                      textOf(json, "events"), " events");
+    if (line.kind_ == "resumed")
+        return concat("goes on behind event ", textOf(json, "last_event"), "; ", toldText(json));
+    if (line.kind_ == "resent")
+        return concat("asked anew; ", toldText(json));
+    if (line.kind_ == "answered")
+        return concat(target, "framed by \"", textOf(json, "framing"), "\", ended; ",
+                      toldText(json));
+    const std::string gap = textOf(json, "not_resumed");
+    if (line.kind_ == "broken_off")
+        return concat("broken off; ", toldText(json),
+                      gap.empty() ? "" : concat("; not resumed: ", gap));
+    return line.kind_ == "refused" ? concat("refused with ", textOf(json, "status")) : "";
+}
+
+std::vector<std::string> answersOf(const std::vector<StoryLine> &lines)
+{
+    std::vector<std::string> answers;
+    for (const StoryLine &line : lines) {
+        std::string text = line.isContext_ ? "" : answerText(line);
+        if (!text.empty())
+            answers.push_back(std::move(text));
+    }
+    return answers;
+}
+
 std::string causeOf(const std::vector<StoryLine> &lines)
 {
     if (const StoryLine *broken = lastOf(lines, "broken_off")) {
@@ -176,6 +220,7 @@
         explanation.lines_.push_back(std::move(line));
     }
     std::stable_sort(explanation.lines_.begin(), explanation.lines_.end(), byTime);
+    explanation.answers_ = answersOf(explanation.lines_);
     explanation.cause_ = causeOf(explanation.lines_);
     return explanation;
 }
--- a/packages/ctl/explain.h
+++ b/packages/ctl/explain.h
@@ -33,6 +33,8 @@
 struct Explanation
 {
     std::vector<StoryLine> lines_; // in order of time
+    // How each attempt's answer was framed and ended, and what the caller was told, in order.
+    std::vector<std::string> answers_;
     std::string cause_; // one sentence; empty if the logs do not know the request
 
     bool operator==(const Explanation &) const = default;
--- a/packages/ctl/explain_test.cpp
+++ b/packages/ctl/explain_test.cpp
@@ -69,6 +69,35 @@
     }
 }
 
+// Guards against an answer whose way from target to caller can't be told.
+TEST_CASE("each attempt's answer and what the caller was told are named in order")
+{
+    LogReader reader;
+    reader.read(
+        "f",
+        R"({"kind":"attempt_failed","request":"r","target":"t1","framing":"last_chunk",)"
+        R"("ended":"inside_event","bytes":70,"attempt_events":2,"what":"lost","time_us":1})"
+        "\n"
+        R"({"kind":"resumed","request":"r","last_event":"2","told":"last_chunk","events":2,)"
+        R"("time_us":2})"
+        "\n"
+        R"({"kind":"end_not_stated","request":"r","target":"t2","end":"close","bytes":30,)"
+        R"("events":1,"told":"nothing","time_us":3})"
+        "\n"
+        R"({"kind":"broken_off","request":"r","told":"last_chunk","events":3,)"
+        R"("not_resumed":"event_without_id","time_us":4})"
+        "\n");
+    const std::vector<std::string> expected = {
+        "target t1: framed by \"last_chunk\", broke off inside_event after 70 bytes and 2 events: "
+        "lost",
+        "goes on behind event 2; the caller was told \"last_chunk\" and got 2 events",
+        "target t2: framed by \"close\", ended with its connection after 30 bytes and 1 events",
+        "broken off; the caller was told \"last_chunk\" and got 3 events; not resumed: "
+        "event_without_id",
+    };
+    CHECK(reader.explain("r").answers_ == expected);
+}
+
 TEST_CASE("lines of several logs are put in order of time")
 {
     LogReader reader;
--- a/packages/ctl/log_commands.cpp
+++ b/packages/ctl/log_commands.cpp
@@ -61,6 +61,9 @@
                                  line.isContext_ ? concat("(", line.kind_, ")") : line.kind_,
                                  detailsOf(line)});
     }
+    for (const std::string &answer : explanation.answers_)
+        report.table_.push_back({"", "", "answer:", answer});
+    report.json_["answers"] = explanation.answers_;
     if (!explanation.cause_.empty())
         report.table_.push_back({"", "", "cause:", explanation.cause_});
     report.json_["cause"] = explanation.cause_;
