ctl, http_storage: answers are read up to a limit

A process that answers an operator's command without end took the command's memory and held it for good; so did an answer of the table or object store without end. cpp-httplib bounds neither.

foxtailturnctl reads admin ports by HttpExchange, which moves to http1 and is bounded in bytes and time as a whole. HttpTransport takes at most 64 MB of a body; heads of the store's answers stay unbounded (design.md). Both tests were seen to fail on the code before, under a limit of 6 GB: SIGABRT and std::bad_alloc.

--- a/packages/agent/http_engine_orders.h
+++ b/packages/agent/http_engine_orders.h
@@ -10,7 +10,7 @@
 #include <string>
 
 #include "adapters/engine_orders.h"
-#include "agent/http_exchange.h"
+#include "http1/http_exchange.h"
 #include "base/clock.h"
 
 namespace foxtailturn {
--- a/packages/agent/target_client.h
+++ b/packages/agent/target_client.h
@@ -8,8 +8,8 @@
 #include <string>
 #include <string_view>
 
-#include "agent/http_exchange.h"
-#include "agent/target_sink.h"
+#include "http1/http_exchange.h"
+#include "http1/target_sink.h"
 #include "base/clock.h"
 #include "base/error.h"
 
--- a/packages/ctl/ctl_test.cpp
+++ b/packages/ctl/ctl_test.cpp
@@ -5,6 +5,7 @@
 #include <sstream>
 #include <thread>
 
+#include <asio.hpp>
 #include <doctest/doctest.h>
 #include <httplib.h>
 
@@ -225,6 +226,50 @@
     thread.join();
 }
 
+// Guards against a process that answers without end, and against a command that waits for it.
+TEST_CASE("HttpAdminClient reads an answer without end up to a limit or its timeout")
+{
+    struct Case
+    {
+        std::string first_;
+        std::string repeated_;
+        std::string error_; // a part of it
+    };
+    const std::string piece(65'536, 'x');
+    std::string fields;
+    while (fields.size() < piece.size())
+        fields += "a: b\r\n";
+    const Case cases[] = {
+        {"HTTP/1.1 200 OK\r\n\r\n", piece, "longer than the limit"},
+        {"HTTP/1.1 200 OK\r\n", fields, "too many bytes before the answer"},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{", "", "by the deadline"},
+    };
+    for (const Case &c : cases) {
+        CAPTURE(c.error_);
+        asio::io_context context;
+        asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+        std::thread server([&] {
+            asio::ip::tcp::socket peer = acceptor.accept();
+            asio::error_code error;
+            asio::write(peer, asio::buffer(c.first_), error);
+            while (!error && !c.repeated_.empty())
+                asio::write(peer, asio::buffer(c.repeated_), error);
+            std::string request;
+            asio::read(peer, asio::dynamic_buffer(request), error); // until the client closes
+        });
+        HttpAdminClient admin("t", std::chrono::seconds(2));
+        const auto begin = std::chrono::steady_clock::now();
+        const Result<Json> state =
+            admin.state("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()));
+        CHECK(std::chrono::steady_clock::now() - begin < std::chrono::seconds(4));
+        REQUIRE_FALSE(state);
+        CHECK(state.error().code_ == ErrorCode::ConnectionLost);
+        CAPTURE(state.error().message_);
+        CHECK(state.error().message_.find(c.error_) != std::string::npos);
+        server.join();
+    }
+}
+
 TEST_CASE("printReport writes a table or one JSON document")
 {
     Report report = failureReport(ExitCode::Conflict, "no");
--- a/packages/http1/http_exchange.cpp
+++ b/packages/http1/http_exchange.cpp
@@ -1,4 +1,4 @@
-#include "agent/http_exchange.h"
+#include "http1/http_exchange.h"
 
 #include <algorithm>
 #include <array>
@@ -14,7 +14,7 @@
 
 namespace {
 
-// The target is on the same VM or close to it, so a connection that takes longer means that it is
+// The peer is on the same VM or close to it, so a connection that takes longer means that it is
 // down.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
 constexpr std::size_t kReadBytes = 16'384;
@@ -53,7 +53,7 @@
     {
         if (expectsNoBody)
             parser_.expectNoBody();
-        // A target may answer before it has read all, so a failed write shows in the answer.
+        // A peer may answer before it has read all, so a failed write shows in the answer.
         asio::async_write(socket_, asio::buffer(text),
                           [](const asio::error_code &, std::size_t) {});
         read();
@@ -63,13 +63,11 @@
         if (isAborted_)
             return outcomeUnknown(ErrorCode::Cancelled, "call was cancelled");
         if (isLate_)
-            return outcomeUnknown(ErrorCode::TargetTimeout,
-                                  "target did not finish by the deadline");
+            return outcomeUnknown(ErrorCode::TargetTimeout, "peer did not finish by the deadline");
         if (isDone_)
             return {};
         if (failure_.empty())
-            return outcomeUnknown(ErrorCode::TargetTimeout,
-                                  "target did not finish by the deadline");
+            return outcomeUnknown(ErrorCode::TargetTimeout, "peer did not finish by the deadline");
         return outcomeUnknown(ErrorCode::TargetFailed, failure_);
     }
 
@@ -93,7 +91,7 @@
                                     if (parser_.error())
                                         fail("malformed answer: " + parser_.error()->message_);
                                     if (!isDone_ && error)
-                                        fail("target closed the connection during the call");
+                                        fail("peer closed the connection during the call");
                                     if (hasEnded())
                                         context_.stop();
                                     else
@@ -146,7 +144,7 @@
     void onMessageEnd() override
     {
         if (framing_ == BodyFraming::UntilClose && !sink_.acceptsUnstatedEnd())
-            fail("target ended its answer by a close, without a length or chunks");
+            fail("peer ended its answer by a close, without a length or chunks");
         else
             isDone_ = !isInterim_;
     }
@@ -213,7 +211,7 @@
         head.add("Content-Length", std::to_string(body.size()));
     Connection connection(*clock_, deadline, sink);
     if (!connection.connect(host_, port_))
-        return notRun(ErrorCode::TargetFailed, "target refused the connection");
+        return notRun(ErrorCode::TargetFailed, "peer refused the connection");
     return connection.exchange(concat(requestText(head), body), head.method_ == "HEAD");
 }
 
--- a/packages/http1/http_exchange.h
+++ b/packages/http1/http_exchange.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// One HTTP/1.1 exchange with the agent's target, on a connection of its own.
+// One HTTP/1.1 exchange with a target or an admin port, on a connection of its own.
 //
 //     const HttpExchange exchange("10.0.0.7", 8000, clock);
 //     const Result<void> done = exchange.run(head, body, deadline, sink);
@@ -13,10 +13,10 @@
 #include <string>
 #include <string_view>
 
-#include "agent/target_sink.h"
 #include "base/clock.h"
 #include "base/error.h"
 #include "http1/message.h"
+#include "http1/target_sink.h"
 
 namespace foxtailturn {
 
--- a/packages/http1/http_exchange_test.cpp
+++ b/packages/http1/http_exchange_test.cpp
@@ -1,4 +1,4 @@
-#include "agent/http_exchange.h"
+#include "http1/http_exchange.h"
 
 #include <asio.hpp>
 #include <doctest/doctest.h>
--- a/packages/http1/target_sink.h
+++ b/packages/http1/target_sink.h
@@ -1,9 +1,9 @@
 #pragma once
 
-// Receives the answer of a call to the agent's target.
+// Receives the answer of a call by HttpExchange.
 //
 //     class Recorder : public TargetSink { ... };
-//     client.call(request, recorder);
+//     exchange.run(head, body, deadline, recorder);
 
 #include <string>
 #include <string_view>
--- a/packages/http_storage/http_platform_test.cpp
+++ b/packages/http_storage/http_platform_test.cpp
@@ -206,6 +206,25 @@
     }
 }
 
+// Guards against an answer without end that takes the memory of its reader.
+TEST_CASE("an answer without end is longer than the limit")
+{
+    StubServer server;
+    const std::string piece(1'048'576, 'x');
+    server.Get("/endless", [&](const httplib::Request &, httplib::Response &response) {
+        response.set_chunked_content_provider("text/plain", [&](size_t, httplib::DataSink &sink) {
+            return sink.write(piece.data(), piece.size());
+        });
+    });
+    const SystemClock clock;
+    HttpTransport transport(kHost, server.start(kHost, 0, 2), clock);
+    const Result<HttpAnswer> answer = transport.send({.method_ = "GET", .path_ = "/endless"},
+                                                     clock.now() + std::chrono::seconds(20));
+    REQUIRE_FALSE(answer);
+    CHECK(answer.error().code_ == ErrorCode::StoreUnavailable);
+    CHECK(answer.error().message_.find("longer than the limit") != std::string::npos);
+}
+
 // Guards against a caller that an unresponsive service blocks past the deadline.
 TEST_CASE_FIXTURE(Fixture, "the deadline bounds the wait for an unresponsive service")
 {
--- a/packages/http_storage/http_transport.cpp
+++ b/packages/http_storage/http_transport.cpp
@@ -129,11 +129,23 @@
     httplib::Request outgoing = toHttplib(request);
     // The read timeout bounds each read only; this ends a response that arrives slowly.
     outgoing.progress = [&](std::uint64_t, std::uint64_t) { return clock_.now() < deadline; };
+    std::string body;
+    bool isTooLong = false;
+    outgoing.content_receiver = [&](const char *data, std::size_t size, std::uint64_t,
+                                    std::uint64_t) {
+        isTooLong = body.size() + size > kMaxAnswerBytes;
+        if (!isTooLong)
+            body.append(data, size);
+        return !isTooLong;
+    };
     const httplib::Result result = client->send(outgoing);
+    if (isTooLong)
+        return unavailable(executionOf(request, httplib::Error::Canceled),
+                           "platform request failed: the answer is longer than the limit");
     if (!result)
         return unavailable(executionOf(request, result.error()),
                            concat("platform request failed: ", httplib::to_string(result.error())));
-    HttpAnswer answer{result->status, result->body, result->get_header_value("ETag"),
+    HttpAnswer answer{result->status, std::move(body), result->get_header_value("ETag"),
                       result->get_header_value("x-effect")};
     releaseClient(std::move(client));
     return answer;
--- a/packages/http_storage/http_transport.h
+++ b/packages/http_storage/http_transport.h
@@ -7,6 +7,7 @@
 //     Result<HttpAnswer> answer = transport.send({.method_ = "GET", .path_ = "/members"},
 //     deadline);
 
+#include <cstddef>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -53,6 +54,9 @@
 class HttpTransport
 {
 public:
+    // Longest body of an answer. Objects, such as adapters, are the longest.
+    static constexpr std::size_t kMaxAnswerBytes = 67'108'864;
+
     // Precondition: clock outlives this object.
     HttpTransport(std::string host, int port, const Clock &clock);
     ~HttpTransport();
@@ -60,8 +64,8 @@
     HttpTransport &operator=(const HttpTransport &) = delete;
 
     // Sends the request once and returns any complete answer, whatever its status. Error:
-    // StoreUnavailable, OutcomeUnknown if a request other than GET may have reached the service.
-    // Thread-safe.
+    // StoreUnavailable, also for an answer longer than kMaxAnswerBytes, OutcomeUnknown if a request
+    // other than GET may have reached the service. Thread-safe.
     [[nodiscard]] Result<HttpAnswer> send(const HttpRequest &request, TimePoint deadline);
 
 private:
