--- a/tools/sanitize.sh
+++ b/tools/sanitize.sh
@@ -12,4 +12,5 @@
 cmake --build "$build" --target foxtailturnd_fleet
 export ASAN_OPTIONS=detect_leaks=0
 python3 -B platform/testing/answers_test.py "$build" UnstatedEnd BrokenOff Bodiless EndInsideEvent
+python3 -B platform/testing/resume_test.py "$build"
 python3 -B platform/testing/soak.py "$build" --seeds 1-2
