--- a/packages/agent/http_engine_orders.h
+++ b/packages/agent/http_engine_orders.h
@@ -10,8 +10,8 @@
 #include <string>
 
 #include "adapters/engine_orders.h"
-#include "http1/http_exchange.h"
 #include "base/clock.h"
+#include "http1/http_exchange.h"
 
 namespace foxtailturn {
 
--- a/packages/agent/target_client.h
+++ b/packages/agent/target_client.h
@@ -8,10 +8,10 @@
 #include <string>
 #include <string_view>
 
-#include "http1/http_exchange.h"
-#include "http1/target_sink.h"
 #include "base/clock.h"
 #include "base/error.h"
+#include "http1/http_exchange.h"
+#include "http1/target_sink.h"
 
 namespace foxtailturn {
 
