gateway: the close of a target whose process has ended is not the end of its answer

The system of a process that ends closes its connections in an orderly way, and the entry took that close for the target's word that it had sent all.

Before such an answer ends for its caller, the entry looks whether the target still runs: an idle connection that is open, else a new one, which the pool keeps. An address that refuses connections has no process, so the attempt has failed: a stream is resumed, a repeatable request goes to another target, anything else is broken off. No answer in time says nothing; then the close counts, as before.

Ruled out: an end inside an event (it fails already, in each framing) and a reset (a failed attempt).

--- a/packages/gateway/answer_state.cpp
+++ b/packages/gateway/answer_state.cpp
@@ -199,9 +199,10 @@
     return std::nullopt;
 }
 
-// Returns why the stream that has just ended was broken off.
-std::optional<Error> AnswerState::checkStreamEnd() const
+std::optional<Error> AnswerState::brokenOff() const
 {
+    if (!isStream_)
+        return std::nullopt;
     const bool isStated = targetFraming_ != BodyFraming::UntilClose;
     const ErrorCode code = isStated ? ErrorCode::TargetFailed : ErrorCode::ConnectionLost;
     if (splitter_.isInsideEvent() || (splitter_.isInsideLine() && !isStated))
@@ -216,11 +217,10 @@
 AnswerStep AnswerState::onEnd()
 {
     AnswerStep step;
-    if (isStream_) {
-        if (const std::optional<Error> error = checkStreamEnd())
-            return failed({}, *error);
+    if (const std::optional<Error> error = brokenOff())
+        return failed({}, *error);
+    if (isStream_)
         step.body_ = framed(splitter_.remainder()); // comments
-    }
     if (!isTold_) {
         step.head_ = tellHead(Body::Whole);
         step.body_ = framed(std::exchange(buffer_, {}));
--- a/packages/gateway/answer_state.h
+++ b/packages/gateway/answer_state.h
@@ -87,6 +87,10 @@
     [[nodiscard]] AnswerStep onBody(std::string_view data);
     [[nodiscard]] AnswerStep onEnd();
 
+    // Returns why the answer of the attempt under way would be broken off if its connection ended
+    // now; nullopt if its bytes may be whole.
+    [[nodiscard]] std::optional<Error> brokenOff() const;
+
     // Returns whether the answer of another target can go on where the caller's stands.
     [[nodiscard]] bool mayGoOn() const;
 
@@ -130,7 +134,6 @@
     void append(std::string &text, const StreamEvent &event, bool isAtBeginning);
     [[nodiscard]] AnswerStep onEvents(std::string_view data);
     [[nodiscard]] std::optional<Error> checkEvents() const;
-    [[nodiscard]] std::optional<Error> checkStreamEnd() const;
 
     AnswerRequest request_;
 
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -358,8 +358,8 @@
 
 void Gateway::checkTarget(const std::string &instance, const std::string &address)
 {
-    pool_.check(address, now() + kCheckTimeout, [this, instance, address](bool isReachable) {
-        if (!isReachable) {
+    const auto onChecked = [this, instance, address](Reachability reachability) {
+        if (reachability != Reachability::Reachable) {
             recordUnreachable(instance);
             return;
         }
@@ -367,7 +367,8 @@
         parts_.log_.write(LogDetail::Full, "connection_lost", {{"target", instance}});
         if (crashes_.recordReachable(instance, now()))
             checkTarget(instance, address);
-    });
+    };
+    pool_.check(address, now() + kCheckTimeout, onChecked);
 }
 
 void Gateway::recordUnreachable(const std::string &instance)
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -262,6 +262,10 @@
 void Relay::onTimer()
 {
     const TimePoint now = gateway_.now();
+    if (isCheckingEnd_ && now >= request_.deadline_) {
+        finishReply();
+        return;
+    }
     if (now >= request_.deadline_ + kDeadlineGrace) {
         abandonAttempt();
         failRequest(ErrorCode::DeadlineExceeded);
@@ -301,6 +305,7 @@
     if (isEnded_)
         return;
     isEnded_ = true;
+    isCheckingEnd_ = false;
     timer_.cancel();
     if (isWaiting_)
         gateway_.removeWaiting(shared_from_this());
@@ -314,6 +319,8 @@
 void Relay::shutDown()
 {
     const std::shared_ptr<Relay> self = shared_from_this();
+    if (isCheckingEnd_)
+        finishReply();
     if (isEnded_)
         return;
     abandonAttempt();
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -122,6 +122,9 @@
     void onReplyBody(std::string_view data) override;
     void onReplyEnd() override;
 
+    void checkEnd();
+    void onEndChecked(Reachability reachability);
+    void finishReply();
     void passOn(AnswerStep step);
     void askForMore();
     void recordRejection(const TargetReply &reply);
@@ -155,6 +158,7 @@
     RequestLog log_;
     std::optional<PositionGap> gap_; // why the stream was not resumed
     bool isWaiting_ = false;
+    bool isCheckingEnd_ = false; // the answer is there but for the word of its end
     bool isCharged_ = true; // the charge was taken from the quota
     bool isEnded_ = false;
     TimePoint firstEventAt_{};
--- a/packages/gateway/relay_reply.cpp
+++ b/packages/gateway/relay_reply.cpp
@@ -19,6 +19,7 @@
 // A target that ends because of a part of the prompt ends as it begins to answer. The first event
 // may leave it before.
 constexpr int kSoundEvents = 2;
+constexpr Duration kEndCheckTimeout = std::chrono::milliseconds(400); // a lost SYN or SYN-ACK
 
 } // namespace
 
@@ -191,6 +192,47 @@
         retryAttempt("the target answered with a server error");
         return;
     }
+    if (replyFraming_ == BodyFraming::UntilClose)
+        checkEnd();
+    else
+        finishReply();
+}
+
+// Learns whether the target that has closed its connection still runs. If its process has ended,
+// its system has closed the connection, and says nothing about the end of the answer.
+void Relay::checkEnd()
+{
+    const Target *target = use_.target();
+    if (target == nullptr || state_.brokenOff()
+        || gateway_.pool().hasOpenIdle(target->record_.address_)) {
+        finishReply();
+        return;
+    }
+    isCheckingEnd_ = true;
+    const TimePoint deadline = std::min(gateway_.now() + kEndCheckTimeout, request_.deadline_);
+    gateway_.pool().check(target->record_.address_, deadline,
+                          [weak = weak_from_this()](Reachability reachability) {
+                              const std::shared_ptr<Relay> self = weak.lock();
+                              if (self && self->isCheckingEnd_)
+                                  self->onEndChecked(reachability);
+                          });
+}
+
+void Relay::onEndChecked(Reachability reachability)
+{
+    if (reachability != Reachability::Refused) {
+        finishReply();
+        return;
+    }
+    isCheckingEnd_ = false;
+    failAttempt(Error{ErrorCode::ConnectionLost, Execution::OutcomeUnknown,
+                      "the target ended and did not state the end of its answer"});
+}
+
+// Decides about an answer whose body has ended.
+void Relay::finishReply()
+{
+    isCheckingEnd_ = false;
     AnswerStep step = state_.onEnd();
     const AnswerVerdict verdict = step.verdict_;
     if (verdict == AnswerVerdict::Failed) {
--- a/packages/gateway/target_connection.cpp
+++ b/packages/gateway/target_connection.cpp
@@ -74,7 +74,8 @@
         return;
     if (error) {
         fail(ErrorCode::ConnectionLost, "connect failed: " + error.message());
-        finishCheck(false);
+        finishCheck(error == asio::error::connection_refused ? Reachability::Refused
+                                                             : Reachability::Unknown);
         return;
     }
     parser_ = std::make_unique<MessageParser>(MessageKind::Response, read_limits::kMaxHeadBytes,
@@ -86,16 +87,16 @@
     if (isPaused_)
         stream_->pause();
     sendRequest();
-    finishCheck(true);
+    finishCheck(Reachability::Reachable);
 }
 
-void TargetConnection::finishCheck(bool isReachable)
+void TargetConnection::finishCheck(Reachability reachability)
 {
     if (!checkHandler_)
         return;
-    if (isReachable)
+    if (reachability == Reachability::Reachable)
         release();
-    std::exchange(checkHandler_, nullptr)(isReachable);
+    std::exchange(checkHandler_, nullptr)(reachability);
 }
 
 // Returns the connection to the pool.
@@ -308,11 +309,20 @@
 }
 
 void ConnectionPool::check(const std::string &address, TimePoint connectDeadline,
-                           std::function<void(bool isReachable)> handler)
+                           std::function<void(Reachability reachability)> handler)
 {
     open(address, connectDeadline)->checkHandler_ = std::move(handler);
 }
 
+bool ConnectionPool::hasOpenIdle(const std::string &address) const
+{
+    const auto it = idle_.find(address);
+    return it != idle_.end()
+        && std::any_of(it->second.begin(), it->second.end(), [this](const auto &connection) {
+               return connection->isUsable(clock_.now()) && !connection->stream_->hasPeerClosed();
+           });
+}
+
 void ConnectionPool::release(const std::shared_ptr<TargetConnection> &connection)
 {
     idle_[connection->address()].push_back(connection);
--- a/packages/gateway/target_connection.h
+++ b/packages/gateway/target_connection.h
@@ -38,6 +38,13 @@
     virtual void onExchangeFailure(const Error &error) = 0;
 };
 
+// Whether a target accepts connections.
+enum class Reachability {
+    Reachable,
+    Refused, // its system says that no process listens
+    Unknown, // no answer in time
+};
+
 class ConnectionPool;
 
 // Not thread-safe: belongs to the loop's thread.
@@ -73,7 +80,7 @@
 
     void connect();
     void onConnected(const asio::error_code &error);
-    void finishCheck(bool isReachable);
+    void finishCheck(Reachability reachability);
     void release();
     void sendRequest();
     void onData(std::string_view data);
@@ -102,7 +109,7 @@
     bool keepsAlive_ = true;
     bool isClosed_ = false;
     bool isPaused_ = false;
-    std::function<void(bool isReachable)> checkHandler_; // of a connection without an exchange
+    std::function<void(Reachability reachability)> checkHandler_; // of a connection without an exchange
     TimePoint usableUntil_ = TimePoint::max(); // an idle connection is not reused after this
     Duration idleTimeout_{}; // as the target announced it
     int exchanges_ = 0;
@@ -126,7 +133,11 @@
     // Opens a connection and keeps it as an idle one. Then calls the handler from the loop, with
     // whether the target has accepted it by the deadline.
     void check(const std::string &address, TimePoint connectDeadline,
-               std::function<void(bool isReachable)> handler);
+               std::function<void(Reachability reachability)> handler);
+
+    // Returns whether a connection to the address is idle that its target has not closed. Costs one
+    // system call for each.
+    [[nodiscard]] bool hasOpenIdle(const std::string &address) const;
 
     // Close the idle connections of an address, of all addresses, or those too old for reuse.
     void closeIdle(const std::string &address);
--- a/packages/gateway/target_connection_test.cpp
+++ b/packages/gateway/target_connection_test.cpp
@@ -100,22 +100,25 @@
 TEST_CASE("a check tells whether a target accepts connections, and keeps the connection")
 {
     Fixture fixture;
-    std::vector<bool> results;
+    std::vector<Reachability> results;
     const auto check = [&] {
         fixture.pool_.check(fixture.address_, fixture.clock_.now() + std::chrono::seconds(2),
-                            [&](bool isReachable) { results.push_back(isReachable); });
+                            [&](Reachability result) { results.push_back(result); });
         const std::size_t count = results.size();
         fixture.runUntil([&] { return results.size() > count; });
     };
+    CHECK_FALSE(fixture.pool_.hasOpenIdle(fixture.address_));
     check();
     fixture.accept();
+    CHECK(fixture.pool_.hasOpenIdle(fixture.address_));
     Recorder recorder;
     fixture.connect()->exchange("GET / HTTP/1.1\r\n\r\n", "7", false, recorder);
     CHECK(fixture.readRequest() == "GET / HTTP/1.1\r\n\r\n");
     CHECK(fixture.pool_.reused() == 1);
+    CHECK_FALSE(fixture.pool_.hasOpenIdle(fixture.address_));
     fixture.acceptor_.close();
     check();
-    CHECK(results == std::vector{true, false});
+    CHECK(results == std::vector{Reachability::Reachable, Reachability::Refused});
 }
 
 // Guards against forwarding the response to another request: a faulty target may send one late,
