gateway: an answer that only a close ends reaches callers in chunks

Callers took a part of an answer for all of it (ORDER) where the target gave neither a length nor chunks and the entry was killed, stopped past its grace, or its machine went, or the target reset its connection, and something on the way to the caller made a close of that. A reset was the only mark of a broken answer, and it doesn't reach each caller: balancers drop it, a machine that is gone sends none, and a caller's system reports it once, to whatever call comes first. Class: what the caller can't tell.

Chunks belong to one connection (RFC 9112, section 7.1). The entry sends such an answer in chunks of its own, and the last one only behind an orderly close of a target that still runs. No length is added, as that would be the target's to state.

The rule that "a caller is told of an end as its target has told of it" (answer_state_test, answer_sequences_test, UnstatedEnd, the soak) is replaced: no part of the bytes of any answer looks whole, no length that no target stated, and a stream whose first target states its end still needs a stated end.

--- a/packages/gateway/answer_sequences_test.cpp
+++ b/packages/gateway/answer_sequences_test.cpp
@@ -84,6 +84,8 @@
     int attempts_ = 1;
     Attempt attempt_;
     Sent sent_;
+    std::optional<BodyFraming> begunBy_; // of the target whose head the caller was told
+    bool looksWholeInPart_ = false; // a part of the bytes, ended by a close
 };
 
 // Returns whether the target's answer may be whole for all that its reader can know, and whether
@@ -136,8 +138,15 @@
     const bool isStream = setup.isStream() && view.status_ == 200;
     if (view.isComplete_ && !mayBeWhole(setup, outcome.attempt_))
         return "complete, and the target's answer was not";
-    if (view.isComplete_ && view.framing_ != "close" && outcome.attempt_.how_ != How::Stated)
-        return "told of an end that no target has stated";
+    const bool isUnstated = view.isComplete_ && outcome.attempt_.how_ != How::Stated;
+    if (isUnstated && view.framing_ == "length")
+        return "told of a length that no target has stated";
+    if (isUnstated && outcome.begunBy_ != BodyFraming::UntilClose)
+        return "ends without a word of its end, and its first target would have stated it";
+    if (setup.caller_ != Caller::Http10 && view.framing_ == "close")
+        return "nothing but a close tells of its end";
+    if (setup.caller_ != Caller::Http10 && outcome.looksWholeInPart_)
+        return "a part of it looks whole";
     if (isStream) {
         if (std::string fault = judgeEvents(setup, outcome); !fault.empty())
             return fault;
@@ -172,8 +181,22 @@
     AnswerState state_;
     std::string callersBytes_;
     std::uint64_t sequences_ = 0; // that lead here
+    std::optional<BodyFraming> begunBy_ = std::nullopt; // as in Outcome
 };
 
+// Returns whether a caller takes a part of an answer's bytes for all of them.
+bool looksWholeInPart(const std::string &bytes)
+{
+    const std::size_t lengths[] = {bytes.size() / 2,
+                                   bytes.size() - std::min(bytes.size(), kLastChunk.size()),
+                                   bytes.size() - std::min<std::size_t>(bytes.size(), 1)};
+    return std::any_of(std::begin(lengths), std::end(lengths), [&bytes](std::size_t length) {
+        return length < bytes.size()
+            && readAnswer(std::string_view(bytes).substr(0, length), ConnectionEnd::Close)
+                   .isComplete_;
+    });
+}
+
 class Enumeration
 {
 public:
@@ -215,6 +238,8 @@
         const AnswerVerdict verdict =
             Exchange(after.state_, after.callersBytes_)
                 .play(outcome.sent_.bytes_, attempt.how_, setup_.portion_);
+        if (!branch.state_.isTold() && after.state_.isTold())
+            after.begunBy_ = attempt.framing_;
         const bool isComplete = verdict == AnswerVerdict::Complete;
         if (!isComplete && setup_.isRepeatable() && after.state_.mayGoOn()
             && index + 1 < kMaxAttempts) {
@@ -229,6 +254,8 @@
             end = after.state_.breakOff() == AnswerBreak::Reset ? ConnectionEnd::Reset
                                                                 : ConnectionEnd::Close;
         outcome.view_ = readAnswer(after.callersBytes_, end);
+        outcome.begunBy_ = after.begunBy_;
+        outcome.looksWholeInPart_ = looksWholeInPart(after.callersBytes_);
         if (const std::string fault = judge(setup_, outcome); !fault.empty())
             faults_[fault + describe(outcome)] += branch.sequences_;
     }
@@ -249,7 +276,8 @@
     {
         branch.state_.beginAttempt();
         for (Branch &known : next_) {
-            if (known.callersBytes_ == branch.callersBytes_ && known.state_ == branch.state_) {
+            if (known.callersBytes_ == branch.callersBytes_ && known.state_ == branch.state_
+                && known.begunBy_ == branch.begunBy_) {
                 known.sequences_ += branch.sequences_;
                 return;
             }
--- a/packages/gateway/answer_state.cpp
+++ b/packages/gateway/answer_state.cpp
@@ -25,12 +25,11 @@
     return step;
 }
 
-// Returns whether an answer that was begun with a framing may end where a target's answer, framed
-// as target, has ended. It may not if the caller would be told of an end that the target has not
-// stated.
-bool mayEnd(BodyFraming caller, BodyFraming target)
+// Returns whether an answer that a target has begun may end where another target's answer has
+// ended. It may not if the first one would have stated the end and the other one has not.
+bool mayEnd(BodyFraming first, BodyFraming last)
 {
-    return caller == BodyFraming::UntilClose || target != BodyFraming::UntilClose;
+    return first == BodyFraming::UntilClose || last != BodyFraming::UntilClose;
 }
 
 } // namespace
@@ -94,9 +93,10 @@
 
 BodyFraming AnswerState::framingFor(Body body) const
 {
-    if (targetFraming_ == BodyFraming::None || targetFraming_ == BodyFraming::UntilClose)
-        return targetFraming_;
-    if (body == Body::Whole)
+    if (targetFraming_ == BodyFraming::None)
+        return BodyFraming::None;
+    const bool isStated = targetFraming_ != BodyFraming::UntilClose;
+    if (body == Body::Whole && isStated)
         return BodyFraming::Length;
     if (body == Body::Plain && targetFraming_ == BodyFraming::Length)
         return BodyFraming::Length;
@@ -109,6 +109,7 @@
     isTold_ = true;
     isStreamTold_ = body == Body::Stream;
     framing_ = framingFor(body);
+    begunBy_ = targetFraming_;
     MessageHead told;
     told.status_ = head_.status_;
     told.fields_ = forwardableFields(head_);
@@ -225,7 +226,7 @@
         step.head_ = tellHead(Body::Whole);
         step.body_ = framed(std::exchange(buffer_, {}));
     }
-    if (!mayEnd(framing_, targetFraming_)) {
+    if (!mayEnd(begunBy_, targetFraming_)) {
         step.verdict_ = AnswerVerdict::EndNotStated;
         return step;
     }
--- a/packages/gateway/answer_state.h
+++ b/packages/gateway/answer_state.h
@@ -14,9 +14,9 @@
 //     else if (step.verdict_ == AnswerVerdict::Failed)
 //         breakOff(state.breakOff());
 //
-// The caller is told no more than the targets have told: a body that ended with its target's
-// connection reaches the caller without a length and without chunks. A stream goes on at another
-// target only behind an event that both know (StreamPosition).
+// Only a last chunk, or a length that a target has stated, ends an answer for a caller that can read
+// chunks, so whatever happens between here and the caller, a part of an answer never looks whole. A
+// stream goes on at another target only behind an event that both know (StreamPosition).
 
 #include <cstddef>
 #include <optional>
@@ -141,6 +141,7 @@
     bool isTold_ = false;
     bool isStreamTold_ = false;
     BodyFraming framing_ = BodyFraming::None;
+    BodyFraming begunBy_ = BodyFraming::None; // of the target whose head the caller was told
     bool hasToldEvents_ = false; // or comments
     StreamPosition position_;
     int events_ = 0;
--- a/packages/gateway/answer_state_test.cpp
+++ b/packages/gateway/answer_state_test.cpp
@@ -44,9 +44,9 @@
 
 } // namespace
 
-// Guards against a length or a last chunk that no target has sent, and chunks for callers that
-// can't read them.
-TEST_CASE("a caller is told of an end as its target has told of it")
+// Guards against a part of an answer that looks whole because only a close ends it, a length that
+// no target has stated, and chunks for callers that can't read them.
+TEST_CASE("the framing shows each caller that can read chunks whether its answer is whole")
 {
     using enum BodyFraming;
     struct Case
@@ -71,9 +71,11 @@
         {Chunks, Body::Whole, false, Length},
         {Chunks, Body::Plain, false, UntilClose},
         {Chunks, Body::Stream, false, UntilClose},
-        {UntilClose, Body::Whole, true, UntilClose},
-        {UntilClose, Body::Plain, true, UntilClose},
-        {UntilClose, Body::Stream, true, UntilClose},
+        {UntilClose, Body::Whole, true, Chunks},
+        {UntilClose, Body::Plain, true, Chunks},
+        {UntilClose, Body::Stream, true, Chunks},
+        {UntilClose, Body::Whole, false, UntilClose},
+        {UntilClose, Body::Plain, false, UntilClose},
         {UntilClose, Body::Stream, false, UntilClose},
     };
     for (const Case &c : cases) {
@@ -92,7 +94,7 @@
 }
 
 // Guards against a resumed stream that ends as complete where its last target has stated no end.
-TEST_CASE("a stream that began in chunks needs a stated end")
+TEST_CASE("a stream whose first target states its end needs a stated end")
 {
     using enum BodyFraming;
     struct Case
@@ -121,7 +123,7 @@
         const AnswerStep end = play(state, c.second_, "id: 2\ndata: b\n\n");
         CHECK(end.verdict_ == c.verdict_);
         const bool hasLastChunk = end.body_.ends_with(kLastChunk);
-        CHECK(hasLastChunk == (c.first_ != UntilClose && c.verdict_ == AnswerVerdict::Complete));
+        CHECK(hasLastChunk == (c.verdict_ == AnswerVerdict::Complete));
     }
 }
 
--- a/packages/gateway/request_log.cpp
+++ b/packages/gateway/request_log.cpp
@@ -66,7 +66,7 @@
            {"end", framingName(state_.targetFraming())},
            {"bytes", state_.bytes()},
            {"events", state_.attemptEvents()},
-           {"told", isTold ? framingName(BodyFraming::UntilClose) : "nothing"}});
+           {"told", isTold ? told() : "nothing"}});
 }
 
 void RequestLog::answerGivenUp(const std::string &target, std::size_t bytes)
