gateway: a reset stays a reset while bytes are waiting to be sent

An answer with neither a length nor chunks whose target reset the connection could end as complete (ORDER, MIXED) while a part of its request was still unsent. The system reports a reset once. ByteStream's write took that report and closed later, so that no handler runs within send(); a read in between saw an orderly end.

No whole process was seen to do it. A write's own broken_pipe comes behind an orderly end (the system gives it where the peer had closed before the reset), so that end stands.

--- a/packages/gateway/byte_stream.cpp
+++ b/packages/gateway/byte_stream.cpp
@@ -72,7 +72,10 @@
         if (error == asio::error::would_block)
             break;
         if (error) {
-            fail(error);
+            // A write that fails with broken_pipe follows an orderly end of the peer's bytes.
+            const bool hidesReset =
+                error == asio::error::eof && writeError_ && writeError_ != asio::error::broken_pipe;
+            fail(hidesReset ? writeError_ : error);
             return;
         }
         if (isSendingEnded_) {
@@ -105,6 +108,7 @@
         const std::size_t size = socket_.write_some(
             asio::buffer(front.data() + frontOffset_, front.size() - frontOffset_), error);
         if (error && error != asio::error::would_block) {
+            writeError_ = error;
             // Deferred, so that no handler runs within send().
             asio::post(socket_.get_executor(),
                        [self = shared_from_this(), error] { self->fail(error); });
--- a/packages/gateway/byte_stream.h
+++ b/packages/gateway/byte_stream.h
@@ -96,6 +96,7 @@
     bool isFinishing_ = false;
     bool isSendingEnded_ = false;
     std::size_t discardedBytes_ = 0; // after the end of sending
+    asio::error_code writeError_; // the system reports a reset once, to a read or to a write
     std::unique_ptr<asio::steady_timer> finishTimer_;
 };
 
--- a/packages/gateway/byte_stream_test.cpp
+++ b/packages/gateway/byte_stream_test.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <thread>
+#include <vector>
 
 namespace foxtailturn::gateway {
 
@@ -25,6 +26,14 @@
         stream_->start([](std::string_view) {}, [](const asio::error_code &) {});
     }
 
+    // Returns the accepted side of a connection of a new peer_.
+    asio::ip::tcp::socket connect()
+    {
+        peer_ = asio::ip::tcp::socket(context_);
+        peer_.connect(acceptor_.local_endpoint());
+        return acceptor_.accept();
+    }
+
     void run(milliseconds time)
     {
         context_.restart();
@@ -94,4 +103,26 @@
     CHECK(whole.received_ == "answer");
 }
 
+// Guards against a reset that looks like an orderly end of the peer's bytes, because a write got
+// the system's only report of it.
+TEST_CASE("a reset is reported as one while bytes are waiting to be sent")
+{
+    Fixture fixture;
+    constexpr std::size_t kMoreThanSocketsHold = 50'000'000;
+    std::string data;
+    std::vector<asio::error_code> ends;
+    auto stream = ByteStream::create(fixture.connect());
+    stream->start([&](std::string_view bytes) { data += bytes; },
+                  [&](const asio::error_code &error) { ends.push_back(error); });
+    stream->send(std::string(kMoreThanSocketsHold, 'r'));
+    asio::write(fixture.peer_, asio::buffer(std::string("answer")));
+    fixture.run(milliseconds(50));
+    REQUIRE(stream->queuedBytes() > 0);
+    REQUIRE(data == "answer");
+    fixture.peer_.set_option(asio::socket_base::linger(true, 0));
+    fixture.peer_.close();
+    fixture.run(milliseconds(200));
+    CHECK(ends == std::vector<asio::error_code>{asio::error::connection_reset});
+}
+
 } // namespace foxtailturn::gateway
