gateway: a position in the store knows its era

Class: another's counter taken for a clock that never goes back.

StorePosition is era and version, compared as a pair; the platform's codec reads the era from Store-Era. TableReader, the part of TableWatch that needs no I/O, reads the table anew in a new era, puts no pages of two eras together, and refuses what an earlier era says. A log line (store_restored) tells both positions, a counter counts restores, /state has the era.

--- a/packages/base/store_rows.h
+++ b/packages/base/store_rows.h
@@ -6,13 +6,27 @@
 //     write.expected_.push_back({table, partition, key, "", version}); // applied only if unchanged
 //     write.puts_.push_back({table, partition, key, value});
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
 
 namespace foxtailturn {
 
-// A row of the store. Each change of any row gives that row a higher version_ than all before.
+// A place in the store's history. A store that comes back from a copy begins an era, in which it
+// gives versions of the era before out again, so versions of different eras say nothing about each
+// other.
+struct StorePosition
+{
+    std::int64_t era_ = 0;
+    std::int64_t version_ = 0;
+
+    // Orders by era first.
+    auto operator<=>(const StorePosition &) const = default;
+};
+
+// A row of the store. Within an era, each change of any row gives that row a higher version_ than
+// all before.
 struct StoreRow
 {
     std::string table_;
@@ -28,7 +42,7 @@
 struct StoreRows
 {
     std::vector<StoreRow> rows_;
-    std::int64_t version_ = 0; // newest version of the store
+    StorePosition position_; // newest one of the store
     std::int64_t nowMs_ = 0; // steady clock of the store
     bool isTruncated_ = false;
 
--- a/packages/gateway/codec.h
+++ b/packages/gateway/codec.h
@@ -70,6 +70,7 @@
     bool isNotRun_ = false; // the target states that it did not run the request
     bool isOtherInstance_ = false; // not run because instance or weight version differ
     bool isLeaving_ = false; // the target is about to stop and wants no new requests
+    std::int64_t storeEra_ = 0; // of an answer of the store, see StorePosition
     std::optional<Duration> idleTimeout_; // how long the target keeps an idle connection
     std::optional<Duration>
         retryAfter_; // how long a target that rejects the request wants no other
@@ -199,13 +200,15 @@
     [[nodiscard]] virtual Result<EngineReport> decodeReport(std::string_view body) const = 0;
     [[nodiscard]] virtual HttpCall orderCall(const EngineOrder &order) const = 0;
 
-    // Store calls. Error of decodeRows(): StoreUnavailable when the body is no answer.
+    // Store calls. era is the one that the head of the answer names. Error of decodeRows():
+    // StoreUnavailable when the body is no answer.
     [[nodiscard]] virtual HttpCall readCall(const std::string &table, const std::string &part,
                                             const std::string &from) const = 0;
     [[nodiscard]] virtual HttpCall followCall(const std::string &table, std::int64_t after,
                                               Duration wait) const = 0;
     [[nodiscard]] virtual HttpCall writeCall(const StoreWrite &write) const = 0;
-    [[nodiscard]] virtual Result<StoreRows> decodeRows(std::string_view body) const = 0;
+    [[nodiscard]] virtual Result<StoreRows> decodeRows(std::string_view body,
+                                                       std::int64_t era) const = 0;
     [[nodiscard]] virtual std::string callHead(const HttpCall &call,
                                                const std::string &host) const = 0;
 
--- a/packages/gateway/codec_testing.h
+++ b/packages/gateway/codec_testing.h
@@ -34,7 +34,7 @@
     }
     HttpCall followCall(const std::string &, std::int64_t, Duration) const override { return {}; }
     HttpCall writeCall(const StoreWrite &) const override { return {}; }
-    Result<StoreRows> decodeRows(std::string_view) const override { return {}; }
+    Result<StoreRows> decodeRows(std::string_view, std::int64_t) const override { return {}; }
     std::string callHead(const HttpCall &, const std::string &) const override
     {
         return "GET / HTTP/1.1\r\n\r\n";
--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -44,16 +44,17 @@
     , versionRows_(
           context, clock_, [this](const StoreRow &row) { onVersionRow(row); },
           [this] { onVersionsRead(); })
-    , operatorWatch_(store_, log_,
-                     {.table_ = codec.operatorTable(),
-                      .longPollTimeout_ = longPollTimeoutFor(settings.storeSilenceLimit_),
-                      .pause_ = kOperatorTablePause},
-                     [this](std::vector<StoreRow> rows, bool) { onOperatorRows(std::move(rows)); })
+    , operatorWatch_(
+          store_, log_,
+          {.table_ = codec.operatorTable(),
+           .longPollTimeout_ = longPollTimeoutFor(settings.storeSilenceLimit_),
+           .pause_ = kOperatorTablePause},
+          [this](std::vector<StoreRow> rows, TableContent) { onOperatorRows(std::move(rows)); })
     , targetWatch_(
           store_, log_,
           {.table_ = codec.targetTable(), .pause_ = targetTimesFor(settings.drainNotice_).pause_},
-          [this](const std::vector<StoreRow> &rows, bool isSnapshot) {
-              onTargetRows(rows, isSnapshot);
+          [this](const std::vector<StoreRow> &rows, TableContent content) {
+              onTargetRows(rows, content);
           })
     , ledgerSync_(store_, log_, gateway_.quotas(), gateway_.quarantine(), wallClock_,
                   [this] { return gateway_.jitter(); })
@@ -109,7 +110,9 @@
     });
     admin_.serve("/metrics", [this] { return AdminAnswer{200, metrics_.text()}; });
     admin_.serve("/state", [this] {
-        return AdminAnswer{200, gateway_.state().dump(2) + "\n", "application/json"};
+        nlohmann::json state = gateway_.state();
+        state["store_era"] = store_.era();
+        return AdminAnswer{200, state.dump(2) + "\n", "application/json"};
     });
     if (!settings_.readyAddress_.empty()) {
         if (Result<void> listening = admin_.listen(settings_.readyAddress_); !listening)
@@ -177,7 +180,7 @@
         gateway_.requestLoads();
 }
 
-void EntryNode::onTargetRows(const std::vector<StoreRow> &rows, bool isSnapshot)
+void EntryNode::onTargetRows(const std::vector<StoreRow> &rows, TableContent content)
 {
     const TimePoint now = clock_.now();
     std::vector<std::string> listedInstances;
@@ -202,7 +205,7 @@
                         {"address", record->address_},
                         {"row_version", row.version_}});
     }
-    if (isSnapshot)
+    if (content != TableContent::Changes)
         gateway_.targets().retainOnly(listedInstances, now);
     updateSidecarLinks();
     gateway_.retryWaitingRelays();
--- a/packages/gateway/entry_node.h
+++ b/packages/gateway/entry_node.h
@@ -46,7 +46,7 @@
     void onOperatorRows(std::vector<StoreRow> rows);
     void onVersionRow(const StoreRow &row);
     void onVersionsRead();
-    void onTargetRows(const std::vector<StoreRow> &rows, bool isSnapshot);
+    void onTargetRows(const std::vector<StoreRow> &rows, TableContent content);
     void updateSidecarLinks();
     void ensureSidecarLink(const Target &target);
     void onSidecarMessage(const std::string &engine, const AgentMessage &message);
--- a/packages/gateway/http_caller.cpp
+++ b/packages/gateway/http_caller.cpp
@@ -47,6 +47,7 @@
     {
         answer_.status_ = head.status_;
         answer_.isLeaving_ = reply.isLeaving_;
+        answer_.storeEra_ = reply.storeEra_;
     }
 
     void onReplyBody(std::string_view data) override
--- a/packages/gateway/http_caller.h
+++ b/packages/gateway/http_caller.h
@@ -20,6 +20,7 @@
     int status_ = 0;
     std::string body_;
     bool isLeaving_ = false; // the target has said that it is about to stop
+    std::int64_t storeEra_ = 0; // as in TargetReply
 
     bool operator==(const HttpAnswer &) const = default;
 };
--- a/packages/gateway/ledger_sync.cpp
+++ b/packages/gateway/ledger_sync.cpp
@@ -148,7 +148,7 @@
 
 void LedgerSync::onRows(const StoreAnswer &answer)
 {
-    Result<StoreRows> rows = store_.codec().decodeRows(answer.body_);
+    Result<StoreRows> rows = store_.rowsOf(answer);
     isSyncing_ = false;
     if (answer.status_ != kOk || !rows) {
         schedule(jittered(kFailureDelay));
@@ -157,7 +157,7 @@
     quotas_.observeStoreClock(rows->nowMs_, sentAt_, store_.now());
     // Rows may change between two pages; each row is used with its own version.
     if (pages_.rows_.empty())
-        pages_.version_ = rows->version_;
+        pages_.position_ = rows->position_;
     pages_.rows_.insert(pages_.rows_.end(), std::make_move_iterator(rows->rows_.begin()),
                         std::make_move_iterator(rows->rows_.end()));
     if (rows->isTruncated_ && !rows->rows_.empty()) {
@@ -194,10 +194,11 @@
     const WriteOutcome outcome = answer.status_ == kOk ? WriteOutcome::Applied
         : answer.status_ == 0                          ? WriteOutcome::Unknown
                                                        : WriteOutcome::Conflict;
-    const StoreRows rows = store_.codec().decodeRows(answer.body_).value_or(StoreRows());
+    const StoreRows rows = store_.rowsOf(answer).value_or(StoreRows());
     quotas_.observeStoreClock(rows.nowMs_, sentAt_, store_.now());
-    quotas_.finishWrite(outcome, rows.version_);
-    if (const std::size_t count = suspects_.finishWrite(outcome, rows.version_); count > 0)
+    quotas_.finishWrite(outcome, rows.position_.version_);
+    if (const std::size_t count = suspects_.finishWrite(outcome, rows.position_.version_);
+        count > 0)
         log_.write(LogDetail::Full, "suspects_stored", {{"records", count}});
     if (outcome == WriteOutcome::Applied) {
         conflicts_ = 0;
--- a/packages/gateway/quota_peers_test.cpp
+++ b/packages/gateway/quota_peers_test.cpp
@@ -24,7 +24,7 @@
     void readRows(const std::vector<std::string> &owners, int version)
     {
         StoreRows rows;
-        rows.version_ = version;
+        rows.position_.version_ = version;
         for (int i = 0; i < quota::QuotaParts::kParts; ++i) {
             const std::size_t last = owners.size() - 1;
             const quota::PartRow row{owners[std::min(static_cast<std::size_t>(i), last)], version};
--- a/packages/gateway/store_client.cpp
+++ b/packages/gateway/store_client.cpp
@@ -39,11 +39,28 @@
             .add();
         metrics_.latency("foxtailturn_store_call_seconds", "time of a store call")
             .record(now() - startedAt);
+        observeEra(answer.storeEra_);
         handler(answer);
     };
     caller_.call(address_, call, timeout, recordingHandler);
 }
 
+void StoreClient::observeEra(std::int64_t era)
+{
+    const bool isFirst = era_ == 0;
+    if (era <= era_)
+        return;
+    era_ = era;
+    if (isFirst)
+        return;
+    metrics_
+        .counter("foxtailturn_store_restores_total",
+                 "times that the store has come back from a copy")
+        .add();
+    for (const std::function<void()> &handler : restoreHandlers_)
+        handler();
+}
+
 Duration longPollTimeoutFor(Duration silenceLimit)
 {
     // The rest covers one call of the store and the configuration's way into force.
@@ -62,10 +79,7 @@
 
 void TableWatch::start()
 {
-    snapshotRows_.clear();
-    snapshotVersion_ = 0;
-    isReading_ = true;
-    readNextPage();
+    readNext();
 }
 
 void TableWatch::stop()
@@ -75,82 +89,72 @@
     lifetimeToken_.reset();
 }
 
-void TableWatch::readNextPage()
+void TableWatch::readNext()
 {
-    const std::string firstKey = snapshotRows_.empty() ? "" : snapshotRows_.back().key_ + '\0';
-    store_.call(store_.codec().readCall(settings_.table_, "", firstKey), kReadTimeout,
+    const HttpCall call = reader_.isReading()
+        ? store_.codec().readCall(settings_.table_, "", reader_.nextKey())
+        : store_.codec().followCall(settings_.table_, reader_.position().version_,
+                                    settings_.longPollTimeout_);
+    const Duration timeout =
+        reader_.isReading() ? kReadTimeout : settings_.longPollTimeout_ + kFollowTimeoutMargin;
+    store_.call(call, timeout,
                 [this, weak = std::weak_ptr<int>(lifetimeToken_)](const StoreAnswer &answer) {
                     if (!weak.expired())
-                        onPage(answer);
+                        onAnswer(answer);
                 });
 }
 
-void TableWatch::onPage(const StoreAnswer &answer)
+void TableWatch::onAnswer(const StoreAnswer &answer)
 {
-    Result<StoreRows> rows = store_.codec().decodeRows(answer.body_);
-    // A store that lags behind what was read before would revert the table to older rows.
-    if (answer.status_ != kHttpOk || !rows
-        || rows->version_ < std::max(version_, snapshotVersion_)) {
-        onFailure(answer);
+    const StorePosition before = reader_.position();
+    const bool wasReading = reader_.isReading();
+    if (answer.status_ == kHttpGone && !wasReading) {
+        log_.write(LogDetail::Full, "store_history_gone",
+                   {{"table", settings_.table_}, {"after", before.version_}, {"era", before.era_}});
+        reader_.onHistoryGone();
+        readNext();
         return;
     }
-    if (snapshotRows_.empty())
-        snapshotVersion_ = rows->version_;
-    snapshotRows_.insert(snapshotRows_.end(), std::make_move_iterator(rows->rows_.begin()),
-                         std::make_move_iterator(rows->rows_.end()));
-    if (rows->isTruncated_ && !rows->rows_.empty()) {
-        readNextPage();
+    Result<StoreRows> rows = store_.rowsOf(answer);
+    if (answer.status_ != kHttpOk || !rows) {
+        onFailure(answer);
         return;
     }
-    isReading_ = false;
-    version_ = snapshotVersion_;
-    if (failures_ > 0 || !isLoaded_)
-        log_.write(
-            LogDetail::Full, "store_regained",
-            {{"table", settings_.table_}, {"version", version_}, {"rows", snapshotRows_.size()}});
-    failures_ = 0;
-    isLoaded_ = true;
-    lastConfirmedAt_ = store_.now();
-    handler_(std::exchange(snapshotRows_, {}), true);
-    scheduleAfter(settings_.pause_, [this] { requestChanges(); });
-}
-
-void TableWatch::requestChanges()
-{
-    store_.call(store_.codec().followCall(settings_.table_, version_, settings_.longPollTimeout_),
-                settings_.longPollTimeout_ + kFollowTimeoutMargin,
-                [this, weak = std::weak_ptr<int>(lifetimeToken_)](const StoreAnswer &answer) {
-                    if (!weak.expired())
-                        onChanges(answer);
-                });
-}
-
-void TableWatch::onChanges(const StoreAnswer &answer)
-{
-    if (answer.status_ == kHttpGone) {
-        log_.write(LogDetail::Full, "store_history_gone",
-                   {{"table", settings_.table_}, {"after", version_}});
-        start();
+    Result<TableNews> news =
+        wasReading ? reader_.onPage(std::move(*rows)) : reader_.onChanges(std::move(*rows));
+    if (!news) {
+        onFailure(answer);
         return;
     }
-    const Result<StoreRows> rows = store_.codec().decodeRows(answer.body_);
-    if (answer.status_ != kHttpOk || !rows) {
-        onFailure(answer);
+    if (reader_.isReading()) {
+        readNext();
         return;
     }
-    if (failures_ > 0)
-        log_.write(LogDetail::Full, "store_regained", {{"table", settings_.table_}});
+    handOn(std::move(*news), before);
+    scheduleAfter(settings_.pause_);
+}
+
+void TableWatch::handOn(TableNews news, StorePosition before)
+{
+    const StorePosition position = reader_.position();
+    if (news.content_ == TableContent::Copy)
+        log_.write(LogDetail::Full, "store_restored",
+                   {{"table", settings_.table_},
+                    {"era", position.era_},
+                    {"version", position.version_},
+                    {"era_before", before.era_},
+                    {"version_before", before.version_},
+                    {"rows", news.rows_.size()}});
+    else if (failures_ > 0 || !isLoaded_)
+        log_.write(LogDetail::Full, "store_regained",
+                   {{"table", settings_.table_},
+                    {"version", position.version_},
+                    {"rows", news.rows_.size()}});
     failures_ = 0;
+    isLoaded_ = true;
     lastConfirmedAt_ = store_.now();
-    std::vector<StoreRow> changed;
-    for (const StoreRow &row : rows->rows_) {
-        if (row.version_ > version_)
-            changed.push_back(row);
-    }
-    version_ = std::max(version_, rows->version_);
-    if (!changed.empty())
-        handler_(std::move(changed), false);
-    scheduleAfter(settings_.pause_, [this] { requestChanges(); });
+    if (news.content_ != TableContent::Nothing)
+        handler_(std::move(news.rows_), news.content_);
 }
 
 void TableWatch::onFailure(const StoreAnswer &answer)
@@ -161,22 +165,17 @@
                    {{"table", settings_.table_}, {"status", answer.status_}});
     const Duration wait =
         std::min(kBackoffBase * (1 << std::min(failures_, kMaxDoublings)), kMaxBackoff);
-    scheduleAfter(wait, [this] {
-        if (isReading_)
-            readNextPage();
-        else
-            requestChanges();
-    });
+    scheduleAfter(wait);
 }
 
-void TableWatch::scheduleAfter(Duration duration, std::function<void()> next)
+void TableWatch::scheduleAfter(Duration duration)
 {
     if (isStopped_)
         return;
     timer_.expires_after(duration);
-    timer_.async_wait([next = std::move(next)](const asio::error_code &error) {
+    timer_.async_wait([this](const asio::error_code &error) {
         if (!error)
-            next();
+            readNext();
     });
 }
 
--- a/packages/gateway/store_client.h
+++ b/packages/gateway/store_client.h
@@ -2,6 +2,8 @@
 
 // Client of the platform's store, and a watch that follows the changes of one table.
 //
+// A store that comes back from a copy names a higher era in its answers (StorePosition).
+//
 //     StoreClient store(context, codec, clock, metrics, "10.0.0.9:8225");
 //     store.call(codec.readCall("t", "", ""), timeout, [](const StoreAnswer &answer) { ... });
 //     TableWatch watch(store, log, {.table_ = "t"}, onRows);   // onRows: a TableWatch::Handler
@@ -16,6 +18,7 @@
 #include "base/metrics.h"
 #include "gateway/codec.h"
 #include "gateway/http_caller.h"
+#include "gateway/table_reader.h"
 
 namespace foxtailturn::gateway {
 
@@ -36,6 +39,21 @@
     // they may be broken without a reset.
     void call(const HttpCall &call, Duration timeout, Handler handler);
 
+    // Adds a handler for the first answer of each further era. It runs before the call's own.
+    void onRestore(std::function<void()> handler)
+    {
+        restoreHandlers_.push_back(std::move(handler));
+    }
+
+    // Returns the rows of an answer, or StoreUnavailable.
+    [[nodiscard]] Result<StoreRows> rowsOf(const StoreAnswer &answer) const
+    {
+        return codec().decodeRows(answer.body_, answer.storeEra_);
+    }
+
+    // Returns the highest era that an answer has named; 0 before.
+    [[nodiscard]] std::int64_t era() const { return era_; }
+
     // Uses another address for later calls.
     void setAddress(std::string address) { address_ = std::move(address); }
 
@@ -44,12 +62,16 @@
     [[nodiscard]] TimePoint now() const { return clock_.now(); }
 
 private:
+    void observeEra(std::int64_t era);
+
     asio::io_context &context_;
     const PlatformCodec &codec_;
     const Clock &clock_;
     MetricRegistry &metrics_;
     HttpCaller caller_;
     std::string address_;
+    std::int64_t era_ = 0;
+    std::vector<std::function<void()>> restoreHandlers_;
 };
 
 // Returns the long-poll timeout with which a connection that has become unresponsive is detected,
@@ -66,18 +88,12 @@
     Duration pause_ = std::chrono::milliseconds(20); // between calls, since each call is charged
 };
 
-// Follows the rows of one table. Not thread-safe.
-//
-// A table is read page by page, while others write to it, so the pages may show different versions.
-// The changes since the version of the first page make the read whole: they hold each row that was
-// written or removed meanwhile. So a read ends however much is written.
+// Follows the rows of one table, as TableReader says. Not thread-safe.
 class TableWatch
 {
 public:
-    // isSnapshot: rows holds the whole table, in which rows that have changed during the read may
-    // be missing or outdated; they follow at once. Otherwise rows holds the changed rows only,
-    // including removed ones.
-    using Handler = std::function<void(std::vector<StoreRow> rows, bool isSnapshot)>;
+    // content is not Nothing.
+    using Handler = std::function<void(std::vector<StoreRow> rows, TableContent content)>;
 
     TableWatch(StoreClient &store, EventLog &log, TableWatchSettings settings, Handler handler);
 
@@ -90,11 +106,10 @@
     [[nodiscard]] TimePoint lastConfirmedAt() const { return lastConfirmedAt_; }
 
 private:
-    void readNextPage();
-    void onPage(const StoreAnswer &answer);
-    void requestChanges();
-    void onChanges(const StoreAnswer &answer);
-    void scheduleAfter(Duration duration, std::function<void()> next);
+    void readNext();
+    void onAnswer(const StoreAnswer &answer);
+    void handOn(TableNews news, StorePosition before);
+    void scheduleAfter(Duration duration);
     void onFailure(const StoreAnswer &answer);
 
     StoreClient &store_;
@@ -104,10 +119,7 @@
     asio::steady_timer timer_;
     std::shared_ptr<int> lifetimeToken_ =
         std::make_shared<int>(0); // callbacks hold a weak reference
-    std::vector<StoreRow> snapshotRows_; // of the read in progress
-    std::int64_t version_ = 0; // all changes up to this version were applied; never decreases
-    std::int64_t snapshotVersion_ = 0; // of the first page of the read in progress
-    bool isReading_ = false; // the whole table, page by page
+    TableReader reader_;
     int failures_ = 0;
     bool isLoaded_ = false;
     bool isStopped_ = false;
--- a/packages/gateway/target_connection.h
+++ b/packages/gateway/target_connection.h
@@ -109,7 +109,8 @@
     bool keepsAlive_ = true;
     bool isClosed_ = false;
     bool isPaused_ = false;
-    std::function<void(Reachability reachability)> checkHandler_; // of a connection without an exchange
+    std::function<void(Reachability reachability)>
+        checkHandler_; // of a connection without an exchange
     TimePoint usableUntil_ = TimePoint::max(); // an idle connection is not reused after this
     Duration idleTimeout_{}; // as the target announced it
     int exchanges_ = 0;
--- a/packages/quota/quota_parts.cpp
+++ b/packages/quota/quota_parts.cpp
@@ -182,7 +182,7 @@
             Part &part = ledger.parts_[static_cast<std::size_t>(i)];
             const auto row = byKey.find(PartRow::keyOf(workspace, i));
             if (row == byKey.end())
-                applyAbsence(part, rows.version_);
+                applyAbsence(part, rows.position_.version_);
             else if (row->second->version_ >= part.version_) // a read may lag behind a write
                 applyRow(part, *row->second);
         }
--- a/packages/quota/quota_testing.h
+++ b/packages/quota/quota_testing.h
@@ -19,7 +19,7 @@
         StoreRows list;
         for (const auto &[key, row] : rows_)
             list.rows_.push_back(row);
-        list.version_ = version_;
+        list.position_.version_ = version_;
         return list;
     }
 
