gateway: a copy of the store revives no target that has left

Behind a restore a target that had left in the lost seconds got requests again (DRAIN): the copy still had its record, and a read of the whole table is believed whatever is known. Class: an older statement taken for news.

What is known of an incarnation goes before a copy's record of it: draining stays, and one that was unlisted is listed again if its record is still there 6 s later (the store removes the record of a target that doesn't write it again), or as soon as it changes. A target that the copy lacks has come since: it stays in use for 3 s, in which targets write their records again.

Ruled out: older configurations and versions of adapters, which go by their own numbers (test_key_withdrawn_in_the_lost_seconds passes before and after).

--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -183,6 +183,7 @@
 void EntryNode::onTargetRows(const std::vector<StoreRow> &rows, TableContent content)
 {
     const TimePoint now = clock_.now();
+    const bool isCopy = content == TableContent::Copy;
     std::vector<std::string> listedInstances;
     for (const StoreRow &row : rows) {
         if (row.isRemoved_) {
@@ -197,7 +198,9 @@
             continue;
         }
         listedInstances.push_back(record->instance_);
-        if (gateway_.targets().list(*record, now))
+        const bool isNews = isCopy ? gateway_.targets().listCopy(*record, now)
+                                   : gateway_.targets().list(*record, now);
+        if (isNews)
             log_.write(LogDetail::Full,
                        record->phase_ == TargetPhase::Draining ? "target_draining" : "target_seen",
                        {{"target", record->instance_},
@@ -205,7 +208,9 @@
                         {"address", record->address_},
                         {"row_version", row.version_}});
     }
-    if (content != TableContent::Changes)
+    if (isCopy)
+        gateway_.targets().retainOnlyCopy(listedInstances, now);
+    else if (content == TableContent::Snapshot)
         gateway_.targets().retainOnly(listedInstances, now);
     updateSidecarLinks();
     gateway_.retryWaitingRelays();
@@ -288,6 +293,8 @@
 {
     gateway_.pool().closeExpired();
     gateway_.targets().removeStale(clock_.now());
+    if (gateway_.targets().confirmCopies(clock_.now()))
+        updateSidecarLinks();
     if (clock_.now() - suspectsPrunedAt_ >= kPruneInterval) {
         suspects_.removeExpired();
         suspectsPrunedAt_ = clock_.now();
--- a/packages/gateway/target_registry.cpp
+++ b/packages/gateway/target_registry.cpp
@@ -15,6 +15,10 @@
 // that.
 constexpr Duration kMaxSuspectTime = std::chrono::seconds(2);
 constexpr int kMaxDoublings = 3;
+// Targets write their records again within this time of a restore; the store removes those of
+// targets that don't.
+constexpr Duration kRewriteTime = std::chrono::seconds(3);
+constexpr Duration kCopyDoubt = std::chrono::seconds(6);
 constexpr Duration kUnlistedRetention =
     std::chrono::seconds(30); // after the last possible use of an unlisted target
 
@@ -121,6 +125,7 @@
     const std::string previousAddress = previous.address_;
     slot->record_ = record;
     slot->usableUntil_ = TimePoint::max();
+    slot->listedFrom_ = TimePoint::max();
     if (isRestarted) {
         slot->isSuperseded_ = false;
         slot->isLeaving_ = false;
@@ -164,11 +169,19 @@
 
 void TargetRegistry::markUnlisted(const std::string &instance, TimePoint now)
 {
-    const auto it = targets_.find(instance);
-    if (it == targets_.end() || it->second->usableUntil_ != TimePoint::max())
+    unlist(instance, now, unlistedGrace_);
+}
+
+void TargetRegistry::unlist(const std::string &instance, TimePoint now, Duration grace)
+{
+    Target *target = find(instance);
+    if (target == nullptr)
+        return;
+    target->listedFrom_ = TimePoint::max();
+    if (target->usableUntil_ != TimePoint::max())
         return;
-    const bool wasDraining = it->second->record_.phase_ == TargetPhase::Draining;
-    it->second->usableUntil_ = wasDraining ? now : now + unlistedGrace_;
+    const bool wasDraining = target->record_.phase_ == TargetPhase::Draining;
+    target->usableUntil_ = wasDraining ? now : now + grace;
 }
 
 void TargetRegistry::retainOnly(const std::vector<std::string> &instances, TimePoint now)
@@ -179,6 +192,43 @@
     }
 }
 
+bool TargetRegistry::listCopy(const TargetRecord &record, TimePoint now)
+{
+    Target *target = find(record.instance_);
+    const bool isNews = target == nullptr || target->record_.startTimeMs_ < record.startTimeMs_
+        || record.phase_ == TargetPhase::Draining;
+    if (isNews)
+        return list(record, now);
+    if (target->record_.startTimeMs_ > record.startTimeMs_
+        || target->record_.phase_ == TargetPhase::Draining)
+        return false;
+    if (target->usableUntil_ == TimePoint::max())
+        return list(record, now);
+    target->listedFrom_ = now + kCopyDoubt;
+    return false;
+}
+
+void TargetRegistry::retainOnlyCopy(const std::vector<std::string> &instances, TimePoint now)
+{
+    for (const auto &[instance, target] : targets_) {
+        if (std::find(instances.begin(), instances.end(), instance) == instances.end())
+            unlist(instance, now, kRewriteTime);
+    }
+}
+
+bool TargetRegistry::confirmCopies(TimePoint now)
+{
+    bool hasListed = false;
+    for (const auto &[instance, target] : targets_) {
+        if (target->listedFrom_ > now)
+            continue;
+        target->listedFrom_ = TimePoint::max();
+        target->usableUntil_ = TimePoint::max();
+        hasListed = true;
+    }
+    return hasListed;
+}
+
 AdapterChanges TargetRegistry::report(const std::string &address, const EngineReport &report,
                                       TimePoint now)
 {
--- a/packages/gateway/target_registry.h
+++ b/packages/gateway/target_registry.h
@@ -37,6 +37,8 @@
 {
     TargetRecord record_;
     TimePoint usableUntil_ = TimePoint::max(); // set when its record was removed from the store
+    // Set when a copy of the store had its record again: it is listed if that is still there then.
+    TimePoint listedFrom_ = TimePoint::max();
     bool isLeaving_ = false; // it has said itself that it is about to stop
     // A newer incarnation was seen at its address. This one's record stays in the store for some
     // seconds.
@@ -133,6 +135,16 @@
     // Unlists all targets except the given ones.
     void retainOnly(const std::vector<std::string> &instances, TimePoint now);
 
+    // The same two for a store that has come back from a copy, whose records may be older than what
+    // is known. An incarnation that has left since stays so; one that the copy lacks has come
+    // since.
+    bool listCopy(const TargetRecord &record, TimePoint now);
+    void retainOnlyCopy(const std::vector<std::string> &instances, TimePoint now);
+
+    // Lists the targets whose records a copy has brought back and that are still there some time
+    // later. Returns whether there are any.
+    bool confirmCopies(TimePoint now);
+
     // Stores an engine's report. A report of an earlier incarnation is ignored; one of a later
     // incarnation marks the target as superseded.
     AdapterChanges report(const std::string &address, const EngineReport &report, TimePoint now);
@@ -156,6 +168,7 @@
 
 private:
     void markOlderSuperseded(const std::string &service, const std::string &address);
+    void unlist(const std::string &instance, TimePoint now, Duration grace);
 
     Duration unlistedGrace_;
     std::map<std::string, std::unique_ptr<Target>> targets_; // by instance
--- a/packages/gateway/target_registry_test.cpp
+++ b/packages/gateway/target_registry_test.cpp
@@ -1,5 +1,7 @@
 #include "gateway/target_registry.h"
 
+#include <optional>
+
 #include <doctest/doctest.h>
 
 namespace foxtailturn::gateway {
@@ -107,6 +109,68 @@
     CHECK(registry.all().size() == 1);
 }
 
+// Guards against requests to a target that has left, and against live targets without requests,
+// behind a store that has come back from a copy.
+TEST_CASE("a copy revives no target that has left, and drops none that is alive")
+{
+    TargetRecord draining = record("i");
+    draining.phase_ = TargetPhase::Draining;
+    enum class Known { Nothing, Ready, Draining, Unlisted, Restarted };
+    struct Case
+    {
+        Known known_;
+        std::optional<TargetRecord> copy_;
+        bool isUsed_; // at once
+        bool isUsedLater_; // while its record stays as the copy has it
+    };
+    const Case cases[] = {
+        {Known::Nothing, record("i"), true, true},     {Known::Nothing, draining, false, false},
+        {Known::Ready, record("i"), true, true},       {Known::Ready, draining, false, false},
+        {Known::Ready, std::nullopt, true, false},     {Known::Draining, record("i"), false, false},
+        {Known::Draining, record("i", 2), true, true}, // started again under the same id
+        {Known::Draining, std::nullopt, false, false}, {Known::Unlisted, record("i"), false, true},
+        {Known::Unlisted, std::nullopt, false, false}, {Known::Restarted, record("i"), true, true},
+    };
+    for (const Case &c : cases) {
+        CAPTURE(static_cast<int>(c.known_));
+        CAPTURE(c.copy_.has_value());
+        TargetRegistry registry(kUnlistedGrace);
+        if (c.known_ != Known::Nothing)
+            registry.list(record("i"), kStart);
+        if (c.known_ == Known::Draining)
+            registry.list(draining, kStart);
+        if (c.known_ == Known::Unlisted)
+            registry.markUnlisted("i", kStart);
+        if (c.known_ == Known::Restarted)
+            registry.list(record("i", 2), kStart);
+        const TimePoint restored = kStart + std::chrono::seconds(2);
+        if (c.copy_)
+            registry.listCopy(*c.copy_, restored);
+        registry.retainOnlyCopy(
+            c.copy_ ? std::vector<std::string>{"i"} : std::vector<std::string>(), restored);
+        const auto isUsed = [&](TimePoint now) {
+            registry.confirmCopies(now);
+            return !registry.availableTargets("s", now).empty();
+        };
+        CHECK(isUsed(restored + milliseconds(1)) == c.isUsed_);
+        CHECK(isUsed(restored + std::chrono::seconds(8)) == c.isUsedLater_);
+        registry.list(record("i", 3), restored + std::chrono::seconds(9));
+        CHECK(isUsed(restored + std::chrono::seconds(9)));
+    }
+}
+
+// Guards against a target that a copy has brought back and whose record is removed again.
+TEST_CASE("a record that goes again before it is believed lists nothing")
+{
+    TargetRegistry registry(kUnlistedGrace);
+    registry.list(record("i"), kStart);
+    registry.markUnlisted("i", kStart);
+    registry.listCopy(record("i"), kStart + std::chrono::seconds(2));
+    registry.markUnlisted("i", kStart + std::chrono::seconds(4));
+    CHECK_FALSE(registry.confirmCopies(kStart + std::chrono::seconds(20)));
+    CHECK(registry.availableTargets("s", kStart + std::chrono::seconds(20)).empty());
+}
+
 // Guards against avoiding a failed target forever, or not at all.
 TEST_CASE("the suspect time grows with consecutive failures and ends with a success")
 {
