quota: a restore of the store gives no part to two owners, and leaves none without one

Rows of parts were compared by the store's versions alone. Behind a store that comes back from a copy, an entry ignored rows whose version lay below the one that it knew, and took the owner that the copy named: two entries granted from one part (QUOTA), or nobody did until the counter had overtaken the old one.

In a new era the copy's row counts only if its own counter is higher than the known one's. An owner that may grant writes its rows again, as nobody else can own them. Any other part may have an owner whose row was lost, so nobody takes it, or resumes it, for a whole term. An applied or refused write whose answer comes from another era has an unknown outcome. All entries read the rows anew within a second, one after the other.

Not kept: an entry that starts behind a restore, while the owner of a lost row is cut off from the store, takes what the copy says.

--- a/packages/gateway/ledger_sync.cpp
+++ b/packages/gateway/ledger_sync.cpp
@@ -17,6 +17,7 @@
 // the others look for the successor.
 constexpr Duration kSuccessorExpediteDelay = milliseconds(300);
 constexpr Duration kExpediteDelay = milliseconds(1500);
+constexpr Duration kRestoreSpread = milliseconds(1000); // until all entries have read the rows anew
 constexpr Duration kFailureDelay = milliseconds(500); // after a call that failed
 constexpr Duration kMinDelay = milliseconds(20);
 constexpr Duration kBackoffStep =
@@ -58,7 +59,9 @@
     , suspects_(quarantine, wallClock)
     , jitter_(std::move(jitter))
     , timer_(store.context())
-{ }
+{
+    store_.onRestore([this] { onRestore(); });
+}
 
 void LedgerSync::start()
 {
@@ -80,6 +83,16 @@
         schedule(wait);
 }
 
+// The rows are read anew, by the entries one after the other.
+void LedgerSync::onRestore()
+{
+    const TimePoint at =
+        store_.now() + std::chrono::duration_cast<Duration>(kRestoreSpread * jitter_());
+    readDueAt_ = std::min(readDueAt_, at);
+    if (!isSyncing_ && at < dueAt_)
+        schedule(at - store_.now());
+}
+
 void LedgerSync::release()
 {
     quotas_.release();
@@ -155,6 +168,13 @@
         return;
     }
     quotas_.observeStoreClock(rows->nowMs_, sentAt_, store_.now());
+    const std::int64_t era = pages_.rows_.empty() ? quotas_.era() : pages_.position_.era_;
+    const bool isOutdated = rows->position_.era_ < era;
+    const bool isRestored = !pages_.rows_.empty() && rows->position_.era_ > era;
+    if (isOutdated || isRestored) {
+        schedule(isRestored ? Duration::zero() : jittered(kFailureDelay));
+        return;
+    }
     // Rows may change between two pages; each row is used with its own version.
     if (pages_.rows_.empty())
         pages_.position_ = rows->position_;
@@ -191,9 +211,12 @@
     isSyncing_ = false;
     // Only a missing answer (status 0) leaves the outcome unknown: any status but 200 guarantees
     // that nothing was written.
-    const WriteOutcome outcome = answer.status_ == kOk ? WriteOutcome::Applied
-        : answer.status_ == 0                          ? WriteOutcome::Unknown
-                                                       : WriteOutcome::Conflict;
+    // What the write expected says nothing about the rows of another era.
+    const bool isOtherEra =
+        (answer.status_ == kOk || answer.status_ == kConflict) && answer.storeEra_ != quotas_.era();
+    const WriteOutcome outcome = answer.status_ == 0 || isOtherEra ? WriteOutcome::Unknown
+        : answer.status_ == kOk                                    ? WriteOutcome::Applied
+                                                                   : WriteOutcome::Conflict;
     const StoreRows rows = store_.rowsOf(answer).value_or(StoreRows());
     quotas_.observeStoreClock(rows.nowMs_, sentAt_, store_.now());
     quotas_.finishWrite(outcome, rows.position_.version_);
@@ -206,7 +229,7 @@
         return;
     }
     log_.write(LogDetail::Full, "fleet_write_failed", {{"status", answer.status_}});
-    if (answer.status_ != kConflict) {
+    if (answer.status_ != kConflict || isOtherEra) {
         conflicts_ = 0;
         schedule(jittered(kFailureDelay));
         return;
--- a/packages/gateway/ledger_sync.h
+++ b/packages/gateway/ledger_sync.h
@@ -75,6 +75,7 @@
 private:
     void schedule(Duration wait);
     void scheduleNext();
+    void onRestore();
     void sync();
     void read(const std::string &firstKey);
     void onRows(const StoreAnswer &answer);
--- a/packages/gateway/store_client.cpp
+++ b/packages/gateway/store_client.cpp
@@ -39,7 +39,8 @@
             .add();
         metrics_.latency("foxtailturn_store_call_seconds", "time of a store call")
             .record(now() - startedAt);
-        observeEra(answer.storeEra_);
+        if (answer.status_ == kHttpOk)
+            observeEra(answer.storeEra_);
         handler(answer);
     };
     caller_.call(address_, call, timeout, recordingHandler);
@@ -47,9 +48,9 @@
 
 void StoreClient::observeEra(std::int64_t era)
 {
-    const bool isFirst = era_ == 0;
-    if (era <= era_)
+    if (era_ && era <= *era_)
         return;
+    const bool isFirst = !era_;
     era_ = era;
     if (isFirst)
         return;
--- a/packages/gateway/store_client.h
+++ b/packages/gateway/store_client.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/event_log.h"
@@ -52,7 +53,7 @@
     }
 
     // Returns the highest era that an answer has named; 0 before.
-    [[nodiscard]] std::int64_t era() const { return era_; }
+    [[nodiscard]] std::int64_t era() const { return era_.value_or(0); }
 
     // Uses another address for later calls.
     void setAddress(std::string address) { address_ = std::move(address); }
@@ -70,7 +71,7 @@
     MetricRegistry &metrics_;
     HttpCaller caller_;
     std::string address_;
-    std::int64_t era_ = 0;
+    std::optional<std::int64_t> era_; // nullopt: no answer yet
     std::vector<std::function<void()>> restoreHandlers_;
 };
 
--- a/packages/quota/quota_parts.cpp
+++ b/packages/quota/quota_parts.cpp
@@ -153,6 +153,7 @@
     part.row_ = PartRow::decode(row.value_);
     part.version_ = row.version_;
     part.changedAt_ = clock_.now();
+    part.isDoubtful_ = false;
     if (part.row_.owner_ != self_.name_) {
         // Another entry may grant from the part, so this one must not any more.
         part.share_.reset();
@@ -169,9 +170,36 @@
     part.changedAt_ = clock_.now();
 }
 
+// Applies the row of a store that has come back from a copy, null if it has none. The copy's row
+// may be older than the one that is known.
+void QuotaParts::applyCopy(Part &part, const StoreRow *row)
+{
+    const TimePoint now = clock_.now();
+    const PartRow copy = row != nullptr ? PartRow::decode(row->value_) : PartRow();
+    const bool isNewer = row != nullptr && copy.counter_ > part.row_.counter_;
+    part.version_ = row != nullptr ? row->version_ : 0;
+    if (isNewer)
+        part.row_ = copy;
+    part.changedAt_ = now;
+    if (isNewer && part.row_.owner_ != self_.name_) {
+        part.share_.reset();
+        part.grantUntil_ = TimePoint{};
+    }
+    part.isDoubtful_ = !mayGrant(part);
+    part.renewAt_ = now;
+}
+
 void QuotaParts::update(const StoreRows &rows)
 {
+    if (rows.position_.era_ < era())
+        return;
     const TimePoint now = clock_.now();
+    const bool isRestored = era_ && rows.position_.era_ > *era_;
+    era_ = rows.position_.era_;
+    if (isRestored) {
+        restoredAt_ = now;
+        recordDueAt_ = now;
+    }
     needsRead_ = false;
     records_.update(rows.rows_, now);
     std::map<std::string, const StoreRow *> byKey;
@@ -181,7 +209,9 @@
         for (int i = 0; i < sizeOf(ledger.parts_); ++i) {
             Part &part = ledger.parts_[static_cast<std::size_t>(i)];
             const auto row = byKey.find(PartRow::keyOf(workspace, i));
-            if (row == byKey.end())
+            if (isRestored)
+                applyCopy(part, row == byKey.end() ? nullptr : row->second);
+            else if (row == byKey.end())
                 applyAbsence(part, rows.position_.version_);
             else if (row->second->version_ >= part.version_) // a read may lag behind a write
                 applyRow(part, *row->second);
@@ -206,8 +236,10 @@
 // Returns the latest time at which the part's owner may have sent the write that its row shows.
 TimePoint QuotaParts::renewedAt(const Part &part) const
 {
-    return std::min(storeClock_.latestLocal(part.row_.renewedAtMs_).value_or(TimePoint::max()),
-                    part.changedAt_);
+    const TimePoint renewed =
+        std::min(storeClock_.latestLocal(part.row_.renewedAtMs_).value_or(TimePoint::max()),
+                 part.changedAt_);
+    return part.isDoubtful_ ? std::max(renewed, restoredAt_) : renewed;
 }
 
 // Returns a time since which no entry has granted from the part; nullopt if none ever has. For a
@@ -220,6 +252,8 @@
         return std::nullopt;
     const Part &part = ledger.parts_[static_cast<std::size_t>(index)];
     const TimePoint renewed = renewedAt(part);
+    if (part.isDoubtful_)
+        return renewed + termsOf(index).grantFor_;
     if (part.row_.owner_.empty())
         return renewed; // when it was given up
     if (part.row_.owner_ != self_.name_)
@@ -251,7 +285,7 @@
     if (!rank || known.changedAt_ == TimePoint{})
         return std::nullopt;
     const Duration turn = kSuccessionStep * *rank;
-    if (known.row_.owner_.empty())
+    if (known.row_.owner_.empty() && !known.isDoubtful_)
         return std::max(startedAt_ + kSettleTime, known.changedAt_) + turn;
     return renewedAt(known) + termsOf(part).reclaimAfter_ + turn;
 }
@@ -260,7 +294,7 @@
 {
     const TimePoint now = clock_.now();
     Part &part = ledgers_.at(workspace).parts_[static_cast<std::size_t>(index)];
-    const bool isOwn = part.row_.owner_ == self_.name_;
+    const bool isOwn = part.row_.owner_ == self_.name_ && !part.isDoubtful_;
     if (isReleasing_) {
         part.share_.reset();
         part.grantUntil_ = TimePoint{};
@@ -356,6 +390,7 @@
         part.row_ = planned.row_;
         part.version_ = version;
         part.changedAt_ = clock_.now();
+        part.isDoubtful_ = false;
         if (planned.row_.owner_ == self_.name_)
             startGrants(planned);
     }
@@ -390,7 +425,7 @@
         if (ledger.quota_.rate_ == 0)
             continue;
         for (const Part &part : ledger.parts_) {
-            if (part.row_.owner_ == self_.name_)
+            if (part.row_.owner_ == self_.name_ && !part.isDoubtful_)
                 at = std::min(at, isReleasing_ ? TimePoint{} : part.renewAt_);
         }
     }
--- a/packages/quota/quota_parts.h
+++ b/packages/quota/quota_parts.h
@@ -26,6 +26,11 @@
 // much a lost owner granted is unknown, so a new owner starts with what the part has gained since
 // that owner's term ended, and with the burst if the workspace never had an owner.
 //
+// A store that comes back from a copy (StorePosition) has lost the last writes. An owner that may
+// grant writes its rows again; nobody else can own them. Any other part may have an owner whose row
+// is lost, so nobody takes it, or goes on with it, for a whole term after the restore. An entry
+// that starts after the restore knows nothing of it, and takes what the copy says.
+//
 // DutyOrder tells which entry takes a part first. Each entry writes a record of itself for it.
 
 #include <map>
@@ -140,18 +145,22 @@
     }
 
     // Applies all rows of kFleetTable/kFleetPartition, as read. Rows older than those known are
-    // ignored.
+    // ignored, but in a new era.
     void update(const StoreRows &rows);
 
-    // Applies the current rows that the store returned with a conflict.
+    // Applies the current rows that the store returned with a conflict. Precondition: they are of
+    // era().
     void updateSome(const StoreRows &rows);
 
+    // Returns the era of the rows that are known; 0 before the first read.
+    [[nodiscard]] std::int64_t era() const { return era_.value_or(0); }
+
     // Plans the next write; nullopt if none is due. Precondition: finishWrite() was called for the
     // last one.
     [[nodiscard]] std::optional<StoreWrite> plan();
 
     // Applies the outcome of the last planned write; version is the store's version of an applied
-    // write.
+    // write. Precondition: the store was in era() when it applied it; else the outcome is unknown.
     void finishWrite(WriteOutcome outcome, std::int64_t version);
 
     // Returns whether the rows must be read before the next write.
@@ -187,6 +196,8 @@
         std::optional<QuotaShare> share_; // while this entry owns the part
         TimePoint grantUntil_{};
         TimePoint renewAt_{};
+        // A restore may have taken the row of a later owner back, who may still grant.
+        bool isDoubtful_ = false;
     };
 
     struct Ledger
@@ -216,6 +227,7 @@
     void planRecord(StoreWrite &write);
     void applyRow(Part &part, const StoreRow &row);
     void applyAbsence(Part &part, std::int64_t storeVersion);
+    void applyCopy(Part &part, const StoreRow *row);
     void startGrants(const Planned &planned);
     void applyQuota(const Ledger &ledger, QuotaShare &share) const;
 
@@ -223,6 +235,8 @@
     const Clock &clock_;
     std::int64_t tolerance_;
     TimePoint startedAt_;
+    std::optional<std::int64_t> era_; // nullopt: nothing was read
+    TimePoint restoredAt_{}; // when this entry saw the era begin; epoch: in none but its first
     std::map<std::string, Ledger> ledgers_; // by workspace
     EntryRecords records_;
     StoreClock storeClock_;
--- a/packages/quota/quota_parts_test.cpp
+++ b/packages/quota/quota_parts_test.cpp
@@ -115,6 +115,66 @@
     CHECK(successions > 10); // the random schedules include changes of owners
 }
 
+// Guards against spending beyond the quota, and against parts that nobody grants from, behind a
+// store that comes back from a copy: the copy may name an owner of before, or none.
+TEST_CASE("restores of the store never give a part to two entries")
+{
+    for (unsigned seed = 1; seed <= 60; ++seed) {
+        CAPTURE(seed);
+        std::mt19937 random(seed);
+        const auto chance = [&random](unsigned percent) { return random() % 100 < percent; };
+        Fleet fleet(seed % 3 == 0 ? 12 : 5);
+        std::size_t disconnected = fleet.size(); // index of the entry without store access
+        for (int step = 0; step < 4800; ++step) {
+            fleet.clock_.advance(milliseconds(random() % 100));
+            if (step % 800 == 0)
+                disconnected = random() % (fleet.size() + 1);
+            if (step % 500 == 499)
+                fleet.store_.restore(random() % 12);
+            const std::size_t index = random() % fleet.size();
+            if (index == disconnected || !chance(40))
+                continue;
+            QuotaParts &entry = fleet.entry(index);
+            fleet.observeStoreClock(entry, milliseconds(random() % 500));
+            entry.update(fleet.store_.rows());
+            for (const std::string &owner : entry.allOtherOwners())
+                entry.setOwnerAnswering(owner, true);
+            const std::optional<StoreWrite> write = entry.plan();
+            if (!write)
+                continue;
+            const bool isApplied = fleet.store_.apply(*write);
+            if (chance(20))
+                entry.finishWrite(WriteOutcome::Unknown, 0);
+            else
+                entry.finishWrite(isApplied ? WriteOutcome::Applied : WriteOutcome::Conflict,
+                                  fleet.store_.version());
+            REQUIRE(fleet.units() <= QuotaShare::kTotalUnits);
+        }
+        // Long enough for each term, with nobody cut off.
+        fleet.syncAll(200);
+        CHECK(fleet.units() == QuotaShare::kTotalUnits);
+    }
+}
+
+// Guards against a part that has no owner for a term because a restore took its owner's row back.
+TEST_CASE("owners that grant write their rows again behind a restore, and go on granting")
+{
+    Fleet fleet(5);
+    fleet.syncAll(8);
+    REQUIRE(fleet.units() == QuotaShare::kTotalUnits);
+    const std::vector<std::string> owners = fleet.entry(0).ownersOf("w");
+    fleet.store_.restore(1000); // an empty store
+    fleet.syncAll(4);
+    CHECK(fleet.units() == QuotaShare::kTotalUnits);
+    CHECK(fleet.entry(0).ownersOf("w") == owners);
+    fleet.restart(4);
+    fleet.syncAll(2);
+    CHECK(fleet.entry(4).ownersOf("w") == owners);
+    fleet.syncAll(60, seconds(1)); // they renew as ever
+    CHECK(fleet.units() == QuotaShare::kTotalUnits);
+    CHECK(fleet.entry(0).ownersOf("w") == owners);
+}
+
 // Guards against a suspended or disconnected owner that grants from parts that others have taken.
 TEST_CASE("an owner that cannot write stops granting before its parts are taken over")
 {
--- a/packages/quota/quota_testing.h
+++ b/packages/quota/quota_testing.h
@@ -10,7 +10,8 @@
 
 namespace foxtailturn::quota::testing {
 
-// A store with conditional writes. delay() keeps a write for applyLate().
+// A store with conditional writes. delay() keeps a write for applyLate(), restore() loses the last
+// writes.
 class FakeStore
 {
 public:
@@ -19,7 +20,7 @@
         StoreRows list;
         for (const auto &[key, row] : rows_)
             list.rows_.push_back(row);
-        list.position_.version_ = version_;
+        list.position_ = {era_, version_};
         return list;
     }
 
@@ -33,6 +34,7 @@
                 return false;
             }
         }
+        history_.push_back({rows_, version_});
         ++version_;
         for (StoreRow row : write.puts_) {
             row.version_ = version_;
@@ -45,9 +47,19 @@
 
     void put(const std::string &key, const std::string &value)
     {
+        history_.push_back({rows_, version_});
         rows_[key] = {kFleetTable, kFleetPartition, key, value, ++version_};
     }
 
+    void restore(std::size_t writes)
+    {
+        history_.resize(history_.size() - std::min(writes, history_.size()) + 1);
+        rows_ = history_.back().rows_;
+        version_ = history_.back().version_;
+        history_.pop_back();
+        ++era_;
+    }
+
     void delay(const StoreWrite &write) { late_.push_back(write); }
 
     void applyLate()
@@ -62,9 +74,17 @@
     [[nodiscard]] int conflicts() const { return conflicts_; }
 
 private:
+    struct Copy
+    {
+        std::map<std::string, StoreRow> rows_;
+        std::int64_t version_ = 0;
+    };
+
     std::map<std::string, StoreRow> rows_;
+    std::vector<Copy> history_; // before each write
     std::vector<StoreWrite> late_;
     std::int64_t version_ = 0;
+    std::int64_t era_ = 1;
     int writes_ = 0;
     int conflicts_ = 0;
 };
