gateway: a suspect's record that a copy of the store lacks is written again

The entry that wrote a record writes it again, once, if the copy lacks it or has an older one.

Evidence: suspect_rows_test, "a record that a copy of the store lacks is written again" (a new function, so not run on the code before). Ruled out: the entries' and sidecars' own memory, which keeps what it knew.

--- a/packages/gateway/ledger_sync.cpp
+++ b/packages/gateway/ledger_sync.cpp
@@ -184,8 +184,15 @@
         read(pages_.rows_.back().key_ + '\0');
         return;
     }
-    logLearned(suspects_.update(pages_.rows_));
+    const bool isCopy = hasRead_ && pages_.position_.era_ > quotas_.era();
+    logLearned(isCopy ? suspects_.updateCopy(pages_.rows_) : suspects_.update(pages_.rows_));
+    if (isCopy)
+        log_.write(LogDetail::Full, "quota_rows_restored",
+                   {{"era", pages_.position_.era_},
+                    {"version", pages_.position_.version_},
+                    {"rows", pages_.rows_.size()}});
     quotas_.update(pages_);
+    hasRead_ = true;
     readDueAt_ = store_.now() + jittered(currentReadInterval());
     if (onRead_)
         onRead_();
--- a/packages/gateway/ledger_sync.h
+++ b/packages/gateway/ledger_sync.h
@@ -98,6 +98,7 @@
     TimePoint readDueAt_{}; // the rows are read again by the first sync after this
     int conflicts_ = 0; // in a row
     bool isSyncing_ = false;
+    bool hasRead_ = false; // all rows, at least once
 };
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/suspect_rows.cpp
+++ b/packages/gateway/suspect_rows.cpp
@@ -78,6 +78,7 @@
     }
     for (const auto &[fingerprint, record] : written) {
         versions_[fingerprint] = version;
+        written_.insert(fingerprint);
         const auto report = reports_.find(fingerprint);
         if (report != reports_.end() && report->second == record)
             reports_.erase(report);
@@ -89,9 +90,31 @@
 {
     versions_.clear();
     expired_.clear();
+    std::erase_if(written_, [this](const std::string &fingerprint) {
+        const std::optional<SuspectRecord> known = quarantine_.find(fingerprint);
+        return !known || known->isExpired(clock_.now());
+    });
     return updateSome(rows);
 }
 
+std::vector<SuspectRecord> SuspectRows::updateCopy(const std::vector<StoreRow> &rows)
+{
+    std::vector<SuspectRecord> changed = update(rows);
+    std::set<std::string> kept; // whose rows say what is known
+    for (const StoreRow &row : rows) {
+        const Result<SuspectRecord> record = SuspectRecord::ofJson(row.value_);
+        if (record && quarantine_.find(record->fingerprint_) == *record)
+            kept.insert(record->fingerprint_);
+    }
+    const UtcTime now = clock_.now();
+    for (const std::string &fingerprint : written_) {
+        const std::optional<SuspectRecord> known = quarantine_.find(fingerprint);
+        if (known && !known->isExpired(now) && !kept.contains(fingerprint))
+            report(*known);
+    }
+    return changed;
+}
+
 std::vector<SuspectRecord> SuspectRows::updateSome(const std::vector<StoreRow> &rows)
 {
     const UtcTime now = clock_.now();
--- a/packages/gateway/suspect_rows.h
+++ b/packages/gateway/suspect_rows.h
@@ -54,6 +54,11 @@
     // records to be written: all rows, or those that a conflict has returned. Return the records
     // that are new or have changed, as merged.
     std::vector<SuspectRecord> update(const std::vector<StoreRow> &rows);
+
+    // update() for all rows of a store that has come back from a copy. What this entry has written
+    // and the copy lacks is written again.
+    std::vector<SuspectRecord> updateCopy(const std::vector<StoreRow> &rows);
+
     std::vector<SuspectRecord> updateSome(const std::vector<StoreRow> &rows);
 
 private:
@@ -61,6 +66,7 @@
     const WallClock &clock_;
     std::map<std::string, SuspectRecord> reports_; // to be written, by fingerprint
     std::map<std::string, SuspectRecord> writing_; // in the write under way, by fingerprint
+    std::set<std::string> written_; // fingerprints of records that this entry has written
     std::map<std::string, std::int64_t> versions_; // of the rows, by fingerprint
     std::set<std::string> expired_; // fingerprints of rows to be removed; keys of versions_
     std::set<std::string> removing_; // of those in the write under way
--- a/packages/gateway/suspect_rows_test.cpp
+++ b/packages/gateway/suspect_rows_test.cpp
@@ -174,4 +174,29 @@
     }
 }
 
+// Guards against a suspect that crashes further targets because a restore of the store took its
+// record.
+TEST_CASE(
+    "a record that a copy of the store lacks is written again by the entry that wrote it, once")
+{
+    FakeStore store;
+    Entry a("a");
+    Entry b("b");
+    a.recordCrash("f", "engine-1@1");
+    REQUIRE(a.write(store));
+    REQUIRE(b.rows_.update(store.rows().rows_).size() == 1);
+    store.restore(1);
+    static_cast<void>(a.rows_.updateCopy(store.rows().rows_));
+    static_cast<void>(b.rows_.updateCopy(store.rows().rows_));
+    CHECK_FALSE(b.rows_.hasReports());
+    CHECK(a.write(store));
+    CHECK_FALSE(a.write(store));
+    Entry c("c");
+    CHECK(c.rows_.update(store.rows().rows_).size() == 1);
+    store.put("other", "row");
+    store.restore(1); // a copy that has the record
+    static_cast<void>(a.rows_.updateCopy(store.rows().rows_));
+    CHECK_FALSE(a.rows_.hasReports());
+}
+
 } // namespace foxtailturn::gateway
