--- a/packages/gateway/answer_state.h
+++ b/packages/gateway/answer_state.h
@@ -14,9 +14,9 @@
 //     else if (step.verdict_ == AnswerVerdict::Failed)
 //         breakOff(state.breakOff());
 //
-// Only a last chunk, or a length that a target has stated, ends an answer for a caller that can read
-// chunks, so whatever happens between here and the caller, a part of an answer never looks whole. A
-// stream goes on at another target only behind an event that both know (StreamPosition).
+// Only a last chunk, or a length that a target has stated, ends an answer for a caller that can
+// read chunks, so whatever happens between here and the caller, a part of an answer never looks
+// whole. A stream goes on at another target only behind an event that both know (StreamPosition).
 
 #include <cstddef>
 #include <optional>
