--- a/packages/base/store_rows.h
+++ b/packages/base/store_rows.h
@@ -6,9 +6,9 @@
 //     write.expected_.push_back({table, partition, key, "", version}); // applied only if unchanged
 //     write.puts_.push_back({table, partition, key, value});
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace foxtailturn {
@@ -21,8 +21,11 @@
     std::int64_t era_ = 0;
     std::int64_t version_ = 0;
 
-    // Orders by era first.
-    auto operator<=>(const StorePosition &) const = default;
+    bool operator==(const StorePosition &) const = default;
+    bool operator<(const StorePosition &other) const
+    {
+        return std::tie(era_, version_) < std::tie(other.era_, other.version_);
+    }
 };
 
 // A row of the store. Within an era, each change of any row gives that row a higher version_ than
