gateway: an index of the targets that host an adapter

AdapterHosts keeps them by name, with version, loads in progress and requested ones, and tells an observer which entries have changed. TargetRegistry updates it at each change of a target: record, report, link, restart, superseded, removed, load requested. Loads are therefore recorded through the registry (recordLoadRequest, forgetLoadRequest); nothing else sets requestedLoads_. Target moves to its own header.

--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -245,7 +245,7 @@
     if (asked != target.requestedLoads_.end() && asked->second.version_ == load.version_
         && load.at_ - asked->second.at_ < kLoadRequestInterval)
         return;
-    target.requestedLoads_[name] = load;
+    targets_.recordLoadRequest(target, name, load);
     if (loadRequestHandler_)
         loadRequestHandler_(target, model, adapter, load.version_);
 }
@@ -277,17 +277,7 @@
         recordLeaving(target->record_.instance_);
     if (changes.names_.empty())
         return; // most reports change only the load figures
-    std::erase_if(target->requestedLoads_, [&](const auto &asked) {
-        const std::string &name = asked.first;
-        const std::size_t slash = std::min(name.find('/'), name.size());
-        const std::string adapter = name.substr(std::min(slash + 1, name.size()));
-        const std::optional<std::int64_t> version =
-            target->versionOf(name.substr(0, slash), adapter);
-        const bool isThere = version && *version >= versions_.newest(name);
-        if (isThere && !adapter.empty())
-            placements_[target->record_.service_].recordLoadTime(now() - asked.second.at_);
-        return isThere;
-    });
+    recordCompletedLoads(*target);
     requestAdapterUpdates();
     const std::set<std::shared_ptr<Relay>> waiting = waiting_;
     for (const std::shared_ptr<Relay> &relay : waiting) {
@@ -297,6 +287,22 @@
     }
 }
 
+void Gateway::recordCompletedLoads(Target &target)
+{
+    const std::map<std::string, RequestedLoad> requested = target.requestedLoads_;
+    for (const auto &[name, load] : requested) {
+        const std::size_t slash = std::min(name.find('/'), name.size());
+        const std::string adapter = name.substr(std::min(slash + 1, name.size()));
+        const std::optional<std::int64_t> version =
+            target.versionOf(name.substr(0, slash), adapter);
+        if (!version || *version < versions_.newest(name))
+            continue;
+        if (!adapter.empty())
+            placements_[target.record_.service_].recordLoadTime(now() - load.at_);
+        targets_.forgetLoadRequest(target, name);
+    }
+}
+
 void Gateway::requestLoads()
 {
     if (!config_)
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -187,6 +187,7 @@
                                   std::optional<Duration> retryAfter);
     [[nodiscard]] std::optional<Refusal> chargeQuota(AdmittedRequest &request,
                                                      const Workspace &workspace);
+    void recordCompletedLoads(Target &target);
     void requestAdapterUpdates();
     void checkTarget(const std::string &instance, const std::string &address);
 
--- a/packages/gateway/relay_reply.cpp
+++ b/packages/gateway/relay_reply.cpp
@@ -172,8 +172,8 @@
     if (replyHandling_ == ReplyHandling::Discard && reply_.isNotRun_) {
         const bool isOther = reply_.isOtherInstance_;
         if (Target *target = use_.target(); target != nullptr && isOther) {
-            target->requestedLoads_.erase(
-                adapterName(request_.caller_.model_, request_.caller_.adapter_));
+            gateway_.targets().forgetLoadRequest(
+                *target, adapterName(request_.caller_.model_, request_.caller_.adapter_));
             if (!reply_.instance_.empty() && reply_.instance_ != use_.instance())
                 gateway_.targets().markSuperseded(*target);
         }
--- a/packages/gateway/target_registry.cpp
+++ b/packages/gateway/target_registry.cpp
@@ -56,11 +56,6 @@
 
 } // namespace
 
-std::string adapterName(const std::string &model, const std::string &adapter)
-{
-    return adapter.empty() ? model : model + "/" + adapter;
-}
-
 TargetTimes targetTimesFor(Duration drainNotice)
 {
     constexpr int kReadsPerNotice =
@@ -75,67 +70,44 @@
     return {pause, std::max(drainNotice - pause - kMargin, Duration::zero())};
 }
 
-std::optional<std::int64_t> Target::versionOf(const std::string &model,
-                                              const std::string &adapter) const
-{
-    for (const HostedModel &hosted : hostedModels()) {
-        if (hosted.name_ != model)
-            continue;
-        if (adapter.empty())
-            return 0;
-        const auto it = hosted.adapters_.find(adapter);
-        if (it != hosted.adapters_.end() && !isLoading(adapterName(model, adapter)))
-            return it->second;
-    }
-    return std::nullopt;
-}
-
-bool Target::hostsModel(const std::string &model) const
-{
-    return versionOf(model, "").has_value();
-}
-
-bool Target::isLoading(const std::string &name) const
-{
-    return std::find(report_.loading_.begin(), report_.loading_.end(), name)
-        != report_.loading_.end();
-}
-
 bool TargetRegistry::list(const TargetRecord &record, TimePoint now)
 {
     std::unique_ptr<Target> &slot = targets_[record.instance_];
-    const bool isRestarted = slot && slot->record_.startTimeMs_ != record.startTimeMs_;
-    if (!slot)
+    const bool isNew = !slot;
+    if (isNew)
         slot = std::make_unique<Target>();
-    if (isRestarted) {
-        // The instance was restarted under the same id: discard the state of the old incarnation.
-        // Requests in flight are still counted until they end.
-        slot->report_ = EngineReport();
-        slot->reportedAt_ = TimePoint{};
-        slot->requestedLoads_.clear();
-        slot->consecutiveFailures_ = 0;
-        slot->suspectUntil_ = now;
-        slot->backoff_ = TargetBackoff();
-    }
-    const TargetRecord &previous = slot->record_;
+    Target &target = *slot;
+    const bool isRestarted = !isNew && target.record_.startTimeMs_ != record.startTimeMs_;
+    if (isRestarted)
+        discardIncarnation(target, now);
+    const TargetRecord previous = std::exchange(target.record_, record);
     const bool isChanged = isRestarted || previous.phase_ != record.phase_
         || previous.address_ != record.address_ || previous.service_ != record.service_
-        || slot->usableUntil_ != TimePoint::max();
-    const std::string previousService = previous.service_;
-    const std::string previousAddress = previous.address_;
-    slot->record_ = record;
-    slot->usableUntil_ = TimePoint::max();
-    slot->listedFrom_ = TimePoint::max();
-    if (isRestarted) {
-        slot->isSuperseded_ = false;
-        slot->isLeaving_ = false;
-    }
-    if (previousAddress != record.address_)
-        markOlderSuperseded(previousService, previousAddress);
+        || target.usableUntil_ != TimePoint::max();
+    target.usableUntil_ = TimePoint::max();
+    target.listedFrom_ = TimePoint::max();
+    if (previous.address_ != record.address_)
+        markOlderSuperseded(previous.service_, previous.address_);
     markOlderSuperseded(record.service_, record.address_);
+    if (isNew || isRestarted || (!target.hasReport() && previous.models_ != record.models_))
+        hosts_.update(target);
     return isChanged;
 }
 
+// Discards the state of the target's earlier incarnation. Requests in flight are still counted
+// until they end.
+void TargetRegistry::discardIncarnation(Target &target, TimePoint now)
+{
+    target.report_ = EngineReport();
+    target.reportedAt_ = TimePoint{};
+    target.requestedLoads_.clear();
+    target.consecutiveFailures_ = 0;
+    target.suspectUntil_ = now;
+    target.backoff_ = TargetBackoff();
+    target.isSuperseded_ = false;
+    target.isLeaving_ = false;
+}
+
 void TargetRegistry::markOlderSuperseded(const std::string &service, const std::string &address)
 {
     const auto isMeant = [&](const Target &target) {
@@ -152,13 +124,15 @@
     }
     for (const auto &[instance, target] : targets_) {
         if (isMeant(*target) && target->record_.startTimeMs_ < newest)
-            target->isSuperseded_ = true;
+            markSuperseded(*target);
     }
 }
 
 void TargetRegistry::markSuperseded(Target &target)
 {
-    target.isSuperseded_ = true;
+    if (std::exchange(target.isSuperseded_, true))
+        return;
+    hosts_.update(target);
 }
 
 bool TargetRegistry::markLeaving(const std::string &instance)
@@ -235,13 +209,16 @@
     for (const auto &[instance, target] : targets_) {
         if (target->record_.address_ == address
             && target->record_.startTimeMs_ < report.startTimeMs_)
-            target->isSuperseded_ = true;
+            markSuperseded(*target);
         if (target->record_.address_ != address
             || target->record_.startTimeMs_ != report.startTimeMs_)
             continue;
+        const bool isFirst = !target->hasReport();
         AdapterChanges changes{target.get(), changedNames(target->report_, report)};
         target->report_ = report;
         target->reportedAt_ = now;
+        if (isFirst || !changes.names_.empty())
+            hosts_.update(*target);
         return changes;
     }
     return {};
@@ -252,12 +229,27 @@
     for (const auto &[instance, target] : targets_) {
         if (target->record_.address_ != address)
             continue;
-        target->isAgentConnected_ = isLinked;
-        if (!isLinked)
+        const bool hasLostRequests = !isLinked && !target->requestedLoads_.empty();
+        if (hasLostRequests)
             target->requestedLoads_.clear();
+        if (std::exchange(target->isAgentConnected_, isLinked) != isLinked || hasLostRequests)
+            hosts_.update(*target);
     }
 }
 
+void TargetRegistry::recordLoadRequest(Target &target, const std::string &name,
+                                       const RequestedLoad &load)
+{
+    if (target.requestedLoads_.insert_or_assign(name, load).second)
+        hosts_.update(target);
+}
+
+void TargetRegistry::forgetLoadRequest(Target &target, const std::string &name)
+{
+    if (target.requestedLoads_.erase(name) > 0)
+        hosts_.update(target);
+}
+
 void TargetRegistry::succeeded(Target &target)
 {
     target.consecutiveFailures_ = 0;
@@ -299,10 +291,13 @@
 
 void TargetRegistry::removeStale(TimePoint now)
 {
-    std::erase_if(targets_, [now](const auto &entry) {
-        const Target &target = *entry.second;
-        return target.usableUntil_ != TimePoint::max()
+    std::erase_if(targets_, [this, now](const auto &entry) {
+        Target &target = *entry.second;
+        const bool isStale = target.usableUntil_ != TimePoint::max()
             && target.usableUntil_ + kUnlistedRetention < now && target.inFlight_ == 0;
+        if (isStale)
+            hosts_.remove(target);
+        return isStale;
     });
 }
 
--- a/packages/gateway/target_registry.h
+++ b/packages/gateway/target_registry.h
@@ -15,75 +15,11 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "gateway/codec.h"
-#include "gateway/target_backoff.h"
+#include "gateway/adapter_hosts.h"
+#include "gateway/target.h"
 
 namespace foxtailturn::gateway {
 
-// Returns the name of an adapter on a target: MODEL/ADAPTER, or MODEL for the base model.
-[[nodiscard]] std::string adapterName(const std::string &model, const std::string &adapter);
-
-// A load that the entry has requested from a target's sidecar.
-struct RequestedLoad
-{
-    TimePoint at_{};
-    std::int64_t version_ = 0; // 0: the newest
-
-    bool operator==(const RequestedLoad &) const = default;
-};
-
-// A target and what the entry knows about it.
-struct Target
-{
-    TargetRecord record_;
-    TimePoint usableUntil_ = TimePoint::max(); // set when its record was removed from the store
-    // Set when a copy of the store had its record again: it is listed if that is still there then.
-    TimePoint listedFrom_ = TimePoint::max();
-    bool isLeaving_ = false; // it has said itself that it is about to stop
-    // A newer incarnation was seen at its address. This one's record stays in the store for some
-    // seconds.
-    bool isSuperseded_ = false;
-
-    EngineReport report_;
-    TimePoint reportedAt_{}; // zero: no report yet
-    bool isAgentConnected_ = false; // its sidecar is connected and accepts load requests
-    double evictionCost_ = 0; // expected uses of the adapter that the next load would evict
-
-    int inFlight_ = 0; // requests of this entry
-    std::int64_t pendingPrompt_ =
-        0; // uncached prompt tokens of this entry's requests without a first event
-    int pendingCount_ = 0; // this entry's requests without a first event
-    std::map<std::string, RequestedLoad> requestedLoads_; // by adapter name
-
-    int consecutiveFailures_ = 0;
-    TimePoint suspectUntil_{};
-    TargetBackoff backoff_; // after rejections
-
-    // Returns what the target hosts: as it has reported, or as its record says.
-    [[nodiscard]] const std::vector<HostedModel> &hostedModels() const
-    {
-        return hasReport() ? report_.models_ : record_.models_;
-    }
-
-    // Returns the version of the adapter on the target; nullopt if it is absent or being loaded.
-    // The base model has version 0.
-    [[nodiscard]] std::optional<std::int64_t> versionOf(const std::string &model,
-                                                        const std::string &adapter) const;
-
-    // Returns whether this incarnation may get new work.
-    [[nodiscard]] bool isInService() const
-    {
-        return record_.phase_ == TargetPhase::Ready && !isLeaving_ && !isSuperseded_;
-    }
-
-    // Returns whether the base model is loaded.
-    [[nodiscard]] bool hostsModel(const std::string &model) const;
-
-    [[nodiscard]] bool isLoading(const std::string &name) const;
-    [[nodiscard]] bool isSuspect(TimePoint now) const { return now < suspectUntil_; }
-    [[nodiscard]] bool hasReport() const { return reportedAt_ != TimePoint{}; }
-};
-
 // Models and adapters that an engine's report changed.
 struct AdapterChanges
 {
@@ -152,6 +88,11 @@
     // Records whether the sidecar of the engine at the address is connected.
     void setAgentConnected(const std::string &address, bool isLinked);
 
+    // Record that this entry has requested a load from the target's sidecar, or expects none any
+    // more.
+    void recordLoadRequest(Target &target, const std::string &name, const RequestedLoad &load);
+    void forgetLoadRequest(Target &target, const std::string &name);
+
     // Record the outcome of an attempt. A failure makes the target suspect for a time that doubles
     // with each consecutive failure, up to a limit.
     void succeeded(Target &target);
@@ -160,6 +101,11 @@
     // Returns the targets of a service that may get new requests, including suspect ones.
     [[nodiscard]] std::vector<Target *> availableTargets(const std::string &service, TimePoint now);
 
+    // The targets by the adapters that they host or load. Changes of targets through the registry
+    // are in it at once.
+    [[nodiscard]] AdapterHosts &hosts() { return hosts_; }
+    [[nodiscard]] const AdapterHosts &hosts() const { return hosts_; }
+
     [[nodiscard]] Target *find(const std::string &instance);
     [[nodiscard]] std::vector<Target *> all();
 
@@ -167,11 +113,13 @@
     void removeStale(TimePoint now);
 
 private:
+    void discardIncarnation(Target &target, TimePoint now);
     void markOlderSuperseded(const std::string &service, const std::string &address);
     void unlist(const std::string &instance, TimePoint now, Duration grace);
 
     Duration unlistedGrace_;
     std::map<std::string, std::unique_ptr<Target>> targets_; // by instance
+    AdapterHosts hosts_;
 };
 
 } // namespace foxtailturn::gateway
