gateway: targets by address and service instead of walks over all

TargetRegistry now owns indices by address and service and the set of unlisted targets. Those at an address keep the order of their instances, since a report ends at the first match.

Behaviour is unchanged: target_registry_test passes as it was; its two new cases check the changed addresses and the hosts of adapters.

--- a/packages/gateway/target.h
+++ b/packages/gateway/target.h
@@ -19,6 +19,11 @@
 // Returns the name of an adapter on a target: MODEL/ADAPTER, or MODEL for the base model.
 [[nodiscard]] std::string adapterName(const std::string &model, const std::string &adapter);
 
+// Returns the models and adapters that were loaded, unloaded or got a new version between two
+// reports, and those of loads that have begun or ended.
+[[nodiscard]] std::set<std::string> changedNames(const EngineReport &before,
+                                                 const EngineReport &after);
+
 // A load that the entry has requested from a target's sidecar.
 struct RequestedLoad
 {
--- a/packages/gateway/target_registry.cpp
+++ b/packages/gateway/target_registry.cpp
@@ -1,7 +1,6 @@
 #include "gateway/target_registry.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace foxtailturn::gateway {
@@ -22,38 +21,6 @@
 constexpr Duration kUnlistedRetention =
     std::chrono::seconds(30); // after the last possible use of an unlisted target
 
-// Version of each model and adapter in a report, or kLoading.
-using ReportedVersions = std::map<std::string, std::int64_t>;
-constexpr std::int64_t kLoading = -1;
-
-ReportedVersions reportedVersionsOf(const EngineReport &report)
-{
-    ReportedVersions versions;
-    for (const HostedModel &model : report.models_) {
-        versions[model.name_] = 0;
-        for (const auto &[adapter, version] : model.adapters_)
-            versions[adapterName(model.name_, adapter)] = version;
-    }
-    for (const std::string &name : report.loading_)
-        versions[name] = kLoading;
-    return versions;
-}
-
-std::set<std::string> changedNames(const EngineReport &before, const EngineReport &after)
-{
-    std::set<std::string> names;
-    if (before.models_ == after.models_ && before.loading_ == after.loading_)
-        return names;
-    const ReportedVersions previous = reportedVersionsOf(before);
-    const ReportedVersions current = reportedVersionsOf(after);
-    std::vector<ReportedVersions::value_type> changed;
-    std::set_symmetric_difference(previous.begin(), previous.end(), current.begin(), current.end(),
-                                  std::back_inserter(changed));
-    for (const auto &[name, version] : changed)
-        names.insert(name);
-    return names;
-}
-
 } // namespace
 
 TargetTimes targetTimesFor(Duration drainNotice)
@@ -80,12 +47,17 @@
     const bool isRestarted = !isNew && target.record_.startTimeMs_ != record.startTimeMs_;
     if (isRestarted)
         discardIncarnation(target, now);
-    const TargetRecord previous = std::exchange(target.record_, record);
+    const TargetRecord previous = target.record_;
     const bool isChanged = isRestarted || previous.phase_ != record.phase_
         || previous.address_ != record.address_ || previous.service_ != record.service_
         || target.usableUntil_ != TimePoint::max();
-    target.usableUntil_ = TimePoint::max();
-    target.listedFrom_ = TimePoint::max();
+    setRecord(target, record);
+    setListed(target);
+    if (isChanged) {
+        if (!isNew)
+            changedAddresses_.insert(previous.address_);
+        changedAddresses_.insert(record.address_);
+    }
     if (previous.address_ != record.address_)
         markOlderSuperseded(previous.service_, previous.address_);
     markOlderSuperseded(record.service_, record.address_);
@@ -94,6 +66,22 @@
     return isChanged;
 }
 
+void TargetRegistry::setRecord(Target &target, const TargetRecord &record)
+{
+    byAddress_.remove(target.record_.address_, target);
+    byService_.remove(target.record_.service_, target);
+    target.record_ = record;
+    byAddress_.add(record.address_, target);
+    byService_.add(record.service_, target);
+}
+
+void TargetRegistry::setListed(Target &target)
+{
+    target.usableUntil_ = TimePoint::max();
+    target.listedFrom_ = TimePoint::max();
+    unlisted_.erase(&target);
+}
+
 // Discards the state of the target's earlier incarnation. Requests in flight are still counted
 // until they end.
 void TargetRegistry::discardIncarnation(Target &target, TimePoint now)
@@ -110,20 +98,17 @@
 
 void TargetRegistry::markOlderSuperseded(const std::string &service, const std::string &address)
 {
-    const auto isMeant = [&](const Target &target) {
-        return target.record_.service_ == service && target.record_.address_ == address;
-    };
     // The old record of a target that restarts under a new id stays in the store until its missing
     // heartbeats are detected. Only the incarnation started last can answer at the address. A
     // record of another service may be another writer's; a server that has taken the address over
     // rejects requests for this one by itself.
     std::int64_t newest = 0;
-    for (const auto &[instance, target] : targets_) {
-        if (isMeant(*target) && target->usableUntil_ == TimePoint::max())
+    for (const Target *target : atAddress(address)) {
+        if (target->record_.service_ == service && target->usableUntil_ == TimePoint::max())
             newest = std::max(newest, target->record_.startTimeMs_);
     }
-    for (const auto &[instance, target] : targets_) {
-        if (isMeant(*target) && target->record_.startTimeMs_ < newest)
+    for (Target *target : atAddress(address)) {
+        if (target->record_.service_ == service && target->record_.startTimeMs_ < newest)
             markSuperseded(*target);
     }
 }
@@ -156,16 +141,26 @@
         return;
     const bool wasDraining = target->record_.phase_ == TargetPhase::Draining;
     target->usableUntil_ = wasDraining ? now : now + grace;
+    unlisted_.insert(target);
+    changedAddresses_.insert(target->record_.address_);
 }
 
-void TargetRegistry::retainOnly(const std::vector<std::string> &instances, TimePoint now)
+void TargetRegistry::unlistAllExcept(std::vector<std::string> instances, TimePoint now,
+                                     Duration grace)
 {
+    std::sort(instances.begin(), instances.end());
     for (const auto &[instance, target] : targets_) {
-        if (std::find(instances.begin(), instances.end(), instance) == instances.end())
-            markUnlisted(instance, now);
+        ++visits_;
+        if (!std::binary_search(instances.begin(), instances.end(), instance))
+            unlist(instance, now, grace);
     }
 }
 
+void TargetRegistry::retainOnly(const std::vector<std::string> &instances, TimePoint now)
+{
+    unlistAllExcept(instances, now, unlistedGrace_);
+}
+
 bool TargetRegistry::listCopy(const TargetRecord &record, TimePoint now)
 {
     Target *target = find(record.instance_);
@@ -184,37 +179,39 @@
 
 void TargetRegistry::retainOnlyCopy(const std::vector<std::string> &instances, TimePoint now)
 {
-    for (const auto &[instance, target] : targets_) {
-        if (std::find(instances.begin(), instances.end(), instance) == instances.end())
-            unlist(instance, now, kRewriteTime);
-    }
+    unlistAllExcept(instances, now, kRewriteTime);
 }
 
 bool TargetRegistry::confirmCopies(TimePoint now)
 {
     bool hasListed = false;
-    for (const auto &[instance, target] : targets_) {
-        if (target->listedFrom_ > now)
+    for (auto it = unlisted_.begin(); it != unlisted_.end();) {
+        ++visits_;
+        Target &target = **it++;
+        if (target.listedFrom_ > now)
             continue;
-        target->listedFrom_ = TimePoint::max();
-        target->usableUntil_ = TimePoint::max();
+        setListed(target);
+        changedAddresses_.insert(target.record_.address_);
         hasListed = true;
     }
     return hasListed;
 }
 
+std::set<std::string> TargetRegistry::takeChangedAddresses()
+{
+    return std::exchange(changedAddresses_, {});
+}
+
 AdapterChanges TargetRegistry::report(const std::string &address, const EngineReport &report,
                                       TimePoint now)
 {
-    for (const auto &[instance, target] : targets_) {
-        if (target->record_.address_ == address
-            && target->record_.startTimeMs_ < report.startTimeMs_)
+    for (Target *target : atAddress(address)) {
+        if (target->record_.startTimeMs_ < report.startTimeMs_)
             markSuperseded(*target);
-        if (target->record_.address_ != address
-            || target->record_.startTimeMs_ != report.startTimeMs_)
+        if (target->record_.startTimeMs_ != report.startTimeMs_)
             continue;
         const bool isFirst = !target->hasReport();
-        AdapterChanges changes{target.get(), changedNames(target->report_, report)};
+        AdapterChanges changes{target, changedNames(target->report_, report)};
         target->report_ = report;
         target->reportedAt_ = now;
         if (isFirst || !changes.names_.empty())
@@ -226,9 +223,7 @@
 
 void TargetRegistry::setAgentConnected(const std::string &address, bool isLinked)
 {
-    for (const auto &[instance, target] : targets_) {
-        if (target->record_.address_ != address)
-            continue;
+    for (Target *target : atAddress(address)) {
         const bool hasLostRequests = !isLinked && !target->requestedLoads_.empty();
         if (hasLostRequests)
             target->requestedLoads_.clear();
@@ -267,14 +262,24 @@
 std::vector<Target *> TargetRegistry::availableTargets(const std::string &service, TimePoint now)
 {
     std::vector<Target *> list;
-    for (const auto &[instance, target] : targets_) {
-        if (target->record_.service_ == service && target->isInService()
-            && now < target->usableUntil_)
-            list.push_back(target.get());
+    for (Target *target : visit(byService_.at(service))) {
+        if (target->isInService() && now < target->usableUntil_)
+            list.push_back(target);
     }
     return list;
 }
 
+const TargetSet &TargetRegistry::atAddress(const std::string &address)
+{
+    return visit(byAddress_.at(address));
+}
+
+const TargetSet &TargetRegistry::visit(const TargetSet &targets)
+{
+    visits_ += targets.size();
+    return targets;
+}
+
 Target *TargetRegistry::find(const std::string &instance)
 {
     const auto it = targets_.find(instance);
@@ -284,6 +289,7 @@
 std::vector<Target *> TargetRegistry::all()
 {
     std::vector<Target *> list;
+    visits_ += targets_.size();
     for (const auto &[instance, target] : targets_)
         list.push_back(target.get());
     return list;
@@ -291,14 +297,18 @@
 
 void TargetRegistry::removeStale(TimePoint now)
 {
-    std::erase_if(targets_, [this, now](const auto &entry) {
-        Target &target = *entry.second;
-        const bool isStale = target.usableUntil_ != TimePoint::max()
-            && target.usableUntil_ + kUnlistedRetention < now && target.inFlight_ == 0;
-        if (isStale)
-            hosts_.remove(target);
-        return isStale;
-    });
+    std::vector<Target *> stale;
+    for (Target *target : visit(unlisted_)) {
+        if (target->usableUntil_ + kUnlistedRetention < now && target->inFlight_ == 0)
+            stale.push_back(target);
+    }
+    for (Target *target : stale) {
+        hosts_.remove(*target);
+        byAddress_.remove(target->record_.address_, *target);
+        byService_.remove(target->record_.service_, *target);
+        unlisted_.erase(target);
+        targets_.erase(targets_.find(target->record_.instance_));
+    }
 }
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/target_registry.h
+++ b/packages/gateway/target_registry.h
@@ -17,6 +17,7 @@
 #include "base/clock.h"
 #include "gateway/adapter_hosts.h"
 #include "gateway/target.h"
+#include "gateway/target_index.h"
 
 namespace foxtailturn::gateway {
 
@@ -77,6 +78,9 @@
     bool listCopy(const TargetRecord &record, TimePoint now);
     void retainOnlyCopy(const std::vector<std::string> &instances, TimePoint now);
 
+    // Returns the addresses at which a target was listed, moved or unlisted since the last call.
+    [[nodiscard]] std::set<std::string> takeChangedAddresses();
+
     // Lists the targets whose records a copy has brought back and that are still there some time
     // later. Returns whether there are any.
     bool confirmCopies(TimePoint now);
@@ -106,20 +110,37 @@
     [[nodiscard]] AdapterHosts &hosts() { return hosts_; }
     [[nodiscard]] const AdapterHosts &hosts() const { return hosts_; }
 
+    // Returns the targets at an address, in the order of their instances: usually one, and its
+    // earlier incarnations. The reference is valid until a target is listed or removed.
+    [[nodiscard]] const TargetSet &atAddress(const std::string &address);
+
     [[nodiscard]] Target *find(const std::string &instance);
     [[nodiscard]] std::vector<Target *> all();
 
     // Removes targets that have been unlisted for some time and have no requests in flight.
     void removeStale(TimePoint now);
 
+    // Returns how many targets and entries of indices the calls so far have visited. What one
+    // message adds must not depend on the number of targets.
+    [[nodiscard]] std::uint64_t visits() const { return visits_ + hosts_.visits(); }
+
 private:
+    void setRecord(Target &target, const TargetRecord &record);
+    void setListed(Target &target);
     void discardIncarnation(Target &target, TimePoint now);
     void markOlderSuperseded(const std::string &service, const std::string &address);
     void unlist(const std::string &instance, TimePoint now, Duration grace);
+    void unlistAllExcept(std::vector<std::string> instances, TimePoint now, Duration grace);
+    [[nodiscard]] const TargetSet &visit(const TargetSet &targets);
 
     Duration unlistedGrace_;
     std::map<std::string, std::unique_ptr<Target>> targets_; // by instance
+    TargetIndex byAddress_;
+    TargetIndex byService_;
+    TargetSet unlisted_; // those whose record was removed
     AdapterHosts hosts_;
+    std::set<std::string> changedAddresses_;
+    std::uint64_t visits_ = 0;
 };
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/target_registry_test.cpp
+++ b/packages/gateway/target_registry_test.cpp
@@ -230,6 +230,75 @@
     CHECK(registry.availableTargets("s", kStart).size() == 1);
 }
 
+// Guards against sidecar links that stay open to targets that have left, and against links that are
+// missing, since the registry did not tell where targets were listed or unlisted.
+TEST_CASE("addresses change where targets are listed, moved or unlisted")
+{
+    TargetRegistry registry(kUnlistedGrace);
+    using Addresses = std::set<std::string>;
+    const auto changed = [&registry] { return registry.takeChangedAddresses(); };
+    TargetRecord moved = record("a");
+    moved.address_ = "10.0.0.2:80";
+    registry.list(record("a"), kStart);
+    CHECK(changed() == Addresses{"10.0.0.1:80"});
+    CHECK(changed().empty());
+    registry.list(record("a"), kStart); // a heartbeat
+    CHECK(changed().empty());
+    registry.list(moved, kStart);
+    CHECK(changed() == Addresses{"10.0.0.1:80", "10.0.0.2:80"});
+    CHECK(registry.atAddress("10.0.0.1:80").empty());
+    CHECK(registry.atAddress("10.0.0.2:80").size() == 1);
+    registry.markUnlisted("a", kStart);
+    CHECK(changed() == Addresses{"10.0.0.2:80"});
+    registry.markUnlisted("a", kStart);
+    CHECK(changed().empty());
+    registry.listCopy(moved, kStart);
+    CHECK(registry.confirmCopies(kStart + std::chrono::seconds(8)));
+    CHECK(changed() == Addresses{"10.0.0.2:80"});
+    registry.retainOnly({}, kStart);
+    CHECK(changed() == Addresses{"10.0.0.2:80"});
+    registry.removeStale(kStart + std::chrono::seconds(60));
+    CHECK(registry.atAddress("10.0.0.2:80").empty());
+    CHECK(registry.all().empty());
+}
+
+// Guards against an index that misses a change of a target, so that requests find adapters that are
+// gone, or none.
+TEST_CASE("hosts of adapters follow each change of a target")
+{
+    TargetRegistry registry(kUnlistedGrace);
+    const auto hostOf = [&registry](const std::string &name) -> std::optional<AdapterHost> {
+        const AdapterHosts::Hosts &hosts = registry.hosts().hostsOf(name);
+        return hosts.empty() ? std::nullopt : std::optional(hosts.begin()->second);
+    };
+    TargetRecord withModels = record("a");
+    withModels.models_ = {{"m", {{"a0", 1}}}};
+    registry.list(withModels, kStart);
+    CHECK(hostOf("m/a0") == AdapterHost{.version_ = 1});
+    registry.report("10.0.0.1:80", reportOf(1), kStart);
+    CHECK(hostOf("m/a0") == std::nullopt);
+    CHECK(hostOf("m/a1") == AdapterHost{.version_ = 3});
+    registry.setAgentConnected("10.0.0.1:80", true);
+    CHECK(hostOf("m/a1") == AdapterHost{.version_ = 3, .isAgentConnected_ = true});
+    Target &target = *registry.find("a");
+    registry.recordLoadRequest(target, "m/a2", {kStart});
+    CHECK(hostOf("m/a2") == AdapterHost{.isRequested_ = true, .isAgentConnected_ = true});
+    registry.forgetLoadRequest(target, "m/a2");
+    CHECK(hostOf("m/a2") == std::nullopt);
+    registry.recordLoadRequest(target, "m/a2", {kStart});
+    registry.setAgentConnected("10.0.0.1:80", false);
+    CHECK(hostOf("m/a2") == std::nullopt);
+    registry.markSuperseded(target);
+    CHECK(hostOf("m/a1") == AdapterHost{.version_ = 3, .isSuperseded_ = true});
+    registry.list(record("a", 2), kStart);
+    CHECK(hostOf("m/a1") == std::nullopt);
+    registry.list(withModels, kStart);
+    CHECK(hostOf("m/a0") == AdapterHost{.version_ = 1});
+    registry.markUnlisted("a", kStart);
+    registry.removeStale(kStart + std::chrono::seconds(60));
+    CHECK(hostOf("m/a0") == std::nullopt);
+}
+
 // Guards against the same failure before the new record is in the store: the sidecar's report comes
 // first.
 TEST_CASE("a report of a later incarnation supersedes the earlier one")
