gateway: links to sidecars change only where targets do

updateSidecarLinks() ran after each batch of records. It walked all targets, set the state of each link again and searched all addresses for each link: quadratic in the fleet. The registry now collects the addresses at which a target was listed, moved or unlisted, and only these are looked at; a new revision of the configuration, which tells which services are engines, looks at all once. A target that is listed anew at the address of a link gets the link's state as before.

The case "addresses change where targets are listed, moved or unlisted" of target_registry_test covers the registry's part; links over restarts and restores are covered by fleet_test and restore_test.

--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -1,6 +1,8 @@
 #include "gateway/entry_node.h"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 namespace foxtailturn::gateway {
 
@@ -226,27 +228,37 @@
     const auto &config = gateway_.config();
     if (!config)
         return;
-    std::vector<std::string> engineAddresses;
-    for (Target *target : gateway_.targets().all()) {
-        const auto service = config->services_.find(target->record_.service_);
-        const bool isEngine =
-            service != config->services_.end() && service->second.engine_.has_value();
-        if (!isEngine || target->usableUntil_ != TimePoint::max())
-            continue;
-        engineAddresses.push_back(target->record_.address_);
-        ensureSidecarLink(*target);
+    std::set<std::string> engines = gateway_.targets().takeChangedAddresses();
+    if (std::exchange(linksRevision_, config->revision_) != config->revision_) {
+        // The configuration tells which services are engines.
+        for (const Target *target : gateway_.targets().all())
+            engines.insert(target->record_.address_);
     }
-    for (auto it = sidecarLinks_.begin(); it != sidecarLinks_.end();) {
-        if (std::find(engineAddresses.begin(), engineAddresses.end(), it->first)
-            != engineAddresses.end()) {
-            ++it;
-            continue;
-        }
-        it->second->stop();
-        suspects_.setConnected(it->first, false);
-        sidecarReports_.erase(it->first);
-        it = sidecarLinks_.erase(it);
+    for (const std::string &engine : engines)
+        updateSidecarLink(engine);
+}
+
+void EntryNode::updateSidecarLink(const std::string &engine)
+{
+    const auto isListedEngine = [this](const Target *target) {
+        const auto &services = gateway_.config()->services_;
+        const auto service = services.find(target->record_.service_);
+        return service != services.end() && service->second.engine_.has_value()
+            && target->usableUntil_ == TimePoint::max();
+    };
+    const TargetSet &targets = gateway_.targets().atAddress(engine);
+    const auto listed = std::find_if(targets.begin(), targets.end(), isListedEngine);
+    if (listed != targets.end()) {
+        ensureSidecarLink(**listed);
+        return;
     }
+    const auto link = sidecarLinks_.find(engine);
+    if (link == sidecarLinks_.end())
+        return;
+    link->second->stop();
+    suspects_.setConnected(engine, false);
+    sidecarReports_.erase(engine);
+    sidecarLinks_.erase(link);
 }
 
 void EntryNode::ensureSidecarLink(const Target &target)
--- a/packages/gateway/entry_node.h
+++ b/packages/gateway/entry_node.h
@@ -47,7 +47,9 @@
     void onVersionRow(const StoreRow &row);
     void onVersionsRead();
     void onTargetRows(const std::vector<StoreRow> &rows, TableContent content);
+    // Opens and closes links where targets were listed or unlisted since the last call.
     void updateSidecarLinks();
+    void updateSidecarLink(const std::string &engine);
     void ensureSidecarLink(const Target &target);
     void onSidecarMessage(const std::string &engine, const AgentMessage &message);
     void tick();
@@ -70,6 +72,7 @@
     TableWatch operatorWatch_;
     TableWatch targetWatch_;
     std::map<std::string, std::shared_ptr<AgentLink>> sidecarLinks_; // by the engine's address
+    std::optional<std::int64_t> linksRevision_; // of the configuration that the links were made for
     std::map<std::string, SidecarReport> sidecarReports_; // latest report, by the engine's address
     LedgerSync ledgerSync_;
     QuotaPeers quotaPeers_;
