gateway: outdated copies of adapters are kept as they change

OutdatedCopies observes AdapterHosts and keeps, by adapter, the copies that may be replaced, the oldest first, and the number of loads in progress. A report looks at the names that it changed: the target's own copy and the oldest one; a version at the copies of its adapter; a pass over all at copies that are due. The decisions are those of dueUpdates(): a test compares both over 40 x 500 random changes (records, restarts, reports, links, superseded and removed targets, versions, time); the scan now lives in that test only. What a report makes due beyond its own names, by superseding an earlier incarnation, waits for the next pass, at most 250 ms.

The two cases of adapter_versions_test about replacing copies move to outdated_copies_test with the same checks, on a registry instead of bare targets.

--- a/packages/gateway/adapter_versions_test.cpp
+++ b/packages/gateway/adapter_versions_test.cpp
@@ -11,43 +11,6 @@
 constexpr TimePoint kStart{std::chrono::seconds(100)};
 constexpr Duration kGrace = AdapterVersions::kGrace;
 
-// Targets that hold one version of the adapter m/a each.
-struct Fixture
-{
-    explicit Fixture(const std::vector<std::int64_t> &copies)
-        : targets_(copies.size())
-    {
-        for (std::size_t i = 0; i < copies.size(); ++i) {
-            targets_[i].isAgentConnected_ = true;
-            targets_[i].reportedAt_ = kStart;
-            setVersion(i, copies[i]);
-        }
-    }
-
-    void setVersion(std::size_t index, std::int64_t version)
-    {
-        targets_[index].report_.models_ = {{"m", {{"a", version}, {"other", 1}}}};
-    }
-
-    // Returns the indexes of the targets to update.
-    std::vector<std::size_t> due(TimePoint now)
-    {
-        std::vector<Target *> all;
-        for (Target &target : targets_)
-            all.push_back(&target);
-        std::vector<std::size_t> indexes;
-        for (const AdapterUpdate &update : versions_.dueUpdates(all, now)) {
-            CHECK(update.model_ == "m");
-            CHECK(update.adapter_ == "a");
-            indexes.push_back(static_cast<std::size_t>(update.target_ - targets_.data()));
-        }
-        return indexes;
-    }
-
-    std::vector<Target> targets_;
-    AdapterVersions versions_;
-};
-
 } // namespace
 
 // Guards against a version that is required before its grace has passed, or never.
@@ -85,32 +48,4 @@
     }
 }
 
-// Guards against updates that always begin with the same copies, so that the others stay old.
-TEST_CASE("the oldest copy is replaced first")
-{
-    Fixture fixture({3, 1, 2});
-    fixture.versions_.declare({"m", "a", 4}, kStart);
-    CHECK(fixture.due(kStart) == std::vector<std::size_t>{1});
-    fixture.setVersion(1, 4);
-    CHECK(fixture.due(kStart) == std::vector<std::size_t>{2});
-    fixture.versions_.declare({"m", "a", 5}, kStart + kGrace);
-    CHECK(fixture.due(kStart + kGrace) == std::vector<std::size_t>{2, 0});
-}
-
-// Guards against an adapter that no target serves because all its copies are replaced at once, and
-// against copies that stay old.
-TEST_CASE("copies are replaced one at a time until the version is required, then all")
-{
-    Fixture fixture({1, 1, 2});
-    CHECK(fixture.due(kStart).empty());
-    fixture.versions_.declare({"m", "a", 2}, kStart);
-    CHECK(fixture.due(kStart).size() == 1);
-    CHECK(fixture.due(kStart + kGrace) == std::vector<std::size_t>{0, 1});
-    fixture.targets_[0].report_.loading_ = {"m/a"};
-    CHECK(fixture.due(kStart).empty());
-    CHECK(fixture.due(kStart + kGrace) == std::vector<std::size_t>{1});
-    fixture.targets_[1].isAgentConnected_ = false;
-    CHECK(fixture.due(kStart + kGrace).empty());
-}
-
 } // namespace foxtailturn::gateway
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -70,6 +70,7 @@
     , budget_(parts.clock_, {.percent_ = identity.retryPercent_, .floor_ = identity.retryFloor_})
     , quarantine_(identity.name_ + "-" + randomId(), {parts.clock_, parts.wallClock_},
                   kCrashRetention)
+    , outdatedCopies_(targets_.hosts(), versions_)
     , randomState_(hash64(randomId()))
     , serving_(parts.metrics_)
 { }
@@ -230,6 +231,7 @@
     }
     if (!versions_.declare(version, now()))
         return false;
+    outdatedCopies_.onDeclared(adapterName(version.model_, version.adapter_));
     if (parts_.log_.admits(LogDetail::Full, "adapter_version_declared"))
         parts_.log_.write(LogDetail::Full, "adapter_version_declared",
                           {{"adapter", adapterName(version.model_, version.adapter_)},
@@ -278,7 +280,7 @@
     if (changes.names_.empty())
         return; // most reports change only the load figures
     recordCompletedLoads(*target);
-    requestAdapterUpdates();
+    requestAdapterUpdates(outdatedCopies_.dueUpdatesAfter(changes, now()));
     const std::set<std::shared_ptr<Relay>> waiting = waiting_;
     for (const std::shared_ptr<Relay> &relay : waiting) {
         const CallerRequest &caller = relay->request().caller_;
@@ -326,12 +328,12 @@
             requestLoad(*target, *scarcest, "");
         }
     }
-    requestAdapterUpdates();
+    requestAdapterUpdates(outdatedCopies_.dueUpdates(now()));
 }
 
-void Gateway::requestAdapterUpdates()
+void Gateway::requestAdapterUpdates(const std::vector<AdapterUpdate> &updates)
 {
-    for (const AdapterUpdate &update : versions_.dueUpdates(targets_.all(), now()))
+    for (const AdapterUpdate &update : updates)
         requestLoad(*update.target_, update.model_, update.adapter_);
 }
 
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "gateway/adapter_versions.h"
 #include "gateway/codec.h"
 #include "gateway/grant_requester.h"
+#include "gateway/outdated_copies.h"
 #include "gateway/placement.h"
 #include "gateway/relay.h"
 #include "gateway/serving_metrics.h"
@@ -188,7 +189,7 @@
     [[nodiscard]] std::optional<Refusal> chargeQuota(AdmittedRequest &request,
                                                      const Workspace &workspace);
     void recordCompletedLoads(Target &target);
-    void requestAdapterUpdates();
+    void requestAdapterUpdates(const std::vector<AdapterUpdate> &updates);
     void checkTarget(const std::string &instance, const std::string &address);
 
     GatewayDependencies parts_;
@@ -202,6 +203,7 @@
     Quarantine quarantine_;
     std::map<std::string, Placement> placements_; // by service
     AdapterVersions versions_;
+    OutdatedCopies outdatedCopies_;
     std::set<std::shared_ptr<Relay>> waiting_;
     CrashDetector crashes_;
     LoadRequestHandler loadRequestHandler_;
