gateway: load requests and refusals look only at the targets concerned

requestLoads() walked all targets twice, four times a second and at each batch of versions, to find engines without a model; they are now kept by AdapterHosts, and copies of a model are counted only while an engine lacks one. onLoadRefused() walked all for those at one address: 12, 120, 1,200 visits at 12, 120 and 1,200 targets (message_visits_test of the next commit on with its scans counted); now the same number at each size.

--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -254,10 +254,10 @@
 
 void Gateway::onLoadRefused(const std::string &address, const std::string &name)
 {
-    for (Target *target : targets_.all()) {
-        if (target->record_.address_ == address && target->requestedLoads_.contains(name))
-            target->requestedLoads_[name].at_ =
-                now() - placements_[target->record_.service_].loadTimeout();
+    for (Target *target : targets_.atAddress(address)) {
+        const auto requested = target->requestedLoads_.find(name);
+        if (requested != target->requestedLoads_.end())
+            requested->second.at_ = now() - placements_[target->record_.service_].loadTimeout();
     }
     retryWaitingRelays();
 }
@@ -309,28 +309,39 @@
 {
     if (!config_)
         return;
-    std::map<std::string, int> copies; // by service and model
-    for (Target *target : targets_.all()) {
-        for (const HostedModel &model : target->report_.models_)
-            ++copies[target->record_.service_ + "/" + model.name_];
-    }
-    for (Target *target : targets_.all()) {
+    std::map<std::string, int> copies; // by service and model, of those that are needed
+    const TargetSet withoutModel = targets_.hosts().targetsWithoutModel();
+    for (Target *target : withoutModel) {
         const auto service = config_->services_.find(target->record_.service_);
         if (service == config_->services_.end() || !service->second.engine_
-            || !target->isAgentConnected_ || !target->hasReport() || !target->isInService())
+            || !target->isAgentConnected_ || !target->isInService())
             continue;
+        const auto copiesOf = [&](const std::string &model) {
+            const auto [it, isNew] = copies.try_emplace(service->first + "/" + model, 0);
+            if (isNew)
+                it->second = countCopies(service->first, model);
+            return it->second;
+        };
         const std::vector<std::string> &models = service->second.engine_->models_;
-        if (target->report_.models_.empty() && !models.empty()) {
-            const auto scarcest = std::min_element(
-                models.begin(), models.end(), [&](const std::string &a, const std::string &b) {
-                    return copies[service->first + "/" + a] < copies[service->first + "/" + b];
-                });
+        const auto scarcest = std::min_element(
+            models.begin(), models.end(),
+            [&](const std::string &a, const std::string &b) { return copiesOf(a) < copiesOf(b); });
+        if (scarcest != models.end())
             requestLoad(*target, *scarcest, "");
-        }
     }
     requestAdapterUpdates(outdatedCopies_.dueUpdates(now()));
 }
 
+int Gateway::countCopies(const std::string &service, const std::string &model) const
+{
+    const AdapterHosts::Hosts &hosts = targets_.hosts().hostsOf(model);
+    return static_cast<int>(std::count_if(hosts.begin(), hosts.end(), [&](const auto &entry) {
+        const auto &[target, host] = entry;
+        return host.version_.has_value() && target->hasReport()
+            && target->record_.service_ == service;
+    }));
+}
+
 void Gateway::requestAdapterUpdates(const std::vector<AdapterUpdate> &updates)
 {
     for (const AdapterUpdate &update : updates)
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -189,6 +189,7 @@
     [[nodiscard]] std::optional<Refusal> chargeQuota(AdmittedRequest &request,
                                                      const Workspace &workspace);
     void recordCompletedLoads(Target &target);
+    [[nodiscard]] int countCopies(const std::string &service, const std::string &model) const;
     void requestAdapterUpdates(const std::vector<AdapterUpdate> &updates);
     void checkTarget(const std::string &instance, const std::string &address);
 
