--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -330,6 +330,7 @@
             requestLoad(*target, *scarcest, "");
     }
     requestAdapterUpdates(outdatedCopies_.dueUpdates(now()));
+    serving_.setVisits(visits());
 }
 
 int Gateway::countCopies(const std::string &service, const std::string &model) const
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -167,6 +167,13 @@
     // Returns the state as JSON, for operators.
     [[nodiscard]] nlohmann::json state();
 
+    // Returns how many targets and copies of adapters were visited so far. What one message adds
+    // must not depend on the number of targets.
+    [[nodiscard]] std::uint64_t visits() const
+    {
+        return targets_.visits() + outdatedCopies_.visits();
+    }
+
     TargetRegistry &targets() { return targets_; }
     ConnectionPool &pool() { return pool_; }
     quota::QuotaParts &quotas() { return quotas_; }
--- a/packages/gateway/serving_metrics.cpp
+++ b/packages/gateway/serving_metrics.cpp
@@ -62,6 +62,9 @@
     , promptRead_(metrics.counter(kPromptName, kPromptHelp, {{"part", "read"}}))
     , opened_(metrics.counter(kConnectionName, kConnectionHelp, {{"use", "opened"}}))
     , reused_(metrics.counter(kConnectionName, kConnectionHelp, {{"use", "reused"}}))
+    , visits_(metrics.counter(
+          "foxtailturn_target_visits_total",
+          "targets and copies of adapters that were visited for messages and requests"))
 { }
 
 void ServingMetrics::recordAnswer(std::string_view kind, int status, std::string_view reason)
@@ -158,6 +161,11 @@
         .add();
 }
 
+void ServingMetrics::setVisits(std::uint64_t visits)
+{
+    raiseCounterTo(visits_, visits);
+}
+
 void ServingMetrics::connections(std::uint64_t opened, std::uint64_t reused)
 {
     raiseCounterTo(opened_, opened);
--- a/packages/gateway/serving_metrics.h
+++ b/packages/gateway/serving_metrics.h
@@ -79,6 +79,10 @@
     // Counts a rejection by a target.
     void recordRejection(const std::string &service);
 
+    // Sets the number of targets and copies of adapters that were visited for messages,
+    // requests and timers. A lower value than before is ignored.
+    void setVisits(std::uint64_t visits);
+
     // Sets the totals of the target connection pool. Lower values than before are ignored.
     void connections(std::uint64_t opened, std::uint64_t reused);
 
@@ -93,6 +97,7 @@
     Counter &promptRead_;
     Counter &opened_;
     Counter &reused_;
+    Counter &visits_;
     std::map<std::pair<std::string, QuotaOutcome>, Counter *> quota_;
 };
 
