--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "gateway/adapter_versions.h"
 #include "gateway/codec.h"
 #include "gateway/grant_requester.h"
+#include "gateway/outdated_copies.h"
 #include "gateway/placement.h"
 #include "gateway/relay.h"
 #include "gateway/serving_metrics.h"
@@ -166,6 +167,13 @@
     // Returns the state as JSON, for operators.
     [[nodiscard]] nlohmann::json state();
 
+    // Returns how many targets and copies of adapters were visited so far. What one message adds
+    // must not depend on the number of targets.
+    [[nodiscard]] std::uint64_t visits() const
+    {
+        return targets_.visits() + outdatedCopies_.visits();
+    }
+
     TargetRegistry &targets() { return targets_; }
     ConnectionPool &pool() { return pool_; }
     quota::QuotaParts &quotas() { return quotas_; }
@@ -187,7 +195,9 @@
                                   std::optional<Duration> retryAfter);
     [[nodiscard]] std::optional<Refusal> chargeQuota(AdmittedRequest &request,
                                                      const Workspace &workspace);
-    void requestAdapterUpdates();
+    void recordCompletedLoads(Target &target);
+    [[nodiscard]] int countCopies(const std::string &service, const std::string &model) const;
+    void requestAdapterUpdates(const std::vector<AdapterUpdate> &updates);
     void checkTarget(const std::string &instance, const std::string &address);
 
     GatewayDependencies parts_;
@@ -201,6 +211,7 @@
     Quarantine quarantine_;
     std::map<std::string, Placement> placements_; // by service
     AdapterVersions versions_;
+    OutdatedCopies outdatedCopies_;
     std::set<std::shared_ptr<Relay>> waiting_;
     CrashDetector crashes_;
     LoadRequestHandler loadRequestHandler_;
