gateway: waiting requests are woken by what they wait for

Cause: each page of the target feed, each link of a sidecar that was lost or regained, each refused load and each tick of 250 ms placed all waiting requests again, and each placement looks at every target of the service. A report that changed a name walked all waiting requests too.

Now WaitingRequests finds requests by the adapter, the load and the service that they wait for, and the tick does nothing for them. A request looks after its own load every 250 ms, which visits one target, and is placed again only if that load can't come in time any more, or if a target with the adapter was passed over for its load.

Evidence: waiting_requests_test compares with a placement of all requests over 300 random sequences of 300 events: what an event makes possible at the target that it is about is used at once, anything else within 250 ms, as with the tick before. Without the wake for reports, records or links, without the review, or without the second look at a busy target, the test fails. Read in the code, not shown by a run: while all targets were closed and an earlier wait for a load was over, Relay::armTimer had set a timer that was due at once, again and again.

Ruled out: a choice that would only ask another target for the load, because the load figures have changed, is not looked for any more; it would send no request earlier, and starts a second load of the same adapter. A target that leaves can make a suspect one the best choice for requests that wait elsewhere; they learn it up to 250 ms later.

--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -185,6 +185,7 @@
     const TimePoint now = clock_.now();
     const bool isCopy = content == TableContent::Copy;
     std::vector<std::string> listedInstances;
+    WaitingRequests::Selection helped;
     for (const StoreRow &row : rows) {
         if (row.isRemoved_) {
             gateway_.targets().markUnlisted(row.key_, now);
@@ -200,6 +201,7 @@
         listedInstances.push_back(record->instance_);
         const bool isNews = isCopy ? gateway_.targets().listCopy(*record, now)
                                    : gateway_.targets().list(*record, now);
+        helped.merge(gateway_.waitingForRecord(*record, isNews));
         if (isNews)
             log_.write(LogDetail::Full,
                        record->phase_ == TargetPhase::Draining ? "target_draining" : "target_seen",
@@ -213,7 +215,7 @@
     else if (content == TableContent::Snapshot)
         gateway_.targets().retainOnly(listedInstances, now);
     updateSidecarLinks();
-    gateway_.retryWaitingRelays();
+    Gateway::retryWaiting(helped);
 }
 
 std::string EntryNode::sidecarAddress(const std::string &engine) const
@@ -258,13 +260,12 @@
         return;
     }
     AgentLink::Handlers handlers;
-    handlers.onState_ = [this, engine](bool isLinked) {
+    handlers.onState_ = [this, engine, service = target.record_.service_](bool isLinked) {
         sidecarReports_.erase(engine); // a new connection starts with a full report
-        gateway_.targets().setAgentConnected(engine, isLinked);
         suspects_.setConnected(engine, isLinked);
         log_.write(LogDetail::Full, isLinked ? "sidecar_regained" : "sidecar_lost",
                    {{"engine", engine}});
-        gateway_.retryWaitingRelays();
+        gateway_.onAgentState(engine, service, isLinked);
     };
     handlers.onMessage_ = [this, engine](const AgentMessage &message) {
         onSidecarMessage(engine, message);
@@ -293,14 +294,15 @@
 {
     gateway_.pool().closeExpired();
     gateway_.targets().removeStale(clock_.now());
-    if (gateway_.targets().confirmCopies(clock_.now()))
+    if (gateway_.targets().confirmCopies(clock_.now())) {
         updateSidecarLinks();
+        Gateway::retryWaiting(WaitingRequests::Selection(gateway_.waiting().all()));
+    }
     if (clock_.now() - suspectsPrunedAt_ >= kPruneInterval) {
         suspects_.removeExpired();
         suspectsPrunedAt_ = clock_.now();
     }
     gateway_.requestLoads();
-    gateway_.retryWaitingRelays(); // for changes without a report: a failed load, another target
     metrics_.gauge("foxtailturn_caller_connections", "open connections of callers")
         .set(static_cast<std::int64_t>(callers_.connections()));
     metrics_.gauge("foxtailturn_log_lines_dropped", "log lines dropped for a slow reader")
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -257,7 +257,7 @@
             target->requestedLoads_[name].at_ =
                 now() - placements_[target->record_.service_].loadTimeout();
     }
-    retryWaitingRelays();
+    retryWaiting(waiting_.forLoad(address, name));
 }
 
 void Gateway::reportAdapterUse(const Target &target, const std::string &name, bool isBegin)
@@ -289,12 +289,8 @@
         return isThere;
     });
     requestAdapterUpdates();
-    const std::set<std::shared_ptr<Relay>> waiting = waiting_;
-    for (const std::shared_ptr<Relay> &relay : waiting) {
-        const CallerRequest &caller = relay->request().caller_;
-        if (changes.names_.contains(adapterName(caller.model_, caller.adapter_)))
-            relay->retryPlacement();
-    }
+    for (const std::string &name : changes.names_)
+        retryWaiting(waiting_.forAdapter(target->record_.service_, name));
 }
 
 void Gateway::requestLoads()
@@ -329,11 +325,43 @@
         requestLoad(*update.target_, update.model_, update.adapter_);
 }
 
-void Gateway::retryWaitingRelays()
+void Gateway::retryWaiting(const WaitingRequests::Selection &requests)
+{
+    for (const auto &[number, request] : requests)
+        request->retryPlacement();
+}
+
+WaitingRequests::Selection Gateway::waitingForRecord(const TargetRecord &record, bool isNews)
+{
+    WaitingRequests::Selection helped;
+    if (isNews) {
+        helped = waiting_.forService(record.service_);
+        helped.merge(waiting_.forTarget(record.address_));
+    }
+    const Target *target = targets_.find(record.instance_);
+    if (target == nullptr || (target->hasReport() && !isNews))
+        return helped; // what it hosts is as before
+    for (const HostedModel &model : target->hostedModels()) {
+        helped.merge(waiting_.forAdapter(record.service_, model.name_));
+        for (const auto &[adapter, version] : model.adapters_)
+            helped.merge(waiting_.forAdapter(record.service_, adapterName(model.name_, adapter)));
+    }
+    return helped;
+}
+
+void Gateway::onAgentState(const std::string &address, const std::string &service, bool isConnected)
 {
-    const std::set<std::shared_ptr<Relay>> waiting = waiting_;
-    for (const std::shared_ptr<Relay> &relay : waiting)
-        relay->retryPlacement();
+    targets_.setAgentConnected(address, isConnected);
+    retryWaiting(isConnected ? waiting_.forService(service) : waiting_.forTarget(address));
+}
+
+bool Gateway::isLoadUnderWay(const std::string &instance, const std::string &name)
+{
+    const Target *target = targets_.find(instance);
+    if (target == nullptr
+        || !placements_[target->record_.service_].isLoadUnderWay(*target, name, now()))
+        return false;
+    return target->requestedLoads_.at(name).version_ >= versions_.newest(name);
 }
 
 void Gateway::recordLeaving(const std::string &instance)
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -13,7 +13,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <variant>
 
@@ -28,6 +27,7 @@
 #include "gateway/shutdown_schedule.h"
 #include "gateway/target_connection.h"
 #include "gateway/target_registry.h"
+#include "gateway/waiting_requests.h"
 #include "quota/quota_parts.h"
 #include "retry/crash_detector.h"
 #include "retry/quarantine.h"
@@ -128,10 +128,20 @@
     // on targets that hold an older one.
     void requestLoads();
 
-    // Relays that wait for an adapter load.
-    void addWaiting(const std::shared_ptr<Relay> &relay) { waiting_.insert(relay); }
-    void removeWaiting(const std::shared_ptr<Relay> &relay) { waiting_.erase(relay); }
-    void retryWaitingRelays();
+    // Requests that wait for an adapter load or for a target.
+    WaitingRequests &waiting() { return waiting_; }
+    static void retryWaiting(const WaitingRequests::Selection &requests);
+
+    // Returns the waiting requests that a record of a target may help. isNews: it changes whether
+    // the target gets requests.
+    [[nodiscard]] WaitingRequests::Selection waitingForRecord(const TargetRecord &record,
+                                                              bool isNews);
+
+    // Records whether the sidecar of the engine at the address is connected.
+    void onAgentState(const std::string &address, const std::string &service, bool isConnected);
+
+    // Returns whether a target, whose load of an adapter was requested, may still carry it out.
+    [[nodiscard]] bool isLoadUnderWay(const std::string &instance, const std::string &adapterName);
 
     // Takes one retry from the service's retry budget. Returns whether it was allowed.
     [[nodiscard]] bool tryRetry(const std::string &service);
@@ -201,7 +211,7 @@
     Quarantine quarantine_;
     std::map<std::string, Placement> placements_; // by service
     AdapterVersions versions_;
-    std::set<std::shared_ptr<Relay>> waiting_;
+    WaitingRequests waiting_;
     CrashDetector crashes_;
     LoadRequestHandler loadRequestHandler_;
     AdapterUseHandler adapterUseHandler_;
--- a/packages/gateway/placement.cpp
+++ b/packages/gateway/placement.cpp
@@ -189,6 +189,7 @@
         if (candidate.reason_.empty() && target->backoff_.isClosed(query.now_)) {
             const TimePoint opensAt = target->backoff_.closedUntil();
             choice.opensAt_ = std::min(choice.opensAt_.value_or(opensAt), opensAt);
+            choice.isHostPassedOver_ = choice.isHostPassedOver_ || hasAdapter;
             candidate.reason_ = "wants no requests yet";
         }
         if (candidate.reason_.empty()) {
@@ -234,6 +235,8 @@
         if (option.isSuspect_ || option.isAvoided_)
             choice.candidates_[option.candidate_].reason_ =
                 option.isSuspect_ ? "suspect" : "avoided";
+        choice.isHostPassedOver_ =
+            choice.isHostPassedOver_ || (request.isEngine_ && !option.needsLoad_);
     }
     if (best != nullptr) {
         choice.target_ = best->target_;
@@ -259,6 +262,16 @@
     return std::clamp<Duration>(loadTime_ * 3, kMinLoadTimeout, kMaxLoadTimeout);
 }
 
+bool Placement::isLoadUnderWay(const Target &target, const std::string &adapterName,
+                               TimePoint now) const
+{
+    const auto requested = target.requestedLoads_.find(adapterName);
+    return requested != target.requestedLoads_.end() && now - requested->second.at_ <= loadTimeout()
+        && target.isInService() && now < target.usableUntil_ && target.isAgentConnected_
+        && !target.isSuspect(now) && !target.backoff_.isClosed(now)
+        && !target.backoff_.isAvoided(now);
+}
+
 void Placement::recordLoadTime(Duration elapsed)
 {
     const Duration sample = std::clamp<Duration>(elapsed, kMinLoadTime, kMaxLoadTime);
--- a/packages/gateway/placement.h
+++ b/packages/gateway/placement.h
@@ -54,6 +54,8 @@
     // When the first of the targets that want no requests now wants some again, if there are any.
     std::optional<TimePoint> opensAt_;
     bool needsLoad_ = false; // the target must load the adapter first
+    // Another target has the adapter, but was closed, suspect, avoided or busy.
+    bool isHostPassedOver_ = false;
     Duration expected_{};
     std::vector<PlacementCandidate> candidates_;
 };
@@ -72,6 +74,11 @@
     [[nodiscard]] PlacementChoice choose(const std::vector<Target *> &targets,
                                          const PlacementRequest &request, TimePoint now) const;
 
+    // Returns whether the target, whose load of the adapter of this name was requested, may still
+    // carry it out in time and is not worse than others for a reason that has come since.
+    [[nodiscard]] bool isLoadUnderWay(const Target &target, const std::string &adapterName,
+                                      TimePoint now) const;
+
     // Updates the estimated prefill rate with the time from sending a prompt to its first event.
     // Precondition: the target had no other prompt in prefill.
     void recordPrefillTime(std::int64_t tokens, Duration elapsed);
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -1,6 +1,7 @@
 #include "gateway/relay.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "gateway/gateway.h"
 
@@ -96,6 +97,7 @@
         return;
     const TimePoint now = gateway_.now();
     placeAt_ = TimePoint::max();
+    reviewAt_ = TimePoint::max();
     if (now >= request_.deadline_) {
         failRequest(ErrorCode::DeadlineExceeded);
         return;
@@ -122,24 +124,10 @@
         return;
     }
     if (choice.needsLoad_) {
-        if (waitUntil_ == TimePoint{})
-            waitUntil_ = now + kMaxAdapterWait;
-        if (now >= waitUntil_) {
-            failRequest(ErrorCode::AdapterLoadFailed);
-            return;
-        }
-        gateway_.requestLoad(*choice.target_, request_.caller_.model_, request_.caller_.adapter_);
-        if (!isWaiting_) {
-            isWaiting_ = true;
-            gateway_.addWaiting(shared_from_this());
-        }
-        armTimer();
+        waitForLoad(choice);
         return;
     }
-    if (isWaiting_) {
-        isWaiting_ = false;
-        gateway_.removeWaiting(shared_from_this());
-    }
+    endWait();
     if (runs_ == 0 && now + choice.expected_ >= request_.deadline_) {
         failRequest(ErrorCode::Overloaded);
         return;
@@ -166,10 +154,52 @@
         return;
     }
     placeAt_ = opensAt;
-    if (!isWaiting_) {
-        isWaiting_ = true;
-        gateway_.addWaiting(shared_from_this());
+    waitFor({.service_ = request_.service_, .adapter_ = {}, .address_ = {}});
+}
+
+void Relay::waitForLoad(const PlacementChoice &choice)
+{
+    const TimePoint now = gateway_.now();
+    if (waitUntil_ == TimePoint{})
+        waitUntil_ = now + kMaxAdapterWait;
+    if (now >= waitUntil_) {
+        failRequest(ErrorCode::AdapterLoadFailed);
+        return;
     }
+    const CallerRequest &caller = request_.caller_;
+    gateway_.requestLoad(*choice.target_, caller.model_, caller.adapter_);
+    loadingInstance_ = choice.target_->record_.instance_;
+    reviewAt_ = now + WaitingRequests::kReviewInterval;
+    // No event tells that a busy target with the adapter has become the better one.
+    placeAt_ = choice.isHostPassedOver_ ? std::min(reviewAt_, waitUntil_) : waitUntil_;
+    waitFor({.service_ = request_.service_,
+             .adapter_ = adapterName(caller.model_, caller.adapter_),
+             .address_ = choice.target_->record_.address_});
+}
+
+void Relay::waitFor(const WaitCondition &condition)
+{
+    isWaiting_ = true;
+    gateway_.waiting().add(shared_from_this(), condition);
+    armTimer();
+}
+
+void Relay::endWait()
+{
+    if (std::exchange(isWaiting_, false))
+        gateway_.waiting().remove(*this);
+}
+
+// Costs the same in a fleet of any size: most waits end with the report of the load.
+void Relay::reviewWait()
+{
+    const std::string name = adapterName(request_.caller_.model_, request_.caller_.adapter_);
+    if (!gateway_.isLoadUnderWay(loadingInstance_, name)
+        || gateway_.isQuarantined(request_.suspects_)) {
+        place();
+        return;
+    }
+    reviewAt_ = gateway_.now() + WaitingRequests::kReviewInterval;
     armTimer();
 }
 
@@ -242,10 +272,8 @@
 void Relay::armTimer()
 {
     TimePoint expiry = request_.deadline_ + kDeadlineGrace;
-    if (isWaiting_ && waitUntil_ != TimePoint{})
-        expiry = std::min(expiry, waitUntil_);
     if (isWaiting_)
-        expiry = std::min(expiry, placeAt_);
+        expiry = std::min({request_.deadline_, placeAt_, reviewAt_});
     const Duration idle = idleLimit();
     if (connection_ && idle != Duration::max())
         expiry = std::min(expiry, progressAt_ + idle);
@@ -272,9 +300,10 @@
         return;
     }
     if (isWaiting_) {
-        place();
-        if (!isEnded_ && isWaiting_)
-            armTimer();
+        if (now >= reviewAt_ && now < std::min(request_.deadline_, placeAt_))
+            reviewWait();
+        else
+            place();
         return;
     }
     if (connection_ && replyHandling_ == ReplyHandling::Discard && now >= discardUntil_) {
@@ -307,8 +336,7 @@
     isEnded_ = true;
     isCheckingEnd_ = false;
     timer_.cancel();
-    if (isWaiting_)
-        gateway_.removeWaiting(shared_from_this());
+    gateway_.waiting().remove(*this);
     if (sends_ == 0 && isCharged_)
         gateway_.quotas().refund(request_.workspace_, request_.charge_);
     releaseTarget();
@@ -375,8 +403,7 @@
         return;
     isEnded_ = true;
     timer_.cancel();
-    if (isWaiting_)
-        gateway_.removeWaiting(shared_from_this());
+    gateway_.waiting().remove(*this);
     releaseTarget();
     if (runs_ == 0 && isCharged_)
         gateway_.quotas().refund(request_.workspace_, request_.charge_);
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -25,6 +25,7 @@
 #include "gateway/request_log.h"
 #include "gateway/target_connection.h"
 #include "gateway/target_use.h"
+#include "gateway/waiting_requests.h"
 
 namespace foxtailturn::gateway {
 
@@ -58,7 +59,7 @@
 };
 
 // Not thread-safe. Owned by the caller's connection until the answer has ended.
-class Relay final : public std::enable_shared_from_this<Relay>, ExchangeSink
+class Relay final : public std::enable_shared_from_this<Relay>, public WaitingRequest, ExchangeSink
 {
 public:
     // gateway and answer must outlive the relay unless cancel() is called first.
@@ -77,9 +78,7 @@
     // if a forwarded answer has begun. The target drops its work.
     void shutDown();
 
-    // Retries the placement of a waiting request, for example after a load. Does nothing if the
-    // request does not wait.
-    void retryPlacement();
+    void retryPlacement() override;
 
     // Called when all bytes of the answer so far were sent. Resumes reading from the target.
     void onAnswerDrained();
@@ -99,6 +98,10 @@
     void onGrant(const Result<void> &granted);
     void place();
     void waitForTarget(TimePoint opensAt);
+    void waitForLoad(const PlacementChoice &choice);
+    void waitFor(const WaitCondition &condition);
+    void endWait();
+    void reviewWait();
     void send(Target &target);
     void releaseTarget();
     void abandonAttempt();
@@ -147,7 +150,9 @@
     TimePoint progressAt_{}; // when the request was sent or the answer last went on; an event, for
                              // a stream
     TimePoint waitUntil_{}; // latest end of the wait for an adapter load
-    TimePoint placeAt_ = TimePoint::max(); // when a target is expected to want requests again
+    TimePoint placeAt_ = TimePoint::max(); // when a waiting request is placed again at the latest
+    TimePoint reviewAt_ = TimePoint::max(); // when a wait for a load is looked at again
+    std::string loadingInstance_; // that the request waits for
 
     ReplyHandling replyHandling_ = ReplyHandling::None;
     TargetReply reply_;
