gateway: placement makes no strings

Cause: a choice copied the instance name and a reason of each target for the log, also when the line was not logged. Candidates refer to targets now and the reason is an enumeration; the text is made with the line, which is the same. The request is copied once less for a choice.

target_backoff_test reads the candidates in their new form; it checks the same.

--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -211,13 +211,12 @@
     grantRequestHandler_(request.workspace_, request.charge_, counted);
 }
 
-PlacementChoice Gateway::choose(const std::string &service, const PlacementRequest &request)
+PlacementChoice Gateway::choose(const std::string &service, PlacementRequest request)
 {
-    PlacementRequest complete = request;
-    complete.dataCentre_ = options_.dataCentre_;
-    complete.minVersion_ =
+    request.dataCentre_ = options_.dataCentre_;
+    request.minVersion_ =
         versions_.minVersion(adapterName(request.model_, request.adapter_), now());
-    return placements_[service].choose(targets_.availableTargets(service, now()), complete, now());
+    return placements_[service].choose(targets_.availableTargets(service, now()), request, now());
 }
 
 bool Gateway::declareVersion(const AdapterVersion &version)
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -94,8 +94,7 @@
     void beginShutdown(const ShutdownSchedule &schedule) { shutdown_ = schedule; }
 
     // Chooses a target for a relay.
-    [[nodiscard]] PlacementChoice choose(const std::string &service,
-                                         const PlacementRequest &request);
+    [[nodiscard]] PlacementChoice choose(const std::string &service, PlacementRequest request);
 
     // Requests the load of an adapter from the target's sidecar. Does nothing if the same load was
     // requested a short time ago.
--- a/packages/gateway/placement.cpp
+++ b/packages/gateway/placement.cpp
@@ -51,23 +51,44 @@
     return version && *version >= request.minVersion_;
 }
 
-// Returns why the target is not eligible; empty if it is.
-std::string ineligibilityReason(const Target &target, const PlacementRequest &request,
-                                bool hasAdapter)
+// Returns why the target is not eligible; No if it is.
+PassedOver ineligibilityOf(const Target &target, const PlacementRequest &request, bool hasAdapter,
+                           TimePoint now)
 {
     if (isExcluded(target, request))
-        return "already tried for this request";
-    if (!request.isEngine_ || hasAdapter)
+        return PassedOver::AlreadyTried;
+    if (request.isEngine_ && !hasAdapter) {
+        if (!target.isAgentConnected_)
+            return PassedOver::NoAgent;
+        if (!target.hostsModel(request.model_) && !target.report_.models_.empty())
+            return PassedOver::OtherModel;
+    }
+    return target.backoff_.isClosed(now) ? PassedOver::Closed : PassedOver::No;
+}
+
+} // namespace
+
+std::string_view passedOverName(PassedOver reason)
+{
+    switch (reason) {
+    case PassedOver::No:
         return "";
-    if (!target.isAgentConnected_)
+    case PassedOver::AlreadyTried:
+        return "already tried for this request";
+    case PassedOver::NoAgent:
         return "adapter not loaded and no agent connected to load it";
-    if (!target.hostsModel(request.model_) && !target.report_.models_.empty())
+    case PassedOver::OtherModel:
         return "hosts another model";
+    case PassedOver::Closed:
+        return "wants no requests yet";
+    case PassedOver::Suspect:
+        return "suspect";
+    case PassedOver::Avoided:
+        return "avoided";
+    }
     return "";
 }
 
-} // namespace
-
 Duration Placement::prefillTime(std::int64_t tokens) const
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(
@@ -184,15 +205,14 @@
     choice.candidates_.reserve(targets.size());
     for (Target *target : targets) {
         const bool hasAdapter = request.isEngine_ && hasRequiredVersion(*target, request);
-        PlacementCandidate candidate{target->record_.instance_, Duration::zero(),
-                                     ineligibilityReason(*target, request, hasAdapter)};
-        if (candidate.reason_.empty() && target->backoff_.isClosed(query.now_)) {
+        PlacementCandidate candidate{target, Duration::zero(),
+                                     ineligibilityOf(*target, request, hasAdapter, query.now_)};
+        if (candidate.passedOver_ == PassedOver::Closed) {
             const TimePoint opensAt = target->backoff_.closedUntil();
             choice.opensAt_ = std::min(choice.opensAt_.value_or(opensAt), opensAt);
             choice.isHostPassedOver_ = choice.isHostPassedOver_ || hasAdapter;
-            candidate.reason_ = "wants no requests yet";
         }
-        if (candidate.reason_.empty()) {
+        if (candidate.passedOver_ == PassedOver::No) {
             candidate.expected_ = request.isEngine_
                 ? engineTime(*target, query, hasAdapter)
                 : kPlainRequestTime * target->inFlight_ / std::max(1, target->record_.slots_);
@@ -204,7 +224,7 @@
                                    || target->backoff_.isAtLimit(target->inFlight_),
                                target->isSuspect(query.now_)});
         }
-        choice.candidates_.push_back(std::move(candidate));
+        choice.candidates_.push_back(candidate);
     }
     return options;
 }
@@ -233,8 +253,8 @@
         if (best == nullptr || option.isBetterThan(*best))
             best = &option;
         if (option.isSuspect_ || option.isAvoided_)
-            choice.candidates_[option.candidate_].reason_ =
-                option.isSuspect_ ? "suspect" : "avoided";
+            choice.candidates_[option.candidate_].passedOver_ =
+                option.isSuspect_ ? PassedOver::Suspect : PassedOver::Avoided;
         choice.isHostPassedOver_ =
             choice.isHostPassedOver_ || (request.isEngine_ && !option.needsLoad_);
     }
--- a/packages/gateway/placement.h
+++ b/packages/gateway/placement.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -38,12 +39,26 @@
     std::vector<std::string> excluded_; // instances that the request was already sent to
 };
 
-// A target that was considered, for the log.
+// Why a target was not eligible, or came after others.
+enum class PassedOver {
+    No,
+    AlreadyTried,
+    NoAgent, // to load the missing adapter
+    OtherModel,
+    Closed, // wants no requests yet
+    Suspect,
+    Avoided,
+};
+
+// Returns the reason as the log names it. Thread-safe.
+[[nodiscard]] std::string_view passedOverName(PassedOver reason);
+
+// A target that was considered, for the log. Valid as long as the target.
 struct PlacementCandidate
 {
-    std::string instance_;
+    const Target *target_ = nullptr;
     Duration expected_{}; // time to the first event or answer
-    std::string reason_; // why it was not eligible, "suspect" or "avoided"; otherwise empty
+    PassedOver passedOver_ = PassedOver::No;
 
     bool operator==(const PlacementCandidate &) const = default;
 };
--- a/packages/gateway/request_log.cpp
+++ b/packages/gateway/request_log.cpp
@@ -27,8 +27,9 @@
         return;
     nlohmann::json ineligible = nlohmann::json::object();
     for (const PlacementCandidate &candidate : choice.candidates_) {
-        if (!candidate.reason_.empty())
-            ineligible[candidate.instance_] = candidate.reason_;
+        if (candidate.passedOver_ != PassedOver::No)
+            ineligible[candidate.target_->record_.instance_] =
+                passedOverName(candidate.passedOver_);
     }
     const Target &target = *choice.target_;
     log_.write(LogDetail::Sampled, "sent",
--- a/packages/gateway/target_backoff_test.cpp
+++ b/packages/gateway/target_backoff_test.cpp
@@ -235,8 +235,8 @@
     REQUIRE(choice.target_ != nullptr);
     std::vector<std::string> avoided;
     for (const PlacementCandidate &candidate : choice.candidates_) {
-        if (candidate.reason_ == "avoided")
-            avoided.push_back(candidate.instance_);
+        if (candidate.passedOver_ == PassedOver::Avoided)
+            avoided.push_back(candidate.target_->record_.instance_);
     }
     CHECK(avoided == std::vector<std::string>{"t2", "t3"});
     registry.find("t0")->backoff_.recordRejection(kStart, seconds(3), 0);
