gateway: cached prefixes belong to one start of a target, memory is bounded in constant time

Cause: the prefixes of a target that was started again under the same instance were still taken for cached: removeInstance() walked all prefixes, and nothing called it. With 8,192 prefixes, each first event scanned all of them, and if none was old, all were dropped.

Now a prefix is recorded for the start of a target, and of 32,768 pairs the one used least recently goes. removeInstance() is not needed any more; its check in placement_test is replaced by one with a restart of the target.

--- a/packages/gateway/placement.cpp
+++ b/packages/gateway/placement.cpp
@@ -35,9 +35,6 @@
 constexpr double kMemoryLimit = 0.92; // of the KV capacity
 constexpr milliseconds
     kPlainRequestTime(40); // nominal time of a plain service's request, only to compare targets
-constexpr std::size_t kMaxPrefixes = 8192;
-constexpr Duration kPrefixLifetime =
-    std::chrono::seconds(20); // after this, a cached prefix has probably been evicted
 
 bool isExcluded(const Target &target, const PlacementRequest &request)
 {
@@ -101,9 +98,10 @@
     const PlacementRequest &request_;
     std::string adapterName_;
     std::uint64_t adapterHash_ = 0;
-    // For each leading part of the prompt that is cached at any target: its last uses by instance
-    // and its number of tokens.
-    std::vector<std::pair<const LastUses *, std::int64_t>> cachedParts_;
+    // For each leading part of the prompt that is cached at any target: its hash and its number of
+    // tokens.
+    std::vector<std::pair<std::uint64_t, std::int64_t>> cachedParts_;
+    const CachedPrefixes &cachedPrefixes_;
     TimePoint now_{};
 
     // Returns the target's rank for the adapter in rendezvous hashing, from 0 (preferred) to 1.
@@ -114,11 +112,14 @@
     }
 
     // Returns the number of prompt tokens that are probably in the target's KV cache.
-    [[nodiscard]] std::int64_t cachedTokensAt(const std::string &instance) const
+    [[nodiscard]] std::int64_t cachedTokensAt(const Target &target) const
     {
+        if (cachedParts_.empty())
+            return 0;
+        const std::uint64_t start = CachedPrefixes::startOf(target.record_);
         std::int64_t tokens = 0;
-        for (const auto &[uses, partTokens] : cachedParts_) {
-            if (!uses->contains(instance))
+        for (const auto &[prefix, partTokens] : cachedParts_) {
+            if (!cachedPrefixes_.contains(prefix, start))
                 break;
             tokens += partTokens;
         }
@@ -128,15 +129,15 @@
 
 Placement::Query Placement::queryOf(const PlacementRequest &request, TimePoint now) const
 {
-    Query query{request, adapterName(request.model_, request.adapter_), 0, {}, now};
+    Query query{request, adapterName(request.model_, request.adapter_), 0, {}, cachedPrefixes_,
+                now};
     query.adapterHash_ = hash64(query.adapterName_);
     std::uint64_t key = query.adapterHash_;
     for (const PromptPart &part : request.prefix_) {
         key = hash64(part.id_, key);
-        const auto it = cachedPrefixes_.find(key);
-        if (it == cachedPrefixes_.end())
+        if (!cachedPrefixes_.contains(key))
             break;
-        query.cachedParts_.emplace_back(&it->second, part.tokens_);
+        query.cachedParts_.emplace_back(key, part.tokens_);
     }
     return query;
 }
@@ -151,7 +152,7 @@
     time += prefillTime(others * std::max<std::int64_t>(request.promptTokens_, 500) / 2);
     time += kCostPerQueued * report.queued_ / 2;
     time += kCostPerRunning * std::max(report.running_, target.inFlight_);
-    time += prefillTime(request.promptTokens_ - query.cachedTokensAt(target.record_.instance_));
+    time += prefillTime(request.promptTokens_ - query.cachedTokensAt(target));
     if (report.kvTotal_ > 0
         && static_cast<double>(report.kvUsed_ + request.promptTokens_)
             > kMemoryLimit * static_cast<double>(report.kvTotal_))
@@ -298,36 +299,19 @@
     loadTime_ += std::chrono::duration_cast<Duration>(kLoadTimeWeight * (sample - loadTime_));
 }
 
-void Placement::recordCachedPrefix(const std::string &instance, const PlacementRequest &request,
-                                   TimePoint now)
+void Placement::recordCachedPrefix(const Target &target, const PlacementRequest &request)
 {
-    if (cachedPrefixes_.size() > kMaxPrefixes) {
-        std::erase_if(cachedPrefixes_, [now](const auto &entry) {
-            return std::all_of(entry.second.begin(), entry.second.end(), [now](const auto &use) {
-                return use.second + kPrefixLifetime < now;
-            });
-        });
-        if (cachedPrefixes_.size() > kMaxPrefixes)
-            // Costs extra prefills; unlimited growth would exhaust the VM's memory.
-            cachedPrefixes_.clear();
-    }
+    const std::uint64_t start = CachedPrefixes::startOf(target.record_);
     std::uint64_t key = hash64(adapterName(request.model_, request.adapter_));
     for (const PromptPart &part : request.prefix_) {
         key = hash64(part.id_, key);
-        cachedPrefixes_[key][instance] = now;
+        cachedPrefixes_.record(key, start);
     }
 }
 
-void Placement::removeInstance(const std::string &instance)
-{
-    for (auto &[key, targets] : cachedPrefixes_)
-        targets.erase(instance);
-}
-
-std::int64_t Placement::cachedTokens(const std::string &instance,
-                                     const PlacementRequest &request) const
+std::int64_t Placement::cachedTokens(const Target &target, const PlacementRequest &request) const
 {
-    return queryOf(request, TimePoint{}).cachedTokensAt(instance);
+    return queryOf(request, TimePoint{}).cachedTokensAt(target);
 }
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/placement.h
+++ b/packages/gateway/placement.h
@@ -15,14 +15,13 @@
 // rejection is longest ago get the next requests.
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 #include "base/clock.h"
+#include "gateway/cached_prefixes.h"
 #include "gateway/target_registry.h"
 
 namespace foxtailturn::gateway {
@@ -103,14 +102,10 @@
     void recordLoadTime(Duration elapsed);
 
     // Records that the target has processed the request's prompt, so its prefix is cached there.
-    void recordCachedPrefix(const std::string &instance, const PlacementRequest &request,
-                            TimePoint now);
-
-    // Removes all records of cached prefixes at a target, for example after its restart.
-    void removeInstance(const std::string &instance);
+    void recordCachedPrefix(const Target &target, const PlacementRequest &request);
 
     // Returns the number of prompt tokens that are probably in the target's KV cache.
-    [[nodiscard]] std::int64_t cachedTokens(const std::string &instance,
+    [[nodiscard]] std::int64_t cachedTokens(const Target &target,
                                             const PlacementRequest &request) const;
 
     [[nodiscard]] double tokensPerMs() const { return tokensPerMs_; }
@@ -118,7 +113,6 @@
 private:
     struct Query;
     struct Option;
-    using LastUses = std::map<std::string, TimePoint>; // time of the last use, by instance
 
     [[nodiscard]] std::vector<Option> optionsOf(const std::vector<Target *> &targets,
                                                 const Query &query, PlacementChoice &choice) const;
@@ -130,7 +124,7 @@
 
     double tokensPerMs_ = 30; // prefill rate, a moving average
     Duration loadTime_ = kInitialLoadTime; // moving average
-    std::unordered_map<std::uint64_t, LastUses> cachedPrefixes_; // by hash of adapter and prefix
+    CachedPrefixes cachedPrefixes_;
 };
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/placement_test.cpp
+++ b/packages/gateway/placement_test.cpp
@@ -156,16 +156,19 @@
 {
     Placement placement;
     const PlacementRequest request = requestFor("a1");
-    CHECK(placement.cachedTokens("e0", request) == 0);
-    placement.recordCachedPrefix("e0", request, kStart);
-    CHECK(placement.cachedTokens("e0", request) == 1000);
-    CHECK(placement.cachedTokens("e1", request) == 0);
+    Engines engines(2);
+    CHECK(placement.cachedTokens(engines.at(0), request) == 0);
+    placement.recordCachedPrefix(engines.at(0), request);
+    CHECK(placement.cachedTokens(engines.at(0), request) == 1000);
+    CHECK(placement.cachedTokens(engines.at(1), request) == 0);
     PlacementRequest other = request;
     other.prefix_[0].id_ = "x";
-    CHECK(placement.cachedTokens("e0", other) == 0);
-    CHECK(placement.cachedTokens("e0", requestFor("a2")) == 0); // the cache is per adapter
-    placement.removeInstance("e0");
-    CHECK(placement.cachedTokens("e0", request) == 0);
+    CHECK(placement.cachedTokens(engines.at(0), other) == 0);
+    CHECK(placement.cachedTokens(engines.at(0), requestFor("a2")) == 0); // the cache is per adapter
+    TargetRecord restarted = engines.at(0).record_;
+    ++restarted.startTimeMs_;
+    engines.registry_.list(restarted, kStart);
+    CHECK(placement.cachedTokens(engines.at(0), request) == 0);
 }
 
 // Guards against a single outlier that changes every placement.
--- a/packages/gateway/target_use.cpp
+++ b/packages/gateway/target_use.cpp
@@ -29,7 +29,7 @@
     hasFirstBytes_ = false;
     wasOnlyPrefill_ = target.pendingCount_ == 0 && target.report_.prefilling_ == 0;
     const std::int64_t cached =
-        gateway_.placement(request_.service_).cachedTokens(instance_, placement_);
+        gateway_.placement(request_.service_).cachedTokens(target, placement_);
     uncachedTokens_ = request_.caller_.promptTokens_ - cached;
     if (placement_.isEngine_)
         gateway_.serving().prompt(cached, uncachedTokens_);
@@ -44,16 +44,15 @@
 {
     if (std::exchange(hasFirstBytes_, true))
         return;
+    Placement &placement = gateway_.placement(request_.service_);
     if (Target *used = target()) {
         endPending(*used);
         gateway_.targets().succeeded(*used);
+        placement.recordCachedPrefix(*used, placement_);
     }
-    Placement &placement = gateway_.placement(request_.service_);
     const TimePoint now = gateway_.now();
     if (wasOnlyPrefill_ && isStream)
         placement.recordPrefillTime(uncachedTokens_, now - sentAt_);
-    if (!request_.caller_.prefix_.empty())
-        placement.recordCachedPrefix(instance_, placement_, now);
 }
 
 void TargetUse::endPending(Target &target) const
