--- a/packages/gateway/placement.cpp
+++ b/packages/gateway/placement.cpp
@@ -203,6 +203,7 @@
     const PlacementRequest &request = query.request_;
     std::vector<Option> options;
     options.reserve(targets.size());
+    visits_ += targets.size();
     choice.candidates_.reserve(targets.size());
     for (Target *target : targets) {
         const bool hasAdapter = request.isEngine_ && hasRequiredVersion(*target, request);
--- a/packages/gateway/placement.h
+++ b/packages/gateway/placement.h
@@ -110,6 +110,9 @@
 
     [[nodiscard]] double tokensPerMs() const { return tokensPerMs_; }
 
+    // Returns how many targets the choices so far have looked at.
+    [[nodiscard]] std::uint64_t visits() const { return visits_; }
+
 private:
     struct Query;
     struct Option;
@@ -125,6 +128,7 @@
     double tokensPerMs_ = 30; // prefill rate, a moving average
     Duration loadTime_ = kInitialLoadTime; // moving average
     CachedPrefixes cachedPrefixes_;
+    mutable std::uint64_t visits_ = 0;
 };
 
 } // namespace foxtailturn::gateway
