--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -70,6 +70,7 @@
     , budget_(parts.clock_, {.percent_ = identity.retryPercent_, .floor_ = identity.retryFloor_})
     , quarantine_(identity.name_ + "-" + randomId(), {parts.clock_, parts.wallClock_},
                   kCrashRetention)
+    , outdatedCopies_(targets_.hosts(), versions_)
     , randomState_(hash64(randomId()))
     , serving_(parts.metrics_)
 { }
@@ -229,6 +230,7 @@
     }
     if (!versions_.declare(version, now()))
         return false;
+    outdatedCopies_.onDeclared(adapterName(version.model_, version.adapter_));
     if (parts_.log_.admits(LogDetail::Full, "adapter_version_declared"))
         parts_.log_.write(LogDetail::Full, "adapter_version_declared",
                           {{"adapter", adapterName(version.model_, version.adapter_)},
@@ -244,17 +246,17 @@
     if (asked != target.requestedLoads_.end() && asked->second.version_ == load.version_
         && load.at_ - asked->second.at_ < kLoadRequestInterval)
         return;
-    target.requestedLoads_[name] = load;
+    targets_.recordLoadRequest(target, name, load);
     if (loadRequestHandler_)
         loadRequestHandler_(target, model, adapter, load.version_);
 }
 
 void Gateway::onLoadRefused(const std::string &address, const std::string &name)
 {
-    for (Target *target : targets_.all()) {
-        if (target->record_.address_ == address && target->requestedLoads_.contains(name))
-            target->requestedLoads_[name].at_ =
-                now() - placements_[target->record_.service_].loadTimeout();
+    for (Target *target : targets_.atAddress(address)) {
+        const auto requested = target->requestedLoads_.find(name);
+        if (requested != target->requestedLoads_.end())
+            requested->second.at_ = now() - placements_[target->record_.service_].loadTimeout();
     }
     retryWaiting(waiting_.forLoad(address, name));
 }
@@ -276,51 +278,69 @@
         recordLeaving(target->record_.instance_);
     if (changes.names_.empty())
         return; // most reports change only the load figures
-    std::erase_if(target->requestedLoads_, [&](const auto &asked) {
-        const std::string &name = asked.first;
+    recordCompletedLoads(*target);
+    requestAdapterUpdates(outdatedCopies_.dueUpdatesAfter(changes, now()));
+    for (const std::string &name : changes.names_)
+        retryWaiting(waiting_.forAdapter(target->record_.service_, name));
+}
+
+void Gateway::recordCompletedLoads(Target &target)
+{
+    const std::map<std::string, RequestedLoad> requested = target.requestedLoads_;
+    for (const auto &[name, load] : requested) {
         const std::size_t slash = std::min(name.find('/'), name.size());
         const std::string adapter = name.substr(std::min(slash + 1, name.size()));
         const std::optional<std::int64_t> version =
-            target->versionOf(name.substr(0, slash), adapter);
-        const bool isThere = version && *version >= versions_.newest(name);
-        if (isThere && !adapter.empty())
-            placements_[target->record_.service_].recordLoadTime(now() - asked.second.at_);
-        return isThere;
-    });
-    requestAdapterUpdates();
-    for (const std::string &name : changes.names_)
-        retryWaiting(waiting_.forAdapter(target->record_.service_, name));
+            target.versionOf(name.substr(0, slash), adapter);
+        if (!version || *version < versions_.newest(name))
+            continue;
+        if (!adapter.empty())
+            placements_[target.record_.service_].recordLoadTime(now() - load.at_);
+        targets_.forgetLoadRequest(target, name);
+    }
 }
 
 void Gateway::requestLoads()
 {
     if (!config_)
         return;
-    std::map<std::string, int> copies; // by service and model
-    for (Target *target : targets_.all()) {
-        for (const HostedModel &model : target->report_.models_)
-            ++copies[target->record_.service_ + "/" + model.name_];
-    }
-    for (Target *target : targets_.all()) {
+    std::map<std::string, int> copies; // by service and model, of those that are needed
+    const TargetSet withoutModel = targets_.hosts().targetsWithoutModel();
+    for (Target *target : withoutModel) {
         const auto service = config_->services_.find(target->record_.service_);
         if (service == config_->services_.end() || !service->second.engine_
-            || !target->isAgentConnected_ || !target->hasReport() || !target->isInService())
+            || !target->isAgentConnected_ || !target->isInService())
             continue;
+        const auto copiesOf = [&](const std::string &model) {
+            const auto [it, isNew] = copies.try_emplace(service->first + "/" + model, 0);
+            if (isNew)
+                it->second = countCopies(service->first, model);
+            return it->second;
+        };
         const std::vector<std::string> &models = service->second.engine_->models_;
-        if (target->report_.models_.empty() && !models.empty()) {
-            const auto scarcest = std::min_element(
-                models.begin(), models.end(), [&](const std::string &a, const std::string &b) {
-                    return copies[service->first + "/" + a] < copies[service->first + "/" + b];
-                });
+        const auto scarcest = std::min_element(
+            models.begin(), models.end(),
+            [&](const std::string &a, const std::string &b) { return copiesOf(a) < copiesOf(b); });
+        if (scarcest != models.end())
             requestLoad(*target, *scarcest, "");
-        }
     }
-    requestAdapterUpdates();
+    requestAdapterUpdates(outdatedCopies_.dueUpdates(now()));
+    serving_.setVisits(visits());
+}
+
+int Gateway::countCopies(const std::string &service, const std::string &model) const
+{
+    const AdapterHosts::Hosts &hosts = targets_.hosts().hostsOf(model);
+    return static_cast<int>(std::count_if(hosts.begin(), hosts.end(), [&](const auto &entry) {
+        const auto &[target, host] = entry;
+        return host.version_.has_value() && target->hasReport()
+            && target->record_.service_ == service;
+    }));
 }
 
-void Gateway::requestAdapterUpdates()
+void Gateway::requestAdapterUpdates(const std::vector<AdapterUpdate> &updates)
 {
-    for (const AdapterUpdate &update : versions_.dueUpdates(targets_.all(), now()))
+    for (const AdapterUpdate &update : updates)
         requestLoad(*update.target_, update.model_, update.adapter_);
 }
 
--- a/packages/gateway/target_registry.h
+++ b/packages/gateway/target_registry.h
@@ -15,75 +15,12 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "gateway/codec.h"
-#include "gateway/target_backoff.h"
+#include "gateway/adapter_hosts.h"
+#include "gateway/target.h"
+#include "gateway/target_index.h"
 
 namespace foxtailturn::gateway {
 
-// Returns the name of an adapter on a target: MODEL/ADAPTER, or MODEL for the base model.
-[[nodiscard]] std::string adapterName(const std::string &model, const std::string &adapter);
-
-// A load that the entry has requested from a target's sidecar.
-struct RequestedLoad
-{
-    TimePoint at_{};
-    std::int64_t version_ = 0; // 0: the newest
-
-    bool operator==(const RequestedLoad &) const = default;
-};
-
-// A target and what the entry knows about it.
-struct Target
-{
-    TargetRecord record_;
-    TimePoint usableUntil_ = TimePoint::max(); // set when its record was removed from the store
-    // Set when a copy of the store had its record again: it is listed if that is still there then.
-    TimePoint listedFrom_ = TimePoint::max();
-    bool isLeaving_ = false; // it has said itself that it is about to stop
-    // A newer incarnation was seen at its address. This one's record stays in the store for some
-    // seconds.
-    bool isSuperseded_ = false;
-
-    EngineReport report_;
-    TimePoint reportedAt_{}; // zero: no report yet
-    bool isAgentConnected_ = false; // its sidecar is connected and accepts load requests
-    double evictionCost_ = 0; // expected uses of the adapter that the next load would evict
-
-    int inFlight_ = 0; // requests of this entry
-    std::int64_t pendingPrompt_ =
-        0; // uncached prompt tokens of this entry's requests without a first event
-    int pendingCount_ = 0; // this entry's requests without a first event
-    std::map<std::string, RequestedLoad> requestedLoads_; // by adapter name
-
-    int consecutiveFailures_ = 0;
-    TimePoint suspectUntil_{};
-    TargetBackoff backoff_; // after rejections
-
-    // Returns what the target hosts: as it has reported, or as its record says.
-    [[nodiscard]] const std::vector<HostedModel> &hostedModels() const
-    {
-        return hasReport() ? report_.models_ : record_.models_;
-    }
-
-    // Returns the version of the adapter on the target; nullopt if it is absent or being loaded.
-    // The base model has version 0.
-    [[nodiscard]] std::optional<std::int64_t> versionOf(const std::string &model,
-                                                        const std::string &adapter) const;
-
-    // Returns whether this incarnation may get new work.
-    [[nodiscard]] bool isInService() const
-    {
-        return record_.phase_ == TargetPhase::Ready && !isLeaving_ && !isSuperseded_;
-    }
-
-    // Returns whether the base model is loaded.
-    [[nodiscard]] bool hostsModel(const std::string &model) const;
-
-    [[nodiscard]] bool isLoading(const std::string &name) const;
-    [[nodiscard]] bool isSuspect(TimePoint now) const { return now < suspectUntil_; }
-    [[nodiscard]] bool hasReport() const { return reportedAt_ != TimePoint{}; }
-};
-
 // Models and adapters that an engine's report changed.
 struct AdapterChanges
 {
@@ -141,6 +78,9 @@
     bool listCopy(const TargetRecord &record, TimePoint now);
     void retainOnlyCopy(const std::vector<std::string> &instances, TimePoint now);
 
+    // Returns the addresses at which a target was listed, moved or unlisted since the last call.
+    [[nodiscard]] std::set<std::string> takeChangedAddresses();
+
     // Lists the targets whose records a copy has brought back and that are still there some time
     // later. Returns whether there are any.
     bool confirmCopies(TimePoint now);
@@ -152,6 +92,11 @@
     // Records whether the sidecar of the engine at the address is connected.
     void setAgentConnected(const std::string &address, bool isLinked);
 
+    // Record that this entry has requested a load from the target's sidecar, or expects none any
+    // more.
+    void recordLoadRequest(Target &target, const std::string &name, const RequestedLoad &load);
+    void forgetLoadRequest(Target &target, const std::string &name);
+
     // Record the outcome of an attempt. A failure makes the target suspect for a time that doubles
     // with each consecutive failure, up to a limit.
     void succeeded(Target &target);
@@ -160,18 +105,42 @@
     // Returns the targets of a service that may get new requests, including suspect ones.
     [[nodiscard]] std::vector<Target *> availableTargets(const std::string &service, TimePoint now);
 
+    // The targets by the adapters that they host or load. Changes of targets through the registry
+    // are in it at once.
+    [[nodiscard]] AdapterHosts &hosts() { return hosts_; }
+    [[nodiscard]] const AdapterHosts &hosts() const { return hosts_; }
+
+    // Returns the targets at an address, in the order of their instances: usually one, and its
+    // earlier incarnations. The reference is valid until a target is listed or removed.
+    [[nodiscard]] const TargetSet &atAddress(const std::string &address);
+
     [[nodiscard]] Target *find(const std::string &instance);
     [[nodiscard]] std::vector<Target *> all();
 
     // Removes targets that have been unlisted for some time and have no requests in flight.
     void removeStale(TimePoint now);
 
+    // Returns how many targets and entries of indices the calls so far have visited. What one
+    // message adds must not depend on the number of targets.
+    [[nodiscard]] std::uint64_t visits() const { return visits_ + hosts_.visits(); }
+
 private:
+    void setRecord(Target &target, const TargetRecord &record);
+    void setListed(Target &target);
+    void discardIncarnation(Target &target, TimePoint now);
     void markOlderSuperseded(const std::string &service, const std::string &address);
     void unlist(const std::string &instance, TimePoint now, Duration grace);
+    void unlistAllExcept(std::vector<std::string> instances, TimePoint now, Duration grace);
+    [[nodiscard]] const TargetSet &visit(const TargetSet &targets);
 
     Duration unlistedGrace_;
     std::map<std::string, std::unique_ptr<Target>> targets_; // by instance
+    TargetIndex byAddress_;
+    TargetIndex byService_;
+    TargetSet unlisted_; // those whose record was removed
+    AdapterHosts hosts_;
+    std::set<std::string> changedAddresses_;
+    std::uint64_t visits_ = 0;
 };
 
 } // namespace foxtailturn::gateway
