gateway: a waiting request looks for its caller's close, as with the timer before

The placement with each tick of 250 ms looked for it; the review of a load, which takes its place, did not.

--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -195,7 +195,7 @@
 {
     const std::string name = adapterName(request_.caller_.model_, request_.caller_.adapter_);
     if (!gateway_.isLoadUnderWay(loadingInstance_, name)
-        || gateway_.isQuarantined(request_.suspects_)) {
+        || gateway_.isQuarantined(request_.suspects_) || answer_.hasCallerLeft()) {
         place();
         return;
     }
