gateway: a test of the timer of a request that waits for a target

Cause: Relay::armTimer counted the end of an earlier wait for a load as due while the request waited for a target that wants no requests yet, so that it was placed again at each turn of the loop.

--- a/packages/gateway/request_visits_test.cpp
+++ b/packages/gateway/request_visits_test.cpp
@@ -15,6 +15,7 @@
 
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 const std::string kService = "s";
@@ -131,6 +132,23 @@
 
 } // namespace
 
+// Guards against a timer that is due at once, again and again, because of an earlier wait.
+TEST_CASE("a request is not placed again before a target wants requests")
+{
+    Entry entry(1);
+    entry.startRequest(adapterOf(0));
+    REQUIRE(entry.gateway_.waiting().size() == 1);
+    entry.clock_.advance(seconds(3)); // the wait for the load is over
+    Target *target = entry.gateway_.targets().all().front();
+    target->backoff_.recordRejection(entry.clock_.now(), milliseconds(200), 0);
+    entry.relays_[0]->retryPlacement();
+    REQUIRE(entry.relays_[0]->isWaiting());
+    entry.takeVisits();
+    entry.context_.run_for(milliseconds(20));
+    CHECK(entry.takeVisits() == 0);
+    entry.relays_[0]->cancel();
+}
+
 // Guards against events that place all waiting requests again.
 TEST_CASE("an event places only the requests that it can help")
 {
