--- a/packages/gateway/request_visits_test.cpp
+++ b/packages/gateway/request_visits_test.cpp
@@ -169,7 +169,6 @@
             Target *loader = entry.loaderOf(adapterOf(0));
             REQUIRE(loader != nullptr);
             const std::string address = loader->record_.address_;
-            std::size_t atLoader = entry.gateway_.waiting().forTarget(address).size();
 
             // A load that was refused, and one that the target has carried out.
             entry.gateway_.onLoadRefused(address, "m/" + adapterOf(0));
@@ -186,7 +185,7 @@
             const TargetRecord record = entry.gateway_.targets().all().back()->record_;
             Gateway::retryWaiting(entry.gateway_.waitingForRecord(record, false));
             CHECK(entry.takeVisits() == 0);
-            atLoader = entry.gateway_.waiting().forTarget(record.address_).size();
+            std::size_t atLoader = entry.gateway_.waiting().forTarget(record.address_).size();
             Gateway::retryWaiting(entry.gateway_.waitingForRecord(record, true));
             CHECK(entry.takeVisits() == atLoader * placement);
 
