--- a/packages/gateway/placement.cpp
+++ b/packages/gateway/placement.cpp
@@ -35,9 +35,6 @@
 constexpr double kMemoryLimit = 0.92; // of the KV capacity
 constexpr milliseconds
     kPlainRequestTime(40); // nominal time of a plain service's request, only to compare targets
-constexpr std::size_t kMaxPrefixes = 8192;
-constexpr Duration kPrefixLifetime =
-    std::chrono::seconds(20); // after this, a cached prefix has probably been evicted
 
 bool isExcluded(const Target &target, const PlacementRequest &request)
 {
@@ -51,23 +48,44 @@
     return version && *version >= request.minVersion_;
 }
 
-// Returns why the target is not eligible; empty if it is.
-std::string ineligibilityReason(const Target &target, const PlacementRequest &request,
-                                bool hasAdapter)
+// Returns why the target is not eligible; No if it is.
+PassedOver ineligibilityOf(const Target &target, const PlacementRequest &request, bool hasAdapter,
+                           TimePoint now)
 {
     if (isExcluded(target, request))
-        return "already tried for this request";
-    if (!request.isEngine_ || hasAdapter)
+        return PassedOver::AlreadyTried;
+    if (request.isEngine_ && !hasAdapter) {
+        if (!target.isAgentConnected_)
+            return PassedOver::NoAgent;
+        if (!target.hostsModel(request.model_) && !target.report_.models_.empty())
+            return PassedOver::OtherModel;
+    }
+    return target.backoff_.isClosed(now) ? PassedOver::Closed : PassedOver::No;
+}
+
+} // namespace
+
+std::string_view passedOverName(PassedOver reason)
+{
+    switch (reason) {
+    case PassedOver::No:
         return "";
-    if (!target.isAgentConnected_)
+    case PassedOver::AlreadyTried:
+        return "already tried for this request";
+    case PassedOver::NoAgent:
         return "adapter not loaded and no agent connected to load it";
-    if (!target.hostsModel(request.model_) && !target.report_.models_.empty())
+    case PassedOver::OtherModel:
         return "hosts another model";
+    case PassedOver::Closed:
+        return "wants no requests yet";
+    case PassedOver::Suspect:
+        return "suspect";
+    case PassedOver::Avoided:
+        return "avoided";
+    }
     return "";
 }
 
-} // namespace
-
 Duration Placement::prefillTime(std::int64_t tokens) const
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(
@@ -80,9 +98,10 @@
     const PlacementRequest &request_;
     std::string adapterName_;
     std::uint64_t adapterHash_ = 0;
-    // For each leading part of the prompt that is cached at any target: its last uses by instance
-    // and its number of tokens.
-    std::vector<std::pair<const LastUses *, std::int64_t>> cachedParts_;
+    // For each leading part of the prompt that is cached at any target: its hash and its number of
+    // tokens.
+    std::vector<std::pair<std::uint64_t, std::int64_t>> cachedParts_;
+    const CachedPrefixes &cachedPrefixes_;
     TimePoint now_{};
 
     // Returns the target's rank for the adapter in rendezvous hashing, from 0 (preferred) to 1.
@@ -93,11 +112,14 @@
     }
 
     // Returns the number of prompt tokens that are probably in the target's KV cache.
-    [[nodiscard]] std::int64_t cachedTokensAt(const std::string &instance) const
+    [[nodiscard]] std::int64_t cachedTokensAt(const Target &target) const
     {
+        if (cachedParts_.empty())
+            return 0;
+        const std::uint64_t start = CachedPrefixes::startOf(target.record_);
         std::int64_t tokens = 0;
-        for (const auto &[uses, partTokens] : cachedParts_) {
-            if (!uses->contains(instance))
+        for (const auto &[prefix, partTokens] : cachedParts_) {
+            if (!cachedPrefixes_.contains(prefix, start))
                 break;
             tokens += partTokens;
         }
@@ -107,15 +129,15 @@
 
 Placement::Query Placement::queryOf(const PlacementRequest &request, TimePoint now) const
 {
-    Query query{request, adapterName(request.model_, request.adapter_), 0, {}, now};
+    Query query{request, adapterName(request.model_, request.adapter_), 0, {}, cachedPrefixes_,
+                now};
     query.adapterHash_ = hash64(query.adapterName_);
     std::uint64_t key = query.adapterHash_;
     for (const PromptPart &part : request.prefix_) {
         key = hash64(part.id_, key);
-        const auto it = cachedPrefixes_.find(key);
-        if (it == cachedPrefixes_.end())
+        if (!cachedPrefixes_.contains(key))
             break;
-        query.cachedParts_.emplace_back(&it->second, part.tokens_);
+        query.cachedParts_.emplace_back(key, part.tokens_);
     }
     return query;
 }
@@ -130,7 +152,7 @@
     time += prefillTime(others * std::max<std::int64_t>(request.promptTokens_, 500) / 2);
     time += kCostPerQueued * report.queued_ / 2;
     time += kCostPerRunning * std::max(report.running_, target.inFlight_);
-    time += prefillTime(request.promptTokens_ - query.cachedTokensAt(target.record_.instance_));
+    time += prefillTime(request.promptTokens_ - query.cachedTokensAt(target));
     if (report.kvTotal_ > 0
         && static_cast<double>(report.kvUsed_ + request.promptTokens_)
             > kMemoryLimit * static_cast<double>(report.kvTotal_))
@@ -181,17 +203,18 @@
     const PlacementRequest &request = query.request_;
     std::vector<Option> options;
     options.reserve(targets.size());
+    visits_ += targets.size();
     choice.candidates_.reserve(targets.size());
     for (Target *target : targets) {
         const bool hasAdapter = request.isEngine_ && hasRequiredVersion(*target, request);
-        PlacementCandidate candidate{target->record_.instance_, Duration::zero(),
-                                     ineligibilityReason(*target, request, hasAdapter)};
-        if (candidate.reason_.empty() && target->backoff_.isClosed(query.now_)) {
+        PlacementCandidate candidate{target, Duration::zero(),
+                                     ineligibilityOf(*target, request, hasAdapter, query.now_)};
+        if (candidate.passedOver_ == PassedOver::Closed) {
             const TimePoint opensAt = target->backoff_.closedUntil();
             choice.opensAt_ = std::min(choice.opensAt_.value_or(opensAt), opensAt);
-            candidate.reason_ = "wants no requests yet";
+            choice.isHostPassedOver_ = choice.isHostPassedOver_ || hasAdapter;
         }
-        if (candidate.reason_.empty()) {
+        if (candidate.passedOver_ == PassedOver::No) {
             candidate.expected_ = request.isEngine_
                 ? engineTime(*target, query, hasAdapter)
                 : kPlainRequestTime * target->inFlight_ / std::max(1, target->record_.slots_);
@@ -203,7 +226,7 @@
                                    || target->backoff_.isAtLimit(target->inFlight_),
                                target->isSuspect(query.now_)});
         }
-        choice.candidates_.push_back(std::move(candidate));
+        choice.candidates_.push_back(candidate);
     }
     return options;
 }
@@ -232,8 +255,10 @@
         if (best == nullptr || option.isBetterThan(*best))
             best = &option;
         if (option.isSuspect_ || option.isAvoided_)
-            choice.candidates_[option.candidate_].reason_ =
-                option.isSuspect_ ? "suspect" : "avoided";
+            choice.candidates_[option.candidate_].passedOver_ =
+                option.isSuspect_ ? PassedOver::Suspect : PassedOver::Avoided;
+        choice.isHostPassedOver_ =
+            choice.isHostPassedOver_ || (request.isEngine_ && !option.needsLoad_);
     }
     if (best != nullptr) {
         choice.target_ = best->target_;
@@ -259,42 +284,35 @@
     return std::clamp<Duration>(loadTime_ * 3, kMinLoadTimeout, kMaxLoadTimeout);
 }
 
+bool Placement::isLoadUnderWay(const Target &target, const std::string &adapterName,
+                               TimePoint now) const
+{
+    const auto requested = target.requestedLoads_.find(adapterName);
+    return requested != target.requestedLoads_.end() && now - requested->second.at_ <= loadTimeout()
+        && target.isInService() && now < target.usableUntil_ && target.isAgentConnected_
+        && !target.isSuspect(now) && !target.backoff_.isClosed(now)
+        && !target.backoff_.isAvoided(now);
+}
+
 void Placement::recordLoadTime(Duration elapsed)
 {
     const Duration sample = std::clamp<Duration>(elapsed, kMinLoadTime, kMaxLoadTime);
     loadTime_ += std::chrono::duration_cast<Duration>(kLoadTimeWeight * (sample - loadTime_));
 }
 
-void Placement::recordCachedPrefix(const std::string &instance, const PlacementRequest &request,
-                                   TimePoint now)
+void Placement::recordCachedPrefix(const Target &target, const PlacementRequest &request)
 {
-    if (cachedPrefixes_.size() > kMaxPrefixes) {
-        std::erase_if(cachedPrefixes_, [now](const auto &entry) {
-            return std::all_of(entry.second.begin(), entry.second.end(), [now](const auto &use) {
-                return use.second + kPrefixLifetime < now;
-            });
-        });
-        if (cachedPrefixes_.size() > kMaxPrefixes)
-            // Costs extra prefills; unlimited growth would exhaust the VM's memory.
-            cachedPrefixes_.clear();
-    }
+    const std::uint64_t start = CachedPrefixes::startOf(target.record_);
     std::uint64_t key = hash64(adapterName(request.model_, request.adapter_));
     for (const PromptPart &part : request.prefix_) {
         key = hash64(part.id_, key);
-        cachedPrefixes_[key][instance] = now;
+        cachedPrefixes_.record(key, start);
     }
 }
 
-void Placement::removeInstance(const std::string &instance)
-{
-    for (auto &[key, targets] : cachedPrefixes_)
-        targets.erase(instance);
-}
-
-std::int64_t Placement::cachedTokens(const std::string &instance,
-                                     const PlacementRequest &request) const
+std::int64_t Placement::cachedTokens(const Target &target, const PlacementRequest &request) const
 {
-    return queryOf(request, TimePoint{}).cachedTokensAt(instance);
+    return queryOf(request, TimePoint{}).cachedTokensAt(target);
 }
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/placement.h
+++ b/packages/gateway/placement.h
@@ -15,13 +15,13 @@
 // rejection is longest ago get the next requests.
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
-#include <unordered_map>
+#include <string_view>
 #include <vector>
 
 #include "base/clock.h"
+#include "gateway/cached_prefixes.h"
 #include "gateway/target_registry.h"
 
 namespace foxtailturn::gateway {
@@ -38,12 +38,26 @@
     std::vector<std::string> excluded_; // instances that the request was already sent to
 };
 
-// A target that was considered, for the log.
+// Why a target was not eligible, or came after others.
+enum class PassedOver {
+    No,
+    AlreadyTried,
+    NoAgent, // to load the missing adapter
+    OtherModel,
+    Closed, // wants no requests yet
+    Suspect,
+    Avoided,
+};
+
+// Returns the reason as the log names it. Thread-safe.
+[[nodiscard]] std::string_view passedOverName(PassedOver reason);
+
+// A target that was considered, for the log. Valid as long as the target.
 struct PlacementCandidate
 {
-    std::string instance_;
+    const Target *target_ = nullptr;
     Duration expected_{}; // time to the first event or answer
-    std::string reason_; // why it was not eligible, "suspect" or "avoided"; otherwise empty
+    PassedOver passedOver_ = PassedOver::No;
 
     bool operator==(const PlacementCandidate &) const = default;
 };
@@ -54,6 +68,8 @@
     // When the first of the targets that want no requests now wants some again, if there are any.
     std::optional<TimePoint> opensAt_;
     bool needsLoad_ = false; // the target must load the adapter first
+    // Another target has the adapter, but was closed, suspect, avoided or busy.
+    bool isHostPassedOver_ = false;
     Duration expected_{};
     std::vector<PlacementCandidate> candidates_;
 };
@@ -72,6 +88,11 @@
     [[nodiscard]] PlacementChoice choose(const std::vector<Target *> &targets,
                                          const PlacementRequest &request, TimePoint now) const;
 
+    // Returns whether the target, whose load of the adapter of this name was requested, may still
+    // carry it out in time and is not worse than others for a reason that has come since.
+    [[nodiscard]] bool isLoadUnderWay(const Target &target, const std::string &adapterName,
+                                      TimePoint now) const;
+
     // Updates the estimated prefill rate with the time from sending a prompt to its first event.
     // Precondition: the target had no other prompt in prefill.
     void recordPrefillTime(std::int64_t tokens, Duration elapsed);
@@ -81,22 +102,20 @@
     void recordLoadTime(Duration elapsed);
 
     // Records that the target has processed the request's prompt, so its prefix is cached there.
-    void recordCachedPrefix(const std::string &instance, const PlacementRequest &request,
-                            TimePoint now);
-
-    // Removes all records of cached prefixes at a target, for example after its restart.
-    void removeInstance(const std::string &instance);
+    void recordCachedPrefix(const Target &target, const PlacementRequest &request);
 
     // Returns the number of prompt tokens that are probably in the target's KV cache.
-    [[nodiscard]] std::int64_t cachedTokens(const std::string &instance,
+    [[nodiscard]] std::int64_t cachedTokens(const Target &target,
                                             const PlacementRequest &request) const;
 
     [[nodiscard]] double tokensPerMs() const { return tokensPerMs_; }
 
+    // Returns how many targets the choices so far have looked at.
+    [[nodiscard]] std::uint64_t visits() const { return visits_; }
+
 private:
     struct Query;
     struct Option;
-    using LastUses = std::map<std::string, TimePoint>; // time of the last use, by instance
 
     [[nodiscard]] std::vector<Option> optionsOf(const std::vector<Target *> &targets,
                                                 const Query &query, PlacementChoice &choice) const;
@@ -108,7 +127,8 @@
 
     double tokensPerMs_ = 30; // prefill rate, a moving average
     Duration loadTime_ = kInitialLoadTime; // moving average
-    std::unordered_map<std::uint64_t, LastUses> cachedPrefixes_; // by hash of adapter and prefix
+    CachedPrefixes cachedPrefixes_;
+    mutable std::uint64_t visits_ = 0;
 };
 
 } // namespace foxtailturn::gateway
