gateway: a link whose bytes were read just now is not dropped as silent

A turn of the event loop takes ready sockets before timers that have ended. A link that was read in the turn in which its idle time ended set its timer again, but the ended wait was queued already and can't be cancelled; its handler saw no error and dropped the connection. So an entry that was late dropped the sidecars that had reported meanwhile, and read all their reports anew.

The handler now looks whether the timer has been set again. Before, the new test in agent_link_reading_test failed: isConnected() was false after the message had been handled.

--- a/packages/gateway/agent_link.cpp
+++ b/packages/gateway/agent_link.cpp
@@ -51,6 +51,9 @@
         const auto self = weak.lock();
         if (error || !self || self->isStopped_)
             return;
+        // The timer may have been set again after this wait had ended, but before its handler ran.
+        if (self->timer_.expiry() > asio::steady_timer::clock_type::now())
+            return;
         if (self->stream_) {
             self->dropConnection();
         } else if (self->socket_.is_open()) {
--- /dev/null
+++ b/packages/gateway/agent_link_reading_test.cpp
@@ -0,0 +1,66 @@
+// How an AgentLink reads: backpressure and silence.
+
+#include <string>
+#include <thread>
+
+#include <doctest/doctest.h>
+
+#include "gateway/agent_link.h"
+
+namespace foxtailturn::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kIdleTimeout(60);
+constexpr milliseconds kLonger(120);
+
+// A link to a peer whose socket blocks.
+struct Fixture
+{
+    asio::io_context context_;
+    asio::io_context peerContext_;
+    asio::ip::tcp::acceptor acceptor_{peerContext_,
+                                      asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
+    asio::ip::tcp::socket peer_{peerContext_};
+    int messages_ = 0;
+    std::shared_ptr<AgentLink> link_;
+
+    Fixture()
+    {
+        AgentLink::Handlers handlers;
+        handlers.onState_ = [](bool) {};
+        handlers.onMessage_ = [this](const AgentMessage &) { ++messages_; };
+        link_ = std::make_shared<AgentLink>(
+            context_, "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()),
+            std::move(handlers), kIdleTimeout);
+        link_->start();
+        acceptor_.accept(peer_);
+        run(milliseconds(20));
+        REQUIRE(link_->isConnected());
+    }
+
+    void send(const std::string &text) { asio::write(peer_, asio::buffer(text)); }
+
+    void run(Duration time)
+    {
+        context_.restart();
+        context_.run_for(time);
+    }
+};
+
+} // namespace
+
+// Guards against an entry that is late and takes its own delay for the peer's silence.
+TEST_CASE("bytes that are read in the turn in which the idle time ends keep the connection")
+{
+    Fixture f;
+    f.send("{}\n");
+    std::this_thread::sleep_for(kLonger);
+    f.run(milliseconds(20));
+    CHECK(f.messages_ == 1);
+    CHECK(f.link_->isConnected());
+}
+
+} // namespace foxtailturn::gateway
