gateway: reports and rows are worked in while nothing else is ready

An entry decoded each line of a sidecar where it read it, and a socket that was refilled as fast as it was read kept the loop until it was empty.

Reading a link now only splits lines. DeferredWork does the rest in slices of 2 ms when a poll finds nothing ready, and in one of 1 ms each 20 ms while something always is. Rows of the operator's table go before reports. Of the reports of one engine that wait, ReportQueue hands on the newest state once; a full report discards those before it. A link is not read on until its lines are worked in, so at most one read of 64 KB waits for each link, and the sidecar's own bound on unsent bytes holds for the rest. A full report that can't be decoded ends the connection, as those that it replaced are gone; the next one begins with a full report.

row_queue_test: the queue now gets its slices from DeferredWork in place of posted handlers. The tests keep the bound of a slice, the turn of ready handlers between slices, the order, and the queue that ends early.

Not tried: a bound in bytes on lines that wait, with a link that goes on reading; it would drop links of sidecars that do nothing wrong.

--- a/packages/daemon/node_main.cpp
+++ b/packages/daemon/node_main.cpp
@@ -51,7 +51,7 @@
 
 template <typename Node>
 int serve(Node &node, asio::io_context &context, SignalWatch &signals,
-          const std::function<void()> &onReload)
+          const std::function<void()> &onReload, const std::function<void()> &run)
 {
     const Result<void> started = node.start();
     if (!started) {
@@ -59,7 +59,7 @@
         return kExitUsage;
     }
     signals.start([&] { node.stop([&context] { context.stop(); }); }, onReload);
-    context.run();
+    run();
     return kExitOk;
 }
 
@@ -87,16 +87,18 @@
     }
     if (settings->role_ == NodeRole::Sidecar) {
         SidecarNode sidecar(context, codec, *settings);
-        return serve(sidecar, context, signals, [] {});
+        return serve(
+            sidecar, context, signals, [] {}, [&context] { context.run(); });
     }
     EntryNode entry(context, codec, *settings);
-    return serve(entry, context, signals, [&] {
+    const auto onReload = [&] {
         const Result<NodeSettings> changed = NodeSettings::read(settingsPath);
         if (changed)
             entry.reload(*changed);
         else
             std::cerr << "foxtailturnd: settings kept: " << changed.error().message_ << '\n';
-    });
+    };
+    return serve(entry, context, signals, onReload, [&entry] { entry.run(); });
 }
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/agent_link.cpp
+++ b/packages/gateway/agent_link.cpp
@@ -125,8 +125,23 @@
         dropConnection();
         return;
     }
-    for (const std::string &line : extractLines(buffer_))
-        handlers_.onMessage_(decodeAgentMessage(line));
+    std::vector<std::string> lines = extractLines(buffer_);
+    if (!handlers_.onLines_) {
+        for (const std::string &line : lines)
+            handlers_.onMessage_(decodeAgentMessage(line));
+    } else if (!lines.empty()) {
+        stream_->pause();
+        timer_.expires_at(asio::steady_timer::time_point::max()); // nothing is read meanwhile
+        handlers_.onLines_(std::move(lines));
+    }
+}
+
+void AgentLink::resume()
+{
+    if (!stream_)
+        return;
+    armIdleTimer();
+    stream_->resume();
 }
 
 void AgentLink::dropConnection()
--- a/packages/gateway/agent_link.h
+++ b/packages/gateway/agent_link.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "base/clock.h"
 #include "gateway/agent_messages.h"
@@ -31,6 +32,10 @@
     {
         std::function<void(bool isLinked)> onState_;
         std::function<void(const AgentMessage &message)> onMessage_;
+        // If set, it gets the lines in place of onMessage_, undecoded, and the link reads no
+        // further until resume(). So lines that wait to be decoded are bounded by what one read
+        // returns, and the peer's by its own queue.
+        std::function<void(std::vector<std::string> lines)> onLines_;
     };
 
     // context must outlive the link.
@@ -43,6 +48,9 @@
     // Closes the connection and opens a new one after the backoff.
     void reconnect() { dropConnection(); }
 
+    // Reads on after onLines_.
+    void resume();
+
     // Sends a line if connected; otherwise discards it, as a line sent on a broken connection would
     // be lost too.
     void send(std::string line);
--- a/packages/gateway/agent_link_reading_test.cpp
+++ b/packages/gateway/agent_link_reading_test.cpp
@@ -2,6 +2,7 @@
 
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -24,14 +25,19 @@
     asio::ip::tcp::acceptor acceptor_{peerContext_,
                                       asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0)};
     asio::ip::tcp::socket peer_{peerContext_};
+    std::vector<std::string> lines_;
     int messages_ = 0;
     std::shared_ptr<AgentLink> link_;
 
-    Fixture()
+    explicit Fixture(bool readsLines)
     {
         AgentLink::Handlers handlers;
         handlers.onState_ = [](bool) {};
         handlers.onMessage_ = [this](const AgentMessage &) { ++messages_; };
+        if (readsLines)
+            handlers.onLines_ = [this](const std::vector<std::string> &lines) {
+                lines_.insert(lines_.end(), lines.begin(), lines.end());
+            };
         link_ = std::make_shared<AgentLink>(
             context_, "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()),
             std::move(handlers), kIdleTimeout);
@@ -52,10 +58,42 @@
 
 } // namespace
 
+// Guards against lines that pile up in the process while they wait to be decoded, and against a
+// connection that is dropped for silence while nothing of it is read.
+TEST_CASE("a link reads on when its lines are handled")
+{
+    Fixture f(true);
+    f.send("a\nb\nc");
+    f.run(milliseconds(20));
+    CHECK(f.lines_ == std::vector<std::string>{"a", "b"});
+    f.send("d\ne\n");
+    f.run(kLonger);
+    CHECK(f.lines_.size() == 2);
+    CHECK(f.link_->isConnected());
+    f.link_->resume();
+    f.run(milliseconds(20));
+    CHECK(f.lines_ == std::vector<std::string>{"a", "b", "cd", "e"});
+    f.link_->resume();
+    f.run(kLonger);
+    CHECK_FALSE(f.link_->isConnected()); // silent
+}
+
+TEST_CASE("a part of a line is read on without a call")
+{
+    Fixture f(true);
+    f.send("a");
+    f.run(milliseconds(20));
+    f.send("b\n");
+    f.run(milliseconds(20));
+    CHECK(f.lines_ == std::vector<std::string>{"ab"});
+    f.link_->stop();
+    f.link_->resume();
+}
+
 // Guards against an entry that is late and takes its own delay for the peer's silence.
 TEST_CASE("bytes that are read in the turn in which the idle time ends keep the connection")
 {
-    Fixture f;
+    Fixture f(false);
     f.send("{}\n");
     std::this_thread::sleep_for(kLonger);
     f.run(milliseconds(20));
--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "gateway/event_loop.h"
+
 namespace foxtailturn::gateway {
 
 namespace {
@@ -41,8 +43,9 @@
                 .milliCores_ = settings.milliCores_})
     , callers_(gateway_)
     , admin_(context)
+    , deferredWork_(clock_)
     , versionRows_(
-          context, clock_, [this](const StoreRow &row) { onVersionRow(row); },
+          deferredWork_, clock_, [this](const StoreRow &row) { onVersionRow(row); },
           [this] { onVersionsRead(); })
     , operatorWatch_(
           store_, log_,
@@ -56,6 +59,7 @@
           [this](const std::vector<StoreRow> &rows, TableContent content) {
               onTargetRows(rows, content);
           })
+    , sidecarReports_(deferredWork_, reportHandlers())
     , ledgerSync_(store_, log_, gateway_.quotas(), gateway_.quarantine(), wallClock_,
                   [this] { return gateway_.jitter(); })
     , quotaPeers_(context, clock_, log_, gateway_.quotas(), settings.peerPort_)
@@ -135,6 +139,11 @@
     return {};
 }
 
+void EntryNode::run()
+{
+    runLoop(context_, deferredWork_);
+}
+
 void EntryNode::reload(const NodeSettings &settings)
 {
     settings_.storeAddress_ = settings.storeAddress_;
@@ -266,8 +275,8 @@
                    {{"engine", engine}});
         gateway_.retryWaitingRelays();
     };
-    handlers.onMessage_ = [this, engine](const AgentMessage &message) {
-        onSidecarMessage(engine, message);
+    handlers.onLines_ = [this, engine](std::vector<std::string> lines) {
+        sidecarReports_.add(engine, std::move(lines));
     };
     const auto link =
         std::make_shared<AgentLink>(context_, sidecarAddress(engine), std::move(handlers));
@@ -275,14 +284,32 @@
     link->start();
 }
 
+ReportQueue::Handlers EntryNode::reportHandlers()
+{
+    const auto linkOf = [this](const std::string &engine) {
+        const auto link = sidecarLinks_.find(engine);
+        return link == sidecarLinks_.end() ? nullptr : link->second;
+    };
+    return {
+        .onReport_ = [this](const std::string &engine,
+                            const SidecarReport &report) { gateway_.onReport(engine, report); },
+        .onMessage_ = [this](const std::string &engine,
+                             const AgentMessage &message) { onSidecarMessage(engine, message); },
+        .onHandled_ =
+            [linkOf](const std::string &engine) {
+                if (const auto link = linkOf(engine))
+                    link->resume();
+            },
+        .onUnreadable_ =
+            [this, linkOf](const std::string &engine) {
+                log_.write(LogDetail::Full, "report_unreadable", {{"engine", engine}});
+                if (const auto link = linkOf(engine))
+                    link->reconnect();
+            }};
+}
+
 void EntryNode::onSidecarMessage(const std::string &engine, const AgentMessage &message)
 {
-    if (message.report_)
-        sidecarReports_[engine] = *message.report_;
-    if (message.update_)
-        sidecarReports_[engine] = message.update_->applyTo(sidecarReports_[engine]);
-    if (message.report_ || message.update_)
-        gateway_.onReport(engine, sidecarReports_[engine]);
     if (message.suspects_)
         suspects_.receive(*message.suspects_);
     if (message.refusal_)
--- a/packages/gateway/entry_node.h
+++ b/packages/gateway/entry_node.h
@@ -5,7 +5,7 @@
 //
 //     EntryNode entry(context, codec, settings);
 //     Result<void> started = entry.start();
-//     context.run();             // until the handler of stop() stops the context
+//     entry.run();               // until the handler of stop() stops the context
 
 #include <functional>
 #include <map>
@@ -19,6 +19,7 @@
 #include "gateway/ledger_sync.h"
 #include "gateway/node_settings.h"
 #include "gateway/quota_peers.h"
+#include "gateway/report_queue.h"
 #include "gateway/row_queue.h"
 #include "gateway/store_client.h"
 #include "gateway/suspect_exchange.h"
@@ -35,6 +36,9 @@
     // Error: InvalidSettings when an address can't be used.
     [[nodiscard]] Result<void> start();
 
+    // Runs the context until it is stopped, callers before what is learned of the fleet.
+    void run();
+
     // Applies the changed store address. All other settings need a restart.
     void reload(const NodeSettings &settings);
 
@@ -49,6 +53,7 @@
     void onTargetRows(const std::vector<StoreRow> &rows, TableContent content);
     void updateSidecarLinks();
     void ensureSidecarLink(const Target &target);
+    [[nodiscard]] ReportQueue::Handlers reportHandlers();
     void onSidecarMessage(const std::string &engine, const AgentMessage &message);
     void tick();
     void pollShutdown();
@@ -66,11 +71,12 @@
     Gateway gateway_;
     CallerListener callers_;
     AdminPort admin_;
+    DeferredWork deferredWork_;
     RowQueue versionRows_; // rows of the operator's table that are to be looked at for versions
     TableWatch operatorWatch_;
     TableWatch targetWatch_;
     std::map<std::string, std::shared_ptr<AgentLink>> sidecarLinks_; // by the engine's address
-    std::map<std::string, SidecarReport> sidecarReports_; // latest report, by the engine's address
+    ReportQueue sidecarReports_;
     LedgerSync ledgerSync_;
     QuotaPeers quotaPeers_;
     SuspectExchange suspects_;
--- a/packages/gateway/row_queue.cpp
+++ b/packages/gateway/row_queue.cpp
@@ -1,51 +1,45 @@
 #include "gateway/row_queue.h"
 
-#include <utility>
-
-#include <asio/post.hpp>
-
 namespace foxtailturn::gateway {
 
-RowQueue::RowQueue(asio::io_context &context, const Clock &clock,
+RowQueue::RowQueue(DeferredWork &work, const Clock &clock,
                    std::function<void(const StoreRow &)> onRow, std::function<void()> onEmpty)
-    : context_(context)
+    : work_(work)
     , clock_(clock)
     , onRow_(std::move(onRow))
     , onEmpty_(std::move(onEmpty))
-{ }
+{
+    work_.add(*this);
+}
 
-void RowQueue::add(std::vector<StoreRow> rows)
+RowQueue::~RowQueue()
 {
-    batches_.push_back(std::move(rows));
-    if (!isHandling_)
-        handleSlice();
+    work_.remove(*this);
 }
 
-void RowQueue::handleSlice()
+void RowQueue::add(std::vector<StoreRow> rows)
 {
-    isHandling_ = true;
-    const TimePoint end = clock_.now() + kSliceTime;
-    while (!batches_.empty()) {
-        if (next_ == batches_.front().size()) {
-            batches_.pop_front();
-            next_ = 0;
-        } else if (clock_.now() >= end) {
-            handleNextSliceSoon();
-            return;
-        } else {
-            onRow_(batches_.front()[next_++]);
-        }
-    }
-    isHandling_ = false;
-    onEmpty_();
+    const bool isFirst = batches_.empty();
+    batches_.push_back(std::move(rows));
+    if (!isFirst)
+        return;
+    const TimePoint end = clock_.now() + DeferredWork::kSliceTime;
+    while (isWaiting() && clock_.now() < end)
+        step();
 }
 
-void RowQueue::handleNextSliceSoon()
+void RowQueue::step()
 {
-    asio::post(context_, [this, alive = std::weak_ptr<int>(lifetimeToken_)] {
-        if (!alive.expired())
-            handleSlice();
-    });
+    // The batch stays until its last row is handled, so that rows that a handler adds wait.
+    const std::vector<StoreRow> &batch = batches_.front();
+    if (next_ < batch.size())
+        onRow_(batch[next_++]);
+    if (next_ < batches_.front().size())
+        return;
+    batches_.pop_front();
+    next_ = 0;
+    if (batches_.empty())
+        onEmpty_();
 }
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/row_queue_test.cpp
+++ b/packages/gateway/row_queue_test.cpp
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include <asio/io_context.hpp>
 #include <asio/post.hpp>
 #include <doctest/doctest.h>
 
@@ -26,14 +27,23 @@
 {
     asio::io_context context_;
     ManualClock clock_;
+    DeferredWork work_{clock_};
     std::vector<std::string> keys_;
     int emptied_ = 0;
-    RowQueue queue_{context_, clock_,
+    RowQueue queue_{work_, clock_,
                     [this](const StoreRow &row) {
                         keys_.push_back(row.key_);
                         clock_.advance(kTimePerRow);
                     },
                     [this] { ++emptied_; }};
+
+    // Has the loop's ready handlers run, and after them one slice.
+    void runTurn()
+    {
+        while (context_.poll_one() > 0) { }
+        work_.runSlice();
+        context_.restart();
+    }
 };
 
 } // namespace
@@ -44,18 +54,17 @@
     Fixture f;
     const TimePoint start = f.clock_.now();
     f.queue_.add(rowsFrom(0, 10'000));
-    CHECK(f.clock_.now() - start <= RowQueue::kSliceTime + kTimePerRow);
+    CHECK(f.clock_.now() - start <= DeferredWork::kSliceTime + kTimePerRow);
     CHECK(f.emptied_ == 0);
     int turns = 0;
     while (f.emptied_ == 0) {
+        const std::size_t handled = f.keys_.size();
         bool hadTurn = false;
-        asio::post(f.context_, [&hadTurn] { hadTurn = true; });
+        asio::post(f.context_, [&] { hadTurn = f.keys_.size() == handled; });
         const TimePoint before = f.clock_.now();
-        REQUIRE(f.context_.run_one() == 1);
-        CHECK(f.clock_.now() - before <= RowQueue::kSliceTime + kTimePerRow);
-        f.context_.run_one();
+        f.runTurn();
+        CHECK(f.clock_.now() - before <= DeferredWork::kSliceTime + kTimePerRow);
         CHECK(hadTurn);
-        f.context_.restart();
         ++turns;
     }
     CHECK(turns > 10);
@@ -73,7 +82,8 @@
     f.queue_.add(rowsFrom(2, 1'000));
     f.queue_.add(rowsFrom(1'002, 1));
     f.queue_.add({});
-    f.context_.run();
+    while (f.queue_.isWaiting())
+        f.runTurn();
     REQUIRE(f.keys_.size() == 1'003);
     for (std::size_t i = 0; i < f.keys_.size(); ++i)
         CHECK(f.keys_[i] == std::to_string(i));
@@ -83,20 +93,20 @@
 // Guards against a slice of a queue that is gone.
 TEST_CASE("a queue may end before its rows are handled")
 {
-    asio::io_context context;
     ManualClock clock;
+    DeferredWork work(clock);
     int handled = 0;
     {
         RowQueue queue(
-            context, clock,
+            work, clock,
             [&](const StoreRow &) {
                 ++handled;
-                clock.advance(RowQueue::kSliceTime);
+                clock.advance(DeferredWork::kSliceTime);
             },
             [] {});
         queue.add(rowsFrom(0, 3));
     }
-    context.run();
+    work.runSlice();
     CHECK(handled == 1);
 }
 
