gateway: a caller's time runs while its bytes wait for the entry

LoopLag bounds how long bytes may have been ready: since the loop last had nothing ready. It learns this from a poll that finds nothing, and from a wait of 1 ms or more for a handler. A loop that has had neither for 5 ms polls once before it waits. CallerConnection counts a request's time from then, and so do its deadline, the time told to targets and the objectives. Relay::place() already refuses what is late.

LoopMeter keeps the time of the loop and the waits by kind of work, as metrics. Its scopes read the clock twice for each handler, none for a byte.

Before, caller_connection_test failed: a request that had waited for 500 ms and for 2.4 s was not refused at its route's timeout of 500 ms.

Limits: a pause of the process while its loop waits is not seen; a handler outside of a scope that takes 1 ms or more, such as a relay's timer, counts as a wait, so the lag may be too low, never too high by a wait. Kernel timestamps of received bytes (SO_TIMESTAMPNS) would see both; not used, as they come from the wall clock.

--- a/packages/gateway/caller_connection.cpp
+++ b/packages/gateway/caller_connection.cpp
@@ -57,6 +57,7 @@
         const auto self = weak.lock();
         if (error || !self || self->relay_)
             return;
+        const LoopMeter::Scope scope(&self->listener_.meter_, WorkKind::Callers);
         if (isForHeader && !self->isDiscarding_)
             self->refuseAndClose(408, ErrorCode::DeadlineExceeded);
         else
@@ -68,16 +69,18 @@
 {
     if (isDiscarding_)
         return;
+    const LoopMeter::Scope scope(&listener_.meter_, WorkKind::Callers);
     unparsed_ += data;
     if (relay_) {
         if (unparsed_.size() > kMaxUnparsedBytes)
             stream_->pause();
         return;
     }
-    readRequests();
+    // The caller's time runs while its bytes wait for the loop.
+    readRequests(listener_.meter_.readySince());
 }
 
-void CallerConnection::readRequests()
+void CallerConnection::readRequests(TimePoint receivedAt)
 {
     const auto self = shared_from_this();
     if (isReading_)
@@ -86,7 +89,7 @@
     while (!unparsed_.empty() && !relay_ && !isDiscarding_ && stream_->isOpen()) {
         const bool isNew = !parser_.isInMessage();
         if (isNew) {
-            receivedAt_ = gateway_.now();
+            receivedAt_ = receivedAt;
             armTimer(limitsOf(gateway_).headerTimeout_, true);
         }
         const std::size_t used = parser_.feed(unparsed_);
@@ -200,7 +203,7 @@
         asio::post(gateway_.context(), [weak = weak_from_this()] {
             const auto self = weak.lock();
             if (self && !self->relay_)
-                self->readRequests();
+                self->readRequests(self->gateway_.now());
         });
 }
 
@@ -240,6 +243,7 @@
 
 void CallerConnection::onClosed()
 {
+    const LoopMeter::Scope scope(&listener_.meter_, WorkKind::Callers);
     close();
 }
 
@@ -268,8 +272,9 @@
     listener_.connections_.erase(self);
 }
 
-CallerListener::CallerListener(Gateway &gateway)
+CallerListener::CallerListener(Gateway &gateway, LoopMeter &meter)
     : gateway_(gateway)
+    , meter_(meter)
     , acceptor_(gateway.context())
     , acceptTimer_(gateway.context())
 { }
--- a/packages/gateway/caller_connection.h
+++ b/packages/gateway/caller_connection.h
@@ -3,7 +3,7 @@
 // A caller's connection: reads requests one after the other, starts a Relay for each and writes the
 // answers.
 //
-//     CallerListener listener(gateway);
+//     CallerListener listener(gateway, meter);
 //     listener.listen("10.0.0.5:8080");
 //     listener.drain();     // graceful shutdown: answers carry "Connection: close"
 
@@ -11,6 +11,7 @@
 #include <set>
 
 #include "gateway/gateway.h"
+#include "gateway/loop_meter.h"
 #include "http1/message_parser.h"
 
 namespace foxtailturn::gateway {
@@ -43,7 +44,8 @@
 private:
     void onData(std::string_view data);
     void onClosed();
-    void readRequests();
+    // receivedAt: when the unparsed bytes were received.
+    void readRequests(TimePoint receivedAt);
     void beginRequest();
     void refuse(Refusal refusal);
     void refuseAndClose(int status, ErrorCode code);
@@ -81,7 +83,8 @@
 class CallerListener
 {
 public:
-    explicit CallerListener(Gateway &gateway);
+    // The gateway and the meter must outlive the listener.
+    CallerListener(Gateway &gateway, LoopMeter &meter);
 
     // Error: InvalidSettings when the address can't be used.
     [[nodiscard]] Result<void> listen(const std::string &address);
@@ -107,6 +110,7 @@
     void accept();
 
     Gateway &gateway_;
+    LoopMeter &meter_;
     asio::ip::tcp::acceptor acceptor_;
     asio::steady_timer acceptTimer_;
     std::set<std::shared_ptr<CallerConnection>> connections_;
--- /dev/null
+++ b/packages/gateway/caller_connection_test.cpp
@@ -0,0 +1,116 @@
+#include "gateway/caller_connection.h"
+
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include "gateway/codec_testing.h"
+
+namespace foxtailturn::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kRouteTimeout(500);
+
+ServingConfig oneRoute()
+{
+    ServingConfig config;
+    config.revision_ = 1;
+    Route route;
+    route.name_ = "r";
+    route.prefix_ = "/";
+    route.kind_ = RouteKind::Idempotent;
+    route.timeout_ = kRouteTimeout;
+    route.objective_ = kRouteTimeout;
+    route.backends_ = {{"s", 1}};
+    config.routes_ = {route};
+    config.services_["s"].name_ = "s";
+    config.indexRoutes();
+    return config;
+}
+
+// One caller before a gateway without targets, in virtual time.
+struct Fixture
+{
+    asio::io_context context_;
+    ManualClock clock_;
+    SystemWallClock wallClock_;
+    EventLog log_{"entry", wallClock_, [](std::string_view bytes) { return bytes.size(); }};
+    MetricRegistry metrics_;
+    LoopMeter meter_{clock_, metrics_};
+    PlainCodec codec_;
+    Gateway gateway_{{context_, codec_, clock_, wallClock_, log_, metrics_}, GatewayOptions()};
+    CallerListener listener_{gateway_, meter_};
+    asio::ip::tcp::socket caller_{context_};
+    std::shared_ptr<CallerConnection> connection_;
+
+    Fixture()
+    {
+        gateway_.configure(oneRoute());
+        asio::ip::tcp::acceptor acceptor(
+            context_, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        caller_.connect(acceptor.local_endpoint());
+        connection_ = std::make_shared<CallerConnection>(listener_, gateway_, acceptor.accept());
+        connection_->start();
+    }
+
+    void send()
+    {
+        asio::write(caller_, asio::buffer(std::string("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")));
+    }
+
+    // Has the loop run a handler for this long, and then those that are ready.
+    void runBehind(Duration work)
+    {
+        (void)meter_.beginTurn();
+        {
+            const LoopMeter::Scope scope(&meter_, WorkKind::Reports);
+            clock_.advance(work);
+        }
+        (void)meter_.beginTurn();
+        context_.run_for(milliseconds(50));
+        context_.restart();
+    }
+
+    [[nodiscard]] bool hasTimedOut() const
+    {
+        return metrics_.text().find(R"(reason="deadline_exceeded")") != std::string::npos;
+    }
+};
+
+} // namespace
+
+// Guards against a request that is passed on though its caller's time has passed in the entry, and
+// against one that is given up too early.
+TEST_CASE("a caller's time runs while its request waits for the loop")
+{
+    struct Case
+    {
+        Duration work_;
+        bool hasTimedOut_;
+    };
+    for (const Case &c :
+         {Case{milliseconds(0), false}, Case{kRouteTimeout - milliseconds(1), false},
+          Case{kRouteTimeout, true}, Case{milliseconds(2400), true}}) {
+        CAPTURE(c.work_.count());
+        Fixture f;
+        f.send();
+        f.runBehind(c.work_);
+        CHECK(f.hasTimedOut() == c.hasTimedOut_);
+    }
+}
+
+// Guards against a wait for the loop that is counted though the request came later.
+TEST_CASE("a request that the loop waited for has all its time")
+{
+    Fixture f;
+    f.runBehind(milliseconds(2400));
+    f.send();
+    f.meter_.nothingReady();
+    f.runBehind(Duration::zero());
+    CHECK_FALSE(f.hasTimedOut());
+}
+
+} // namespace foxtailturn::gateway
--- a/packages/gateway/deferred_work.cpp
+++ b/packages/gateway/deferred_work.cpp
@@ -4,8 +4,9 @@
 
 namespace foxtailturn::gateway {
 
-DeferredWork::DeferredWork(const Clock &clock)
+DeferredWork::DeferredWork(const Clock &clock, LoopMeter *meter)
     : clock_(clock)
+    , meter_(meter)
 { }
 
 void DeferredWork::add(WorkSource &source)
@@ -49,6 +50,9 @@
 {
     const TimePoint end = clock_.now() + time;
     for (WorkSource *source : sources_) {
+        if (!source->isWaiting())
+            continue;
+        const LoopMeter::Scope scope(meter_, source->kind());
         while (source->isWaiting()) {
             source->step();
             if (clock_.now() >= end)
--- a/packages/gateway/deferred_work.h
+++ b/packages/gateway/deferred_work.h
@@ -6,12 +6,13 @@
 //
 //     DeferredWork work(clock);
 //     ReportQueue reports(work, handlers);    // a WorkSource, which registers itself
-//     runLoop(context, work);                 // event_loop.h
+//     runLoop(context, work, meter);          // event_loop.h
 
 #include <optional>
 #include <vector>
 
 #include "base/clock.h"
+#include "gateway/loop_meter.h"
 
 namespace foxtailturn::gateway {
 
@@ -23,6 +24,9 @@
 
     [[nodiscard]] virtual bool isWaiting() const = 0;
 
+    // Returns as which kind of work its steps count.
+    [[nodiscard]] virtual WorkKind kind() const = 0;
+
     // Does the next piece of work, which must be short, as nothing else runs meanwhile.
     // Precondition: isWaiting().
     virtual void step() = 0;
@@ -38,8 +42,8 @@
     static constexpr Duration kBusySliceTime = std::chrono::milliseconds(1);
     static constexpr Duration kBusyInterval = std::chrono::milliseconds(20);
 
-    // The clock must outlive this object.
-    explicit DeferredWork(const Clock &clock);
+    // The clock and the meter, if any, must outlive this object.
+    explicit DeferredWork(const Clock &clock, LoopMeter *meter = nullptr);
 
     // Sources have priority in the order in which they were added, but each has at least one step
     // in each slice. A source must outlive this object or be removed.
@@ -59,6 +63,7 @@
     void run(Duration time);
 
     const Clock &clock_;
+    LoopMeter *meter_;
     std::vector<WorkSource *> sources_;
     std::optional<TimePoint> heldUpSince_; // without a slice, though work waits
 };
--- a/packages/gateway/deferred_work_test.cpp
+++ b/packages/gateway/deferred_work_test.cpp
@@ -21,6 +21,7 @@
     { }
 
     [[nodiscard]] bool isWaiting() const override { return waiting_ > 0; }
+    [[nodiscard]] WorkKind kind() const override { return WorkKind::Reports; }
 
     void step() override
     {
--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -33,6 +33,7 @@
     , codec_(codec)
     , settings_(settings)
     , log_(settings.name_, wallClock_, writeStandardOutput)
+    , meter_(clock_, metrics_)
     , store_(context, codec, clock_, metrics_, settings.storeAddress_)
     , gateway_(gatewayParts(context, codec, clock_, wallClock_, log_, metrics_),
                {.name_ = settings.name_ + "@" + settings.ip_,
@@ -41,25 +42,28 @@
                 .unlistedGrace_ = targetTimesFor(settings.drainNotice_).unlistedGrace_,
                 .quotaTolerance_ = settings.quotaTolerance_,
                 .milliCores_ = settings.milliCores_})
-    , callers_(gateway_)
+    , callers_(gateway_, meter_)
     , admin_(context)
-    , deferredWork_(clock_)
+    , deferredWork_(clock_, &meter_)
     , versionRows_(
           deferredWork_, clock_, [this](const StoreRow &row) { onVersionRow(row); },
           [this] { onVersionsRead(); })
-    , operatorWatch_(
-          store_, log_,
-          {.table_ = codec.operatorTable(),
-           .longPollTimeout_ = longPollTimeoutFor(settings.storeSilenceLimit_),
-           .pause_ = kOperatorTablePause},
-          [this](std::vector<StoreRow> rows, TableContent) { onOperatorRows(std::move(rows)); })
+    , operatorWatch_(store_, log_,
+                     {.table_ = codec.operatorTable(),
+                      .longPollTimeout_ = longPollTimeoutFor(settings.storeSilenceLimit_),
+                      .pause_ = kOperatorTablePause},
+                     [this](std::vector<StoreRow> rows, TableContent) {
+                         const LoopMeter::Scope scope(&meter_, WorkKind::Records);
+                         onOperatorRows(std::move(rows));
+                     })
     , targetWatch_(
           store_, log_,
           {.table_ = codec.targetTable(), .pause_ = targetTimesFor(settings.drainNotice_).pause_},
           [this](const std::vector<StoreRow> &rows, TableContent content) {
+              const LoopMeter::Scope scope(&meter_, WorkKind::Records);
               onTargetRows(rows, content);
           })
-    , sidecarReports_(deferredWork_, reportHandlers())
+    , sidecarReports_(deferredWork_, clock_, reportHandlers())
     , ledgerSync_(store_, log_, gateway_.quotas(), gateway_.quarantine(), wallClock_,
                   [this] { return gateway_.jitter(); })
     , quotaPeers_(context, clock_, log_, gateway_.quotas(), settings.peerPort_)
@@ -78,6 +82,9 @@
     , tickTimer_(context)
     , stopTimer_(context)
 {
+    gateway_.pool().setMeter(meter_, WorkKind::Targets);
+    store_.setMeter(meter_);
+    quotaPeers_.setMeter(meter_);
     gateway_.setLoadRequestHandler([this](const Target &target, const std::string &model,
                                           const std::string &adapter, std::int64_t version) {
         const auto link = sidecarLinks_.find(target.record_.address_);
@@ -141,7 +148,7 @@
 
 void EntryNode::run()
 {
-    runLoop(context_, deferredWork_);
+    runLoop(context_, deferredWork_, meter_);
 }
 
 void EntryNode::reload(const NodeSettings &settings)
@@ -276,6 +283,7 @@
         gateway_.retryWaitingRelays();
     };
     handlers.onLines_ = [this, engine](std::vector<std::string> lines) {
+        const LoopMeter::Scope scope(&meter_, WorkKind::Reports);
         sidecarReports_.add(engine, std::move(lines));
     };
     const auto link =
@@ -296,7 +304,8 @@
         .onMessage_ = [this](const std::string &engine,
                              const AgentMessage &message) { onSidecarMessage(engine, message); },
         .onHandled_ =
-            [linkOf](const std::string &engine) {
+            [this, linkOf](const std::string &engine, Duration wait) {
+                meter_.recordWait(WorkKind::Reports, wait);
                 if (const auto link = linkOf(engine))
                     link->resume();
             },
@@ -318,6 +327,7 @@
 
 void EntryNode::tick()
 {
+    const LoopMeter::Scope scope(&meter_, WorkKind::Upkeep);
     gateway_.pool().closeExpired();
     gateway_.targets().removeStale(clock_.now());
     if (gateway_.targets().confirmCopies(clock_.now()))
@@ -328,6 +338,21 @@
     }
     gateway_.requestLoads();
     gateway_.retryWaitingRelays(); // for changes without a report: a failed load, another target
+    writeMetrics();
+    writeLog();
+    const TimePoint expectedAt = clock_.now() + kTickInterval;
+    tickTimer_.expires_after(kTickInterval);
+    tickTimer_.async_wait([this, expectedAt](const asio::error_code &error) {
+        if (error)
+            return;
+        metrics_.latency("foxtailturn_loop_lag_seconds", "lateness of the event loop")
+            .record(clock_.now() - expectedAt);
+        tick();
+    });
+}
+
+void EntryNode::writeMetrics()
+{
     metrics_.gauge("foxtailturn_caller_connections", "open connections of callers")
         .set(static_cast<std::int64_t>(callers_.connections()));
     metrics_.gauge("foxtailturn_log_lines_dropped", "log lines dropped for a slow reader")
@@ -338,16 +363,12 @@
         .gauge("foxtailturn_configuration_age_milliseconds",
                "time since the store last confirmed the configuration")
         .set(std::chrono::duration_cast<milliseconds>(age).count());
+}
+
+void EntryNode::writeLog()
+{
+    const LoopMeter::Scope scope(&meter_, WorkKind::Log);
     log_.flush();
-    const TimePoint expectedAt = clock_.now() + kTickInterval;
-    tickTimer_.expires_after(kTickInterval);
-    tickTimer_.async_wait([this, expectedAt](const asio::error_code &error) {
-        if (error)
-            return;
-        metrics_.latency("foxtailturn_loop_lag_seconds", "lateness of the event loop")
-            .record(clock_.now() - expectedAt);
-        tick();
-    });
 }
 
 void EntryNode::stop(std::function<void()> onStopped)
--- a/packages/gateway/entry_node.h
+++ b/packages/gateway/entry_node.h
@@ -56,6 +56,8 @@
     [[nodiscard]] ReportQueue::Handlers reportHandlers();
     void onSidecarMessage(const std::string &engine, const AgentMessage &message);
     void tick();
+    void writeMetrics();
+    void writeLog();
     void pollShutdown();
     [[nodiscard]] bool isReady() const;
     [[nodiscard]] std::string sidecarAddress(const std::string &engine) const;
@@ -67,6 +69,7 @@
     SystemWallClock wallClock_;
     EventLog log_;
     MetricRegistry metrics_;
+    LoopMeter meter_;
     StoreClient store_;
     Gateway gateway_;
     CallerListener callers_;
--- a/packages/gateway/event_loop.cpp
+++ b/packages/gateway/event_loop.cpp
@@ -2,17 +2,21 @@
 
 namespace foxtailturn::gateway {
 
-void runLoop(asio::io_context &context, DeferredWork &work)
+void runLoop(asio::io_context &context, DeferredWork &work, LoopMeter &meter)
 {
     while (!context.stopped()) {
-        // Without deferred work there is no poll before the wait, which would cost a system call
-        // for each wake-up.
-        if (!work.isWaiting())
-            context.run_one();
-        else if (context.poll_one() == 0)
+        // A poll before each wait would cost a system call for each wake-up.
+        const bool polls = meter.beginTurn() || work.isWaiting();
+        if (polls && context.poll_one() > 0) {
+            work.runShare();
+            continue;
+        }
+        if (polls)
+            meter.nothingReady();
+        if (work.isWaiting())
             work.runSlice();
         else
-            work.runShare();
+            context.run_one();
     }
 }
 
--- a/packages/gateway/event_loop.h
+++ b/packages/gateway/event_loop.h
@@ -3,15 +3,17 @@
 // Runs an event loop whose handlers go before deferred work.
 //
 //     DeferredWork work(clock);
-//     runLoop(context, work);      // until context.stop()
+//     LoopMeter meter(clock, metrics);
+//     runLoop(context, work, meter);      // until context.stop()
 
 #include <asio/io_context.hpp>
 
 #include "gateway/deferred_work.h"
+#include "gateway/loop_meter.h"
 
 namespace foxtailturn::gateway {
 
 // Returns when the context is stopped or has no handlers left. Not thread-safe.
-void runLoop(asio::io_context &context, DeferredWork &work);
+void runLoop(asio::io_context &context, DeferredWork &work, LoopMeter &meter);
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/event_loop_test.cpp
+++ b/packages/gateway/event_loop_test.cpp
@@ -21,6 +21,7 @@
     { }
 
     [[nodiscard]] bool isWaiting() const override { return waiting_ > 0; }
+    [[nodiscard]] WorkKind kind() const override { return WorkKind::Reports; }
 
     void step() override
     {
@@ -42,7 +43,9 @@
 {
     asio::io_context context;
     ManualClock clock;
-    DeferredWork work(clock);
+    MetricRegistry metrics;
+    LoopMeter meter(clock, metrics);
+    DeferredWork work(clock, &meter);
     std::string notes;
     NotedSteps steps(clock, notes, 3);
     work.add(steps);
@@ -53,7 +56,7 @@
     });
     asio::steady_timer stop(context, std::chrono::milliseconds(50));
     stop.async_wait([&context](const asio::error_code &) { context.stop(); });
-    runLoop(context, work);
+    runLoop(context, work, meter);
     CHECK(notes == "abwww");
 }
 
@@ -62,7 +65,9 @@
 {
     asio::io_context context;
     ManualClock clock;
-    DeferredWork work(clock);
+    MetricRegistry metrics;
+    LoopMeter meter(clock, metrics);
+    DeferredWork work(clock, &meter);
     std::string notes;
     NotedSteps steps(clock, notes, 1'000'000);
     work.add(steps);
@@ -74,7 +79,7 @@
         asio::post(context, again);
     };
     asio::post(context, again);
-    runLoop(context, work);
+    runLoop(context, work, meter);
     CHECK(handled == 1000);
     CHECK(notes.size() >= 40);
     CHECK(notes.size() <= 50);
@@ -84,9 +89,11 @@
 {
     asio::io_context context;
     ManualClock clock;
-    DeferredWork work(clock);
+    MetricRegistry metrics;
+    LoopMeter meter(clock, metrics);
+    DeferredWork work(clock, &meter);
     asio::post(context, [] {});
-    runLoop(context, work);
+    runLoop(context, work, meter);
     CHECK(context.stopped());
 }
 
--- a/packages/gateway/http_caller.h
+++ b/packages/gateway/http_caller.h
@@ -34,6 +34,9 @@
     // All references must outlive the caller, which must outlive its calls.
     HttpCaller(asio::io_context &context, const PlatformCodec &codec, const Clock &clock);
 
+    // See ConnectionPool.
+    void setMeter(LoopMeter &meter, WorkKind kind) { pool_.setMeter(meter, kind); }
+
     // Calls once, without retries. After a timeout all idle connections to the address are closed,
     // since the same fault may have made them unresponsive.
     void call(const std::string &address, const HttpCall &call, Duration timeout, Handler handler);
--- a/packages/gateway/quota_peers.cpp
+++ b/packages/gateway/quota_peers.cpp
@@ -38,6 +38,7 @@
 
 void QuotaPeers::onLines(int peer, const std::vector<std::string> &lines)
 {
+    const LoopMeter::Scope scope(meter_, WorkKind::Peers);
     std::string answers;
     for (const std::string &line : lines) {
         const AgentMessage message = decodeAgentMessage(line);
@@ -111,6 +112,7 @@
 
 void QuotaPeers::onMessage(const std::string &owner, const AgentMessage &message)
 {
+    const LoopMeter::Scope scope(meter_, WorkKind::Peers);
     if (!message.grantAnswer_)
         return;
     if (unresponsive_.erase(owner) > 0) {
@@ -171,6 +173,7 @@
 
 void QuotaPeers::onTimer()
 {
+    const LoopMeter::Scope scope(meter_, WorkKind::Peers);
     for (const std::string &owner : requester_.expire()) {
         const bool isNewlyUnresponsive = unresponsive_.insert(owner).second;
         quotas_.setOwnerAnswering(owner, false);
--- a/packages/gateway/quota_peers.h
+++ b/packages/gateway/quota_peers.h
@@ -21,6 +21,7 @@
 #include "gateway/grant_requester.h"
 #include "gateway/grant_search.h"
 #include "gateway/line_server.h"
+#include "gateway/loop_meter.h"
 #include "quota/quota_parts.h"
 
 namespace foxtailturn::gateway {
@@ -41,6 +42,9 @@
     // time, and when it answers that it owns no part of the quota any more.
     void onOwnerLost(std::function<void()> handler) { onOwnerLost_ = std::move(handler); }
 
+    // Counts what is done with the messages of other entries. The meter must outlive this object.
+    void setMeter(LoopMeter &meter) { meter_ = &meter; }
+
     // Connects to new owners and disconnects from entries that own nothing any more.
     void updateConnections();
 
@@ -64,6 +68,7 @@
     quota::QuotaParts &quotas_;
     const Clock &clock_;
     int port_;
+    LoopMeter *meter_ = nullptr;
     LineServer server_;
     std::map<std::string, std::shared_ptr<AgentLink>> links_; // by the owner's name
     // Owners that let a request expire. The host of a suspended VM may still accept
--- a/packages/gateway/report_queue.cpp
+++ b/packages/gateway/report_queue.cpp
@@ -13,8 +13,9 @@
 
 } // namespace
 
-ReportQueue::ReportQueue(DeferredWork &work, Handlers handlers)
+ReportQueue::ReportQueue(DeferredWork &work, const Clock &clock, Handlers handlers)
     : work_(work)
+    , clock_(clock)
     , handlers_(std::move(handlers))
 {
     work_.add(*this);
@@ -42,6 +43,7 @@
     }
     if (!source.hasTurn_) {
         source.hasTurn_ = true;
+        source.waitsSince_ = clock_.now();
         source.linesInTurn_ = 0;
         turns_.push_back(engine);
     }
@@ -97,6 +99,7 @@
 {
     turns_.pop_front();
     source.hasTurn_ = false;
+    const Duration wait = clock_.now() - source.waitsSince_;
     if (std::exchange(source.isChanged_, false)) {
         SidecarReport state = std::move(source.state_);
         handlers_.onReport_(engine, state);
@@ -104,7 +107,7 @@
         if (const auto it = sources_.find(engine); it != sources_.end())
             it->second.state_ = std::move(state);
     }
-    handlers_.onHandled_(engine);
+    handlers_.onHandled_(engine, wait);
 }
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/report_queue.h
+++ b/packages/gateway/report_queue.h
@@ -4,7 +4,7 @@
 // newest state is handed on: a full report replaces those before it, and updates are applied
 // before the state is handed on once.
 //
-//     ReportQueue queue(work, {.onReport_ = [&](const std::string &engine,
+//     ReportQueue queue(work, clock, {.onReport_ = [&](const std::string &engine,
 //                                               const SidecarReport &report) { ... }, ...});
 //     queue.add(engine, lines);
 //     queue.erase(engine);            // its connection is lost
@@ -32,8 +32,8 @@
         std::function<void(const std::string &engine, const SidecarReport &report)> onReport_;
         // Any other message.
         std::function<void(const std::string &engine, const AgentMessage &message)> onMessage_;
-        // All lines of the engine are handled.
-        std::function<void(const std::string &engine)> onHandled_;
+        // All lines of the engine are handled; the first of them has waited for this long.
+        std::function<void(const std::string &engine, Duration wait)> onHandled_;
         // A full report can't be decoded, so that the engine's state is unknown.
         std::function<void(const std::string &engine)> onUnreadable_;
     };
@@ -41,8 +41,8 @@
     // Lines of one engine that are decoded before those of the next one.
     static constexpr int kMaxLinesPerTurn = 64;
 
-    // work must outlive the queue.
-    ReportQueue(DeferredWork &work, Handlers handlers);
+    // work and the clock must outlive the queue.
+    ReportQueue(DeferredWork &work, const Clock &clock, Handlers handlers);
     ~ReportQueue() override;
     ReportQueue(const ReportQueue &) = delete;
     ReportQueue &operator=(const ReportQueue &) = delete;
@@ -55,6 +55,7 @@
     void erase(const std::string &engine);
 
     [[nodiscard]] bool isWaiting() const override { return !turns_.empty(); }
+    [[nodiscard]] WorkKind kind() const override { return WorkKind::Reports; }
     void step() override;
 
 private:
@@ -65,6 +66,7 @@
         SidecarReport state_;
         bool isChanged_ = false; // since it was handed on
         bool hasTurn_ = false;
+        TimePoint waitsSince_{};
         int linesInTurn_ = 0;
     };
 
@@ -72,6 +74,7 @@
     void endTurn(const std::string &engine, Source &source);
 
     DeferredWork &work_;
+    const Clock &clock_;
     Handlers handlers_;
     std::map<std::string, Source> sources_; // by the engine's address
     std::deque<std::string> turns_; // engines with lines or with a state to hand on
--- a/packages/gateway/report_queue_test.cpp
+++ b/packages/gateway/report_queue_test.cpp
@@ -41,8 +41,10 @@
     DeferredWork work_{clock_};
     std::vector<std::string> events_;
     int steps_ = 0;
+    Duration longestWait_{};
     ReportQueue queue_{
         work_,
+        clock_,
         {.onReport_ =
              [this](const std::string &engine, const SidecarReport &report) {
                  events_.push_back(engine + " runs " + std::to_string(report.engine_.running_));
@@ -52,7 +54,11 @@
                  events_.push_back(
                      engine + (message.refusal_ ? " refuses " + message.refusal_->name_ : " ?"));
              },
-         .onHandled_ = [this](const std::string &engine) { events_.push_back(engine + " done"); },
+         .onHandled_ =
+             [this](const std::string &engine, Duration wait) {
+                 events_.push_back(engine + " done");
+                 longestWait_ = std::max(longestWait_, wait);
+             },
          .onUnreadable_ =
              [this](const std::string &engine) { events_.push_back(engine + " unreadable"); }}};
 
@@ -145,6 +151,18 @@
     CHECK(std::count(f.events_.begin(), f.events_.end(), "a done") == 1);
 }
 
+// Guards against knowledge whose age nobody sees.
+TEST_CASE("the wait is counted from the first line of a turn")
+{
+    Fixture f;
+    f.queue_.add("e", {full(1)});
+    f.clock_.advance(std::chrono::milliseconds(700));
+    f.queue_.add("e", {full(2)});
+    f.clock_.advance(std::chrono::milliseconds(200));
+    f.handleAll();
+    CHECK(f.longestWait_ == std::chrono::milliseconds(900));
+}
+
 // Guards against handlers that drop the connection whose message they handle.
 TEST_CASE("an engine may be erased by the handlers of its messages")
 {
@@ -154,10 +172,10 @@
     int handled = 0;
     const auto erase = [&queue](const std::string &engine) { queue->erase(engine); };
     ReportQueue made(
-        work,
+        work, clock,
         {.onReport_ = [&](const std::string &engine, const SidecarReport &) { erase(engine); },
          .onMessage_ = [&](const std::string &engine, const AgentMessage &) { erase(engine); },
-         .onHandled_ = [&handled](const std::string &) { ++handled; },
+         .onHandled_ = [&handled](const std::string &, Duration) { ++handled; },
          .onUnreadable_ = erase});
     queue = &made;
     for (const std::vector<std::string> &lines :
--- a/packages/gateway/row_queue.h
+++ b/packages/gateway/row_queue.h
@@ -35,6 +35,7 @@
     void add(std::vector<StoreRow> rows);
 
     [[nodiscard]] bool isWaiting() const override { return !batches_.empty(); }
+    [[nodiscard]] WorkKind kind() const override { return WorkKind::Records; }
     void step() override;
 
 private:
--- a/packages/gateway/store_client.h
+++ b/packages/gateway/store_client.h
@@ -36,6 +36,9 @@
     StoreClient(asio::io_context &context, const PlatformCodec &codec, const Clock &clock,
                 MetricRegistry &metrics, std::string address);
 
+    // Counts what is done with the store's answers. The meter must outlive the client.
+    void setMeter(LoopMeter &meter) { caller_.setMeter(meter, WorkKind::Store); }
+
     // Calls the store once. After a timeout all idle connections to the store are closed, since
     // they may be broken without a reset.
     void call(const HttpCall &call, Duration timeout, Handler handler);
--- a/packages/gateway/target_connection.cpp
+++ b/packages/gateway/target_connection.cpp
@@ -81,9 +81,11 @@
     parser_ = std::make_unique<MessageParser>(MessageKind::Response, read_limits::kMaxHeadBytes,
                                               static_cast<MessageSink &>(*this));
     stream_ = ByteStream::create(std::move(socket_));
-    stream_->start(
-        [self = shared_from_this()](std::string_view data) { self->onData(data); },
-        [self = shared_from_this()](const asio::error_code &reason) { self->onClosed(reason); });
+    stream_->start([self = shared_from_this()](std::string_view data) { self->onData(data); },
+                   [self = shared_from_this()](const asio::error_code &reason) {
+                       const LoopMeter::Scope scope(self->pool_.meter_, self->pool_.workKind_);
+                       self->onClosed(reason);
+                   });
     if (isPaused_)
         stream_->pause();
     sendRequest();
@@ -174,6 +176,7 @@
 void TargetConnection::onData(std::string_view data)
 {
     const std::shared_ptr<TargetConnection> self = shared_from_this();
+    const LoopMeter::Scope scope(pool_.meter_, pool_.workKind_);
     while (!data.empty() && !isClosed_) {
         if (sink_ == nullptr) {
             abandon(); // unsolicited bytes
--- a/packages/gateway/target_connection.h
+++ b/packages/gateway/target_connection.h
@@ -20,6 +20,7 @@
 #include "gateway/byte_stream.h"
 #include "gateway/codec.h"
 #include "gateway/endpoint.h"
+#include "gateway/loop_meter.h"
 #include "http1/message_parser.h"
 
 namespace foxtailturn::gateway {
@@ -145,6 +146,14 @@
     void closeAllIdle();
     void closeExpired();
 
+    // Counts what is done with the bytes of targets as work of this kind. The meter must outlive
+    // the pool.
+    void setMeter(LoopMeter &meter, WorkKind kind)
+    {
+        meter_ = &meter;
+        workKind_ = kind;
+    }
+
     [[nodiscard]] std::uint64_t opened() const { return opened_; }
     [[nodiscard]] std::uint64_t reused() const { return reused_; }
 
@@ -157,6 +166,8 @@
     const PlatformCodec &codec_;
     const Clock &clock_;
     std::unordered_map<std::string, std::vector<std::shared_ptr<TargetConnection>>> idle_;
+    LoopMeter *meter_ = nullptr;
+    WorkKind workKind_ = WorkKind::Targets;
     std::uint64_t opened_ = 0;
     std::uint64_t reused_ = 0;
 };
