gateway: an entry that is behind logs the kind of work at fault

Operators saw foxtailturn_loop_lag_seconds only, which names no cause. loop_behind tells at most once a second the longest wait for the loop, if it was over 100 ms, and the kind of work that took the most time since.

--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -368,6 +368,12 @@
 void EntryNode::writeLog()
 {
     const LoopMeter::Scope scope(&meter_, WorkKind::Log);
+    if (const std::optional<LoopBehind> behind = meter_.takeBehind())
+        log_.write(LogDetail::Full, "loop_behind",
+                   {{"lag_us", behind->lag_.count()},
+                    {"work", workKindName(behind->kind_)},
+                    {"spent_us", behind->spent_.count()},
+                    {"interval_us", behind->interval_.count()}});
     log_.flush();
 }
 
