--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include "gateway/event_loop.h"
+
 namespace foxtailturn::gateway {
 
 namespace {
@@ -33,6 +35,7 @@
     , codec_(codec)
     , settings_(settings)
     , log_(settings.name_, wallClock_, writeStandardOutput)
+    , meter_(clock_, metrics_)
     , store_(context, codec, clock_, metrics_, settings.storeAddress_)
     , gateway_(gatewayParts(context, codec, clock_, wallClock_, log_, metrics_),
                {.name_ = settings.name_ + "@" + settings.ip_,
@@ -41,23 +44,28 @@
                 .unlistedGrace_ = targetTimesFor(settings.drainNotice_).unlistedGrace_,
                 .quotaTolerance_ = settings.quotaTolerance_,
                 .milliCores_ = settings.milliCores_})
-    , callers_(gateway_)
+    , callers_(gateway_, meter_)
     , admin_(context)
+    , deferredWork_(clock_, &meter_)
     , versionRows_(
-          context, clock_, [this](const StoreRow &row) { onVersionRow(row); },
+          deferredWork_, clock_, [this](const StoreRow &row) { onVersionRow(row); },
           [this] { onVersionsRead(); })
-    , operatorWatch_(
-          store_, log_,
-          {.table_ = codec.operatorTable(),
-           .longPollTimeout_ = longPollTimeoutFor(settings.storeSilenceLimit_),
-           .pause_ = kOperatorTablePause},
-          [this](std::vector<StoreRow> rows, TableContent) { onOperatorRows(std::move(rows)); })
+    , operatorWatch_(store_, log_,
+                     {.table_ = codec.operatorTable(),
+                      .longPollTimeout_ = longPollTimeoutFor(settings.storeSilenceLimit_),
+                      .pause_ = kOperatorTablePause},
+                     [this](std::vector<StoreRow> rows, TableContent) {
+                         const LoopMeter::Scope scope(&meter_, WorkKind::Records);
+                         onOperatorRows(std::move(rows));
+                     })
     , targetWatch_(
           store_, log_,
           {.table_ = codec.targetTable(), .pause_ = targetTimesFor(settings.drainNotice_).pause_},
           [this](const std::vector<StoreRow> &rows, TableContent content) {
+              const LoopMeter::Scope scope(&meter_, WorkKind::Records);
               onTargetRows(rows, content);
           })
+    , sidecarReports_(deferredWork_, clock_, reportHandlers())
     , ledgerSync_(store_, log_, gateway_.quotas(), gateway_.quarantine(), wallClock_,
                   [this] { return gateway_.jitter(); })
     , quotaPeers_(context, clock_, log_, gateway_.quotas(), settings.peerPort_)
@@ -76,6 +84,9 @@
     , tickTimer_(context)
     , stopTimer_(context)
 {
+    gateway_.pool().setMeter(meter_, WorkKind::Targets);
+    store_.setMeter(meter_);
+    quotaPeers_.setMeter(meter_);
     gateway_.setLoadRequestHandler([this](const Target &target, const std::string &model,
                                           const std::string &adapter, std::int64_t version) {
         const auto link = sidecarLinks_.find(target.record_.address_);
@@ -137,6 +148,11 @@
     return {};
 }
 
+void EntryNode::run()
+{
+    runLoop(context_, deferredWork_, meter_);
+}
+
 void EntryNode::reload(const NodeSettings &settings)
 {
     settings_.storeAddress_ = settings.storeAddress_;
@@ -279,8 +295,9 @@
                    {{"engine", engine}});
         gateway_.onAgentState(engine, service, isLinked);
     };
-    handlers.onMessage_ = [this, engine](const AgentMessage &message) {
-        onSidecarMessage(engine, message);
+    handlers.onLines_ = [this, engine](std::vector<std::string> lines) {
+        const LoopMeter::Scope scope(&meter_, WorkKind::Reports);
+        sidecarReports_.add(engine, std::move(lines));
     };
     const auto link =
         std::make_shared<AgentLink>(context_, sidecarAddress(engine), std::move(handlers));
@@ -288,14 +305,33 @@
     link->start();
 }
 
+ReportQueue::Handlers EntryNode::reportHandlers()
+{
+    const auto linkOf = [this](const std::string &engine) {
+        const auto link = sidecarLinks_.find(engine);
+        return link == sidecarLinks_.end() ? nullptr : link->second;
+    };
+    return {
+        .onReport_ = [this](const std::string &engine,
+                            const SidecarReport &report) { gateway_.onReport(engine, report); },
+        .onMessage_ = [this](const std::string &engine,
+                             const AgentMessage &message) { onSidecarMessage(engine, message); },
+        .onHandled_ =
+            [this, linkOf](const std::string &engine, Duration wait) {
+                meter_.recordWait(WorkKind::Reports, wait);
+                if (const auto link = linkOf(engine))
+                    link->resume();
+            },
+        .onUnreadable_ =
+            [this, linkOf](const std::string &engine) {
+                log_.write(LogDetail::Full, "report_unreadable", {{"engine", engine}});
+                if (const auto link = linkOf(engine))
+                    link->reconnect();
+            }};
+}
+
 void EntryNode::onSidecarMessage(const std::string &engine, const AgentMessage &message)
 {
-    if (message.report_)
-        sidecarReports_[engine] = *message.report_;
-    if (message.update_)
-        sidecarReports_[engine] = message.update_->applyTo(sidecarReports_[engine]);
-    if (message.report_ || message.update_)
-        gateway_.onReport(engine, sidecarReports_[engine]);
     if (message.suspects_)
         suspects_.receive(*message.suspects_);
     if (message.refusal_)
@@ -304,6 +340,7 @@
 
 void EntryNode::tick()
 {
+    const LoopMeter::Scope scope(&meter_, WorkKind::Upkeep);
     gateway_.pool().closeExpired();
     gateway_.targets().removeStale(clock_.now());
     if (gateway_.targets().confirmCopies(clock_.now())) {
@@ -315,6 +352,21 @@
         suspectsPrunedAt_ = clock_.now();
     }
     gateway_.requestLoads();
+    writeMetrics();
+    writeLog();
+    const TimePoint expectedAt = clock_.now() + kTickInterval;
+    tickTimer_.expires_after(kTickInterval);
+    tickTimer_.async_wait([this, expectedAt](const asio::error_code &error) {
+        if (error)
+            return;
+        metrics_.latency("foxtailturn_loop_lag_seconds", "lateness of the event loop")
+            .record(clock_.now() - expectedAt);
+        tick();
+    });
+}
+
+void EntryNode::writeMetrics()
+{
     metrics_.gauge("foxtailturn_caller_connections", "open connections of callers")
         .set(static_cast<std::int64_t>(callers_.connections()));
     metrics_.gauge("foxtailturn_log_lines_dropped", "log lines dropped for a slow reader")
@@ -325,16 +377,18 @@
         .gauge("foxtailturn_configuration_age_milliseconds",
                "time since the store last confirmed the configuration")
         .set(std::chrono::duration_cast<milliseconds>(age).count());
+}
+
+void EntryNode::writeLog()
+{
+    const LoopMeter::Scope scope(&meter_, WorkKind::Log);
+    if (const std::optional<LoopBehind> behind = meter_.takeBehind())
+        log_.write(LogDetail::Full, "loop_behind",
+                   {{"lag_us", behind->lag_.count()},
+                    {"work", workKindName(behind->kind_)},
+                    {"spent_us", behind->spent_.count()},
+                    {"interval_us", behind->interval_.count()}});
     log_.flush();
-    const TimePoint expectedAt = clock_.now() + kTickInterval;
-    tickTimer_.expires_after(kTickInterval);
-    tickTimer_.async_wait([this, expectedAt](const asio::error_code &error) {
-        if (error)
-            return;
-        metrics_.latency("foxtailturn_loop_lag_seconds", "lateness of the event loop")
-            .record(clock_.now() - expectedAt);
-        tick();
-    });
 }
 
 void EntryNode::stop(std::function<void()> onStopped)
