--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -277,12 +277,11 @@
 
 void EntryNode::onSidecarMessage(const std::string &engine, const AgentMessage &message)
 {
-    if (message.report_)
-        sidecarReports_[engine] = *message.report_;
-    if (message.update_)
-        sidecarReports_[engine] = message.update_->applyTo(sidecarReports_[engine]);
-    if (message.report_ || message.update_)
-        gateway_.onReport(engine, sidecarReports_[engine]);
+    if (message.report_ || message.update_) {
+        SidecarReport &report = sidecarReports_[engine];
+        report = message.report_ ? *message.report_ : message.update_->applyTo(std::move(report));
+        gateway_.onReport(engine, report);
+    }
     if (message.suspects_)
         suspects_.receive(*message.suspects_);
     if (message.refusal_)
