sidecar: reports go out when an entry needs them

Cause: a sidecar reported each 200 ms whatever had happened, and once for each load request of each entry. 120 idle engines sent 500 lines a second to each entry. ReportSchedule decides: changes of models, adapters, loads, the incarnation and draining at once (load requests within 5 ms together); load figures when they change the expected time, as Placement estimates it, by more than a sixteenth or 25 ms, and KV memory when a prompt may no longer fit; otherwise before 650 ms, as entries take an engine whose report is 800 ms old for unreachable. Load figures of one sidecar are at most 500 lines a second, or one to each entry in 650 ms.

Bound, tested over random loads by Placement's own estimate: after each poll that is 200 ms (650 ms with 325 entries and more) after the last report, the error for a prompt of up to 1,000 tokens is at most 25 ms or a sixteenth of the expected time, and in proportion for longer ones.

Tests that failed before, with the program of: reports_test.py test_idle_engine (25 lines in 6 s instead of at most 12), test_load_requests_are_reported_together (8 lines instead of at most 2).

--- a/packages/sidecar/sidecar_node.cpp
+++ b/packages/sidecar/sidecar_node.cpp
@@ -18,7 +18,8 @@
 constexpr Duration kLoadingPollInterval =
     milliseconds(20); // while a load is pending or in progress
 constexpr Duration kUnconnectedPollInterval = milliseconds(400); // while no entry is connected
-constexpr Duration kPublishInterval = milliseconds(200); // without changes of the adapters
+// Load requests that arrive within this time are reported to the entries together.
+constexpr Duration kLoadRequestDelay = milliseconds(5);
 // An accepted load that has not finished by then is no longer measured.
 constexpr Duration kMaxMeasuredLoadTime = milliseconds(30'000);
 constexpr Duration kLogFlushInterval = milliseconds(1000);
@@ -58,12 +59,14 @@
     , pollTimer_(context)
     , adapterManager_(settings.name_, wallMillis(wallClock_))
     , suspects_(wallClock_)
+    , schedule_(kPollInterval)
+    , publishTimer_(context)
 {
     entries_.onLines(
         [this](int entry, const std::vector<std::string> &lines) { onEntryLines(entry, lines); });
     entries_.onConnected([this](int entry) {
         if (hasReport_)
-            entries_.send(entry, encode(publishedReport_)); // the next update is relative to it
+            entries_.send(entry, encode(schedule_.sent())); // the next update is relative to it
         if (const std::vector<SuspectRecord> records = suspects_.records(); !records.empty())
             entries_.send(entry, encode(SuspectNotice{records}));
     });
@@ -122,8 +125,8 @@
                 entries_.sendOthers(entry, encode(SuspectNotice{changed}));
         }
     }
-    if (hasLoadRequest && hasReport_)
-        publish(); // so that other entries do not request the same adapter from another engine
+    if (hasLoadRequest)
+        publishSoon(); // so that other entries do not request the same adapter from another engine
     if (hasLoadRequest && !isCallInFlight_)
         poll();
 }
@@ -153,16 +156,13 @@
         return;
     }
     report->isDraining_ = report->isDraining_ || answer.isLeaving_;
-    const bool isChanged = !hasReport_ || report->models_ != report_.models_
-        || report->loading_ != report_.loading_ || report->startTimeMs_ != report_.startTimeMs_
-        || report->isDraining_ != report_.isDraining_;
     report_ = *report;
     hasReport_ = true;
     const TimePoint now = clock_.now();
     updateMetrics();
     adapterManager_.onReport(report_, now);
-    if (isChanged || now >= nextPublishAt_)
-        publish();
+    if (!isPublishPending_)
+        publishIfDue();
     if (now >= nextFlushAt_) {
         log_.flush();
         nextFlushAt_ = now + kLogFlushInterval;
@@ -249,12 +249,28 @@
     });
 }
 
-void SidecarNode::publish()
+void SidecarNode::publishSoon()
 {
-    nextPublishAt_ = clock_.now() + kPublishInterval;
-    const SidecarReport report = adapterManager_.reportForEntries(clock_.now());
-    entries_.sendAll(encodeUpdate(publishedReport_, report));
-    publishedReport_ = report;
+    if (isPublishPending_)
+        return;
+    isPublishPending_ = true;
+    publishTimer_.expires_after(kLoadRequestDelay);
+    publishTimer_.async_wait([this](const asio::error_code &error) {
+        isPublishPending_ = false;
+        if (!error)
+            publishIfDue();
+    });
+}
+
+void SidecarNode::publishIfDue()
+{
+    const TimePoint now = clock_.now();
+    const SidecarReport report = adapterManager_.reportForEntries(now);
+    if (!hasReport_ || !schedule_.isDue(report, entries_.peers(), now))
+        return;
+    if (entries_.peers() > 0)
+        entries_.sendAll(encodeUpdate(schedule_.sent(), report));
+    schedule_.recordSent(report, now);
 }
 
 } // namespace foxtailturn::gateway
--- a/packages/sidecar/sidecar_node.h
+++ b/packages/sidecar/sidecar_node.h
@@ -20,6 +20,7 @@
 #include "gateway/node_settings.h"
 #include "retry/suspect_relay.h"
 #include "sidecar/adapter_manager.h"
+#include "sidecar/report_schedule.h"
 
 namespace foxtailturn::gateway {
 
@@ -44,7 +45,8 @@
     void sendNextOrder();
     void onOrderAnswer(int status);
     void schedulePoll();
-    void publish();
+    void publishSoon();
+    void publishIfDue();
     void updateMetrics();
 
     const PlatformCodec &codec_;
@@ -63,8 +65,9 @@
     std::map<std::string, TimePoint> loadStartTimes_; // times of accepted loads in progress
     bool hasReport_ = false;
     bool isCallInFlight_ = false;
-    SidecarReport publishedReport_; // the report that every connected entry has
-    TimePoint nextPublishAt_{};
+    ReportSchedule schedule_; // its last report is the one that every connected entry has
+    asio::steady_timer publishTimer_;
+    bool isPublishPending_ = false;
     TimePoint nextFlushAt_{};
     std::string engineState_ = "unknown";
 };
