gateway: links that were lost together connect at different times

Cause: each link waited exactly 100 ms, 200 ms and so on, so all links of an entry that were lost together, and all entries' links to a sidecar, came back in the same moment, each with a full report and records of suspects. ReconnectBackoff waits from half to one and a half of that mean. Not done: the first attempt is made at once, so an entry that starts opens all its links together.

--- a/packages/gateway/agent_link.cpp
+++ b/packages/gateway/agent_link.cpp
@@ -1,7 +1,6 @@
 #include "gateway/agent_link.h"
 
-#include <algorithm>
-
+#include "base/hash.h"
 #include "gateway/target_connection.h"
 
 namespace foxtailturn::gateway {
@@ -11,8 +10,6 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kConnectTimeout = milliseconds(600);
-constexpr Duration kBackoffBase = milliseconds(100); // base of the exponential backoff
-constexpr int kMaxDoublings = 4;
 constexpr std::size_t kMaxBufferedBytes = 1'048'576; // bytes received without a line end
 constexpr std::size_t kMaxUnsentBytes = 262'144; // bytes queued for a peer that does not read
 
@@ -26,6 +23,7 @@
     , idleTimeout_(idleTimeout)
     , socket_(context)
     , timer_(context)
+    , backoff_(hash64(randomId()))
 { }
 
 void AgentLink::start()
@@ -79,7 +77,7 @@
     socket_ = asio::ip::tcp::socket(context_);
     socket_.open(endpoint->protocol(), error);
     if (error) {
-        armTimer(kBackoffBase);
+        armTimer(backoff_.next());
         return;
     }
     armTimer(kConnectTimeout);
@@ -94,10 +92,10 @@
     if (error) {
         asio::error_code ignored; // closed anyway
         socket_.close(ignored);
-        armTimer(kBackoffBase * (1 << std::min(failures_++, kMaxDoublings)));
+        armTimer(backoff_.next());
         return;
     }
-    failures_ = 0;
+    backoff_.reset();
     buffer_.clear();
     stream_ = ByteStream::create(std::move(socket_));
     stream_->start(
@@ -133,7 +131,7 @@
         return;
     stream_->close();
     stream_.reset();
-    armTimer(kBackoffBase * (1 << std::min(failures_++, kMaxDoublings)));
+    armTimer(backoff_.next());
     handlers_.onState_(false);
 }
 
--- a/packages/gateway/agent_link.h
+++ b/packages/gateway/agent_link.h
@@ -6,8 +6,9 @@
 //     link->start();
 //     link->send(encode(LoadRequest{...}));
 //
-// A link reconnects automatically, with exponential backoff. By default it closes a connection that
-// receives nothing for kDefaultIdleTimeout, since a sidecar reports several times a second.
+// A link reconnects automatically, with exponential backoff and jitter. By default it closes a
+// connection that receives nothing for kDefaultIdleTimeout, since a sidecar reports several times a
+// second.
 
 #include <functional>
 #include <memory>
@@ -16,6 +17,7 @@
 #include "base/clock.h"
 #include "gateway/agent_messages.h"
 #include "gateway/byte_stream.h"
+#include "gateway/reconnect_backoff.h"
 
 namespace foxtailturn::gateway {
 
@@ -65,7 +67,7 @@
     asio::steady_timer timer_;
     std::shared_ptr<ByteStream> stream_;
     std::string buffer_;
-    int failures_ = 0;
+    ReconnectBackoff backoff_;
     bool isStopped_ = false;
 };
 
--- /dev/null
+++ b/packages/gateway/reconnect_backoff.cpp
@@ -0,0 +1,16 @@
+#include "gateway/reconnect_backoff.h"
+
+#include <algorithm>
+
+namespace foxtailturn::gateway {
+
+Duration ReconnectBackoff::next()
+{
+    const int doublings = std::min(failures_, kMaxDoublings);
+    ++failures_;
+    const Duration mean = kBase * (1 << doublings);
+    return Duration(std::uniform_int_distribution<Duration::rep>(mean.count() / 2,
+                                                                 mean.count() * 3 / 2)(random_));
+}
+
+} // namespace foxtailturn::gateway
