gateway: an entry that connects asks sidecars for the suspects that it lacks

Cause: each sidecar sent all records that it held on each new link, and an entry all of its own to each sidecar that became one of its relays. Now a sidecar begins a connection with the digests of its records (suspects_held). The entry asks for those that it has neither sent nor received, each at two sidecars, and at others if these are lost; as a relay, the sidecar gets those that it lacks. Each sidecar that holds a record still offers it, so no record is left out; it comes one round trip later than before. Versions: a sidecar of the version before makes no offer, so it is sent all records with its first message, as until now.

Sidecars that are lost before they answer, and of the version before, are cases of suspect_exchange_test.

--- a/packages/gateway/agent_messages.cpp
+++ b/packages/gateway/agent_messages.cpp
@@ -249,6 +249,22 @@
     return changes;
 }
 
+// Encodes at least one line.
+std::string encodeDigests(const char *name, const std::vector<std::uint64_t> &digests)
+{
+    constexpr std::size_t kMaxDigestsPerLine = 2000; // receivers bound the length of a line
+    std::string lines;
+    std::size_t begin = 0;
+    do {
+        const std::size_t end = std::min(digests.size(), begin + kMaxDigestsPerLine);
+        lines += encodeLine({{name,
+                              std::vector(digests.begin() + static_cast<std::ptrdiff_t>(begin),
+                                          digests.begin() + static_cast<std::ptrdiff_t>(end))}});
+        begin = end;
+    } while (begin < digests.size());
+    return lines;
+}
+
 // Each reads one kind of message from its line and the value of the kind's own field. Returns
 // whether it is that message.
 bool readLoad(Json &line, Json &, AgentMessage &message)
@@ -293,6 +309,32 @@
     return true;
 }
 
+std::vector<std::uint64_t> digestsOf(const Json &list)
+{
+    std::vector<std::uint64_t> digests;
+    for (const Json &digest : list) {
+        if (digest.is_number_unsigned())
+            digests.push_back(digest.get<std::uint64_t>());
+    }
+    return digests;
+}
+
+bool readSuspectOffer(Json &, Json &digests, AgentMessage &message)
+{
+    if (!digests.is_array())
+        return false;
+    message.suspectOffer_ = SuspectOffer{digestsOf(digests)};
+    return true;
+}
+
+bool readSuspectRequest(Json &, Json &digests, AgentMessage &message)
+{
+    if (!digests.is_array())
+        return false;
+    message.suspectRequest_ = SuspectRequest{digestsOf(digests)};
+    return true;
+}
+
 bool readReport(Json &, Json &fields, AgentMessage &message)
 {
     if (!fields.is_object())
@@ -317,9 +359,16 @@
 
 // The most frequent first.
 constexpr MessageKind kMessageKinds[] = {
-    {"update", readUpdate},    {"use", readUse},           {"suspects", readSuspects},
-    {"report", readReport},    {"load", readLoad},         {"refused", readRefusal},
-    {"ask", readGrantRequest}, {"grant", readGrantAnswer},
+    {"update", readUpdate},
+    {"use", readUse},
+    {"suspects", readSuspects},
+    {"report", readReport},
+    {"load", readLoad},
+    {"refused", readRefusal},
+    {"ask", readGrantRequest},
+    {"grant", readGrantAnswer},
+    {"suspects_held", readSuspectOffer},
+    {"suspects_wanted", readSuspectRequest},
 };
 
 } // namespace
@@ -386,6 +435,16 @@
     return lines;
 }
 
+std::string encode(const SuspectOffer &offer)
+{
+    return encodeDigests("suspects_held", offer.digests_);
+}
+
+std::string encode(const SuspectRequest &request)
+{
+    return encodeDigests("suspects_wanted", request.digests_);
+}
+
 AgentMessage decodeAgentMessage(std::string_view line)
 {
     AgentMessage message;
--- a/packages/gateway/agent_messages.h
+++ b/packages/gateway/agent_messages.h
@@ -11,9 +11,11 @@
 // quota. The receiver ignores a line that it can't decode, so that processes of different versions
 // can run together.
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/json.h"
 #include "gateway/codec.h"
@@ -96,6 +98,23 @@
     bool operator==(const SuspectNotice &) const = default;
 };
 
+// The digests of the suspect records that a sidecar holds, for an entry that has connected. It is
+// the first message of a connection; sidecars of earlier versions send all records instead.
+struct SuspectOffer
+{
+    std::vector<std::uint64_t> digests_;
+
+    bool operator==(const SuspectOffer &) const = default;
+};
+
+// An entry's answer: the digests of the offered records that it lacks.
+struct SuspectRequest
+{
+    std::vector<std::uint64_t> digests_;
+
+    bool operator==(const SuspectRequest &) const = default;
+};
+
 // A decoded line; at most one member is set.
 struct AgentMessage
 {
@@ -107,10 +126,12 @@
     std::optional<GrantRequest> grantRequest_;
     std::optional<GrantAnswer> grantAnswer_;
     std::optional<SuspectNotice> suspects_;
+    std::optional<SuspectOffer> suspectOffer_;
+    std::optional<SuspectRequest> suspectRequest_;
 };
 
-// Each returns one line, including its line feed; a long SuspectNotice is split into several.
-// Thread-safe.
+// Each returns one line, including its line feed; a long message about suspects is split into
+// several. Thread-safe.
 [[nodiscard]] std::string encode(const LoadRequest &request);
 [[nodiscard]] std::string encode(const UseNotice &notice);
 [[nodiscard]] std::string encode(const LoadRefusal &refusal);
@@ -118,7 +139,9 @@
 [[nodiscard]] std::string encodeUpdate(const SidecarReport &before, const SidecarReport &after);
 [[nodiscard]] std::string encode(const GrantRequest &request);
 [[nodiscard]] std::string encode(const GrantAnswer &answer);
-[[nodiscard]] std::string encode(const SuspectNotice &notice);
+[[nodiscard]] std::string encode(const SuspectNotice &notice); // no line without records
+[[nodiscard]] std::string encode(const SuspectOffer &offer);
+[[nodiscard]] std::string encode(const SuspectRequest &request);
 
 // Decodes a line; no member is set for a line that is not a known message. Thread-safe.
 [[nodiscard]] AgentMessage decodeAgentMessage(std::string_view line);
--- a/packages/gateway/agent_messages_test.cpp
+++ b/packages/gateway/agent_messages_test.cpp
@@ -15,6 +15,11 @@
     CHECK(decodeAgentMessage(encode(grantRequest)).grantRequest_ == grantRequest);
     const GrantAnswer answer{7, false, true, std::chrono::milliseconds(40)};
     CHECK(decodeAgentMessage(encode(answer)).grantAnswer_ == answer);
+    const SuspectOffer offer{{1, UINT64_MAX}};
+    CHECK(decodeAgentMessage(encode(offer)).suspectOffer_ == offer);
+    CHECK(decodeAgentMessage(encode(SuspectOffer{})).suspectOffer_ == SuspectOffer{});
+    const SuspectRequest suspectRequest{{7}};
+    CHECK(decodeAgentMessage(encode(suspectRequest)).suspectRequest_ == suspectRequest);
     SidecarReport report;
     report.engine_ = EngineReport{5, 7, true, true, 1, 2, 3, 4, 9, {{"m", {{"a1", 2}}}}, {"m/a2"}};
     report.evictionCost_ = 1.5;
@@ -152,6 +157,19 @@
     }
     CHECK(decoded == notice);
     CHECK(encode(SuspectNotice{}).empty());
+    SuspectOffer offer;
+    for (std::uint64_t i = 0; i < 4096; ++i)
+        offer.digests_.push_back(UINT64_MAX - i);
+    buffer = encode(offer);
+    SuspectOffer decodedOffer;
+    for (const std::string &line : extractLines(buffer)) {
+        CHECK(line.size() < 65'536);
+        const auto part = decodeAgentMessage(line).suspectOffer_;
+        REQUIRE(part);
+        decodedOffer.digests_.insert(decodedOffer.digests_.end(), part->digests_.begin(),
+                                     part->digests_.end());
+    }
+    CHECK(decodedOffer == offer);
     // Records of another version of the program are skipped.
     CHECK(decodeAgentMessage(R"({"suspects":[1,{"fingerprint":2}]})").suspects_ == SuspectNotice{});
 }
--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -282,8 +282,7 @@
         report = message.report_ ? *message.report_ : message.update_->applyTo(std::move(report));
         gateway_.onReport(engine, report);
     }
-    if (message.suspects_)
-        suspects_.receive(*message.suspects_);
+    suspects_.receive(engine, message);
     if (message.refusal_)
         gateway_.onLoadRefused(engine, message.refusal_->name_);
 }
--- a/packages/gateway/suspect_exchange.cpp
+++ b/packages/gateway/suspect_exchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/suspect_exchange.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/hash.h"
 
@@ -25,17 +26,96 @@
 
 void SuspectExchange::setConnected(const std::string &engine, bool isConnected)
 {
-    if (!isConnected) {
-        connected_.erase(hash64(engine));
+    greeted_.erase(engine);
+    if (isConnected) {
+        connected_[hash64(engine)] = engine;
         return;
     }
-    connected_[hash64(engine)] = engine;
+    connected_.erase(hash64(engine));
+    removeHolder(engine);
+}
+
+void SuspectExchange::receive(const std::string &engine, const AgentMessage &message)
+{
+    if (!greeted_.contains(engine)) {
+        greeted_.insert(engine);
+        // A sidecar of an earlier version makes no offer.
+        sendMissing(engine, message.suspectOffer_.value_or(SuspectOffer{}));
+    }
+    if (message.suspectOffer_)
+        requestMissing(engine, *message.suspectOffer_);
+    if (message.suspects_)
+        merge(*message.suspects_);
+}
+
+void SuspectExchange::sendMissing(const std::string &engine, const SuspectOffer &held)
+{
     const std::vector<std::string> engines = relays();
-    const std::vector<SuspectRecord> records = quarantine_.records();
-    if (!records.empty() && std::find(engines.begin(), engines.end(), engine) != engines.end())
+    if (std::find(engines.begin(), engines.end(), engine) == engines.end())
+        return;
+    std::vector<SuspectRecord> records = quarantine_.records();
+    const std::unordered_set<std::uint64_t> digests(held.digests_.begin(), held.digests_.end());
+    std::erase_if(records, [&digests](const SuspectRecord &record) {
+        return digests.contains(record.digest());
+    });
+    if (!records.empty())
         handlers_.send_(engine, encode(SuspectNotice{records}));
 }
 
+void SuspectExchange::requestMissing(const std::string &engine, const SuspectOffer &offer)
+{
+    if (offer.digests_.empty() || !connected_.contains(hash64(engine)))
+        return;
+    constexpr std::size_t kMaxHolders = 8; // of one record; bounds the memory
+    SuspectRequest request;
+    for (const std::uint64_t digest : offer.digests_) {
+        if (known_.contains(digest))
+            continue;
+        std::vector<std::string> &holders = missing_[digest].holders_;
+        if (holders.size() < kMaxHolders
+            && std::find(holders.begin(), holders.end(), engine) == holders.end())
+            holders.push_back(engine);
+        if (holders.size() <= kMaxAsked && holders.back() == engine)
+            request.digests_.push_back(digest);
+    }
+    handlers_.send_(engine, encode(request)); // also without a digest: the sidecar waits for it
+}
+
+void SuspectExchange::removeHolder(const std::string &engine)
+{
+    std::map<std::string, SuspectRequest> requests; // by engine
+    SuspectRequest withoutHolder; // those that are known are bounded, so others may hold it
+    for (auto &[digest, missing] : missing_) {
+        std::vector<std::string> &holders = missing.holders_;
+        const auto holder = std::find(holders.begin(), holders.end(), engine);
+        if (holder == holders.end())
+            continue;
+        const bool wasAsked = holder - holders.begin() < static_cast<std::ptrdiff_t>(kMaxAsked);
+        holders.erase(holder);
+        if (holders.empty())
+            withoutHolder.digests_.push_back(digest);
+        else if (wasAsked && holders.size() >= kMaxAsked)
+            requests[holders[kMaxAsked - 1]].digests_.push_back(digest);
+    }
+    for (const auto &[holder, request] : requests)
+        handlers_.send_(holder, encode(request));
+    if (withoutHolder.digests_.empty())
+        return;
+    const auto connected = connected_; // a link may be dropped as it can't send
+    for (const auto &[rank, other] : connected)
+        handlers_.send_(other, encode(withoutHolder));
+}
+
+void SuspectExchange::addKnown(const SuspectRecord &record)
+{
+    constexpr std::size_t kMaxKnown = 16'384; // a digest that was dropped is requested again
+    if (known_.size() >= kMaxKnown)
+        known_.clear();
+    const std::uint64_t digest = record.digest();
+    known_.insert(digest);
+    missing_.erase(digest);
+}
+
 void SuspectExchange::publish(const std::vector<SuspectRecord> &records)
 {
     if (records.empty())
@@ -45,17 +125,20 @@
         handlers_.send_(engine, lines);
     for (const SuspectRecord &record : records) {
         published_.insert(record.fingerprint_);
+        addKnown(record);
         storeIfNeeded(record);
     }
 }
 
-void SuspectExchange::receive(const SuspectNotice &notice)
+void SuspectExchange::merge(const SuspectNotice &notice)
 {
     for (const SuspectRecord &record : notice.records_) {
+        addKnown(record);
         const std::optional<SuspectRecord> before = quarantine_.find(record.fingerprint_);
         const SuspectRecord merged = quarantine_.merge(record);
         if (merged == before)
             continue;
+        addKnown(merged);
         if (!quarantine_.admit(merged.fingerprint_))
             log_.write(LogDetail::Full, "suspect_learned",
                        {{"fingerprint", merged.fingerprint_}, {"crashes", merged.crashes_.size()}});
@@ -68,6 +151,9 @@
 void SuspectExchange::removeExpired()
 {
     quarantine_.removeExpired();
+    // A record that expired or changed at its holders is never sent under the digest of the offer.
+    for (auto it = missing_.begin(); it != missing_.end();)
+        it = std::exchange(it->second.isOld_, true) ? missing_.erase(it) : std::next(it);
     std::erase_if(published_, [this](const std::string &fingerprint) {
         return !quarantine_.find(fingerprint);
     });
--- a/packages/gateway/suspect_exchange.h
+++ b/packages/gateway/suspect_exchange.h
@@ -6,17 +6,20 @@
 //     SuspectExchange exchange(quarantine, log, {send, store, isStored});
 //     exchange.setConnected("10.0.0.7:8000", true);      // the sidecar of that engine
 //     exchange.publish({quarantine.crashed(fingerprint, crashId)});
-//     exchange.receive(notice);                          // from a sidecar
+//     exchange.receive("10.0.0.7:8000", message);        // from that sidecar
 //
 // A record is sent to a few sidecars only, which pass it on to all entries that are connected to
 // them. All entries prefer the same sidecars, so these know all records and give them to an entry
-// that connects. Only records that quarantine a request are stored, as a crash makes suspects of
-// all requests that were under way.
+// that connects: each tells which records it holds, and the entry asks for those that it lacks,
+// each at a few sidecars. Only records that quarantine a request are stored, as a crash makes
+// suspects of all requests that were under way.
 
 #include <functional>
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "base/event_log.h"
@@ -30,6 +33,7 @@
 {
 public:
     static constexpr std::size_t kRelays = 3; // sidecars that a record is sent to
+    static constexpr std::size_t kMaxAsked = 2; // sidecars that a missing record is requested from
 
     struct Handlers
     {
@@ -41,28 +45,45 @@
     // The references must outlive this object.
     SuspectExchange(Quarantine &quarantine, EventLog &log, Handlers handlers);
 
-    // Records whether the sidecar of the engine at the address is connected. Sends it the records
-    // of this entry if it has become one of the relays.
+    // Records whether the sidecar of the engine at the address is connected.
     void setConnected(const std::string &engine, bool isConnected);
 
     // Spreads records that this entry has changed.
     void publish(const std::vector<SuspectRecord> &records);
 
-    // Merges records of other entries.
-    void receive(const SuspectNotice &notice);
+    // Handles a message of the sidecar of the engine at the address: merges records of other
+    // entries and requests missing ones. Sends it the records that it lacks if it has become one of
+    // the relays.
+    void receive(const std::string &engine, const AgentMessage &message);
 
     // Removes expired records. Call it about once a minute to bound memory use.
     void removeExpired();
 
 private:
+    // A record that this entry lacks.
+    struct MissingRecord
+    {
+        // Engines whose sidecars hold it; the first kMaxAsked were asked.
+        std::vector<std::string> holders_;
+        bool isOld_ = false; // it was missing at the last removeExpired()
+    };
+
     [[nodiscard]] std::vector<std::string> relays() const;
+    void sendMissing(const std::string &engine, const SuspectOffer &held);
+    void requestMissing(const std::string &engine, const SuspectOffer &offer);
+    void removeHolder(const std::string &engine);
+    void merge(const SuspectNotice &notice);
+    void addKnown(const SuspectRecord &record);
     void storeIfNeeded(const SuspectRecord &record);
 
     Quarantine &quarantine_;
     EventLog &log_;
     Handlers handlers_;
     std::map<std::uint64_t, std::string> connected_; // engines with a connected sidecar, by rank
+    std::set<std::string> greeted_; // engines whose sidecar has sent a message since it connected
     std::set<std::string> published_; // fingerprints of the records that this entry has changed
+    std::unordered_set<std::uint64_t> known_; // digests of records that were sent or received
+    std::unordered_map<std::uint64_t, MissingRecord> missing_; // by the record's digest
 };
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/suspect_exchange_test.cpp
+++ b/packages/gateway/suspect_exchange_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <utility>
 
 #include <doctest/doctest.h>
 
@@ -13,7 +14,8 @@
 
 using std::chrono::seconds;
 
-// Entries and the sidecars of some engines, which exchange lines without delay.
+// Entries and the sidecars of some engines, which exchange lines without delay unless they are held
+// back.
 class Fleet
 {
 public:
@@ -40,8 +42,44 @@
         Entry &entry = *entries_[index];
         entry.connected_.insert(engine);
         entry.exchange_.setConnected(engine, true);
+        if (!isEarlierVersion_) {
+            deliver(index, engine, encode(SuspectOffer{relays_.at(engine).digests()}));
+            return;
+        }
+        deliver(index, engine, encode(SidecarReport{}));
         if (const auto records = relays_.at(engine).records(); !records.empty())
-            deliver(index, encode(SuspectNotice{records}));
+            deliver(index, engine, encode(SuspectNotice{records}));
+    }
+
+    // From now on sidecars behave as those of the version before: they send all records to an entry
+    // that connects and know no offers.
+    void setEarlierVersion() { isEarlierVersion_ = true; }
+
+    // Gives a record to all sidecars.
+    void addToSidecars(const SuspectRecord &record)
+    {
+        for (auto &[engine, relay] : relays_)
+            (void)relay.merge({record});
+    }
+
+    // Holds lines of sidecars back until they are released.
+    void holdLines() { isHeld_ = true; }
+    // Delivers the offers and goes on to hold all other lines back.
+    void releaseOffers()
+    {
+        for (const auto &[index, engine, lines] : std::exchange(held_, {})) {
+            std::string buffer = lines;
+            for (const std::string &line : extractLines(buffer))
+                entries_[index]->exchange_.receive(engine, decodeAgentMessage(line));
+        }
+    }
+    void releaseLines()
+    {
+        isHeld_ = false;
+        for (const auto &[index, engine, lines] : std::exchange(held_, {})) {
+            if (entries_[index]->connected_.contains(engine))
+                deliver(index, engine, lines);
+        }
     }
 
     void disconnect(int index, const std::string &engine)
@@ -77,6 +115,11 @@
     [[nodiscard]] int stores(int index) const { return entries_[index]->stores_; }
     void setStored(int index, bool isStored) { entries_[index]->isStored_ = isStored; }
     SuspectExchange &exchange(int index) { return entries_[index]->exchange_; }
+    [[nodiscard]] const std::vector<std::string> &asked() const { return asked_; }
+    // Returns the number of records that sidecars have sent to the entry, and entries to sidecars.
+    [[nodiscard]] std::size_t received(int index) const { return entries_[index]->received_; }
+    [[nodiscard]] std::size_t sent() const { return sent_; }
+    [[nodiscard]] UtcTime later() const { return wallClock_.now() + seconds(60); }
     Quarantine &quarantine(int index) { return entries_[index]->quarantine_; }
 
 private:
@@ -102,39 +145,86 @@
         std::set<std::string> connected_;
         int stores_ = 0;
         bool isStored_ = false;
+        std::size_t received_ = 0; // records
     };
 
+    static void addOnce(std::vector<std::string> &engines, const std::string &engine)
+    {
+        if (std::find(engines.begin(), engines.end(), engine) == engines.end())
+            engines.push_back(engine);
+    }
+
     void send(int index, const std::string &engine, const std::string &lines)
     {
-        if (std::find(used_.begin(), used_.end(), engine) == used_.end())
-            used_.push_back(engine);
         std::string buffer = lines;
         for (const std::string &line : extractLines(buffer)) {
             const auto message = decodeAgentMessage(line);
+            if (message.suspectRequest_) {
+                REQUIRE_FALSE(isEarlierVersion_);
+                if (!message.suspectRequest_->digests_.empty())
+                    addOnce(asked_, engine);
+                const auto records =
+                    relays_.at(engine).recordsOf(message.suspectRequest_->digests_);
+                deliver(index, engine, encode(SuspectNotice{records}));
+                continue;
+            }
             REQUIRE(message.suspects_);
+            addOnce(used_, engine);
+            sent_ += message.suspects_->records_.size();
             const auto changed = relays_.at(engine).merge(message.suspects_->records_);
             for (std::size_t i = 0; i < entries_.size(); ++i) {
                 if (static_cast<int>(i) != index && entries_[i]->connected_.contains(engine)
                     && !changed.empty())
-                    deliver(static_cast<int>(i), encode(SuspectNotice{changed}));
+                    deliver(static_cast<int>(i), engine, encode(SuspectNotice{changed}));
             }
         }
     }
 
-    void deliver(int index, const std::string &lines)
+    void deliver(int index, const std::string &engine, const std::string &lines)
     {
+        if (isHeld_) {
+            held_.push_back({index, engine, lines});
+            return;
+        }
         std::string buffer = lines;
-        for (const std::string &line : extractLines(buffer))
-            entries_[index]->exchange_.receive(*decodeAgentMessage(line).suspects_);
+        for (const std::string &line : extractLines(buffer)) {
+            const AgentMessage message = decodeAgentMessage(line);
+            if (message.suspects_)
+                entries_[index]->received_ += message.suspects_->records_.size();
+            entries_[index]->exchange_.receive(engine, message);
+        }
     }
 
+    struct HeldLines
+    {
+        int index_ = 0;
+        std::string engine_;
+        std::string lines_;
+    };
+
     ManualClock clock_;
     ManualWallClock wallClock_;
     std::map<std::string, SuspectRelay> relays_; // by engine
     std::vector<std::unique_ptr<Entry>> entries_;
     std::vector<std::string> used_;
+    std::vector<std::string> asked_; // engines whose sidecars were asked for records, in order
+    std::vector<HeldLines> held_;
+    std::size_t sent_ = 0; // records
+    bool isHeld_ = false;
+    bool isEarlierVersion_ = false;
 };
 
+std::vector<SuspectRecord> addRecords(Fleet &fleet, int count)
+{
+    std::vector<SuspectRecord> records;
+    for (int i = 0; i < count; ++i) {
+        records.push_back({"f" + std::to_string(i),
+                           {{"engine-1@1", {fleet.later()}}, {"engine-2@1", {fleet.later()}}}});
+        fleet.addToSidecars(records.back());
+    }
+    return records;
+}
+
 } // namespace
 
 // Guards against a crashing request that goes on to crash targets through entries that learn late
@@ -201,4 +291,68 @@
     CHECK_FALSE(fleet.isRefused(1, "g"));
 }
 
+// Guards against an entry that spends its time on the same records from each sidecar: after a crash
+// of many targets it got all of them on each of its links.
+TEST_CASE("an entry that connects gets each record once or twice, not from each sidecar")
+{
+    constexpr int kRecords = 100;
+    constexpr int kEngines = 120;
+    for (const bool isHeld : {false, true}) {
+        CAPTURE(isHeld);
+        Fleet fleet(0, kEngines);
+        addRecords(fleet, kRecords);
+        if (isHeld)
+            fleet.holdLines(); // all links connect before the first line arrives
+        const int index = fleet.addEntry();
+        fleet.releaseLines();
+        for (int i = 0; i < kRecords; ++i)
+            CHECK(fleet.isRefused(index, "f" + std::to_string(i)));
+        CHECK(fleet.received(index) <= kRecords * SuspectExchange::kMaxAsked);
+        CHECK(fleet.sent() == 0);
+        const std::size_t received = fleet.received(index);
+        for (int i = 0; i < kEngines; ++i) {
+            const std::string engine = "10.0.0." + std::to_string(i) + ":8000";
+            fleet.disconnect(index, engine);
+            fleet.connect(index, engine);
+        }
+        CHECK(fleet.received(index) == received);
+        CHECK(fleet.sent() == 0);
+    }
+}
+
+// Guards against records that an entry never gets because the sidecars that it asked have gone.
+TEST_CASE("records are requested from other sidecars when those that were asked are lost")
+{
+    constexpr int kEngines = 12;
+    for (const int lost : {1, 2, 3, kEngines - 1}) {
+        CAPTURE(lost);
+        Fleet fleet(0, kEngines);
+        addRecords(fleet, 3);
+        fleet.holdLines();
+        const int index = fleet.addEntry();
+        // The offers arrive, the answers to the requests do not.
+        fleet.releaseOffers();
+        CHECK(fleet.asked().size() == SuspectExchange::kMaxAsked);
+        for (int i = 0; i < lost; ++i)
+            fleet.disconnect(index, fleet.asked().at(static_cast<std::size_t>(i)));
+        fleet.releaseLines();
+        for (int i = 0; i < 3; ++i)
+            CHECK(fleet.isRefused(index, "f" + std::to_string(i)));
+    }
+}
+
+// Guards against a mixed fleet that loses records while it is updated.
+TEST_CASE("records are exchanged with sidecars of the version before")
+{
+    Fleet fleet(3, 5);
+    fleet.setEarlierVersion();
+    fleet.crash(0, "f", "engine-1@1");
+    fleet.crash(1, "f", "engine-2@1");
+    CHECK(fleet.isRefused(fleet.addEntry(), "f"));
+    const std::vector<std::string> used = fleet.used();
+    for (const std::string &engine : used)
+        fleet.restartSidecar(engine);
+    CHECK(fleet.isRefused(fleet.addEntry(), "f"));
+}
+
 } // namespace foxtailturn::gateway
--- a/packages/retry/suspect_record.cpp
+++ b/packages/retry/suspect_record.cpp
@@ -1,6 +1,7 @@
 #include "retry/suspect_record.h"
 
 #include <algorithm>
+#include <array>
 #include <tuple>
 #include <utility>
 
@@ -24,6 +25,12 @@
     return time.time_since_epoch().count();
 }
 
+template <std::size_t N>
+std::uint64_t hashIntegers(const std::array<std::int64_t, N> &numbers, std::uint64_t seed)
+{
+    return hash64({reinterpret_cast<const char *>(numbers.data()), sizeof(numbers)}, seed);
+}
+
 std::optional<std::int64_t> readInteger(const Json &object, const char *field)
 {
     const auto it = object.find(field);
@@ -141,6 +148,22 @@
         && std::all_of(runs_.begin(), runs_.end(), isRunExpired);
 }
 
+std::uint64_t SuspectRecord::digest() const
+{
+    std::uint64_t hash = hash64(fingerprint_, static_cast<std::uint64_t>(kind_));
+    for (const auto &[id, crash] : crashes_) {
+        hash = hash64(id, hash);
+        hash = hashIntegers<2>({microsOf(crash.forgetAt_), crash.isCleared_ ? 1 : 0}, hash);
+    }
+    for (const auto &[holder, run] : runs_) {
+        hash = hash64(holder, hash);
+        hash = hashIntegers<3>({static_cast<std::int64_t>(run.sequence_),
+                                static_cast<std::int64_t>(run.state_), microsOf(run.until_)},
+                               hash);
+    }
+    return hash;
+}
+
 Json SuspectRecord::toValue() const
 {
     Json crashes = Json::object();
--- a/packages/retry/suspect_record.h
+++ b/packages/retry/suspect_record.h
@@ -94,6 +94,9 @@
     // Returns whether all crashes and run marks of the record have expired.
     [[nodiscard]] bool isExpired(UtcTime now) const;
 
+    // Returns a hash of the whole record, which is the same in all processes. Thread-safe.
+    [[nodiscard]] std::uint64_t digest() const;
+
     // Returns the record as JSON for peers and table rows. Thread-safe.
     [[nodiscard]] std::string toJson() const;
 
--- a/packages/retry/suspect_relay.cpp
+++ b/packages/retry/suspect_relay.cpp
@@ -1,6 +1,7 @@
 #include "retry/suspect_relay.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace foxtailturn {
 
@@ -44,4 +45,21 @@
     return list;
 }
 
+std::vector<std::uint64_t> SuspectRelay::digests()
+{
+    std::vector<std::uint64_t> list;
+    for (const SuspectRecord &record : records())
+        list.push_back(record.digest());
+    return list;
+}
+
+std::vector<SuspectRecord> SuspectRelay::recordsOf(const std::vector<std::uint64_t> &digests)
+{
+    const std::unordered_set<std::uint64_t> wanted(digests.begin(), digests.end());
+    std::vector<SuspectRecord> list = records();
+    std::erase_if(
+        list, [&wanted](const SuspectRecord &record) { return !wanted.contains(record.digest()); });
+    return list;
+}
+
 } // namespace foxtailturn
--- a/packages/retry/suspect_relay.h
+++ b/packages/retry/suspect_relay.h
@@ -5,10 +5,12 @@
 //
 //     SuspectRelay relay(wallClock);
 //     sendToOthers(relay.merge(received));   // from one process
-//     sendTo(newcomer, relay.records());
+//     offerTo(newcomer, relay.digests());
+//     sendTo(newcomer, relay.recordsOf(wanted));
 //
 // A relay holds nothing that the processes don't hold, so it may lose all of it.
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -35,6 +37,13 @@
     // Removes expired records and returns the others.
     [[nodiscard]] std::vector<SuspectRecord> records();
 
+    // Removes expired records and returns the digests of the others.
+    [[nodiscard]] std::vector<std::uint64_t> digests();
+
+    // Returns the records with these digests that are kept. One that has changed since its digest
+    // was told was passed on with the change.
+    [[nodiscard]] std::vector<SuspectRecord> recordsOf(const std::vector<std::uint64_t> &digests);
+
 private:
     void dropFirstToExpire();
 
--- a/packages/retry/suspect_relay_test.cpp
+++ b/packages/retry/suspect_relay_test.cpp
@@ -31,6 +31,29 @@
     CHECK(relay.records().size() == 2);
 }
 
+// Guards against a process that does not get the records that it lacks.
+TEST_CASE("records are found by their digests until they change or expire")
+{
+    ManualWallClock clock;
+    SuspectRelay relay(clock);
+    const UtcTime later = clock.now() + seconds(60);
+    const SuspectRecord first = recordOf("f", "e1@1", later);
+    const SuspectRecord second = recordOf("g", "e1@1", later);
+    const SuspectRecord changed = recordOf("f", "e1@1", later + seconds(1));
+    CHECK(first.digest() != second.digest());
+    CHECK(first.digest() != changed.digest());
+    (void)relay.merge({first, second});
+    CHECK(relay.digests() == std::vector{first.digest(), second.digest()});
+    CHECK(relay.recordsOf({second.digest(), 1}) == std::vector{second});
+    (void)relay.merge({changed});
+    CHECK(relay.recordsOf({first.digest()}).empty());
+    CHECK(relay.recordsOf({changed.digest()}) == std::vector{changed});
+    clock.advance(seconds(60));
+    CHECK(relay.recordsOf(relay.digests()) == std::vector{changed});
+    clock.advance(seconds(1));
+    CHECK(relay.digests().empty());
+}
+
 TEST_CASE("a relay keeps no expired records, and a bounded number of others")
 {
     ManualWallClock clock;
--- a/packages/sidecar/sidecar_node.cpp
+++ b/packages/sidecar/sidecar_node.cpp
@@ -64,14 +64,11 @@
 {
     entries_.onLines(
         [this](int entry, const std::vector<std::string> &lines) { onEntryLines(entry, lines); });
-    entries_.onConnected([this](int entry) {
-        if (hasReport_)
-            entries_.send(entry, encode(schedule_.sent())); // the next update is relative to it
-        if (const std::vector<SuspectRecord> records = suspects_.records(); !records.empty())
-            entries_.send(entry, encode(SuspectNotice{records}));
+    entries_.onConnected([this](int entry) { onEntryConnected(entry); });
+    entries_.onDisconnected([this](int entry) {
+        adapterManager_.removeEntry(entry, clock_.now());
+        suspectOffers_.remove(entry);
     });
-    entries_.onDisconnected(
-        [this](int entry) { adapterManager_.removeEntry(entry, clock_.now()); });
 }
 
 Result<void> SidecarNode::start()
@@ -107,6 +104,22 @@
     onStopped();
 }
 
+void SidecarNode::onEntryConnected(int entry)
+{
+    const std::vector<std::uint64_t> digests = suspects_.digests();
+    if (!digests.empty())
+        suspectOffers_.add(entry, clock_.now());
+    entries_.send(entry, encode(SuspectOffer{digests}));
+    if (hasReport_)
+        entries_.send(entry, encode(schedule_.sent())); // the next update is relative to it
+}
+
+void SidecarNode::sendUnansweredOffers()
+{
+    for (const int entry : suspectOffers_.takeUnanswered(clock_.now()))
+        entries_.send(entry, encode(SuspectNotice{suspects_.records()}));
+}
+
 void SidecarNode::onEntryLines(int entry, const std::vector<std::string> &lines)
 {
     const TimePoint now = clock_.now();
@@ -119,6 +132,11 @@
             adapterManager_.requestLoad(*message.load_, now);
             hasLoadRequest = true;
         }
+        if (message.suspectRequest_) {
+            suspectOffers_.remove(entry);
+            const auto &wanted = message.suspectRequest_->digests_;
+            entries_.send(entry, encode(SuspectNotice{suspects_.recordsOf(wanted)}));
+        }
         if (message.suspects_) {
             const std::vector<SuspectRecord> changed = suspects_.merge(message.suspects_->records_);
             if (!changed.empty())
@@ -133,6 +151,7 @@
 
 void SidecarNode::poll()
 {
+    sendUnansweredOffers();
     if (isCallInFlight_)
         return;
     isCallInFlight_ = true;
--- a/packages/sidecar/sidecar_node.h
+++ b/packages/sidecar/sidecar_node.h
@@ -21,6 +21,7 @@
 #include "retry/suspect_relay.h"
 #include "sidecar/adapter_manager.h"
 #include "sidecar/report_schedule.h"
+#include "sidecar/suspect_offers.h"
 
 namespace foxtailturn::gateway {
 
@@ -39,6 +40,8 @@
     void stop(const std::function<void()> &onStopped);
 
 private:
+    void onEntryConnected(int entry);
+    void sendUnansweredOffers();
     void onEntryLines(int entry, const std::vector<std::string> &lines);
     void poll();
     void onReport(const HttpAnswer &answer);
@@ -61,6 +64,7 @@
     asio::steady_timer pollTimer_;
     AdapterManager adapterManager_;
     SuspectRelay suspects_;
+    SuspectOffers suspectOffers_;
     EngineReport report_;
     std::map<std::string, TimePoint> loadStartTimes_; // times of accepted loads in progress
     bool hasReport_ = false;
