--- a/packages/retry/suspect_record.cpp
+++ b/packages/retry/suspect_record.cpp
@@ -87,9 +87,14 @@
 std::optional<SuspectKind> readKind(const Json &object)
 {
     const auto it = object.find("kind");
-    if (it == object.end() || *it == "")
+    if (it == object.end())
         return SuspectKind::Request;
-    return *it == kPartKind ? std::optional(SuspectKind::PromptPart) : std::nullopt;
+    if (!it->is_string())
+        return std::nullopt;
+    const auto &kind = it->get_ref<const std::string &>();
+    if (kind.empty())
+        return SuspectKind::Request;
+    return kind == kPartKind ? std::optional(SuspectKind::PromptPart) : std::nullopt;
 }
 
 tl::unexpected<Error> malformed(const char *field)
