gateway: the test of connecting entries answers requests after all offers

With answers at once only one sidecar is asked for each record: 100 of 100 records, and none again after all links were lost and regained. With all offers before the first answer two are: 200, and none again.

--- a/packages/gateway/suspect_exchange_test.cpp
+++ b/packages/gateway/suspect_exchange_test.cpp
@@ -302,8 +302,9 @@
         Fleet fleet(0, kEngines);
         addRecords(fleet, kRecords);
         if (isHeld)
-            fleet.holdLines(); // all links connect before the first line arrives
+            fleet.holdLines(); // all offers arrive before the first answer
         const int index = fleet.addEntry();
+        fleet.releaseOffers();
         fleet.releaseLines();
         for (int i = 0; i < kRecords; ++i)
             CHECK(fleet.isRefused(index, "f" + std::to_string(i)));
