gateway: sidecars of the version before are told apart by their first report

An entry took any first message but an offer for one of the version before. Where reports are handled apart from other messages, that would be missed, and such a sidecar would not get the entry's records: onReport() says it.

--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -280,6 +280,7 @@
     if (message.report_ || message.update_) {
         SidecarReport &report = sidecarReports_[engine];
         report = message.report_ ? *message.report_ : message.update_->applyTo(std::move(report));
+        suspects_.onReport(engine);
         gateway_.onReport(engine, report);
     }
     suspects_.receive(engine, message);
--- a/packages/gateway/suspect_exchange.cpp
+++ b/packages/gateway/suspect_exchange.cpp
@@ -37,17 +37,27 @@
 
 void SuspectExchange::receive(const std::string &engine, const AgentMessage &message)
 {
-    if (!greeted_.contains(engine)) {
-        greeted_.insert(engine);
-        // A sidecar of an earlier version makes no offer.
-        sendMissing(engine, message.suspectOffer_.value_or(SuspectOffer{}));
-    }
-    if (message.suspectOffer_)
+    if (message.suspectOffer_) {
+        greet(engine, *message.suspectOffer_);
         requestMissing(engine, *message.suspectOffer_);
+    }
     if (message.suspects_)
         merge(*message.suspects_);
 }
 
+void SuspectExchange::onReport(const std::string &engine)
+{
+    greet(engine, {});
+}
+
+void SuspectExchange::greet(const std::string &engine, const SuspectOffer &held)
+{
+    if (greeted_.contains(engine))
+        return;
+    greeted_.insert(engine);
+    sendMissing(engine, held);
+}
+
 void SuspectExchange::sendMissing(const std::string &engine, const SuspectOffer &held)
 {
     const std::vector<std::string> engines = relays();
--- a/packages/gateway/suspect_exchange.h
+++ b/packages/gateway/suspect_exchange.h
@@ -56,6 +56,10 @@
     // the relays.
     void receive(const std::string &engine, const AgentMessage &message);
 
+    // Records that the sidecar has reported its engine's state. One of an earlier version has not
+    // offered its records before, so that it is sent all records if it is a relay.
+    void onReport(const std::string &engine);
+
     // Removes expired records. Call it about once a minute to bound memory use.
     void removeExpired();
 
@@ -69,6 +73,7 @@
     };
 
     [[nodiscard]] std::vector<std::string> relays() const;
+    void greet(const std::string &engine, const SuspectOffer &held);
     void sendMissing(const std::string &engine, const SuspectOffer &held);
     void requestMissing(const std::string &engine, const SuspectOffer &offer);
     void removeHolder(const std::string &engine);
@@ -80,7 +85,7 @@
     EventLog &log_;
     Handlers handlers_;
     std::map<std::uint64_t, std::string> connected_; // engines with a connected sidecar, by rank
-    std::set<std::string> greeted_; // engines whose sidecar has sent a message since it connected
+    std::set<std::string> greeted_; // engines whose sidecar was sent records since it connected
     std::set<std::string> published_; // fingerprints of the records that this entry has changed
     std::unordered_set<std::uint64_t> known_; // digests of records that were sent or received
     std::unordered_map<std::uint64_t, MissingRecord> missing_; // by the record's digest
--- a/packages/gateway/suspect_exchange_test.cpp
+++ b/packages/gateway/suspect_exchange_test.cpp
@@ -191,6 +191,8 @@
             const AgentMessage message = decodeAgentMessage(line);
             if (message.suspects_)
                 entries_[index]->received_ += message.suspects_->records_.size();
+            if (message.report_)
+                entries_[index]->exchange_.onReport(engine);
             entries_[index]->exchange_.receive(engine, message);
         }
     }
