--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -312,8 +312,11 @@
         return link == sidecarLinks_.end() ? nullptr : link->second;
     };
     return {
-        .onReport_ = [this](const std::string &engine,
-                            const SidecarReport &report) { gateway_.onReport(engine, report); },
+        .onReport_ =
+            [this](const std::string &engine, const SidecarReport &report) {
+                suspects_.onReport(engine);
+                gateway_.onReport(engine, report);
+            },
         .onMessage_ = [this](const std::string &engine,
                              const AgentMessage &message) { onSidecarMessage(engine, message); },
         .onHandled_ =
@@ -332,8 +335,7 @@
 
 void EntryNode::onSidecarMessage(const std::string &engine, const AgentMessage &message)
 {
-    if (message.suspects_)
-        suspects_.receive(*message.suspects_);
+    suspects_.receive(engine, message);
     if (message.refusal_)
         gateway_.onLoadRefused(engine, message.refusal_->name_);
 }
--- a/packages/retry/suspect_record.h
+++ b/packages/retry/suspect_record.h
@@ -16,6 +16,7 @@
 #include <tuple>
 
 #include "base/error.h"
+#include "base/json.h"
 #include "base/wall_clock.h"
 
 namespace foxtailturn {
@@ -93,12 +94,19 @@
     // Returns whether all crashes and run marks of the record have expired.
     [[nodiscard]] bool isExpired(UtcTime now) const;
 
+    // Returns a hash of the whole record, which is the same in all processes. Thread-safe.
+    [[nodiscard]] std::uint64_t digest() const;
+
     // Returns the record as JSON for peers and table rows. Thread-safe.
     [[nodiscard]] std::string toJson() const;
 
     // Parses the output of toJson(). Error: Internal (NotRun). Thread-safe.
     [[nodiscard]] static Result<SuspectRecord> ofJson(std::string_view text);
 
+    // The same as a value within a larger JSON text. Error: Internal (NotRun). Thread-safe.
+    [[nodiscard]] Json toValue() const;
+    [[nodiscard]] static Result<SuspectRecord> ofValue(const Json &json);
+
     bool operator==(const SuspectRecord &) const = default;
 };
 
--- a/packages/sidecar/sidecar_node.cpp
+++ b/packages/sidecar/sidecar_node.cpp
@@ -18,7 +18,8 @@
 constexpr Duration kLoadingPollInterval =
     milliseconds(20); // while a load is pending or in progress
 constexpr Duration kUnconnectedPollInterval = milliseconds(400); // while no entry is connected
-constexpr Duration kPublishInterval = milliseconds(200); // without changes of the adapters
+// Load requests that arrive within this time are reported to the entries together.
+constexpr Duration kLoadRequestDelay = milliseconds(5);
 // An accepted load that has not finished by then is no longer measured.
 constexpr Duration kMaxMeasuredLoadTime = milliseconds(30'000);
 constexpr Duration kLogFlushInterval = milliseconds(1000);
@@ -58,17 +59,16 @@
     , pollTimer_(context)
     , adapterManager_(settings.name_, wallMillis(wallClock_))
     , suspects_(wallClock_)
+    , schedule_(kPollInterval)
+    , publishTimer_(context)
 {
     entries_.onLines(
         [this](int entry, const std::vector<std::string> &lines) { onEntryLines(entry, lines); });
-    entries_.onConnected([this](int entry) {
-        if (hasReport_)
-            entries_.send(entry, encode(publishedReport_)); // the next update is relative to it
-        if (const std::vector<SuspectRecord> records = suspects_.records(); !records.empty())
-            entries_.send(entry, encode(SuspectNotice{records}));
+    entries_.onConnected([this](int entry) { onEntryConnected(entry); });
+    entries_.onDisconnected([this](int entry) {
+        adapterManager_.removeEntry(entry, clock_.now());
+        suspectOffers_.remove(entry);
     });
-    entries_.onDisconnected(
-        [this](int entry) { adapterManager_.removeEntry(entry, clock_.now()); });
 }
 
 Result<void> SidecarNode::start()
@@ -104,6 +104,22 @@
     onStopped();
 }
 
+void SidecarNode::onEntryConnected(int entry)
+{
+    const std::vector<std::uint64_t> digests = suspects_.digests();
+    if (!digests.empty())
+        suspectOffers_.add(entry, clock_.now());
+    entries_.send(entry, encode(SuspectOffer{digests}));
+    if (hasReport_)
+        entries_.send(entry, encode(schedule_.sent())); // the next update is relative to it
+}
+
+void SidecarNode::sendUnansweredOffers()
+{
+    for (const int entry : suspectOffers_.takeUnanswered(clock_.now()))
+        entries_.send(entry, encode(SuspectNotice{suspects_.records()}));
+}
+
 void SidecarNode::onEntryLines(int entry, const std::vector<std::string> &lines)
 {
     const TimePoint now = clock_.now();
@@ -116,20 +132,26 @@
             adapterManager_.requestLoad(*message.load_, now);
             hasLoadRequest = true;
         }
+        if (message.suspectRequest_) {
+            suspectOffers_.remove(entry);
+            const auto &wanted = message.suspectRequest_->digests_;
+            entries_.send(entry, encode(SuspectNotice{suspects_.recordsOf(wanted)}));
+        }
         if (message.suspects_) {
             const std::vector<SuspectRecord> changed = suspects_.merge(message.suspects_->records_);
             if (!changed.empty())
                 entries_.sendOthers(entry, encode(SuspectNotice{changed}));
         }
     }
-    if (hasLoadRequest && hasReport_)
-        publish(); // so that other entries do not request the same adapter from another engine
+    if (hasLoadRequest)
+        publishSoon(); // so that other entries do not request the same adapter from another engine
     if (hasLoadRequest && !isCallInFlight_)
         poll();
 }
 
 void SidecarNode::poll()
 {
+    sendUnansweredOffers();
     if (isCallInFlight_)
         return;
     isCallInFlight_ = true;
@@ -153,16 +175,13 @@
         return;
     }
     report->isDraining_ = report->isDraining_ || answer.isLeaving_;
-    const bool isChanged = !hasReport_ || report->models_ != report_.models_
-        || report->loading_ != report_.loading_ || report->startTimeMs_ != report_.startTimeMs_
-        || report->isDraining_ != report_.isDraining_;
     report_ = *report;
     hasReport_ = true;
     const TimePoint now = clock_.now();
     updateMetrics();
     adapterManager_.onReport(report_, now);
-    if (isChanged || now >= nextPublishAt_)
-        publish();
+    if (!isPublishPending_)
+        publishIfDue();
     if (now >= nextFlushAt_) {
         log_.flush();
         nextFlushAt_ = now + kLogFlushInterval;
@@ -249,12 +268,28 @@
     });
 }
 
-void SidecarNode::publish()
+void SidecarNode::publishSoon()
 {
-    nextPublishAt_ = clock_.now() + kPublishInterval;
-    const SidecarReport report = adapterManager_.reportForEntries(clock_.now());
-    entries_.sendAll(encodeUpdate(publishedReport_, report));
-    publishedReport_ = report;
+    if (isPublishPending_)
+        return;
+    isPublishPending_ = true;
+    publishTimer_.expires_after(kLoadRequestDelay);
+    publishTimer_.async_wait([this](const asio::error_code &error) {
+        isPublishPending_ = false;
+        if (!error)
+            publishIfDue();
+    });
+}
+
+void SidecarNode::publishIfDue()
+{
+    const TimePoint now = clock_.now();
+    const SidecarReport report = adapterManager_.reportForEntries(now);
+    if (!hasReport_ || !schedule_.isDue(report, entries_.peers(), now))
+        return;
+    if (entries_.peers() > 0)
+        entries_.sendAll(encodeUpdate(schedule_.sent(), report));
+    schedule_.recordSent(report, now);
 }
 
 } // namespace foxtailturn::gateway
--- a/packages/sidecar/sidecar_node.h
+++ b/packages/sidecar/sidecar_node.h
@@ -20,6 +20,8 @@
 #include "gateway/node_settings.h"
 #include "retry/suspect_relay.h"
 #include "sidecar/adapter_manager.h"
+#include "sidecar/report_schedule.h"
+#include "sidecar/suspect_offers.h"
 
 namespace foxtailturn::gateway {
 
@@ -38,13 +40,16 @@
     void stop(const std::function<void()> &onStopped);
 
 private:
+    void onEntryConnected(int entry);
+    void sendUnansweredOffers();
     void onEntryLines(int entry, const std::vector<std::string> &lines);
     void poll();
     void onReport(const HttpAnswer &answer);
     void sendNextOrder();
     void onOrderAnswer(int status);
     void schedulePoll();
-    void publish();
+    void publishSoon();
+    void publishIfDue();
     void updateMetrics();
 
     const PlatformCodec &codec_;
@@ -59,12 +64,14 @@
     asio::steady_timer pollTimer_;
     AdapterManager adapterManager_;
     SuspectRelay suspects_;
+    SuspectOffers suspectOffers_;
     EngineReport report_;
     std::map<std::string, TimePoint> loadStartTimes_; // times of accepted loads in progress
     bool hasReport_ = false;
     bool isCallInFlight_ = false;
-    SidecarReport publishedReport_; // the report that every connected entry has
-    TimePoint nextPublishAt_{};
+    ReportSchedule schedule_; // its last report is the one that every connected entry has
+    asio::steady_timer publishTimer_;
+    bool isPublishPending_ = false;
     TimePoint nextFlushAt_{};
     std::string engineState_ = "unknown";
 };
