--- a/packages/gateway/agent_messages.h
+++ b/packages/gateway/agent_messages.h
@@ -17,8 +17,8 @@
 #include <string_view>
 #include <vector>
 
-#include "base/json.h"
 #include "gateway/codec.h"
+#include "gateway/report_update.h"
 #include "retry/suspect_record.h"
 
 namespace foxtailturn::gateway {
@@ -52,23 +52,6 @@
     bool operator==(const LoadRefusal &) const = default;
 };
 
-// The changes since a sidecar's last report.
-class ReportUpdate
-{
-public:
-    explicit ReportUpdate(Json fields)
-        : fields_(std::move(fields))
-    { }
-
-    // Returns the given report with the changes applied. Fields of an unexpected type are ignored.
-    [[nodiscard]] SidecarReport applyTo(SidecarReport before) const;
-
-    bool operator==(const ReportUpdate &) const = default;
-
-private:
-    Json fields_; // changed fields; null for a model or adapter that was removed
-};
-
 // An entry requests a charge from an owner of parts of a workspace's quota.
 struct GrantRequest
 {
