gateway: the loop allocates handlers as the rest of the process does

event_loop.h was the first header of its sources that included asio, before any standard header. asio then doesn't see _GLIBCXX_HAVE_ALIGNED_ALLOC and takes operator new and delete for the memory of handlers; the other sources take aligned_alloc and free. AddressSanitizer reported alloc-dealloc-mismatch in DeferredWork's loop, in gateway_test and in the daemon, which did not start. Harmless with glibc's allocator.

Found with -fsanitize=address,undefined on gateway_test (failed at event_loop_test). With this include the 29 tests of this part pass without reports, and so does flood_test.py; without it both pass with alloc_dealloc_mismatch=0.

--- a/packages/gateway/event_loop.h
+++ b/packages/gateway/event_loop.h
@@ -6,6 +6,8 @@
 //     LoopMeter meter(clock, metrics);
 //     runLoop(context, work, meter);      // until context.stop()
 
+#include <cstddef> // asio's allocation depends on a macro that each standard header defines
+
 #include <asio/io_context.hpp>
 
 #include "gateway/deferred_work.h"
