gateway: lost links cost no copy of the suspects from each sidecar

When the eight remembered holders of a missing record were lost, the request went to all links, and each sidecar answers with all of it; each lost link also visited all missing records, whose number had no bound between two calls of removeExpired().

A lost engine is replaced by the next remembered holder. If there are more holders than are remembered, the sidecars that are first in rank are asked, at most kMaxAsked: they are the relays, which get the records of all entries. If all holders were remembered, none is asked: a sidecar that gets a record after its offer passes it on without a request. Missing records are found by holder, so that a lost link visits only those of its engine. At most kMaxMissing are kept track of; the test of it can't fail before, as it names the new constant.

Open: two relays that both lack a record which more than eight lost sidecars held are not followed by a third before one of them is lost or a sidecar offers it again.

--- a/packages/gateway/suspect_exchange.cpp
+++ b/packages/gateway/suspect_exchange.cpp
@@ -76,44 +76,90 @@
 {
     if (offer.digests_.empty() || !connected_.contains(hash64(engine)))
         return;
-    constexpr std::size_t kMaxHolders = 8; // of one record; bounds the memory
     SuspectRequest request;
+    std::size_t untracked = 0;
     for (const std::uint64_t digest : offer.digests_) {
         if (known_.contains(digest))
             continue;
-        std::vector<std::string> &holders = missing_[digest].holders_;
-        if (holders.size() < kMaxHolders
-            && std::find(holders.begin(), holders.end(), engine) == holders.end())
-            holders.push_back(engine);
-        if (holders.size() <= kMaxAsked && holders.back() == engine)
+        if (missing_.size() >= kMaxMissing && !missing_.contains(digest))
+            ++untracked;
+        else if (addHolder(digest, engine))
             request.digests_.push_back(digest);
     }
+    if (untracked > 0)
+        log_.write(LogDetail::Full, "suspects_untracked",
+                   {{"engine", engine}, {"records", untracked}});
     handlers_.send_(engine, encode(request)); // also without a digest: the sidecar waits for it
 }
 
+// Returns whether the record is to be requested from the new holder.
+bool SuspectExchange::addHolder(std::uint64_t digest, const std::string &engine)
+{
+    constexpr std::size_t kMaxHolders = 8; // of one record; bounds the memory
+    MissingRecord &missing = missing_[digest];
+    std::vector<std::string> &holders = missing.holders_;
+    if (std::find(holders.begin(), holders.end(), engine) != holders.end())
+        return false;
+    if (holders.size() == kMaxHolders) {
+        missing.hasMoreHolders_ = true;
+        return false;
+    }
+    holders.push_back(engine);
+    missingByHolder_[engine].insert(digest);
+    return holders.size() <= kMaxAsked;
+}
+
 void SuspectExchange::removeHolder(const std::string &engine)
 {
+    const auto held = missingByHolder_.find(engine);
+    if (held == missingByHolder_.end())
+        return;
+    const Digests digests = std::move(held->second);
+    missingByHolder_.erase(held);
     std::map<std::string, SuspectRequest> requests; // by engine
-    SuspectRequest withoutHolder; // those that are known are bounded, so others may hold it
-    for (auto &[digest, missing] : missing_) {
-        std::vector<std::string> &holders = missing.holders_;
-        const auto holder = std::find(holders.begin(), holders.end(), engine);
-        if (holder == holders.end())
-            continue;
-        const bool wasAsked = holder - holders.begin() < static_cast<std::ptrdiff_t>(kMaxAsked);
-        holders.erase(holder);
-        if (holders.empty())
-            withoutHolder.digests_.push_back(digest);
-        else if (wasAsked && holders.size() >= kMaxAsked)
-            requests[holders[kMaxAsked - 1]].digests_.push_back(digest);
+    for (const std::uint64_t digest : digests) {
+        if (const std::string next = replaceHolder(digest, engine); !next.empty())
+            requests[next].digests_.push_back(digest);
     }
     for (const auto &[holder, request] : requests)
         handlers_.send_(holder, encode(request));
-    if (withoutHolder.digests_.empty())
+}
+
+// Returns the engine that is to be asked in place of the lost one, if any.
+std::string SuspectExchange::replaceHolder(std::uint64_t digest, const std::string &engine)
+{
+    MissingRecord &missing = missing_.at(digest);
+    std::vector<std::string> &holders = missing.holders_;
+    const auto lost = std::find(holders.begin(), holders.end(), engine);
+    const bool wasAsked = lost - holders.begin() < static_cast<std::ptrdiff_t>(kMaxAsked);
+    holders.erase(lost);
+    if (wasAsked && holders.size() >= kMaxAsked)
+        return holders[kMaxAsked - 1];
+    if (holders.size() < kMaxAsked && missing.hasMoreHolders_) {
+        // The first in rank are the relays, which hold the records of all entries.
+        for (const auto &[rank, other] : connected_) {
+            if (std::find(holders.begin(), holders.end(), other) == holders.end())
+                return addHolder(digest, other) ? other : std::string();
+        }
+    }
+    // A sidecar that gets a record after its offer passes it on without a request.
+    if (holders.empty())
+        missing_.erase(digest);
+    return {};
+}
+
+void SuspectExchange::eraseMissing(std::uint64_t digest)
+{
+    const auto missing = missing_.find(digest);
+    if (missing == missing_.end())
         return;
-    const auto connected = connected_; // a link may be dropped as it can't send
-    for (const auto &[rank, other] : connected)
-        handlers_.send_(other, encode(withoutHolder));
+    for (const std::string &holder : missing->second.holders_) {
+        const auto held = missingByHolder_.find(holder);
+        held->second.erase(digest);
+        if (held->second.empty())
+            missingByHolder_.erase(held);
+    }
+    missing_.erase(missing);
 }
 
 void SuspectExchange::addKnown(const SuspectRecord &record)
@@ -123,7 +169,7 @@
         known_.clear();
     const std::uint64_t digest = record.digest();
     known_.insert(digest);
-    missing_.erase(digest);
+    eraseMissing(digest);
 }
 
 void SuspectExchange::publish(const std::vector<SuspectRecord> &records)
@@ -162,8 +208,13 @@
 {
     quarantine_.removeExpired();
     // A record that expired or changed at its holders is never sent under the digest of the offer.
-    for (auto it = missing_.begin(); it != missing_.end();)
-        it = std::exchange(it->second.isOld_, true) ? missing_.erase(it) : std::next(it);
+    std::vector<std::uint64_t> expired;
+    for (auto &[digest, missing] : missing_) {
+        if (std::exchange(missing.isOld_, true))
+            expired.push_back(digest);
+    }
+    for (const std::uint64_t digest : expired)
+        eraseMissing(digest);
     std::erase_if(published_, [this](const std::string &fingerprint) {
         return !quarantine_.find(fingerprint);
     });
--- a/packages/gateway/suspect_exchange.h
+++ b/packages/gateway/suspect_exchange.h
@@ -34,6 +34,7 @@
 public:
     static constexpr std::size_t kRelays = 3; // sidecars that a record is sent to
     static constexpr std::size_t kMaxAsked = 2; // sidecars that a missing record is requested from
+    static constexpr std::size_t kMaxMissing = 16'384; // missing records that are kept track of
 
     struct Handlers
     {
@@ -69,14 +70,19 @@
     {
         // Engines whose sidecars hold it; the first kMaxAsked were asked.
         std::vector<std::string> holders_;
+        bool hasMoreHolders_ = false; // than are kept
         bool isOld_ = false; // it was missing at the last removeExpired()
     };
+    using Digests = std::unordered_set<std::uint64_t>;
 
     [[nodiscard]] std::vector<std::string> relays() const;
     void greet(const std::string &engine, const SuspectOffer &held);
     void sendMissing(const std::string &engine, const SuspectOffer &held);
     void requestMissing(const std::string &engine, const SuspectOffer &offer);
+    [[nodiscard]] bool addHolder(std::uint64_t digest, const std::string &engine);
     void removeHolder(const std::string &engine);
+    [[nodiscard]] std::string replaceHolder(std::uint64_t digest, const std::string &engine);
+    void eraseMissing(std::uint64_t digest);
     void merge(const SuspectNotice &notice);
     void addKnown(const SuspectRecord &record);
     void storeIfNeeded(const SuspectRecord &record);
@@ -87,8 +93,9 @@
     std::map<std::uint64_t, std::string> connected_; // engines with a connected sidecar, by rank
     std::set<std::string> greeted_; // engines whose sidecar was sent records since it connected
     std::set<std::string> published_; // fingerprints of the records that this entry has changed
-    std::unordered_set<std::uint64_t> known_; // digests of records that were sent or received
+    Digests known_; // digests of records that were sent or received
     std::unordered_map<std::uint64_t, MissingRecord> missing_; // by the record's digest
+    std::unordered_map<std::string, Digests> missingByHolder_; // keys of missing_ by engine
 };
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/suspect_exchange_test.cpp
+++ b/packages/gateway/suspect_exchange_test.cpp
@@ -119,6 +119,8 @@
     // Returns the number of records that sidecars have sent to the entry, and entries to sidecars.
     [[nodiscard]] std::size_t received(int index) const { return entries_[index]->received_; }
     [[nodiscard]] std::size_t sent() const { return sent_; }
+    // Returns the number of records that entries have requested.
+    [[nodiscard]] std::size_t requested() const { return requested_; }
     [[nodiscard]] UtcTime later() const { return wallClock_.now() + seconds(60); }
     Quarantine &quarantine(int index) { return entries_[index]->quarantine_; }
 
@@ -161,6 +163,7 @@
             const auto message = decodeAgentMessage(line);
             if (message.suspectRequest_) {
                 REQUIRE_FALSE(isEarlierVersion_);
+                requested_ += message.suspectRequest_->digests_.size();
                 if (!message.suspectRequest_->digests_.empty())
                     addOnce(asked_, engine);
                 const auto records =
@@ -212,6 +215,7 @@
     std::vector<std::string> asked_; // engines whose sidecars were asked for records, in order
     std::vector<HeldLines> held_;
     std::size_t sent_ = 0; // records
+    std::size_t requested_ = 0; // records
     bool isHeld_ = false;
     bool isEarlierVersion_ = false;
 };
@@ -358,4 +362,42 @@
     CHECK(fleet.isRefused(fleet.addEntry(), "f"));
 }
 
+// Guards against records that come from all sidecars after all when some links are lost at once.
+TEST_CASE("lost links cost an entry no copy of the records from each other sidecar")
+{
+    constexpr int kRecords = 100;
+    for (const int engines : {12, 120}) {
+        CAPTURE(engines);
+        Fleet fleet(0, engines);
+        addRecords(fleet, kRecords);
+        fleet.holdLines();
+        const int index = fleet.addEntry();
+        fleet.releaseOffers();
+        for (std::size_t i = 0; i < 8; ++i)
+            fleet.disconnect(index, fleet.asked().at(i));
+        fleet.releaseLines();
+        CHECK(fleet.isRefused(index, "f0"));
+        CHECK(fleet.received(index) <= kRecords * SuspectExchange::kMaxAsked);
+    }
+}
+
+// Guards against memory that grows with what sidecars say that they hold.
+TEST_CASE("the missing records that an entry keeps track of are bounded")
+{
+    Fleet fleet(0, 3);
+    fleet.holdLines();
+    const int index = fleet.addEntry();
+    AgentMessage message;
+    SuspectOffer &offer = message.suspectOffer_.emplace();
+    for (std::uint64_t digest = 1; digest <= 2 * SuspectExchange::kMaxMissing; ++digest)
+        offer.digests_.push_back(digest);
+    fleet.exchange(index).receive("10.0.0.0:8000", message);
+    CHECK(fleet.requested() == SuspectExchange::kMaxMissing);
+    // What no sidecar has sent makes room.
+    fleet.exchange(index).removeExpired();
+    fleet.exchange(index).removeExpired();
+    fleet.exchange(index).receive("10.0.0.1:8000", message);
+    CHECK(fleet.requested() == 2 * SuspectExchange::kMaxMissing);
+}
+
 } // namespace foxtailturn::gateway
