gateway: reports are dated by when their bytes may have arrived

reportedAt_ was the time at which a report was handled. At an entry with a backlog old reports looked fresh in report_age_us, and Relay gave hung engines the longer idle time of engines that report.

ReportQueue hands on the time from which the bytes of a turn may have been ready: LoopMeter's bound, or the previous read if the connection may have had bytes unread since then. Gateway::onReport and TargetRegistry::report store it.

Trial of the test with the time of add() in its place, as before: the arrival was wrong in two of three steps, and the wait 500 ms instead of 1,100 ms.

Not done: lines that have waited longer than kMaxReportAge are still handled. Dropping them and reconnecting makes an entry that is always that far behind handle no report at all; a test of ReportQueue, too, expects lines to be handled after 900 ms.

--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -297,7 +297,7 @@
     };
     handlers.onLines_ = [this, engine](std::vector<std::string> lines) {
         const LoopMeter::Scope scope(&meter_, WorkKind::Reports);
-        sidecarReports_.add(engine, std::move(lines));
+        sidecarReports_.add(engine, std::move(lines), meter_.readySince());
     };
     const auto link =
         std::make_shared<AgentLink>(context_, sidecarAddress(engine), std::move(handlers));
@@ -313,9 +313,9 @@
     };
     return {
         .onReport_ =
-            [this](const std::string &engine, const SidecarReport &report) {
+            [this](const std::string &engine, const SidecarReport &report, TimePoint arrivedAt) {
                 suspects_.onReport(engine);
-                gateway_.onReport(engine, report);
+                gateway_.onReport(engine, report, arrivedAt);
             },
         .onMessage_ = [this](const std::string &engine,
                              const AgentMessage &message) { onSidecarMessage(engine, message); },
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -267,9 +267,9 @@
         adapterUseHandler_(target, name, isBegin);
 }
 
-void Gateway::onReport(const std::string &address, const SidecarReport &report)
+void Gateway::onReport(const std::string &address, const SidecarReport &report, TimePoint arrivedAt)
 {
-    const AdapterChanges changes = targets_.report(address, report.engine_, now());
+    const AdapterChanges changes = targets_.report(address, report.engine_, arrivedAt);
     Target *target = changes.target_;
     if (target == nullptr)
         return;
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -121,8 +121,13 @@
     void setAdapterUseHandler(AdapterUseHandler notice) { adapterUseHandler_ = std::move(notice); }
     void reportAdapterUse(const Target &target, const std::string &adapterName, bool isBegin);
 
-    // Handles a report of the sidecar of the engine at the address.
-    void onReport(const std::string &address, const SidecarReport &report);
+    // Handles a report of the sidecar of the engine at the address, which has arrived at or after
+    // arrivedAt.
+    void onReport(const std::string &address, const SidecarReport &report, TimePoint arrivedAt);
+    void onReport(const std::string &address, const SidecarReport &report)
+    {
+        onReport(address, report, now());
+    }
 
     // Requests a model load on targets that host none, and loads of newly declared adapter versions
     // on targets that hold an older one.
--- a/packages/gateway/report_queue.cpp
+++ b/packages/gateway/report_queue.cpp
@@ -26,7 +26,8 @@
     work_.remove(*this);
 }
 
-void ReportQueue::add(const std::string &engine, std::vector<std::string> lines)
+void ReportQueue::add(const std::string &engine, std::vector<std::string> lines,
+                      TimePoint readySince)
 {
     Source &source = sources_[engine];
     for (std::string &line : lines) {
@@ -41,12 +42,19 @@
             source.others_.push_back(std::move(line));
         }
     }
-    if (!source.hasTurn_) {
-        source.hasTurn_ = true;
-        source.waitsSince_ = clock_.now();
-        source.linesInTurn_ = 0;
-        turns_.push_back(engine);
-    }
+    if (!source.hasTurn_)
+        beginTurn(engine, source, readySince);
+    source.readAt_ = clock_.now();
+}
+
+void ReportQueue::beginTurn(const std::string &engine, Source &source, TimePoint readySince)
+{
+    source.hasTurn_ = true;
+    // The connection is not read before the lines of the last read are handled.
+    const bool mayHaveWaitedUnread = source.handledAt_ >= readySince;
+    source.waitsSince_ = mayHaveWaitedUnread ? std::min(readySince, source.readAt_) : readySince;
+    source.linesInTurn_ = 0;
+    turns_.push_back(engine);
 }
 
 void ReportQueue::erase(const std::string &engine)
@@ -99,10 +107,12 @@
 {
     turns_.pop_front();
     source.hasTurn_ = false;
-    const Duration wait = clock_.now() - source.waitsSince_;
+    const TimePoint arrivedAt = source.waitsSince_;
+    source.handledAt_ = clock_.now();
+    const Duration wait = source.handledAt_ - arrivedAt;
     if (std::exchange(source.isChanged_, false)) {
         SidecarReport state = std::move(source.state_);
-        handlers_.onReport_(engine, state);
+        handlers_.onReport_(engine, state, arrivedAt);
         // The handler may have erased the engine.
         if (const auto it = sources_.find(engine); it != sources_.end())
             it->second.state_ = std::move(state);
--- a/packages/gateway/report_queue.h
+++ b/packages/gateway/report_queue.h
@@ -29,7 +29,10 @@
 public:
     struct Handlers
     {
-        std::function<void(const std::string &engine, const SidecarReport &report)> onReport_;
+        // The oldest bytes of the report may have arrived at arrivedAt.
+        std::function<void(const std::string &engine, const SidecarReport &report,
+                           TimePoint arrivedAt)>
+            onReport_;
         // Any other message.
         std::function<void(const std::string &engine, const AgentMessage &message)> onMessage_;
         // All lines of the engine are handled; the first of them has waited for this long.
@@ -47,8 +50,13 @@
     ReportQueue(const ReportQueue &) = delete;
     ReportQueue &operator=(const ReportQueue &) = delete;
 
-    // Adds lines without line feeds. May be called by a handler.
-    void add(const std::string &engine, std::vector<std::string> lines);
+    // Adds lines without line feeds, whose bytes became ready at readySince or later. May be called
+    // by a handler.
+    void add(const std::string &engine, std::vector<std::string> lines, TimePoint readySince);
+    void add(const std::string &engine, std::vector<std::string> lines)
+    {
+        add(engine, std::move(lines), clock_.now());
+    }
 
     // Discards the lines and the state of an engine, whose next connection starts with a full
     // report. May be called by a handler.
@@ -66,10 +74,13 @@
         SidecarReport state_;
         bool isChanged_ = false; // since it was handed on
         bool hasTurn_ = false;
-        TimePoint waitsSince_{};
+        TimePoint waitsSince_{}; // the first line of the turn
+        TimePoint readAt_{}; // the latest lines
+        TimePoint handledAt_{}; // all lines before this turn
         int linesInTurn_ = 0;
     };
 
+    void beginTurn(const std::string &engine, Source &source, TimePoint readySince);
     void decodeReport(const std::string &engine, Source &source);
     void endTurn(const std::string &engine, Source &source);
 
--- a/packages/gateway/report_queue_test.cpp
+++ b/packages/gateway/report_queue_test.cpp
@@ -42,11 +42,13 @@
     std::vector<std::string> events_;
     int steps_ = 0;
     Duration longestWait_{};
+    TimePoint arrivedAt_{}; // of the last report
     ReportQueue queue_{
         work_,
         clock_,
         {.onReport_ =
-             [this](const std::string &engine, const SidecarReport &report) {
+             [this](const std::string &engine, const SidecarReport &report, TimePoint arrivedAt) {
+                 arrivedAt_ = arrivedAt;
                  events_.push_back(engine + " runs " + std::to_string(report.engine_.running_));
              },
          .onMessage_ =
@@ -163,6 +165,29 @@
     CHECK(f.longestWait_ == std::chrono::milliseconds(900));
 }
 
+// Guards against reports that look fresh because the entry is behind.
+TEST_CASE("a report is dated by the time from which its bytes may have been ready")
+{
+    using std::chrono::milliseconds;
+    Fixture f;
+    const TimePoint start = f.clock_.now();
+    f.clock_.advance(milliseconds(700));
+    f.queue_.add("e", {full(1)}, start + milliseconds(100)); // the loop was behind
+    f.clock_.advance(milliseconds(500));
+    f.handleAll();
+    CHECK(f.arrivedAt_ == start + milliseconds(100));
+    CHECK(f.longestWait_ == milliseconds(1100));
+    // Lines that were read as soon as the first ones were handled may have come just after those.
+    f.queue_.add("e", {update(1, 2)}, start + milliseconds(1200));
+    f.handleAll();
+    CHECK(f.arrivedAt_ == start + milliseconds(700));
+    // With nothing ready in between, they have come since.
+    f.clock_.advance(milliseconds(400));
+    f.queue_.add("e", {update(2, 3)}, start + milliseconds(1600));
+    f.handleAll();
+    CHECK(f.arrivedAt_ == start + milliseconds(1600));
+}
+
 // Guards against handlers that drop the connection whose message they handle.
 TEST_CASE("an engine may be erased by the handlers of its messages")
 {
@@ -173,7 +198,8 @@
     const auto erase = [&queue](const std::string &engine) { queue->erase(engine); };
     ReportQueue made(
         work, clock,
-        {.onReport_ = [&](const std::string &engine, const SidecarReport &) { erase(engine); },
+        {.onReport_ = [&](const std::string &engine, const SidecarReport &,
+                          TimePoint) { erase(engine); },
          .onMessage_ = [&](const std::string &engine, const AgentMessage &) { erase(engine); },
          .onHandled_ = [&handled](const std::string &, Duration) { ++handled; },
          .onUnreadable_ = erase});
--- a/packages/gateway/target_registry.cpp
+++ b/packages/gateway/target_registry.cpp
@@ -203,7 +203,7 @@
 }
 
 AdapterChanges TargetRegistry::report(const std::string &address, const EngineReport &report,
-                                      TimePoint now)
+                                      TimePoint arrivedAt)
 {
     for (Target *target : atAddress(address)) {
         if (target->record_.startTimeMs_ < report.startTimeMs_)
@@ -213,7 +213,7 @@
         const bool isFirst = !target->hasReport();
         AdapterChanges changes{target, changedNames(target->report_, report)};
         target->report_ = report;
-        target->reportedAt_ = now;
+        target->reportedAt_ = arrivedAt;
         if (isFirst || !changes.names_.empty())
             hosts_.update(*target);
         return changes;
--- a/packages/gateway/target_registry.h
+++ b/packages/gateway/target_registry.h
@@ -85,9 +85,10 @@
     // later. Returns whether there are any.
     bool confirmCopies(TimePoint now);
 
-    // Stores an engine's report. A report of an earlier incarnation is ignored; one of a later
-    // incarnation marks the target as superseded.
-    AdapterChanges report(const std::string &address, const EngineReport &report, TimePoint now);
+    // Stores an engine's report, which arrived at arrivedAt. A report of an earlier incarnation is
+    // ignored; one of a later incarnation marks the target as superseded.
+    AdapterChanges report(const std::string &address, const EngineReport &report,
+                          TimePoint arrivedAt);
 
     // Records whether the sidecar of the engine at the address is connected.
     void setAgentConnected(const std::string &address, bool isLinked);
