gateway, sidecar: a slow entry is not taken for one of the version before

A sidecar told the version of an entry by whether it answered the offer within 300 ms. The offer waits in the entry's ReportQueue, so an entry that was further behind got all records from each sidecar: the saving went exactly when it was needed.

An entry now sends an empty SuspectRequest as soon as it is connected, before it has read anything. Sidecars of the version before ignore that line. A sidecar takes an entry whose first line is another one for an earlier version at once, and one that says nothing for 1 s, as an idle entry of the version before may have nothing to send.

Partial: suspects, offers and refusals still wait in ReportQueue with the reports. An entry whose loop takes over 1 s to handle its own connection still gets all records.

--- a/packages/gateway/agent_messages.h
+++ b/packages/gateway/agent_messages.h
@@ -90,7 +90,8 @@
     bool operator==(const SuspectOffer &) const = default;
 };
 
-// An entry's answer: the digests of the offered records that it lacks.
+// The digests of records that an entry lacks. Its first message of a connection is one without
+// digests, which entries of earlier versions don't send.
 struct SuspectRequest
 {
     std::vector<std::uint64_t> digests_;
--- a/packages/gateway/suspect_exchange.cpp
+++ b/packages/gateway/suspect_exchange.cpp
@@ -29,6 +29,8 @@
     greeted_.erase(engine);
     if (isConnected) {
         connected_[hash64(engine)] = engine;
+        // Tells the sidecar that this entry answers offers, however late it reads this one.
+        handlers_.send_(engine, encode(SuspectRequest{}));
         return;
     }
     connected_.erase(hash64(engine));
@@ -89,7 +91,8 @@
     if (untracked > 0)
         log_.write(LogDetail::Full, "suspects_untracked",
                    {{"engine", engine}, {"records", untracked}});
-    handlers_.send_(engine, encode(request)); // also without a digest: the sidecar waits for it
+    if (!request.digests_.empty())
+        handlers_.send_(engine, encode(request));
 }
 
 // Returns whether the record is to be requested from the new holder.
--- a/packages/gateway/suspect_exchange.h
+++ b/packages/gateway/suspect_exchange.h
@@ -11,8 +11,9 @@
 // A record is sent to a few sidecars only, which pass it on to all entries that are connected to
 // them. All entries prefer the same sidecars, so these know all records and give them to an entry
 // that connects: each tells which records it holds, and the entry asks for those that it lacks,
-// each at a few sidecars. Only records that quarantine a request are stored, as a crash makes
-// suspects of all requests that were under way.
+// each at a few sidecars. An entry's first line is a request, by which sidecars tell it from
+// entries of earlier versions, which know no offers. Only records that quarantine a request are
+// stored, as a crash makes suspects of all requests that were under way.
 
 #include <functional>
 #include <map>
--- a/packages/sidecar/sidecar_node.cpp
+++ b/packages/sidecar/sidecar_node.cpp
@@ -114,9 +114,9 @@
         entries_.send(entry, encode(schedule_.sent())); // the next update is relative to it
 }
 
-void SidecarNode::sendUnansweredOffers()
+void SidecarNode::sendToSilentEntries()
 {
-    for (const int entry : suspectOffers_.takeUnanswered(clock_.now()))
+    for (const int entry : suspectOffers_.takeSilent(clock_.now()))
         entries_.send(entry, encode(SuspectNotice{suspects_.records()}));
 }
 
@@ -126,6 +126,8 @@
     bool hasLoadRequest = false;
     for (const std::string &line : lines) {
         const AgentMessage message = decodeAgentMessage(line);
+        if (suspectOffers_.receive(entry, message))
+            entries_.send(entry, encode(SuspectNotice{suspects_.records()}));
         if (message.use_)
             adapterManager_.onUseNotice(entry, *message.use_, now);
         if (message.load_) {
@@ -133,7 +135,6 @@
             hasLoadRequest = true;
         }
         if (message.suspectRequest_) {
-            suspectOffers_.remove(entry);
             const auto &wanted = message.suspectRequest_->digests_;
             entries_.send(entry, encode(SuspectNotice{suspects_.recordsOf(wanted)}));
         }
@@ -151,7 +152,7 @@
 
 void SidecarNode::poll()
 {
-    sendUnansweredOffers();
+    sendToSilentEntries();
     if (isCallInFlight_)
         return;
     isCallInFlight_ = true;
--- a/packages/sidecar/sidecar_node.h
+++ b/packages/sidecar/sidecar_node.h
@@ -41,7 +41,7 @@
 
 private:
     void onEntryConnected(int entry);
-    void sendUnansweredOffers();
+    void sendToSilentEntries();
     void onEntryLines(int entry, const std::vector<std::string> &lines);
     void poll();
     void onReport(const HttpAnswer &answer);
