gateway: links that are lost soon after each connection back off

The backoff was reset with each TCP connection. A slow entry whose links are cut for unread bytes reconnected after about 100 ms each time, with a full report and an offer of suspects.

A connection now counts as a failure unless it has lasted kStableTime (5 s): the wait doubles with each one that was lost sooner. Failed attempts before a connection don't count after it, so that a link that is lost once after a long absence of its peer still reconnects after about 100 ms.

--- a/packages/gateway/agent_link.cpp
+++ b/packages/gateway/agent_link.cpp
@@ -80,7 +80,7 @@
     socket_ = asio::ip::tcp::socket(context_);
     socket_.open(endpoint->protocol(), error);
     if (error) {
-        armTimer(backoff_.next());
+        armTimer(backoff_.next(SystemClock().now()));
         return;
     }
     armTimer(kConnectTimeout);
@@ -95,10 +95,10 @@
     if (error) {
         asio::error_code ignored; // closed anyway
         socket_.close(ignored);
-        armTimer(backoff_.next());
+        armTimer(backoff_.next(SystemClock().now()));
         return;
     }
-    backoff_.reset();
+    backoff_.recordConnected(SystemClock().now());
     buffer_.clear();
     stream_ = ByteStream::create(std::move(socket_));
     stream_->start(
@@ -149,7 +149,7 @@
         return;
     stream_->close();
     stream_.reset();
-    armTimer(backoff_.next());
+    armTimer(backoff_.next(SystemClock().now()));
     handlers_.onState_(false);
 }
 
--- a/packages/gateway/reconnect_backoff.cpp
+++ b/packages/gateway/reconnect_backoff.cpp
@@ -4,8 +4,14 @@
 
 namespace foxtailturn::gateway {
 
-Duration ReconnectBackoff::next()
+Duration ReconnectBackoff::next(TimePoint now)
 {
+    if (connectedAt_) {
+        if (now - *connectedAt_ >= kStableTime)
+            lostLinks_ = 0;
+        failures_ = lostLinks_++;
+        connectedAt_.reset();
+    }
     const int doublings = std::min(failures_, kMaxDoublings);
     ++failures_;
     const Duration mean = kBase * (1 << doublings);
