LoopLag: only a wait with nothing ready before it ends the lag

Cause: a handler that started 1 ms after the loop asked for it was taken to have been waited for. It may as well have followed a handler without a scope that took that long, or a pause of the process in a turn that only polled, or between an empty poll and the reading of the clock. The lag then fell to 0, so that a caller's time began late and loop_behind was silent.

runLoop() now knows that nothing was ready only from a turn that ended without a handler, and takes the time from before that turn. Only a wait that follows one can be a handler's. A turn's lag counts for loop_behind even if its handler has no scope.

The last check of "a handler behind others sees the time since the loop last waited" asserted the fault: a handler that starts kMinWait late behind one of 400 ms had no lag.

--- a/packages/gateway/event_loop.cpp
+++ b/packages/gateway/event_loop.cpp
@@ -2,21 +2,39 @@
 
 namespace foxtailturn::gateway {
 
+namespace {
+
+// Returns whether a handler was run.
+bool runOne(asio::io_context &context, Duration wait)
+{
+    return (wait == Duration::zero() ? context.poll_one() : context.run_one_for(wait)) > 0;
+}
+
+} // namespace
+
 void runLoop(asio::io_context &context, DeferredWork &work, LoopMeter &meter)
 {
+    bool isIdle = false; // nothing was ready in the turn before
     while (!context.stopped()) {
-        // A poll before each wait would cost a system call for each wake-up.
-        const bool polls = meter.beginTurn() || work.isWaiting();
-        if (polls && context.poll_one() > 0) {
+        const bool isBehind = meter.beginTurn();
+        Duration wait = LoopLag::kMaxWait;
+        if (isIdle)
+            meter.beginWait();
+        else if (isBehind || work.isWaiting())
+            wait = Duration::zero();
+        else // a poll before each wait would cost a system call for each wake-up
+            wait = LoopLag::kPollInterval;
+        isIdle = !runOne(context, wait);
+        if (!isIdle) {
+            meter.handlerRan();
             work.runShare();
             continue;
         }
-        if (polls)
-            meter.nothingReady();
-        if (work.isWaiting())
+        meter.nothingReady();
+        if (work.isWaiting()) {
             work.runSlice();
-        else
-            context.run_one();
+            isIdle = false;
+        }
     }
 }
 
--- a/packages/gateway/event_loop_test.cpp
+++ b/packages/gateway/event_loop_test.cpp
@@ -97,4 +97,47 @@
     CHECK(context.stopped());
 }
 
+// Guards against a loop that is behind because of a handler that is not metered and does not know
+// it, so that a caller's time begins too late.
+TEST_CASE("what is ready behind a long handler has waited, metered or not")
+{
+    for (const bool isMetered : {true, false}) {
+        CAPTURE(isMetered);
+        asio::io_context context;
+        ManualClock clock;
+        MetricRegistry metrics;
+        LoopMeter meter(clock, metrics);
+        DeferredWork work(clock, &meter);
+        const TimePoint ready = clock.now();
+        asio::post(context, [&] {
+            const LoopMeter::Scope scope(isMetered ? &meter : nullptr, WorkKind::Targets);
+            clock.advance(std::chrono::milliseconds(600));
+        });
+        TimePoint seen{};
+        asio::post(context, [&] {
+            const LoopMeter::Scope scope(&meter, WorkKind::Callers);
+            seen = meter.readySince();
+        });
+        runLoop(context, work, meter);
+        CHECK(seen <= ready);
+    }
+}
+
+// Guards against a pause of the process that is taken for a wait although the loop only polled.
+TEST_CASE("a poll is no wait")
+{
+    ManualClock clock;
+    MetricRegistry metrics;
+    LoopMeter meter(clock, metrics);
+    const TimePoint ready = clock.now();
+    {
+        const LoopMeter::Scope scope(&meter, WorkKind::Targets);
+        clock.advance(std::chrono::milliseconds(600));
+    }
+    REQUIRE(meter.beginTurn()); // polls: a handler is ready
+    clock.advance(std::chrono::milliseconds(90)); // the process is not scheduled
+    const LoopMeter::Scope scope(&meter, WorkKind::Callers);
+    CHECK(meter.readySince() <= ready);
+}
+
 } // namespace foxtailturn::gateway
--- a/packages/gateway/loop_meter.h
+++ b/packages/gateway/loop_meter.h
@@ -8,6 +8,7 @@
 //
 // A scope within another one counts for its own kind only. Each costs two readings of the clock.
 
+#include <algorithm>
 #include <array>
 #include <optional>
 #include <string_view>
@@ -67,11 +68,17 @@
     // The clock and the registry must outlive the meter.
     LoopMeter(const Clock &clock, MetricRegistry &metrics);
 
-    // The loop is about to take a handler; see LoopLag. Returns whether it should poll first.
+    // The loop is about to poll, or to wait; see LoopLag. Returns whether it should poll.
     [[nodiscard]] bool beginTurn();
 
-    // A poll has found nothing ready.
-    void nothingReady() { lag_.nothingReady(clock_.now()); }
+    // The turn has run a handler, which need not have had a scope.
+    void handlerRan() { longestLag_ = std::max(longestLag_, lag_.lagOfTurn()); }
+
+    // The turn ended without a handler.
+    void nothingReady() { lag_.nothingReady(); }
+
+    // The loop waits in this turn, and nothing was ready before it.
+    void beginWait() { lag_.beginWait(); }
 
     // Returns a time at or after which the bytes that the current handler reads became ready; now
     // outside of a handler's scope.
--- a/packages/gateway/loop_meter_test.cpp
+++ b/packages/gateway/loop_meter_test.cpp
@@ -21,6 +21,7 @@
     void handle(WorkKind kind, Duration wait, Duration work)
     {
         (void)meter_.beginTurn();
+        meter_.beginWait();
         clock_.advance(wait);
         const LoopMeter::Scope scope(&meter_, kind);
         clock_.advance(work);
@@ -72,12 +73,33 @@
         CHECK(f.meter_.readySince() == ready);
     }
     CHECK(f.meter_.readySince() == f.clock_.now());
+    (void)f.meter_.beginTurn();
     f.meter_.nothingReady();
     (void)f.meter_.beginTurn();
     const LoopMeter::Scope scope(&f.meter_, WorkKind::Callers);
     CHECK(f.meter_.readySince() == f.clock_.now());
 }
 
+// Guards against a loop that is behind and does not say so, as only handlers without a scope ran
+// before it had caught up.
+TEST_CASE("a handler without a scope tells of a loop that was behind")
+{
+    for (const bool hasHandler : {true, false}) {
+        CAPTURE(hasHandler);
+        Fixture f;
+        f.handle(WorkKind::Reports, seconds(2), LoopMeter::kBehind);
+        (void)f.meter_.beginTurn();
+        if (hasHandler)
+            f.meter_.handlerRan();
+        (void)f.meter_.beginTurn();
+        f.meter_.nothingReady();
+        const auto behind = f.meter_.takeBehind();
+        REQUIRE(behind.has_value() == hasHandler);
+        if (behind)
+            CHECK(behind->lag_ == LoopMeter::kBehind);
+    }
+}
+
 // Guards against lines for a loop that keeps up, and more than one a second for one that doesn't.
 TEST_CASE("a loop that is behind is told with the kind that took the time, once a second")
 {
