AgentLink: a link whose bytes wait to be read is not silent

Cause: one poll of the event loop returns at most 128 events and then all expired timers. After a pause with more ready sockets the idle timers of healthy links ran before their bytes were read.

When its idle time ends, a link now asks its own socket whether bytes wait (ByteStream:: hasUnreadBytes(), one system call for each expired idle time). This needs no further turn of the loop, so nothing can put the decision off for longer than an idle time without bytes.

Ruled out: waiting until a poll finds nothing ready. It needs the loop's help, has to be bounded under a flood, and then decides without having looked again.

--- a/packages/gateway/agent_link.cpp
+++ b/packages/gateway/agent_link.cpp
@@ -52,7 +52,9 @@
         // The timer may have been set again after this wait had ended, but before its handler ran.
         if (self->timer_.expiry() > asio::steady_timer::clock_type::now())
             return;
-        if (self->stream_) {
+        if (self->stream_ && self->stream_->hasUnreadBytes()) {
+            self->armIdleTimer();
+        } else if (self->stream_) {
             self->dropConnection();
         } else if (self->socket_.is_open()) {
             asio::error_code ignored; // the connect handler schedules the retry
--- a/packages/gateway/agent_link_reading_test.cpp
+++ b/packages/gateway/agent_link_reading_test.cpp
@@ -101,4 +101,40 @@
     CHECK(f.link_->isConnected());
 }
 
+// Guards against the same with more ready sockets than one poll of the event loop returns.
+TEST_CASE("bytes of many links that are ready when their idle times end keep the connections")
+{
+    constexpr std::size_t kLinks = 200;
+    asio::io_context context;
+    asio::io_context peerContext;
+    asio::ip::tcp::acceptor acceptor(peerContext,
+                                     asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    std::vector<std::shared_ptr<AgentLink>> links;
+    std::vector<asio::ip::tcp::socket> peers;
+    std::size_t lost = 0;
+    for (std::size_t i = 0; i < kLinks; ++i) {
+        AgentLink::Handlers handlers;
+        handlers.onState_ = [&lost](bool isLinked) { lost += isLinked ? 0 : 1; };
+        handlers.onMessage_ = [](const AgentMessage &) {};
+        links.push_back(std::make_shared<AgentLink>(
+            context, "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
+            std::move(handlers), milliseconds(500)));
+        links.back()->start();
+        peers.push_back(acceptor.accept());
+    }
+    context.run_for(milliseconds(100));
+    for (const auto &link : links)
+        REQUIRE(link->isConnected());
+    // Another timer, such as that of the upkeep, comes before the bytes.
+    asio::steady_timer upkeep(context, milliseconds(20));
+    upkeep.async_wait([](const asio::error_code &) {});
+    std::this_thread::sleep_for(milliseconds(100));
+    for (auto &peer : peers)
+        asio::write(peer, asio::buffer(std::string("{}\n")));
+    std::this_thread::sleep_for(milliseconds(600));
+    context.restart();
+    context.run_for(milliseconds(50));
+    CHECK(lost == 0);
+}
+
 } // namespace foxtailturn::gateway
--- a/packages/gateway/byte_stream.cpp
+++ b/packages/gateway/byte_stream.cpp
@@ -139,6 +139,12 @@
         endSending();
 }
 
+bool ByteStream::hasUnreadBytes() const
+{
+    asio::error_code error;
+    return socket_.available(error) > 0 && !error;
+}
+
 bool ByteStream::hasPeerClosed()
 {
     if (!isOpen())
--- a/packages/gateway/byte_stream.h
+++ b/packages/gateway/byte_stream.h
@@ -69,6 +69,19 @@
     // system call. Unread received bytes hide the close.
     [[nodiscard]] bool hasPeerClosed();
 
+    // Returns whether bytes of the peer wait to be read. Costs one system call. For a timeout that
+    // takes a peer for silent: an event loop that is late may run the timer's handler before that
+    // of the bytes, as one poll returns a limited number of events, but all timers.
+    //
+    //     void Link::onIdle()
+    //     {
+    //         if (stream_->hasUnreadBytes())
+    //             armIdleTimer(); // not silent; the bytes are about to be read
+    //         else
+    //             drop();
+    //     }
+    [[nodiscard]] bool hasUnreadBytes() const;
+
     [[nodiscard]] bool isOpen() const { return socket_.is_open(); }
     [[nodiscard]] std::size_t queuedBytes() const { return queuedBytes_; }
 
--- a/packages/gateway/byte_stream_test.cpp
+++ b/packages/gateway/byte_stream_test.cpp
@@ -125,4 +125,21 @@
     CHECK(ends == std::vector<asio::error_code>{asio::error::connection_reset});
 }
 
+// Guards against a peer that is taken for silent though its bytes wait to be read.
+TEST_CASE("bytes are unread from their arrival until the loop reads them")
+{
+    Fixture f;
+    CHECK_FALSE(f.stream_->hasUnreadBytes());
+    asio::write(f.peer_, asio::buffer(std::string("a")));
+    std::this_thread::sleep_for(milliseconds(20));
+    CHECK(f.stream_->hasUnreadBytes());
+    f.run(milliseconds(20));
+    CHECK_FALSE(f.stream_->hasUnreadBytes());
+    f.peer_.close();
+    std::this_thread::sleep_for(milliseconds(20));
+    CHECK_FALSE(f.stream_->hasUnreadBytes());
+    f.stream_->close();
+    CHECK_FALSE(f.stream_->hasUnreadBytes());
+}
+
 } // namespace foxtailturn::gateway
