row_queue_test: slices of a table are checked on the real event loop

hadTurn could not fail, as the fixture ran all posted handlers before each slice. The test now runs runLoop() with a handler that is always ready, and bounds the rows between two of its runs. With slices of 1 s in a busy loop (a mutation of DeferredWork) it fails: 9714 rows at once, limit 286.

--- a/packages/gateway/row_queue_test.cpp
+++ b/packages/gateway/row_queue_test.cpp
@@ -1,11 +1,15 @@
 #include "gateway/row_queue.h"
 
+#include <algorithm>
+#include <functional>
 #include <string>
 
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
 #include <doctest/doctest.h>
 
+#include "gateway/event_loop.h"
+
 namespace foxtailturn::gateway {
 
 namespace {
@@ -13,6 +17,7 @@
 using std::chrono::microseconds;
 
 constexpr microseconds kTimePerRow(7);
+constexpr microseconds kTimePerHandler(1000);
 
 std::vector<StoreRow> rowsFrom(int first, int count)
 {
@@ -22,12 +27,14 @@
     return rows;
 }
 
-// Handles rows that take kTimePerRow each, and keeps their keys.
+// Handles rows that take kTimePerRow each on an event loop, and keeps their keys.
 struct Fixture
 {
     asio::io_context context_;
     ManualClock clock_;
-    DeferredWork work_{clock_};
+    MetricRegistry metrics_;
+    LoopMeter meter_{clock_, metrics_};
+    DeferredWork work_{clock_, &meter_};
     std::vector<std::string> keys_;
     int emptied_ = 0;
     RowQueue queue_{work_, clock_,
@@ -37,12 +44,26 @@
                     },
                     [this] { ++emptied_; }};
 
-    // Has the loop's ready handlers run, and after them one slice.
-    void runTurn()
+    // Runs the loop, with a handler that is always ready, until the rows are handled. Returns the
+    // numbers of rows that were handled between its runs.
+    std::vector<std::size_t> runBusy()
     {
-        while (context_.poll_one() > 0) { }
-        work_.runSlice();
+        std::vector<std::size_t> handled;
+        std::size_t before = keys_.size();
+        const auto guard = asio::make_work_guard(context_);
+        std::function<void()> again = [&] {
+            handled.push_back(keys_.size() - before);
+            before = keys_.size();
+            clock_.advance(kTimePerHandler);
+            if (queue_.isWaiting())
+                asio::post(context_, again);
+            else
+                context_.stop();
+        };
+        asio::post(context_, again);
+        runLoop(context_, work_, meter_);
         context_.restart();
+        return handled;
     }
 };
 
@@ -56,18 +77,15 @@
     f.queue_.add(rowsFrom(0, 10'000));
     CHECK(f.clock_.now() - start <= DeferredWork::kSliceTime + kTimePerRow);
     CHECK(f.emptied_ == 0);
-    int turns = 0;
-    while (f.emptied_ == 0) {
-        const std::size_t handled = f.keys_.size();
-        bool hadTurn = false;
-        asio::post(f.context_, [&] { hadTurn = f.keys_.size() == handled; });
-        const TimePoint before = f.clock_.now();
-        f.runTurn();
-        CHECK(f.clock_.now() - before <= DeferredWork::kSliceTime + kTimePerRow);
-        CHECK(hadTurn);
-        ++turns;
-    }
-    CHECK(turns > 10);
+    // Each slice is followed by a run of the handler, and follows others.
+    constexpr auto kRowsPerSlice =
+        static_cast<std::size_t>(DeferredWork::kSliceTime / kTimePerRow) + 1;
+    const std::vector<std::size_t> handled = f.runBusy();
+    CHECK(*std::max_element(handled.begin(), handled.end()) <= kRowsPerSlice);
+    const auto slices =
+        std::count_if(handled.begin(), handled.end(), [](std::size_t rows) { return rows > 0; });
+    CHECK(slices > 10);
+    CHECK(handled.size() > 10 * static_cast<std::size_t>(slices));
     CHECK(f.keys_.size() == 10'000);
     CHECK(f.emptied_ == 1);
 }
@@ -82,8 +100,7 @@
     f.queue_.add(rowsFrom(2, 1'000));
     f.queue_.add(rowsFrom(1'002, 1));
     f.queue_.add({});
-    while (f.queue_.isWaiting())
-        f.runTurn();
+    (void)f.runBusy();
     REQUIRE(f.keys_.size() == 1'003);
     for (std::size_t i = 0; i < f.keys_.size(); ++i)
         CHECK(f.keys_[i] == std::to_string(i));
