gateway: a request is made up when it is written, if it still may be sent

Cause: Relay::send() built the head, with the time left, before the target's connection was established, and TargetConnection::onConnected() wrote it however late it was called. A loop that is behind so sent requests whose caller's time was over or whose caller had left, and stated too much time to those that went on.

TargetConnection::exchange() takes a RequestWriter, which returns the text when it is written, or nothing. The relay's writer checks the deadline and the caller's close; nothing was sent then, so the request has not run there.

--- a/packages/gateway/caller_connection_test.cpp
+++ b/packages/gateway/caller_connection_test.cpp
@@ -31,6 +31,15 @@
     return config;
 }
 
+class HeadCodec final : public PlainCodec
+{
+public:
+    std::string targetHead(const MessageHead &, const TargetCall &, std::size_t) const override
+    {
+        return "GET / HTTP/1.1\r\n\r\n";
+    }
+};
+
 // One caller before a gateway without targets, in virtual time.
 struct Fixture
 {
@@ -40,7 +49,7 @@
     EventLog log_{"entry", wallClock_, [](std::string_view bytes) { return bytes.size(); }};
     MetricRegistry metrics_;
     LoopMeter meter_{clock_, metrics_};
-    PlainCodec codec_;
+    HeadCodec codec_;
     Gateway gateway_{{context_, codec_, clock_, wallClock_, log_, metrics_}, GatewayOptions()};
     CallerListener listener_{gateway_, meter_};
     asio::ip::tcp::socket caller_{context_};
@@ -113,4 +122,55 @@
     CHECK_FALSE(f.hasTimedOut());
 }
 
+// Guards against a request that reaches a target after its caller's time, as the connection to the
+// target was handled late.
+TEST_CASE("a request whose time passes before its target is connected is not sent")
+{
+    for (const Duration late : {Duration(milliseconds(0)), Duration(kRouteTimeout * 3)}) {
+        CAPTURE(late.count());
+        Fixture f;
+        asio::ip::tcp::acceptor target(
+            f.context_, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        TargetRecord record;
+        record.instance_ = "t";
+        record.service_ = "s";
+        record.address_ = "127.0.0.1:" + std::to_string(target.local_endpoint().port());
+        f.gateway_.targets().list(record, f.clock_.now());
+        f.send();
+        for (int i = 0; i < 100 && f.gateway_.pool().opened() == 0; ++i)
+            f.context_.run_one_for(milliseconds(10));
+        REQUIRE(f.gateway_.pool().opened() == 1);
+        f.clock_.advance(late);
+        f.context_.run_for(milliseconds(100));
+        asio::ip::tcp::socket peer = target.accept();
+        CHECK((peer.available() > 0) == (late == Duration::zero()));
+    }
+}
+
+// Guards against a request that reaches a target after its caller's close, which the loop has not
+// handled yet.
+TEST_CASE("a request whose caller leaves before its target is connected is not sent")
+{
+    Fixture f;
+    asio::ip::tcp::acceptor target(f.context_,
+                                   asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    TargetRecord record;
+    record.instance_ = "t";
+    record.service_ = "s";
+    record.address_ = "127.0.0.1:" + std::to_string(target.local_endpoint().port());
+    f.gateway_.targets().list(record, f.clock_.now());
+    f.send();
+    for (int i = 0; i < 100 && f.gateway_.pool().opened() == 0; ++i)
+        f.context_.run_one_for(milliseconds(10));
+    REQUIRE(f.gateway_.pool().opened() == 1);
+    f.caller_.close();
+    f.context_.run_for(milliseconds(100));
+    asio::ip::tcp::socket peer = target.accept();
+    char byte = 0;
+    asio::error_code error;
+    const std::size_t size = peer.receive(asio::buffer(&byte, 1), 0, error);
+    CHECK(size == 0);
+    CHECK(error == asio::error::eof); // a request that was sent is reset
+}
+
 } // namespace foxtailturn::gateway
--- a/packages/gateway/codec_testing.h
+++ b/packages/gateway/codec_testing.h
@@ -8,7 +8,7 @@
 
 // Decodes the field "Id" of a response and encodes the head of any call alike; the other methods
 // return nothing.
-class PlainCodec final : public PlatformCodec
+class PlainCodec : public PlatformCodec
 {
 public:
     Result<CallerRequest> decodeRequest(const MessageHead &) const override { return {}; }
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -218,6 +218,30 @@
     state_.beginAttempt();
     if (sends_ == 1)
         gateway_.serving().recordQueueTime(now - request_.receivedAt_);
+    const TimePoint connectDeadline = std::min(now + kConnectTimeout, request_.deadline_);
+    // A retry opens a new connection: all idle ones may be affected by the same network fault.
+    connection_ = sends_ > 1 ? gateway_.pool().open(target.record_.address_, connectDeadline)
+                             : gateway_.pool().acquire(target.record_.address_, connectDeadline);
+    armTimer();
+    const std::shared_ptr<TargetConnection> connection = connection_; // the writer may release it
+    connection->exchange([this] { return requestText(); }, request_.caller_.id_,
+                         request_.head_.method_ == "HEAD", *this);
+}
+
+// Returns the request with the time that is left now, or ends it if its time is over or its caller
+// has left while it waited for the connection.
+std::optional<std::string> Relay::requestText()
+{
+    const std::shared_ptr<Relay> self = shared_from_this();
+    const TimePoint now = gateway_.now();
+    if (now >= request_.deadline_) {
+        failRequest(ErrorCode::DeadlineExceeded);
+        return std::nullopt;
+    }
+    if (answer_.hasCallerLeft()) {
+        cancel();
+        return std::nullopt;
+    }
     TargetCall call;
     call.timeLeft_ = request_.deadline_ - now;
     call.instance_ = use_.instance();
@@ -226,13 +250,7 @@
     call.priority_ = std::min(request_.priority_, 9);
     std::string text = gateway_.codec().targetHead(request_.head_, call, request_.body_.size());
     text += request_.body_;
-    const TimePoint connectDeadline = std::min(now + kConnectTimeout, request_.deadline_);
-    // A retry opens a new connection: all idle ones may be affected by the same network fault.
-    connection_ = sends_ > 1 ? gateway_.pool().open(target.record_.address_, connectDeadline)
-                             : gateway_.pool().acquire(target.record_.address_, connectDeadline);
-    armTimer();
-    connection_->exchange(std::move(text), request_.caller_.id_, request_.head_.method_ == "HEAD",
-                          *this);
+    return text;
 }
 
 void Relay::releaseTarget()
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -103,6 +103,7 @@
     void endWait();
     void reviewWait();
     void send(Target &target);
+    [[nodiscard]] std::optional<std::string> requestText();
     void releaseTarget();
     void abandonAttempt();
     void armTimer();
--- a/packages/gateway/target_connection.cpp
+++ b/packages/gateway/target_connection.cpp
@@ -113,7 +113,14 @@
 void TargetConnection::exchange(std::string text, std::string requestId, bool expectsNoBody,
                                 ExchangeSink &sink)
 {
-    request_ = std::move(text);
+    exchange([text = std::move(text)]() mutable { return std::optional(std::move(text)); },
+             std::move(requestId), expectsNoBody, sink);
+}
+
+void TargetConnection::exchange(RequestWriter writer, std::string requestId, bool expectsNoBody,
+                                ExchangeSink &sink)
+{
+    writer_ = std::move(writer);
     requestId_ = std::move(requestId);
     expectsNoBody_ = expectsNoBody;
     sink_ = &sink;
@@ -128,13 +135,15 @@
 
 void TargetConnection::sendRequest()
 {
-    if (!stream_ || sink_ == nullptr || request_.empty())
+    if (!stream_ || sink_ == nullptr || !writer_)
+        return;
+    std::optional<std::string> text = std::exchange(writer_, nullptr)();
+    if (!text)
         return;
     isSent_ = true;
     if (expectsNoBody_)
         parser_->expectNoBody();
-    stream_->send(std::move(request_));
-    request_.clear();
+    stream_->send(std::move(*text));
 }
 
 void TargetConnection::pause()
--- a/packages/gateway/target_connection.h
+++ b/packages/gateway/target_connection.h
@@ -7,11 +7,15 @@
 //     connection->exchange(headAndBody, requestId, sink);
 //     // later, in the sink: onReplyHead, onReplyBody..., onReplyEnd or onExchangeFailure
 //
+// A connection may be established late. A request that depends on the time is passed as a
+// RequestWriter, which returns the text when it is written.
+//
 // Responses with the id of another request are skipped, as a faulty target may send one late or
 // twice. An idle connection that receives bytes is closed.
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -39,6 +43,10 @@
     virtual void onExchangeFailure(const Error &error) = 0;
 };
 
+// Returns the text of a request that is about to be written, or nothing if it must not be sent any
+// more. In the latter case the writer has called abandon().
+using RequestWriter = std::function<std::optional<std::string>()>;
+
 // Whether a target accepts connections.
 enum class Reachability {
     Reachable,
@@ -60,6 +68,11 @@
     // outlives the exchange or abandon() is called.
     void exchange(std::string text, std::string requestId, bool expectsNoBody, ExchangeSink &sink);
 
+    // Calls the writer once, here or from the loop, when the request can be written. It is not
+    // called after the end of the exchange.
+    void exchange(RequestWriter writer, std::string requestId, bool expectsNoBody,
+                  ExchangeSink &sink);
+
     // Ends the exchange without a call of the sink and closes the connection, so that the target
     // drops the request.
     void abandon();
@@ -100,7 +113,7 @@
     std::shared_ptr<ByteStream> stream_;
     std::unique_ptr<MessageParser> parser_;
     ExchangeSink *sink_ = nullptr;
-    std::string request_; // bytes to send; empty once they were handed to the stream
+    RequestWriter writer_; // empty once the request was handed to the stream
     std::string requestId_;
     bool expectsNoBody_ = false;
     bool isSent_ = false; // bytes of the request may have reached the network
--- a/packages/gateway/target_connection_test.cpp
+++ b/packages/gateway/target_connection_test.cpp
@@ -97,6 +97,42 @@
     CHECK(fixture.pool_.reused() == 1);
 }
 
+TEST_CASE("a request is made up when it can be written, and only if it still may be")
+{
+    Fixture fixture;
+    Recorder recorder;
+    int calls = 0;
+    const RequestWriter write = [&] {
+        ++calls;
+        return std::optional<std::string>("GET / HTTP/1.1\r\n\r\n");
+    };
+    fixture.connect()->exchange(write, "7", false, recorder);
+    CHECK(calls == 0);
+    fixture.accept();
+    CHECK(fixture.readRequest() == "GET / HTTP/1.1\r\n\r\n");
+    fixture.reply(kAnswer);
+    CHECK(fixture.runUntil([&] { return recorder.ends_ == 1; }));
+    fixture.connect()->exchange(write, "7", false, recorder);
+    CHECK(calls == 2); // the connection is reused
+    Recorder unsent;
+    const auto connection = fixture.connect();
+    connection->exchange(
+        [&] {
+            ++calls;
+            connection->abandon();
+            return std::optional<std::string>();
+        },
+        "7", false, unsent);
+    CHECK(fixture.runUntil([&] { return calls == 3; }));
+    CHECK_FALSE(connection->hasSent());
+    CHECK_FALSE(unsent.error_);
+    fixture.accept();
+    char byte = 0;
+    asio::error_code error;
+    CHECK(fixture.peer_.receive(asio::buffer(&byte, 1), 0, error) == 0);
+    CHECK(error == asio::error::eof);
+}
+
 TEST_CASE("a check tells whether a target accepts connections, and keeps the connection")
 {
     Fixture fixture;
