gateway: a target's idle time runs from when the request is written

Cause: Relay counted the idle time from the placement. A loop that is behind handled the connect, wrote the request, and in the same turn its timer called the target silent: the request went to a second target, the first one counted as failed, and all idle connections were closed.

The idle time now runs from when the request is written; before that, the connection attempt has its own limit. A target is not called silent while bytes or a close of it wait to be read: the relay looks at the socket first and again 50 ms later. Likewise a connection attempt doesn't time out if the system has an outcome whose handler is late. Both looks cost one system call when a timer expires, and nothing for an event. A connection that is paused for a slow caller is no longer called silent while it has unread bytes.

The looks at the sockets have no test that failed before: without a backlog of more than one poll's events, the loop handles sockets before timers.

gateway_test passes.

--- a/packages/gateway/byte_stream.cpp
+++ b/packages/gateway/byte_stream.cpp
@@ -140,13 +140,24 @@
 }
 
 bool ByteStream::hasPeerClosed()
+{
+    const asio::error_code error = peek();
+    return error && error != asio::error::would_block;
+}
+
+bool ByteStream::hasUnread()
+{
+    return peek() != asio::error::would_block;
+}
+
+asio::error_code ByteStream::peek()
 {
     if (!isOpen())
-        return true;
+        return asio::error::eof;
     char byte = 0;
     asio::error_code error;
     socket_.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
-    return error && error != asio::error::would_block;
+    return error;
 }
 
 void ByteStream::finish()
--- a/packages/gateway/byte_stream.h
+++ b/packages/gateway/byte_stream.h
@@ -69,12 +69,16 @@
     // system call. Unread received bytes hide the close.
     [[nodiscard]] bool hasPeerClosed();
 
+    // Returns whether bytes of the peer or its close wait to be read. Costs one system call.
+    [[nodiscard]] bool hasUnread();
+
     [[nodiscard]] bool isOpen() const { return socket_.is_open(); }
     [[nodiscard]] std::size_t queuedBytes() const { return queuedBytes_; }
 
 private:
     explicit ByteStream(asio::ip::tcp::socket socket);
 
+    [[nodiscard]] asio::error_code peek();
     void waitReadable();
     void read();
     void write();
--- a/packages/gateway/caller_connection_test.cpp
+++ b/packages/gateway/caller_connection_test.cpp
@@ -1,6 +1,8 @@
 #include "gateway/caller_connection.h"
 
 #include <string>
+#include <thread>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -173,4 +175,42 @@
     CHECK(error == asio::error::eof); // a request that was sent is reset
 }
 
+// Guards against an entry that takes its own delay for a target's silence, and sends the request to
+// another target in the turn in which the first one gets it.
+TEST_CASE("a target that has just been sent a request is not silent")
+{
+    Fixture f;
+    ServingConfig config = oneRoute();
+    config.revision_ = 2;
+    config.routes_[0].timeout_ = std::chrono::seconds(5);
+    config.routes_[0].maxAttempts_ = 3;
+    config.indexRoutes();
+    f.gateway_.configure(std::move(config));
+    std::vector<asio::ip::tcp::acceptor> targets;
+    for (int i = 0; i < 2; ++i) {
+        targets.emplace_back(f.context_,
+                             asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        TargetRecord record;
+        record.instance_ = "t" + std::to_string(i);
+        record.service_ = "s";
+        record.address_ = "127.0.0.1:" + std::to_string(targets.back().local_endpoint().port());
+        f.gateway_.targets().list(record, f.clock_.now());
+    }
+    f.send();
+    for (int i = 0; i < 100 && f.gateway_.pool().opened() == 0; ++i)
+        f.context_.run_one_for(milliseconds(10));
+    REQUIRE(f.gateway_.pool().opened() == 1);
+    std::this_thread::sleep_for(milliseconds(800)); // the loop is behind
+    f.clock_.advance(milliseconds(800));
+    f.context_.run_for(milliseconds(100));
+    int reached = 0;
+    for (asio::ip::tcp::acceptor &target : targets) {
+        target.non_blocking(true);
+        asio::error_code none;
+        asio::ip::tcp::socket peer = target.accept(none);
+        reached += !none && peer.available() > 0 ? 1 : 0;
+    }
+    CHECK(reached == 1);
+}
+
 } // namespace foxtailturn::gateway
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -24,6 +24,8 @@
     milliseconds(1200); // of a stream without recent reports of its engine
 constexpr Duration kReportedStreamIdleTime =
     milliseconds(3200); // of a stream with recent reports of its engine
+constexpr Duration kUnreadTime =
+    milliseconds(50); // for the loop to read what a target has sent, before it is looked at again
 constexpr Duration kMaxReportAge = milliseconds(800);
 constexpr Duration kBaseRetryAfter = milliseconds(250);
 constexpr Duration kMinRetryAfter = milliseconds(50);
@@ -212,7 +214,7 @@
     use_.begin(target, std::move(placement));
     tried_.push_back(use_.instance());
     ++sends_;
-    progressAt_ = now;
+    progressAt_ = TimePoint::max();
     replyHandling_ = ReplyHandling::None;
     discardedBytes_ = 0;
     state_.beginAttempt();
@@ -222,7 +224,7 @@
     // A retry opens a new connection: all idle ones may be affected by the same network fault.
     connection_ = sends_ > 1 ? gateway_.pool().open(target.record_.address_, connectDeadline)
                              : gateway_.pool().acquire(target.record_.address_, connectDeadline);
-    armTimer();
+    armTimer(); // for the connection
     const std::shared_ptr<TargetConnection> connection = connection_; // the writer may release it
     connection->exchange([this] { return requestText(); }, request_.caller_.id_,
                          request_.head_.method_ == "HEAD", *this);
@@ -250,6 +252,8 @@
     call.priority_ = std::min(request_.priority_, 9);
     std::string text = gateway_.codec().targetHead(request_.head_, call, request_.body_.size());
     text += request_.body_;
+    progressAt_ = now;
+    armTimer();
     return text;
 }
 
@@ -287,14 +291,21 @@
     return hasRecentReport ? kReportedStreamIdleTime : kStreamIdleTime;
 }
 
+// Returns when the target counts as silent. A connection attempt has a time limit of its own.
+TimePoint Relay::idleUntil() const
+{
+    const Duration idle = idleLimit();
+    if (!connection_ || idle == Duration::max() || progressAt_ == TimePoint::max())
+        return TimePoint::max();
+    return progressAt_ + idle;
+}
+
 void Relay::armTimer()
 {
     TimePoint expiry = request_.deadline_ + kDeadlineGrace;
     if (isWaiting_)
         expiry = std::min({request_.deadline_, placeAt_, reviewAt_});
-    const Duration idle = idleLimit();
-    if (connection_ && idle != Duration::max())
-        expiry = std::min(expiry, progressAt_ + idle);
+    expiry = std::min(expiry, idleUntil());
     if (connection_ && replyHandling_ == ReplyHandling::Discard)
         expiry = std::min(expiry, discardUntil_);
     timer_.expires_after(std::max(expiry - gateway_.now(), Duration::zero()));
@@ -328,23 +339,34 @@
         finishDiscard();
         return;
     }
-    const Duration idle = idleLimit();
-    if (connection_ && idle != Duration::max() && now >= progressAt_ + idle) {
-        const bool isLastAttempt = runs_ + 1 >= request_.route_->maxAttempts_;
-        if (!isLastAttempt && mayGoOnElsewhere() && gateway_.tryRetry(request_.service_)) {
-            if (Target *target = use_.target())
-                gateway_.targets().failed(*target, now);
-            // If a device on the network path has lost its connection state, all connections
-            // stop delivering data, not just this one.
-            gateway_.pool().closeAllIdle();
-            ++runs_;
-            releaseTarget();
-            retryAttempt("no data from the target within the idle timeout");
-            return;
-        }
+    if (now >= idleUntil())
+        onIdle(now);
+    else
+        armTimer();
+}
+
+// The target has not gone on for the idle time, unless the entry has not read what it has sent.
+void Relay::onIdle(TimePoint now)
+{
+    if (connection_->hasUnread()) {
+        progressAt_ = now - idleLimit() + kUnreadTime;
+        armTimer();
+        return;
+    }
+    const bool isLastAttempt = runs_ + 1 >= request_.route_->maxAttempts_;
+    if (isLastAttempt || !mayGoOnElsewhere() || !gateway_.tryRetry(request_.service_)) {
         progressAt_ = now; // no retry is allowed: keep waiting until the deadline
+        armTimer();
+        return;
     }
-    armTimer();
+    if (Target *target = use_.target())
+        gateway_.targets().failed(*target, now);
+    // If a device on the network path has lost its connection state, all connections stop
+    // delivering data, not just this one.
+    gateway_.pool().closeAllIdle();
+    ++runs_;
+    releaseTarget();
+    retryAttempt("no data from the target within the idle timeout");
 }
 
 void Relay::cancel()
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -109,6 +109,8 @@
     void armTimer();
     void onTimer();
     [[nodiscard]] Duration idleLimit() const;
+    [[nodiscard]] TimePoint idleUntil() const;
+    void onIdle(TimePoint now);
     [[nodiscard]] bool mayGoOnElsewhere() const;
     [[nodiscard]] bool mayRetry(std::string_view why);
     void retryAttempt(std::string_view why);
@@ -148,8 +150,8 @@
     std::vector<std::string> tried_; // instances that the request was sent to
     int runs_ = 0; // attempts that may have run
     int sends_ = 0;
-    TimePoint progressAt_{}; // when the request was sent or the answer last went on; an event, for
-                             // a stream
+    TimePoint progressAt_{}; // when the request was written or the answer last went on; an event,
+                             // for a stream; max before it is written
     TimePoint waitUntil_{}; // latest end of the wait for an adapter load
     TimePoint placeAt_ = TimePoint::max(); // when a waiting request is placed again at the latest
     TimePoint reviewAt_ = TimePoint::max(); // when a wait for a load is looked at again
--- a/packages/gateway/target_connection.cpp
+++ b/packages/gateway/target_connection.cpp
@@ -1,5 +1,7 @@
 #include "gateway/target_connection.h"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -57,7 +59,7 @@
         return;
     }
     connectTimer_.async_wait([self = shared_from_this()](const asio::error_code &error) {
-        if (error || self->stream_ || self->isClosed_)
+        if (error || self->stream_ || self->isClosed_ || self->hasConnectEnded())
             return;
         asio::error_code ignored; // the connect handler reports the failure
         self->socket_.close(ignored);
@@ -67,6 +69,13 @@
     });
 }
 
+// Returns whether the system has an outcome, whose handler may be late.
+bool TargetConnection::hasConnectEnded()
+{
+    pollfd socket{socket_.native_handle(), POLLOUT, 0};
+    return ::poll(&socket, 1, 0) > 0;
+}
+
 void TargetConnection::onConnected(const asio::error_code &error)
 {
     connectTimer_.cancel();
--- a/packages/gateway/target_connection.h
+++ b/packages/gateway/target_connection.h
@@ -85,6 +85,10 @@
     // Returns whether bytes of the request may have reached the network.
     [[nodiscard]] bool hasSent() const { return isSent_; }
 
+    // Returns whether the target has sent bytes or closed, and the loop has not handled that yet.
+    // Costs one system call.
+    [[nodiscard]] bool hasUnread() const { return stream_ && stream_->hasUnread(); }
+
     [[nodiscard]] const std::string &address() const { return address_; }
     [[nodiscard]] bool isReused() const { return exchanges_ > 1; }
     [[nodiscard]] bool isUsable(TimePoint now) const;
@@ -93,6 +97,7 @@
     friend class ConnectionPool;
 
     void connect();
+    [[nodiscard]] bool hasConnectEnded();
     void onConnected(const asio::error_code &error);
     void finishCheck(Reachability reachability);
     void release();
--- a/packages/gateway/target_connection_test.cpp
+++ b/packages/gateway/target_connection_test.cpp
@@ -133,6 +133,24 @@
     CHECK(error == asio::error::eof);
 }
 
+TEST_CASE("what a target has sent is seen before the loop reads it")
+{
+    Fixture fixture;
+    Recorder recorder;
+    const auto connection = fixture.connect();
+    CHECK_FALSE(connection->hasUnread());
+    connection->exchange("GET / HTTP/1.1\r\n\r\n", "7", false, recorder);
+    fixture.accept();
+    fixture.readRequest();
+    CHECK_FALSE(connection->hasUnread());
+    fixture.reply(kAnswer);
+    CHECK(connection->hasUnread());
+    CHECK(fixture.runUntil([&] { return recorder.ends_ == 1; }));
+    CHECK_FALSE(connection->hasUnread());
+    fixture.peer_.close();
+    CHECK(connection->hasUnread());
+}
+
 TEST_CASE("a check tells whether a target accepts connections, and keeps the connection")
 {
     Fixture fixture;
