gateway: the close of an answer counts as its end only if handled in time

Cause: an answer without length and chunks ends with the close. Relay asked whether the target still runs when it handled the close. A loop that is behind asked after the process had been started again at the same address, and passed a cut answer on as complete.

The entry now takes the close's age from the system (TCP_INFO, time since the peer's last segment), which is right for a process that was stopped too, and where the system has none from LoopMeter::readySince(). An idle connection proves that the target runs only if it was established before the close; a new connection only within 100 ms of the close. Otherwise, or if the target is superseded or no longer known, or its check has no outcome at the deadline, the end is not stated: the attempt counts as run, the request goes on elsewhere where the route allows it, else the answer is broken off. Neither the target nor the suspects are charged. The cost is one system call for each connection that ends, none for an event.

What remains: a process that is started again within 100 ms of its crash; a close that the network or its retransmission delays; a check without an outcome in 400 ms, and a stop of the entry during a check, still take the answer as complete. Sound answers of this framing that are handled over 100 ms late are repeated or broken off.

--- a/packages/gateway/byte_stream.cpp
+++ b/packages/gateway/byte_stream.cpp
@@ -1,5 +1,8 @@
 #include "gateway/byte_stream.h"
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <array>
 
 namespace foxtailturn::gateway {
@@ -236,10 +239,22 @@
     close();
 }
 
+void ByteStream::recordLastSegmentAge()
+{
+#ifdef __linux__
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (::getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0)
+        lastSegmentAge_ = std::chrono::milliseconds(info.tcpi_last_ack_recv);
+#endif
+}
+
 void ByteStream::fail(const asio::error_code &error)
 {
     if (!isOpen())
         return;
+    if (error == asio::error::eof)
+        recordLastSegmentAge();
     const CloseHandler onClose = std::move(onClose_);
     onClose_ = nullptr;
     close();
--- a/packages/gateway/byte_stream.h
+++ b/packages/gateway/byte_stream.h
@@ -13,6 +13,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -72,6 +73,10 @@
     // Returns whether bytes of the peer or its close wait to be read. Costs one system call.
     [[nodiscard]] bool hasUnread();
 
+    // Returns how long ago the system got the peer's last segment, as of the end of the connection,
+    // if the system tells: however late the close is handled, the peer sent it no later.
+    [[nodiscard]] std::optional<Duration> lastSegmentAge() const { return lastSegmentAge_; }
+
     [[nodiscard]] bool isOpen() const { return socket_.is_open(); }
     [[nodiscard]] std::size_t queuedBytes() const { return queuedBytes_; }
 
@@ -79,6 +84,7 @@
     explicit ByteStream(asio::ip::tcp::socket socket);
 
     [[nodiscard]] asio::error_code peek();
+    void recordLastSegmentAge();
     void waitReadable();
     void read();
     void write();
@@ -102,6 +108,7 @@
     std::size_t discardedBytes_ = 0; // after the end of sending
     asio::error_code writeError_; // the system reports a reset once, to a read or to a write
     std::unique_ptr<asio::steady_timer> finishTimer_;
+    std::optional<Duration> lastSegmentAge_;
 };
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/caller_connection_test.cpp
+++ b/packages/gateway/caller_connection_test.cpp
@@ -40,6 +40,12 @@
     {
         return "GET / HTTP/1.1\r\n\r\n";
     }
+    TargetReply decodeReply(const MessageHead &) const override
+    {
+        TargetReply reply;
+        reply.isSigned_ = true;
+        return reply;
+    }
 };
 
 // One caller before a gateway without targets, in virtual time.
@@ -213,4 +219,37 @@
     CHECK(reached == 1);
 }
 
+// Guards against an answer of a crashed target that is passed on as complete because the target
+// runs again when its close is handled.
+TEST_CASE("an answer that the close ends is complete only if the close is handled in time")
+{
+    for (const Duration late : {milliseconds(0), milliseconds(300)}) {
+        CAPTURE(late.count());
+        Fixture f;
+        asio::ip::tcp::acceptor target(
+            f.context_, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        TargetRecord record;
+        record.instance_ = "t";
+        record.service_ = "s";
+        record.address_ = "127.0.0.1:" + std::to_string(target.local_endpoint().port());
+        f.gateway_.targets().list(record, f.clock_.now());
+        f.send();
+        f.context_.run_for(milliseconds(50));
+        asio::ip::tcp::socket peer = target.accept();
+        std::string request(4096, '\0');
+        request.resize(peer.receive(asio::buffer(request))); // unread bytes would reset the close
+        asio::write(peer, asio::buffer(std::string("HTTP/1.1 200 OK\r\n\r\nhalf")));
+        f.context_.run_for(milliseconds(50));
+        peer.close(); // and the target listens again
+        std::this_thread::sleep_for(late);
+        f.context_.run_for(milliseconds(100));
+        f.caller_.non_blocking(true);
+        std::string answer(4096, '\0');
+        asio::error_code none;
+        answer.resize(f.caller_.read_some(asio::buffer(answer), none));
+        CAPTURE(answer);
+        CHECK(answer.ends_with("0\r\n\r\n") == (late == Duration::zero()));
+    }
+}
+
 } // namespace foxtailturn::gateway
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -320,7 +320,7 @@
 {
     const TimePoint now = gateway_.now();
     if (isCheckingEnd_ && now >= request_.deadline_) {
-        finishReply();
+        failEnd("the target was not checked before the deadline");
         return;
     }
     if (now >= request_.deadline_ + kDeadlineGrace) {
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -128,7 +128,8 @@
     void onReplyBody(std::string_view data) override;
     void onReplyEnd() override;
 
-    void checkEnd();
+    void checkEnd(const TargetConnection &closed);
+    void failEnd(std::string_view why);
     void onEndChecked(Reachability reachability);
     void finishReply();
     void passOn(AnswerStep step);
--- a/packages/gateway/relay_reply.cpp
+++ b/packages/gateway/relay_reply.cpp
@@ -3,6 +3,7 @@
 #include "gateway/relay.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "gateway/gateway.h"
 #include "gateway/read_limits.h"
@@ -19,6 +20,7 @@
 // A target that ends because of a part of the prompt ends as it begins to answer. The first event
 // may leave it before.
 constexpr int kSoundEvents = 2;
+constexpr Duration kMaxEndCheckDelay = std::chrono::milliseconds(100); // from the close
 constexpr Duration kEndCheckTimeout = std::chrono::milliseconds(400); // a lost SYN or SYN-ACK
 
 } // namespace
@@ -167,7 +169,8 @@
 void Relay::onReplyEnd()
 {
     const std::shared_ptr<Relay> self = shared_from_this();
-    connection_.reset(); // already released to the pool or closed
+    const std::shared_ptr<TargetConnection> connection = // already released to the pool or closed
+        std::exchange(connection_, nullptr);
     gateway_.serving().recordAnswerEnd(framingName(replyFraming_));
     if (replyHandling_ == ReplyHandling::Discard && reply_.isNotRun_) {
         const bool isOther = reply_.isOtherInstance_;
@@ -193,24 +196,34 @@
         return;
     }
     if (replyFraming_ == BodyFraming::UntilClose)
-        checkEnd();
+        checkEnd(*connection);
     else
         finishReply();
 }
 
 // Learns whether the target that has closed its connection still runs. If its process has ended,
-// its system has closed the connection, and says nothing about the end of the answer.
-void Relay::checkEnd()
+// its system has closed the connection, and says nothing about the end of the answer. A process
+// that was started since may answer at the same address, so the check counts only soon after the
+// close.
+void Relay::checkEnd(const TargetConnection &closed)
 {
-    const Target *target = use_.target();
-    if (target == nullptr || state_.brokenOff()
-        || gateway_.pool().hasOpenIdle(target->record_.address_)) {
+    const TimePoint now = gateway_.now();
+    if (state_.brokenOff() || gateway_.pool().hasOpenIdle(closed.address(), closed.closedSince())) {
         finishReply();
         return;
     }
+    const Target *target = use_.target();
+    if (target == nullptr || target->isSuperseded_) {
+        failEnd("another instance has taken the target's place since its answer began");
+        return;
+    }
+    if (now - closed.closedSince() > kMaxEndCheckDelay) {
+        failEnd("the close of the answer was handled too late to tell it from a crash");
+        return;
+    }
     isCheckingEnd_ = true;
-    const TimePoint deadline = std::min(gateway_.now() + kEndCheckTimeout, request_.deadline_);
-    gateway_.pool().check(target->record_.address_, deadline,
+    const TimePoint deadline = std::min(now + kEndCheckTimeout, request_.deadline_);
+    gateway_.pool().check(closed.address(), deadline,
                           [weak = weak_from_this()](Reachability reachability) {
                               const std::shared_ptr<Relay> self = weak.lock();
                               if (self && self->isCheckingEnd_)
@@ -229,6 +242,22 @@
                       "the target ended and did not state the end of its answer"});
 }
 
+// Ends an attempt whose answer may be incomplete. That nothing tells so is not the target's fault.
+void Relay::failEnd(std::string_view why)
+{
+    isCheckingEnd_ = false;
+    gateway_.serving().recordAnswerEnd("unknown");
+    log_.attemptFailed(
+        use_.instance(),
+        Error{ErrorCode::ConnectionLost, Execution::OutcomeUnknown, std::string(why)});
+    ++runs_;
+    releaseTarget();
+    if (mayRetry(why))
+        retryAttempt(why);
+    else
+        failRequest(ErrorCode::TargetFailed);
+}
+
 // Decides about an answer whose body has ended.
 void Relay::finishReply()
 {
--- a/packages/gateway/serving_metrics.h
+++ b/packages/gateway/serving_metrics.h
@@ -65,7 +65,8 @@
     // Counts a target that has said that it is about to stop.
     void recordLeaving(const std::string &service);
 
-    // Counts how an answer of a target ended: a framingName(), or "broken" if it ended earlier.
+    // Counts how an answer of a target ended: a framingName(), or "broken" if it ended earlier. One
+    // whose close may be a crash counts as "unknown", too.
     void recordAnswerEnd(std::string_view end);
 
     // Counts a stream that was broken off since no further run could be joined to it, by the name
--- a/packages/gateway/target_connection.cpp
+++ b/packages/gateway/target_connection.cpp
@@ -95,6 +95,7 @@
                        const LoopMeter::Scope scope(self->pool_.meter_, self->pool_.workKind_);
                        self->onClosed(reason);
                    });
+    connectedAt_ = pool_.clock_.now();
     if (isPaused_)
         stream_->pause();
     sendRequest();
@@ -251,6 +252,11 @@
         return;
     if (sink_ != nullptr && error == asio::error::eof) {
         const std::shared_ptr<TargetConnection> self = shared_from_this();
+        const std::optional<Duration> age = stream_->lastSegmentAge();
+        const TimePoint now = pool_.clock_.now();
+        closedSince_ = age            ? now - *age
+            : pool_.meter_ != nullptr ? pool_.meter_->readySince()
+                                      : now;
         parser_->finish();
         if (isResponseComplete_ && !parser_->error()) {
             keepsAlive_ = false;
@@ -335,12 +341,13 @@
     open(address, connectDeadline)->checkHandler_ = std::move(handler);
 }
 
-bool ConnectionPool::hasOpenIdle(const std::string &address) const
+bool ConnectionPool::hasOpenIdle(const std::string &address, TimePoint establishedBy) const
 {
     const auto it = idle_.find(address);
     return it != idle_.end()
-        && std::any_of(it->second.begin(), it->second.end(), [this](const auto &connection) {
-               return connection->isUsable(clock_.now()) && !connection->stream_->hasPeerClosed();
+        && std::any_of(it->second.begin(), it->second.end(), [&](const auto &connection) {
+               return connection->connectedAt_ <= establishedBy
+                   && connection->isUsable(clock_.now()) && !connection->stream_->hasPeerClosed();
            });
 }
 
--- a/packages/gateway/target_connection.h
+++ b/packages/gateway/target_connection.h
@@ -90,6 +90,10 @@
     [[nodiscard]] bool hasUnread() const { return stream_ && stream_->hasUnread(); }
 
     [[nodiscard]] const std::string &address() const { return address_; }
+    // Returns a time at or before which the target closed the connection; only at the end of an
+    // exchange that the close has ended.
+    [[nodiscard]] TimePoint closedSince() const { return closedSince_; }
+
     [[nodiscard]] bool isReused() const { return exchanges_ > 1; }
     [[nodiscard]] bool isUsable(TimePoint now) const;
 
@@ -132,6 +136,8 @@
         checkHandler_; // of a connection without an exchange
     TimePoint usableUntil_ = TimePoint::max(); // an idle connection is not reused after this
     Duration idleTimeout_{}; // as the target announced it
+    TimePoint connectedAt_{};
+    TimePoint closedSince_{};
     int exchanges_ = 0;
 };
 
@@ -155,9 +161,9 @@
     void check(const std::string &address, TimePoint connectDeadline,
                std::function<void(Reachability reachability)> handler);
 
-    // Returns whether a connection to the address is idle that its target has not closed. Costs one
-    // system call for each.
-    [[nodiscard]] bool hasOpenIdle(const std::string &address) const;
+    // Returns whether a connection to the address is idle that was established by that time and
+    // that its target has not closed: its process still runs. Costs one system call for each.
+    [[nodiscard]] bool hasOpenIdle(const std::string &address, TimePoint establishedBy) const;
 
     // Close the idle connections of an address, of all addresses, or those too old for reuse.
     void closeIdle(const std::string &address);
