--- a/packages/gateway/byte_stream.cpp
+++ b/packages/gateway/byte_stream.cpp
@@ -1,5 +1,8 @@
 #include "gateway/byte_stream.h"
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <array>
 
 namespace foxtailturn::gateway {
@@ -146,13 +149,24 @@
 }
 
 bool ByteStream::hasPeerClosed()
+{
+    const asio::error_code error = peek();
+    return error && error != asio::error::would_block;
+}
+
+bool ByteStream::hasUnread()
+{
+    return peek() != asio::error::would_block;
+}
+
+asio::error_code ByteStream::peek()
 {
     if (!isOpen())
-        return true;
+        return asio::error::eof;
     char byte = 0;
     asio::error_code error;
     socket_.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
-    return error && error != asio::error::would_block;
+    return error;
 }
 
 void ByteStream::finish()
@@ -231,10 +245,22 @@
     close();
 }
 
+void ByteStream::recordLastSegmentAge()
+{
+#ifdef __linux__
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (::getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0)
+        lastSegmentAge_ = std::chrono::milliseconds(info.tcpi_last_ack_recv);
+#endif
+}
+
 void ByteStream::fail(const asio::error_code &error)
 {
     if (!isOpen())
         return;
+    if (error == asio::error::eof)
+        recordLastSegmentAge();
     const CloseHandler onClose = std::move(onClose_);
     onClose_ = nullptr;
     close();
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -24,6 +24,8 @@
     milliseconds(1200); // of a stream without recent reports of its engine
 constexpr Duration kReportedStreamIdleTime =
     milliseconds(3200); // of a stream with recent reports of its engine
+constexpr Duration kUnreadTime =
+    milliseconds(50); // for the loop to read what a target has sent, before it is looked at again
 constexpr Duration kMaxReportAge = milliseconds(800);
 constexpr Duration kBaseRetryAfter = milliseconds(250);
 constexpr Duration kMinRetryAfter = milliseconds(50);
@@ -212,12 +214,36 @@
     use_.begin(target, std::move(placement));
     tried_.push_back(use_.instance());
     ++sends_;
-    progressAt_ = now;
+    progressAt_ = TimePoint::max();
     replyHandling_ = ReplyHandling::None;
     discardedBytes_ = 0;
     state_.beginAttempt();
     if (sends_ == 1)
         gateway_.serving().recordQueueTime(now - request_.receivedAt_);
+    const TimePoint connectDeadline = std::min(now + kConnectTimeout, request_.deadline_);
+    // A retry opens a new connection: all idle ones may be affected by the same network fault.
+    connection_ = sends_ > 1 ? gateway_.pool().open(target.record_.address_, connectDeadline)
+                             : gateway_.pool().acquire(target.record_.address_, connectDeadline);
+    armTimer(); // for the connection
+    const std::shared_ptr<TargetConnection> connection = connection_; // the writer may release it
+    connection->exchange([this] { return requestText(); }, request_.caller_.id_,
+                         request_.head_.method_ == "HEAD", *this);
+}
+
+// Returns the request with the time that is left now, or ends it if its time is over or its caller
+// has left while it waited for the connection.
+std::optional<std::string> Relay::requestText()
+{
+    const std::shared_ptr<Relay> self = shared_from_this();
+    const TimePoint now = gateway_.now();
+    if (now >= request_.deadline_) {
+        failRequest(ErrorCode::DeadlineExceeded);
+        return std::nullopt;
+    }
+    if (answer_.hasCallerLeft()) {
+        cancel();
+        return std::nullopt;
+    }
     TargetCall call;
     call.timeLeft_ = request_.deadline_ - now;
     call.instance_ = use_.instance();
@@ -226,13 +252,9 @@
     call.priority_ = std::min(request_.priority_, 9);
     std::string text = gateway_.codec().targetHead(request_.head_, call, request_.body_.size());
     text += request_.body_;
-    const TimePoint connectDeadline = std::min(now + kConnectTimeout, request_.deadline_);
-    // A retry opens a new connection: all idle ones may be affected by the same network fault.
-    connection_ = sends_ > 1 ? gateway_.pool().open(target.record_.address_, connectDeadline)
-                             : gateway_.pool().acquire(target.record_.address_, connectDeadline);
+    progressAt_ = now;
     armTimer();
-    connection_->exchange(std::move(text), request_.caller_.id_, request_.head_.method_ == "HEAD",
-                          *this);
+    return text;
 }
 
 void Relay::releaseTarget()
@@ -269,14 +291,21 @@
     return hasRecentReport ? kReportedStreamIdleTime : kStreamIdleTime;
 }
 
+// Returns when the target counts as silent. A connection attempt has a time limit of its own.
+TimePoint Relay::idleUntil() const
+{
+    const Duration idle = idleLimit();
+    if (!connection_ || idle == Duration::max() || progressAt_ == TimePoint::max())
+        return TimePoint::max();
+    return progressAt_ + idle;
+}
+
 void Relay::armTimer()
 {
     TimePoint expiry = request_.deadline_ + kDeadlineGrace;
     if (isWaiting_)
         expiry = std::min({request_.deadline_, placeAt_, reviewAt_});
-    const Duration idle = idleLimit();
-    if (connection_ && idle != Duration::max())
-        expiry = std::min(expiry, progressAt_ + idle);
+    expiry = std::min(expiry, idleUntil());
     if (connection_ && replyHandling_ == ReplyHandling::Discard)
         expiry = std::min(expiry, discardUntil_);
     timer_.expires_after(std::max(expiry - gateway_.now(), Duration::zero()));
@@ -291,7 +320,7 @@
 {
     const TimePoint now = gateway_.now();
     if (isCheckingEnd_ && now >= request_.deadline_) {
-        finishReply();
+        failEnd("the target was not checked before the deadline");
         return;
     }
     if (now >= request_.deadline_ + kDeadlineGrace) {
@@ -310,23 +339,34 @@
         finishDiscard();
         return;
     }
-    const Duration idle = idleLimit();
-    if (connection_ && idle != Duration::max() && now >= progressAt_ + idle) {
-        const bool isLastAttempt = runs_ + 1 >= request_.route_->maxAttempts_;
-        if (!isLastAttempt && mayGoOnElsewhere() && gateway_.tryRetry(request_.service_)) {
-            if (Target *target = use_.target())
-                gateway_.targets().failed(*target, now);
-            // If a device on the network path has lost its connection state, all connections
-            // stop delivering data, not just this one.
-            gateway_.pool().closeAllIdle();
-            ++runs_;
-            releaseTarget();
-            retryAttempt("no data from the target within the idle timeout");
-            return;
-        }
+    if (now >= idleUntil())
+        onIdle(now);
+    else
+        armTimer();
+}
+
+// The target has not gone on for the idle time, unless the entry has not read what it has sent.
+void Relay::onIdle(TimePoint now)
+{
+    if (connection_->hasUnread()) {
+        progressAt_ = now - idleLimit() + kUnreadTime;
+        armTimer();
+        return;
+    }
+    const bool isLastAttempt = runs_ + 1 >= request_.route_->maxAttempts_;
+    if (isLastAttempt || !mayGoOnElsewhere() || !gateway_.tryRetry(request_.service_)) {
         progressAt_ = now; // no retry is allowed: keep waiting until the deadline
+        armTimer();
+        return;
     }
-    armTimer();
+    if (Target *target = use_.target())
+        gateway_.targets().failed(*target, now);
+    // If a device on the network path has lost its connection state, all connections stop
+    // delivering data, not just this one.
+    gateway_.pool().closeAllIdle();
+    ++runs_;
+    releaseTarget();
+    retryAttempt("no data from the target within the idle timeout");
 }
 
 void Relay::cancel()
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -103,11 +103,14 @@
     void endWait();
     void reviewWait();
     void send(Target &target);
+    [[nodiscard]] std::optional<std::string> requestText();
     void releaseTarget();
     void abandonAttempt();
     void armTimer();
     void onTimer();
     [[nodiscard]] Duration idleLimit() const;
+    [[nodiscard]] TimePoint idleUntil() const;
+    void onIdle(TimePoint now);
     [[nodiscard]] bool mayGoOnElsewhere() const;
     [[nodiscard]] bool mayRetry(std::string_view why);
     void retryAttempt(std::string_view why);
@@ -125,7 +128,8 @@
     void onReplyBody(std::string_view data) override;
     void onReplyEnd() override;
 
-    void checkEnd();
+    void checkEnd(const TargetConnection &closed);
+    void failEnd(std::string_view why);
     void onEndChecked(Reachability reachability);
     void finishReply();
     void passOn(AnswerStep step);
@@ -147,8 +151,8 @@
     std::vector<std::string> tried_; // instances that the request was sent to
     int runs_ = 0; // attempts that may have run
     int sends_ = 0;
-    TimePoint progressAt_{}; // when the request was sent or the answer last went on; an event, for
-                             // a stream
+    TimePoint progressAt_{}; // when the request was written or the answer last went on; an event,
+                             // for a stream; max before it is written
     TimePoint waitUntil_{}; // latest end of the wait for an adapter load
     TimePoint placeAt_ = TimePoint::max(); // when a waiting request is placed again at the latest
     TimePoint reviewAt_ = TimePoint::max(); // when a wait for a load is looked at again
--- a/packages/gateway/target_connection.cpp
+++ b/packages/gateway/target_connection.cpp
@@ -1,5 +1,7 @@
 #include "gateway/target_connection.h"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -57,7 +59,7 @@
         return;
     }
     connectTimer_.async_wait([self = shared_from_this()](const asio::error_code &error) {
-        if (error || self->stream_ || self->isClosed_)
+        if (error || self->stream_ || self->isClosed_ || self->hasConnectEnded())
             return;
         asio::error_code ignored; // the connect handler reports the failure
         self->socket_.close(ignored);
@@ -67,6 +69,13 @@
     });
 }
 
+// Returns whether the system has an outcome, whose handler may be late.
+bool TargetConnection::hasConnectEnded()
+{
+    pollfd socket{socket_.native_handle(), POLLOUT, 0};
+    return ::poll(&socket, 1, 0) > 0;
+}
+
 void TargetConnection::onConnected(const asio::error_code &error)
 {
     connectTimer_.cancel();
@@ -86,6 +95,7 @@
                        const LoopMeter::Scope scope(self->pool_.meter_, self->pool_.workKind_);
                        self->onClosed(reason);
                    });
+    connectedAt_ = pool_.clock_.now();
     if (isPaused_)
         stream_->pause();
     sendRequest();
@@ -113,7 +123,14 @@
 void TargetConnection::exchange(std::string text, std::string requestId, bool expectsNoBody,
                                 ExchangeSink &sink)
 {
-    request_ = std::move(text);
+    exchange([text = std::move(text)]() mutable { return std::optional(std::move(text)); },
+             std::move(requestId), expectsNoBody, sink);
+}
+
+void TargetConnection::exchange(RequestWriter writer, std::string requestId, bool expectsNoBody,
+                                ExchangeSink &sink)
+{
+    writer_ = std::move(writer);
     requestId_ = std::move(requestId);
     expectsNoBody_ = expectsNoBody;
     sink_ = &sink;
@@ -128,13 +145,15 @@
 
 void TargetConnection::sendRequest()
 {
-    if (!stream_ || sink_ == nullptr || request_.empty())
+    if (!stream_ || sink_ == nullptr || !writer_)
+        return;
+    std::optional<std::string> text = std::exchange(writer_, nullptr)();
+    if (!text)
         return;
     isSent_ = true;
     if (expectsNoBody_)
         parser_->expectNoBody();
-    stream_->send(std::move(request_));
-    request_.clear();
+    stream_->send(std::move(*text));
 }
 
 void TargetConnection::pause()
@@ -233,6 +252,11 @@
         return;
     if (sink_ != nullptr && error == asio::error::eof) {
         const std::shared_ptr<TargetConnection> self = shared_from_this();
+        const std::optional<Duration> age = stream_->lastSegmentAge();
+        const TimePoint now = pool_.clock_.now();
+        closedSince_ = age            ? now - *age
+            : pool_.meter_ != nullptr ? pool_.meter_->readySince()
+                                      : now;
         parser_->finish();
         if (isResponseComplete_ && !parser_->error()) {
             keepsAlive_ = false;
@@ -317,12 +341,13 @@
     open(address, connectDeadline)->checkHandler_ = std::move(handler);
 }
 
-bool ConnectionPool::hasOpenIdle(const std::string &address) const
+bool ConnectionPool::hasOpenIdle(const std::string &address, TimePoint establishedBy) const
 {
     const auto it = idle_.find(address);
     return it != idle_.end()
-        && std::any_of(it->second.begin(), it->second.end(), [this](const auto &connection) {
-               return connection->isUsable(clock_.now()) && !connection->stream_->hasPeerClosed();
+        && std::any_of(it->second.begin(), it->second.end(), [&](const auto &connection) {
+               return connection->connectedAt_ <= establishedBy
+                   && connection->isUsable(clock_.now()) && !connection->stream_->hasPeerClosed();
            });
 }
 
--- a/packages/gateway/target_connection.h
+++ b/packages/gateway/target_connection.h
@@ -7,11 +7,15 @@
 //     connection->exchange(headAndBody, requestId, sink);
 //     // later, in the sink: onReplyHead, onReplyBody..., onReplyEnd or onExchangeFailure
 //
+// A connection may be established late. A request that depends on the time is passed as a
+// RequestWriter, which returns the text when it is written.
+//
 // Responses with the id of another request are skipped, as a faulty target may send one late or
 // twice. An idle connection that receives bytes is closed.
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -39,6 +43,10 @@
     virtual void onExchangeFailure(const Error &error) = 0;
 };
 
+// Returns the text of a request that is about to be written, or nothing if it must not be sent any
+// more. In the latter case the writer has called abandon().
+using RequestWriter = std::function<std::optional<std::string>()>;
+
 // Whether a target accepts connections.
 enum class Reachability {
     Reachable,
@@ -60,6 +68,11 @@
     // outlives the exchange or abandon() is called.
     void exchange(std::string text, std::string requestId, bool expectsNoBody, ExchangeSink &sink);
 
+    // Calls the writer once, here or from the loop, when the request can be written. It is not
+    // called after the end of the exchange.
+    void exchange(RequestWriter writer, std::string requestId, bool expectsNoBody,
+                  ExchangeSink &sink);
+
     // Ends the exchange without a call of the sink and closes the connection, so that the target
     // drops the request.
     void abandon();
@@ -72,7 +85,15 @@
     // Returns whether bytes of the request may have reached the network.
     [[nodiscard]] bool hasSent() const { return isSent_; }
 
+    // Returns whether the target has sent bytes or closed, and the loop has not handled that yet.
+    // Costs one system call.
+    [[nodiscard]] bool hasUnread() const { return stream_ && stream_->hasUnread(); }
+
     [[nodiscard]] const std::string &address() const { return address_; }
+    // Returns a time at or before which the target closed the connection; only at the end of an
+    // exchange that the close has ended.
+    [[nodiscard]] TimePoint closedSince() const { return closedSince_; }
+
     [[nodiscard]] bool isReused() const { return exchanges_ > 1; }
     [[nodiscard]] bool isUsable(TimePoint now) const;
 
@@ -80,6 +101,7 @@
     friend class ConnectionPool;
 
     void connect();
+    [[nodiscard]] bool hasConnectEnded();
     void onConnected(const asio::error_code &error);
     void finishCheck(Reachability reachability);
     void release();
@@ -100,7 +122,7 @@
     std::shared_ptr<ByteStream> stream_;
     std::unique_ptr<MessageParser> parser_;
     ExchangeSink *sink_ = nullptr;
-    std::string request_; // bytes to send; empty once they were handed to the stream
+    RequestWriter writer_; // empty once the request was handed to the stream
     std::string requestId_;
     bool expectsNoBody_ = false;
     bool isSent_ = false; // bytes of the request may have reached the network
@@ -114,6 +136,8 @@
         checkHandler_; // of a connection without an exchange
     TimePoint usableUntil_ = TimePoint::max(); // an idle connection is not reused after this
     Duration idleTimeout_{}; // as the target announced it
+    TimePoint connectedAt_{};
+    TimePoint closedSince_{};
     int exchanges_ = 0;
 };
 
@@ -137,9 +161,9 @@
     void check(const std::string &address, TimePoint connectDeadline,
                std::function<void(Reachability reachability)> handler);
 
-    // Returns whether a connection to the address is idle that its target has not closed. Costs one
-    // system call for each.
-    [[nodiscard]] bool hasOpenIdle(const std::string &address) const;
+    // Returns whether a connection to the address is idle that was established by that time and
+    // that its target has not closed: its process still runs. Costs one system call for each.
+    [[nodiscard]] bool hasOpenIdle(const std::string &address, TimePoint establishedBy) const;
 
     // Close the idle connections of an address, of all addresses, or those too old for reuse.
     void closeIdle(const std::string &address);
--- a/packages/gateway/target_connection_test.cpp
+++ b/packages/gateway/target_connection_test.cpp
@@ -97,6 +97,60 @@
     CHECK(fixture.pool_.reused() == 1);
 }
 
+TEST_CASE("a request is made up when it can be written, and only if it still may be")
+{
+    Fixture fixture;
+    Recorder recorder;
+    int calls = 0;
+    const RequestWriter write = [&] {
+        ++calls;
+        return std::optional<std::string>("GET / HTTP/1.1\r\n\r\n");
+    };
+    fixture.connect()->exchange(write, "7", false, recorder);
+    CHECK(calls == 0);
+    fixture.accept();
+    CHECK(fixture.readRequest() == "GET / HTTP/1.1\r\n\r\n");
+    fixture.reply(kAnswer);
+    CHECK(fixture.runUntil([&] { return recorder.ends_ == 1; }));
+    fixture.connect()->exchange(write, "7", false, recorder);
+    CHECK(calls == 2); // the connection is reused
+    Recorder unsent;
+    const auto connection = fixture.connect();
+    connection->exchange(
+        [&] {
+            ++calls;
+            connection->abandon();
+            return std::optional<std::string>();
+        },
+        "7", false, unsent);
+    CHECK(fixture.runUntil([&] { return calls == 3; }));
+    CHECK_FALSE(connection->hasSent());
+    CHECK_FALSE(unsent.error_);
+    fixture.accept();
+    char byte = 0;
+    asio::error_code error;
+    CHECK(fixture.peer_.receive(asio::buffer(&byte, 1), 0, error) == 0);
+    CHECK(error == asio::error::eof);
+}
+
+TEST_CASE("what a target has sent is seen before the loop reads it")
+{
+    Fixture fixture;
+    Recorder recorder;
+    const auto connection = fixture.connect();
+    CHECK_FALSE(connection->hasUnread());
+    connection->exchange("GET / HTTP/1.1\r\n\r\n", "7", false, recorder);
+    fixture.accept();
+    fixture.readRequest();
+    CHECK_FALSE(connection->hasUnread());
+    fixture.reply(kAnswer);
+    CHECK(connection->hasUnread());
+    CHECK(fixture.runUntil([&] { return recorder.ends_ == 1; }));
+    CHECK_FALSE(connection->hasUnread());
+    fixture.peer_.close();
+    CHECK(connection->hasUnread());
+}
+
 TEST_CASE("a check tells whether a target accepts connections, and keeps the connection")
 {
     Fixture fixture;
@@ -107,15 +161,17 @@
         const std::size_t count = results.size();
         fixture.runUntil([&] { return results.size() > count; });
     };
-    CHECK_FALSE(fixture.pool_.hasOpenIdle(fixture.address_));
+    CHECK_FALSE(fixture.pool_.hasOpenIdle(fixture.address_, fixture.clock_.now()));
+    const TimePoint began = fixture.clock_.now();
     check();
     fixture.accept();
-    CHECK(fixture.pool_.hasOpenIdle(fixture.address_));
+    CHECK(fixture.pool_.hasOpenIdle(fixture.address_, fixture.clock_.now()));
+    CHECK_FALSE(fixture.pool_.hasOpenIdle(fixture.address_, began));
     Recorder recorder;
     fixture.connect()->exchange("GET / HTTP/1.1\r\n\r\n", "7", false, recorder);
     CHECK(fixture.readRequest() == "GET / HTTP/1.1\r\n\r\n");
     CHECK(fixture.pool_.reused() == 1);
-    CHECK_FALSE(fixture.pool_.hasOpenIdle(fixture.address_));
+    CHECK_FALSE(fixture.pool_.hasOpenIdle(fixture.address_, fixture.clock_.now()));
     fixture.acceptor_.close();
     check();
     CHECK(results == std::vector{Reachability::Reachable, Reachability::Refused});
