gateway: a request behind the last one of its connection is not run

Cause: CallerConnection::readRequests() went on with received bytes after endAnswer() had begun to close the connection, as the stream is open until its bytes are sent. So a request pipelined behind one that was refused at once with "Connection: close" (asked for by its caller, or the entry drains) was admitted, charged and placed, although RFC 9112 section 9.6 forbids it and its caller gets no answer.

Ruled out: answers that end later (endAnswer() returns before it posts the next read, and the stream delivers nothing after finish()).

Conclusion: the last answer sets isDiscarding_, as a final refusal does.

--- a/packages/gateway/caller_connection.cpp
+++ b/packages/gateway/caller_connection.cpp
@@ -192,6 +192,7 @@
     const auto self = shared_from_this(); // the listener's may be the last reference
     relay_.reset();
     if (closesAfterAnswer()) {
+        isDiscarding_ = true;
         listener_.connections_.erase(shared_from_this());
         timer_.cancel();
         stream_->finish();
@@ -211,6 +212,7 @@
 {
     const auto self = shared_from_this();
     relay_.reset();
+    isDiscarding_ = true;
     listener_.connections_.erase(shared_from_this());
     timer_.cancel();
     // A reset would also take from the caller what it has not read yet.
--- a/packages/gateway/caller_connection.h
+++ b/packages/gateway/caller_connection.h
@@ -73,7 +73,7 @@
     std::string body_;
     bool hasHead_ = false;
     bool keepsAlive_ = true;
-    bool isDiscarding_ = false; // after a final refusal: further input is discarded
+    bool isDiscarding_ = false; // after the last answer: further input is discarded
     bool isReading_ = false; // in readRequests(), which must not be re-entered
     TimePoint receivedAt_{};
     std::shared_ptr<Relay> relay_;
