gateway: a target's connection that a slow caller paused is read again

Cause: Relay pauses the target's connection when more than 262,144 bytes wait for the caller. If that happened with the last bytes of an answer, the connection went back to the pool paused, and the Relay that would have resumed it was gone. The next exchange on it was sent and its answer never read: an idle timeout and a retry for repeatable routes, the route's timeout with an unknown outcome for the others.

Evidence: a case in target_connection_test failed before: the second answer was not delivered within 2 s.

Ruled out: a pause in the middle of an answer (onAnswerDrained() resumes it).

Conclusion: ConnectionPool gets connections that are read.

--- a/packages/gateway/target_connection.cpp
+++ b/packages/gateway/target_connection.cpp
@@ -107,6 +107,7 @@
     const Duration idle = (idleTimeout_ > Duration::zero() ? idleTimeout_ : kDefaultIdleTimeout)
         * kIdleReuseNumerator / kIdleReuseDenominator;
     usableUntil_ = pool_.clock_.now() + idle;
+    resume(); // the exchange that paused it has ended
     pool_.release(shared_from_this());
 }
 
--- a/packages/gateway/target_connection_test.cpp
+++ b/packages/gateway/target_connection_test.cpp
@@ -17,7 +17,12 @@
     {
         status_ = head.status_;
     }
-    void onReplyBody(std::string_view data) override { body_ += data; }
+    void onReplyBody(std::string_view data) override
+    {
+        body_ += data;
+        if (paused_)
+            paused_->pause();
+    }
     void onReplyEnd() override { ++ends_; }
     void onExchangeFailure(const Error &error) override { error_ = error; }
 
@@ -25,6 +30,7 @@
     std::string body_;
     int ends_ = 0;
     std::optional<Error> error_;
+    std::shared_ptr<TargetConnection> paused_; // at each part of the body
 };
 
 // A loopback server whose responses the test writes by hand.
@@ -97,6 +103,26 @@
     CHECK(fixture.pool_.reused() == 1);
 }
 
+// Guards against a reused connection whose answer is never read: a slow caller pauses it with the
+// last bytes of an answer, and drains them when the connection is idle.
+TEST_CASE("a connection that was paused at the end of an answer is read when it is reused")
+{
+    Fixture fixture;
+    Recorder first;
+    first.paused_ = fixture.connect();
+    first.paused_->exchange("GET / HTTP/1.1\r\n\r\n", "7", false, first);
+    fixture.accept();
+    fixture.readRequest();
+    fixture.reply(kAnswer);
+    CHECK(fixture.runUntil([&] { return first.ends_ == 1; }));
+    Recorder second;
+    fixture.connect()->exchange("GET /2 HTTP/1.1\r\n\r\n", "7", false, second);
+    CHECK(fixture.pool_.reused() == 1);
+    CHECK(fixture.readRequest() == "GET /2 HTTP/1.1\r\n\r\n");
+    fixture.reply(kAnswer);
+    CHECK(fixture.runUntil([&] { return second.ends_ == 1; }));
+}
+
 TEST_CASE("a check tells whether a target accepts connections, and keeps the connection")
 {
     Fixture fixture;
