explain tells the store's era of the configuration that admitted a request

Change: ServingConfig keeps the era of the store when it was read; `admitted` and `configuration_in_force` log it as store_era, one integer in a sampled line; explain prints it with the revision.

Limits: the era is the highest that an answer had named when the row was handed on. Not told for requests that were refused over their quota, which have no line `admitted`. Cost of a request not measured.

--- a/packages/ctl/explain.cpp
+++ b/packages/ctl/explain.cpp
@@ -139,6 +139,15 @@
     return answers;
 }
 
+std::string configurationOf(const std::vector<StoryLine> &lines)
+{
+    const StoryLine *admitted = lastOf(lines, "admitted");
+    if (admitted == nullptr || !admitted->fields_.contains("store_era"))
+        return "";
+    return concat("revision ", textOf(admitted->fields_, "revision"), ", read in era ",
+                  textOf(admitted->fields_, "store_era"), " of the store");
+}
+
 std::string causeOf(const std::vector<StoryLine> &lines)
 {
     if (const StoryLine *broken = lastOf(lines, "broken_off")) {
@@ -221,6 +230,7 @@
     }
     std::stable_sort(explanation.lines_.begin(), explanation.lines_.end(), byTime);
     explanation.answers_ = answersOf(explanation.lines_);
+    explanation.configuration_ = configurationOf(explanation.lines_);
     explanation.cause_ = causeOf(explanation.lines_);
     return explanation;
 }
--- a/packages/ctl/explain.h
+++ b/packages/ctl/explain.h
@@ -35,6 +35,8 @@
     std::vector<StoryLine> lines_; // in order of time
     // How each attempt's answer was framed and ended, and what the caller was told, in order.
     std::vector<std::string> answers_;
+    // The configuration that admitted the request; empty if the logs do not tell it.
+    std::string configuration_;
     std::string cause_; // one sentence; empty if the logs do not know the request
 
     bool operator==(const Explanation &) const = default;
--- a/packages/ctl/explain_test.cpp
+++ b/packages/ctl/explain_test.cpp
@@ -98,6 +98,32 @@
     CHECK(reader.explain("r").answers_ == expected);
 }
 
+// Guards against an era that is told though the logs do not hold it, and against another request's.
+TEST_CASE("the configuration that admitted a request is told with the store's era")
+{
+    struct Case
+    {
+        const char *log_;
+        const char *configuration_;
+    };
+    const Case cases[] = {
+        {R"({"kind":"admitted","request":"r","revision":7,"store_era":2,"time_us":1})"
+         "\n"
+         R"({"kind":"admitted","request":"s","revision":8,"store_era":3,"time_us":2})",
+         "revision 7, read in era 2 of the store"},
+        {R"({"kind":"admitted","request":"r","revision":7,"store_era":0,"time_us":1})",
+         "revision 7, read in era 0 of the store"},
+        {R"({"kind":"admitted","request":"r","revision":7,"time_us":1})",
+         ""}, // of an older version
+        {kSent, ""},
+    };
+    for (const Case &c : cases) {
+        LogReader reader;
+        reader.read("f", std::string(c.log_) + "\n");
+        CHECK(reader.explain("r").configuration_ == c.configuration_);
+    }
+}
+
 TEST_CASE("lines of several logs are put in order of time")
 {
     LogReader reader;
--- a/packages/ctl/log_commands.cpp
+++ b/packages/ctl/log_commands.cpp
@@ -61,6 +61,9 @@
                                  line.isContext_ ? concat("(", line.kind_, ")") : line.kind_,
                                  detailsOf(line)});
     }
+    if (!explanation.configuration_.empty())
+        report.table_.push_back({"", "", "configuration:", explanation.configuration_});
+    report.json_["configuration"] = explanation.configuration_;
     for (const std::string &answer : explanation.answers_)
         report.table_.push_back({"", "", "answer:", answer});
     report.json_["answers"] = explanation.answers_;
--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -171,8 +171,11 @@
 {
     bool isChanged = false;
     for (const StoreRow &row : rows) {
-        if (std::optional<ServingConfig> config = codec_.decodeConfig(row))
-            isChanged = gateway_.configure(std::move(*config)) || isChanged;
+        std::optional<ServingConfig> config = codec_.decodeConfig(row);
+        if (!config)
+            continue;
+        config->storeEra_ = store_.era();
+        isChanged = gateway_.configure(std::move(*config)) || isChanged;
     }
     versionRows_.add(std::move(rows));
     if (!isChanged)
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -88,6 +88,7 @@
         placements_.try_emplace(name);
     parts_.log_.write(LogDetail::Full, "configuration_in_force",
                       {{"revision", config_->revision_},
+                       {"store_era", config_->storeEra_},
                        {"routes", config_->routes_.size()},
                        {"workspaces", config_->workspaces_.size()}});
     parts_.metrics_.gauge("foxtailturn_configuration_revision", "revision in force")
@@ -168,7 +169,8 @@
                            {"service", request.service_},
                            {"workspace", request.workspace_},
                            {"charge", request.charge_},
-                           {"revision", config_->revision_}});
+                           {"revision", config_->revision_},
+                           {"store_era", config_->storeEra_}});
     return request;
 }
 
--- a/packages/gateway/serving_config.h
+++ b/packages/gateway/serving_config.h
@@ -106,6 +106,7 @@
 struct ServingConfig
 {
     std::int64_t revision_ = 0;
+    std::int64_t storeEra_ = 0; // of the store when it was read (StorePosition)
     std::vector<Route> routes_;
     std::map<std::string, Service> services_;
     std::vector<Workspace> workspaces_;
