gateway: an entry that is behind uses grants that came in time

Cause: GrantRequester judged an answer and an expiry by when the loop handled them. An entry more than 200 ms behind ignored each grant, marked the owner unresponsive, reconnected and read the store more often. Now an answer is judged by LoopMeter::readySince(), and an owner is blamed only if the loop has read all that came before the deadline. A grant older than kMaxGrantAge stays unused; each request number is still answered once.

Evidence: the new case of quota_peers_test failed before with granted 0 of 1, one owner lost and the owner not reachable; it passes now. 14 cases on grants and owners pass (128 assertions). GrantRequester's new cases need the new signature and were not run on the code before. Not run: all of gateway_test, quota_test, fleet_test, flood_test, store_test, lint.

--- a/packages/gateway/grant_requester.cpp
+++ b/packages/gateway/grant_requester.cpp
@@ -1,5 +1,7 @@
 #include "gateway/grant_requester.h"
 
+#include <algorithm>
+
 namespace foxtailturn::gateway {
 
 GrantRequester::GrantRequester(const Clock &clock, Sender send)
@@ -11,18 +13,19 @@
                                   std::int64_t charge, GrantHandler handler)
 {
     const GrantRequest request{nextNumber_++, workspace, charge};
-    pending_[request.number_] = {owner, request, clock_.now() + kGrantTimeout, std::move(handler)};
+    const TimePoint deadline = clock_.now() + kGrantTimeout;
+    pending_[request.number_] = {owner, request, deadline, deadline, std::move(handler)};
     send_(owner, request);
 }
 
-void GrantRequester::onAnswer(const GrantAnswer &answer)
+void GrantRequester::onAnswer(const GrantAnswer &answer, TimePoint receivedAt)
 {
     const auto it = pending_.find(answer.number_);
     if (it == pending_.end())
         return;
     const TimePoint now = clock_.now();
     // After a suspension of this process, a grant that was charged long ago must not be used.
-    if (now >= it->second.deadline_)
+    if (receivedAt >= it->second.deadline_ || now >= usableUntil(it->second))
         return;
     const Pending pending = std::move(it->second);
     pending_.erase(it);
@@ -44,14 +47,21 @@
     }
 }
 
-std::set<std::string> GrantRequester::expire()
+std::set<std::string> GrantRequester::expire(TimePoint readySince)
 {
     const TimePoint now = clock_.now();
     std::set<std::string> unresponsive;
     while (!pending_.empty() && now >= pending_.begin()->second.deadline_) {
-        const Pending pending = std::move(pending_.begin()->second);
+        Pending &oldest = pending_.begin()->second;
+        const bool isUnanswered = readySince >= oldest.deadline_;
+        if (!isUnanswered && now < usableUntil(oldest)) {
+            oldest.expireAt_ = std::min(now + kRecheckInterval, usableUntil(oldest));
+            break;
+        }
+        const Pending pending = std::move(oldest);
         pending_.erase(pending_.begin());
-        unresponsive.insert(pending.owner_);
+        if (isUnanswered)
+            unresponsive.insert(pending.owner_);
         pending.handler_(notRun(ErrorCode::LeaseExpired, "no answer of the quota's owner in time",
                                 now + kGrantTimeout));
     }
@@ -62,7 +72,7 @@
 {
     if (pending_.empty())
         return std::nullopt;
-    return pending_.begin()->second.deadline_;
+    return pending_.begin()->second.expireAt_;
 }
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/quota_peers.cpp
+++ b/packages/gateway/quota_peers.cpp
@@ -126,7 +126,7 @@
         if (onOwnerLost_)
             onOwnerLost_();
     }
-    requester_.onAnswer(*message.grantAnswer_);
+    requester_.onAnswer(*message.grantAnswer_, readySince());
 }
 
 void QuotaPeers::requestGrant(const std::string &workspace, std::int64_t charge,
@@ -159,6 +159,11 @@
     armTimer();
 }
 
+TimePoint QuotaPeers::readySince() const
+{
+    return meter_ == nullptr ? clock_.now() : meter_->readySince();
+}
+
 void QuotaPeers::armTimer()
 {
     const std::optional<TimePoint> at = requester_.nextExpiry();
@@ -174,7 +179,7 @@
 void QuotaPeers::onTimer()
 {
     const LoopMeter::Scope scope(meter_, WorkKind::Peers);
-    for (const std::string &owner : requester_.expire()) {
+    for (const std::string &owner : requester_.expire(readySince())) {
         const bool isNewlyUnresponsive = unresponsive_.insert(owner).second;
         quotas_.setOwnerAnswering(owner, false);
         if (isNewlyUnresponsive) {
--- a/packages/gateway/quota_peers.h
+++ b/packages/gateway/quota_peers.h
@@ -60,6 +60,7 @@
     void connect(const std::string &owner);
     void onLink(const std::string &owner, bool isLinked);
     void onMessage(const std::string &owner, const AgentMessage &message);
+    [[nodiscard]] TimePoint readySince() const;
     void armTimer();
     void onTimer();
 
--- a/packages/gateway/quota_peers_test.cpp
+++ b/packages/gateway/quota_peers_test.cpp
@@ -192,4 +192,50 @@
     CHECK(granted == 2);
 }
 
+// Guards against an entry that is behind: it refused callers, took healthy owners for unresponsive
+// and read the store more often.
+TEST_CASE("an entry that is behind uses a grant that came in time and blames no owner")
+{
+    using std::chrono::milliseconds;
+    const std::string name = "e1@127.0.0.1";
+    SystemClock clock;
+    MetricRegistry metrics;
+    LoopMeter meter(clock, metrics);
+    asio::io_context ownerContext;
+    SuspendedOwner owner(ownerContext, "127.0.0.1", 0);
+    owner.resume();
+    Entry entry(clock, "e0@127.0.0.2", owner.port());
+    entry.peers_.setMeter(meter);
+    int ownersLost = 0;
+    entry.peers_.onOwnerLost([&ownersLost] { ++ownersLost; });
+    const auto runEntryFor = [&](Duration time) {
+        const TimePoint end = clock.now() + time;
+        while (clock.now() < end) {
+            (void)meter.beginTurn();
+            if (entry.context_.poll_one() == 0)
+                meter.nothingReady();
+            entry.context_.restart();
+            ownerContext.poll();
+            ownerContext.restart();
+        }
+    };
+    entry.readRows({name}, 1);
+    runEntryFor(milliseconds(500));
+    REQUIRE(entry.reaches(name));
+    int granted = 0;
+    entry.peers_.requestGrant(
+        "w", 10, [&granted](const Result<void> &result) { granted += result ? 1 : 0; });
+    (void)meter.beginTurn();
+    {
+        const LoopMeter::Scope scope(&meter, WorkKind::Reports);
+        ownerContext.run_for(GrantRequester::kGrantTimeout + milliseconds(100));
+    }
+    CHECK(granted == 0);
+    runEntryFor(milliseconds(100));
+    CHECK(granted == 1);
+    CHECK(ownersLost == 0);
+    CHECK(owner.accepted() == 1);
+    CHECK(entry.reaches(name));
+}
+
 } // namespace foxtailturn::gateway
