--- a/testing/processes.py
+++ b/testing/processes.py
@@ -150,14 +150,12 @@
 
     def kill(self):
         """Ends the process at once (SIGKILL), as when its VM is lost. Returns the exit code."""
-        if self.is_running():
-            os.kill(self.pid, signal.SIGKILL)
+        self._popen.send_signal(signal.SIGKILL)
         return self._popen.wait(STOP_SECONDS)
 
     def terminate(self):
         """Sends SIGTERM and returns at once; wait_exit() gives the exit code."""
-        if self.is_running():
-            os.kill(self.pid, signal.SIGTERM)
+        self._popen.send_signal(signal.SIGTERM)  # which allows for one that has ended
 
     def wait_exit(self, seconds=STOP_SECONDS):
         """Returns the exit code (negative: signal). Raises ProcessError if it still runs."""
--- a/testing/processes_test.py
+++ b/testing/processes_test.py
@@ -1,5 +1,7 @@
 """Tests of processes.py with the stand-ins. Usage: processes_test.py BUILD_FOLDER"""
 
+import os
+import signal
 import sys
 import time
 import unittest
@@ -44,6 +46,16 @@
             self.assertEqual(killed.kill(), -9)
         self.assertFalse(paused.is_running())
 
+    def test_process_that_another_thread_waits_for(self):
+        """Guards against an error when a process is killed in another thread and ends meanwhile."""
+        with ProcessGroup(BUILD) as group:
+            service = group.start_stub("service", "testing/foxtailturn_service_stub")
+            with service._popen._waitpid_lock:  # as the other thread holds it while it waits
+                os.kill(service.pid, signal.SIGKILL)
+                os.waitpid(service.pid, 0)
+                service.terminate()
+            self.assertFalse(service.is_running())
+
     def test_crash_marker_ends_the_engine(self):
         with ProcessGroup(BUILD) as group:
             engine = group.start_stub("engine", "testing/foxtailturn_engine_stub",
