http1: an answer whose status is outside 100 to 599 has failed

Here a status below 100 counted as an interim answer: the caller waited for another one until the deadline (504), and a status above 599 was passed on as the target's answer. Neither is valid (RFC 9110, section 15). The parser rejects them now, so the attempt fails at once and goes on elsewhere where it may.

--- a/packages/http1/message_parser.cpp
+++ b/packages/http1/message_parser.cpp
@@ -20,6 +20,14 @@
     return status >= kFirstFinal && status != kNoContent && status != kNotModified;
 }
 
+// RFC 9110, section 15: other values are invalid.
+bool isStatus(int status)
+{
+    constexpr int kFirst = 100;
+    constexpr int kLast = 599;
+    return status >= kFirst && status <= kLast;
+}
+
 bool isFramable(const MessageHead &head)
 {
     const std::string *coding = head.find("Transfer-Encoding");
@@ -125,6 +133,10 @@
             head_.method_ = http_method_str(static_cast<http_method>(parser_.method));
         else
             head_.status_ = static_cast<int>(parser_.status_code);
+        if (kind_ == MessageKind::Response && !isStatus(head_.status_)) {
+            fail(ErrorCode::BadRequest, "the status is outside 100 to 599");
+            return -1;
+        }
         if (!isFramable(head_) || parser_.upgrade != 0) {
             fail(ErrorCode::BadRequest, "the transfer coding or upgrade is not supported");
             return -1;
--- a/packages/http1/message_parser_test.cpp
+++ b/packages/http1/message_parser_test.cpp
@@ -238,6 +238,26 @@
 }
 
 // Guards against a wait for a body that a status or method rules out, whatever the fields say.
+// Guards against an answer with an invalid status, or one that is taken for an interim answer.
+TEST_CASE("a status outside 100 to 599 is an error")
+{
+    struct Case
+    {
+        std::string status_;
+        bool isError_;
+    };
+    for (const Case &c :
+         {Case{"000", true}, Case{"001", true}, Case{"099", true}, Case{"100", false},
+          Case{"599", false}, Case{"600", true}, Case{"999", true}}) {
+        CAPTURE(c.status_);
+        Recorder sink;
+        MessageParser parser(MessageKind::Response, kHeaderLimit, sink);
+        parser.feed("HTTP/1.1 " + c.status_ + " Odd\r\nContent-Length: 0\r\n\r\n");
+        CHECK(parser.error().has_value() == c.isError_);
+        CHECK((sink.head_.status_ != 0) == !c.isError_);
+    }
+}
+
 TEST_CASE("a response without a body ends with its head")
 {
     for (const std::string status : {"204 No", "304 No", "100 Go"}) {
