placement, gateway: an evacuated data centre gets nothing new

Cause: nothing read the operator's rows of evacuations, so requests went on to the data centre's targets.

Evacuations decides from the rows and the time which data centres are closed or avoided for a request; placement, retries, resumed streams, waiting requests and the moment before bytes are written follow it.

Ruled out: health checks of targets only open connections; sidecars give orders on requests of entries only.

--- a/packages/gateway/adapter_hosts.cpp
+++ b/packages/gateway/adapter_hosts.cpp
@@ -9,6 +9,7 @@
     AdapterHost absent;
     absent.isAgentConnected_ = target.isAgentConnected_;
     absent.isSuperseded_ = target.isSuperseded_;
+    absent.isEvacuated_ = target.isEvacuated_;
     Entries entries;
     const auto entry = [&](const std::string &name) -> AdapterHost & {
         return entries.try_emplace(name, absent).first->second;
--- a/packages/gateway/adapter_hosts.h
+++ b/packages/gateway/adapter_hosts.h
@@ -28,6 +28,7 @@
     bool isRequested_ = false; // this entry has requested a load, which isn't reported as complete
     bool isAgentConnected_ = false; // see Target
     bool isSuperseded_ = false; // see Target
+    bool isEvacuated_ = false; // see Target
 
     // Returns whether requests can run on the copy.
     [[nodiscard]] bool isUsable() const { return version_.has_value() && !isLoading_; }
--- a/packages/gateway/codec.h
+++ b/packages/gateway/codec.h
@@ -219,6 +219,9 @@
     [[nodiscard]] virtual std::optional<AdapterVersion>
     decodeAdapterVersion(const StoreRow &row) const = 0;
     [[nodiscard]] virtual std::optional<TargetRecord> decodeTarget(const StoreRow &row) const = 0;
+    // Returns the data centre that a row evacuates, also for a removed row, which takes it back.
+    [[nodiscard]] virtual std::optional<std::string>
+    evacuatedDataCentre(const StoreRow &row) const = 0;
 };
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/codec_testing.h
+++ b/packages/gateway/codec_testing.h
@@ -47,6 +47,7 @@
         return {};
     }
     std::optional<TargetRecord> decodeTarget(const StoreRow &) const override { return {}; }
+    std::optional<std::string> evacuatedDataCentre(const StoreRow &) const override { return {}; }
 };
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -43,7 +43,8 @@
                 .retryPercent_ = settings.retryPercent_,
                 .unlistedGrace_ = targetTimesFor(settings.drainNotice_).unlistedGrace_,
                 .quotaTolerance_ = settings.quotaTolerance_,
-                .milliCores_ = settings.milliCores_})
+                .milliCores_ = settings.milliCores_,
+                .evacuationNotice_ = settings.evacuationNotice_})
     , callers_(gateway_, meter_)
     , admin_(context)
     , deferredWork_(clock_, &meter_)
@@ -54,9 +55,9 @@
                      {.table_ = codec.operatorTable(),
                       .longPollTimeout_ = longPollTimeoutFor(settings.storeSilenceLimit_),
                       .pause_ = kOperatorTablePause},
-                     [this](std::vector<StoreRow> rows, TableContent) {
+                     [this](std::vector<StoreRow> rows, TableContent content) {
                          const LoopMeter::Scope scope(&meter_, WorkKind::Records);
-                         onOperatorRows(std::move(rows));
+                         onOperatorRows(std::move(rows), content);
                      })
     , targetWatch_(
           store_, log_,
@@ -167,8 +168,28 @@
     return gateway_.quotas().canSpend() || clock_.now() > awaitsOwnersUntil_;
 }
 
-void EntryNode::onOperatorRows(std::vector<StoreRow> rows)
+void EntryNode::onEvacuationRows(const std::vector<StoreRow> &rows, TableContent content)
 {
+    placement::Evacuations::Rows evacuations;
+    for (const StoreRow &row : rows) {
+        if (const std::optional<std::string> dataCentre = codec_.evacuatedDataCentre(row))
+            evacuations.push_back({*dataCentre, {store_.era(), row.version_}, row.isRemoved_});
+    }
+    placement::Evacuations &known = gateway_.evacuations();
+    const TimePoint now = clock_.now();
+    if (content == TableContent::Copy)
+        gateway_.onEvacuations(known.applyCopy(evacuations, now));
+    else if (content == TableContent::Snapshot)
+        gateway_.onEvacuations(known.applySnapshot(evacuations, {store_.era(), 0}, now));
+    else
+        gateway_.onEvacuations(known.applyChanges(
+            evacuations,
+            operatorWatch_.isFresh() ? placement::RowAge::Fresh : placement::RowAge::Unknown, now));
+}
+
+void EntryNode::onOperatorRows(std::vector<StoreRow> rows, TableContent content)
+{
+    onEvacuationRows(rows, content); // before a configuration that lets requests in
     bool isChanged = false;
     for (const StoreRow &row : rows) {
         std::optional<ServingConfig> config = codec_.decodeConfig(row);
@@ -356,6 +377,7 @@
         suspects_.removeExpired();
         suspectsPrunedAt_ = clock_.now();
     }
+    gateway_.onEvacuations(gateway_.evacuations().confirmCopy(clock_.now()));
     gateway_.requestLoads();
     writeMetrics();
     writeLog();
--- a/packages/gateway/entry_node.h
+++ b/packages/gateway/entry_node.h
@@ -47,7 +47,8 @@
     void stop(std::function<void()> onStopped);
 
 private:
-    void onOperatorRows(std::vector<StoreRow> rows);
+    void onOperatorRows(std::vector<StoreRow> rows, TableContent content);
+    void onEvacuationRows(const std::vector<StoreRow> &rows, TableContent content);
     void onVersionRow(const StoreRow &row);
     void onVersionsRead();
     void onTargetRows(const std::vector<StoreRow> &rows, TableContent content);
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -64,6 +64,7 @@
 Gateway::Gateway(const GatewayDependencies &parts, const GatewayOptions &identity)
     : parts_(parts)
     , options_(identity)
+    , evacuations_(identity.evacuationNotice_)
     , targets_(identity.unlistedGrace_)
     , pool_(parts.context_, parts.codec_, parts.clock_)
     , quotas_({identity.name_, identity.milliCores_}, parts.clock_, identity.quotaTolerance_)
@@ -219,7 +220,32 @@
     request.dataCentre_ = options_.dataCentre_;
     request.minVersion_ =
         versions_.minVersion(adapterName(request.model_, request.adapter_), now());
-    return placements_[service].choose(targets_.availableTargets(service, now()), request, now());
+    request.closedDataCentres_ = evacuations_.closedOrAvoided(request.moveKey_, now());
+    const std::vector<Target *> targets = targets_.availableTargets(service, now());
+    const Placement &placement = placements_[service];
+    PlacementChoice choice = placement.choose(targets, request, now());
+    if (choice.target_ != nullptr || request.closedDataCentres_.empty())
+        return choice;
+    request.closedDataCentres_ = evacuations_.closed(now());
+    return placement.choose(targets, request, now());
+}
+
+void Gateway::onEvacuations(const placement::Evacuations::Changes &changes)
+{
+    if (changes.empty())
+        return;
+    for (const placement::EvacuationChange &change : changes)
+        parts_.log_.write(LogDetail::Full,
+                          change.isEvacuated_ ? "evacuation_begun" : "evacuation_ended",
+                          {{"data_centre", change.dataCentre_},
+                           {"store_era", change.position_.era_},
+                           {"row_version", change.position_.version_},
+                           {"gradual", change.isGradual_}});
+    const std::set<std::string> evacuated = evacuations_.evacuated();
+    parts_.metrics_.gauge("foxtailturn_evacuated_data_centres", "data centres that are evacuated")
+        .set(static_cast<std::int64_t>(evacuated.size()));
+    targets_.setEvacuated(evacuated);
+    retryWaiting(WaitingRequests::Selection(waiting_.all()));
 }
 
 bool Gateway::declareVersion(const AdapterVersion &version)
@@ -311,7 +337,7 @@
     for (Target *target : withoutModel) {
         const auto service = config_->services_.find(target->record_.service_);
         if (service == config_->services_.end() || !service->second.engine_
-            || !target->isAgentConnected_ || !target->isInService())
+            || !target->isAgentConnected_ || !target->isInService() || target->isEvacuated_)
             continue;
         const auto copiesOf = [&](const std::string &model) {
             const auto [it, isNew] = copies.try_emplace(service->first + "/" + model, 0);
@@ -335,7 +361,7 @@
     const AdapterHosts::Hosts &hosts = targets_.hosts().hostsOf(model);
     return static_cast<int>(std::count_if(hosts.begin(), hosts.end(), [&](const auto &entry) {
         const auto &[target, host] = entry;
-        return host.version_.has_value() && target->hasReport()
+        return host.version_.has_value() && target->hasReport() && !target->isEvacuated_
             && target->record_.service_ == service;
     }));
 }
@@ -489,6 +515,7 @@
                            {"leaving", target->isLeaving_},
                            {"listed", target->usableUntil_ == TimePoint::max()},
                            {"superseded", target->isSuperseded_},
+                           {"evacuated", target->isEvacuated_},
                            {"suspect", target->isSuspect(now())},
                            {"agent", target->isAgentConnected_},
                            {"in_flight", target->inFlight_},
@@ -509,6 +536,7 @@
             {"quota_units", shares},
             {"quota_owners", owners},
             {"waiting", waiting_.size()},
+            {"evacuated", evacuations_.evacuated()},
             {"connections_opened", pool_.opened()},
             {"connections_reused", pool_.reused()}};
 }
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -29,6 +29,7 @@
 #include "gateway/target_connection.h"
 #include "gateway/target_registry.h"
 #include "gateway/waiting_requests.h"
+#include "placement/evacuations.h"
 #include "quota/quota_parts.h"
 #include "retry/crash_detector.h"
 #include "retry/quarantine.h"
@@ -46,6 +47,7 @@
     Duration unlistedGrace_{}; // see TargetTimes
     std::int64_t quotaTolerance_ = 0; // tokens; see QuotaParts
     std::int64_t milliCores_ = 0; // processor share of the VM
+    Duration evacuationNotice_{}; // see placement::Evacuations
 };
 
 // Objects that the gateway uses. They must outlive it.
@@ -91,6 +93,16 @@
     [[nodiscard]] std::variant<AdmittedRequest, Refusal>
     admit(const MessageHead &head, std::string body, TimePoint receivedAt);
 
+    // The evacuated data centres. onEvacuations() must be called with what a call has changed.
+    placement::Evacuations &evacuations() { return evacuations_; }
+    void onEvacuations(const placement::Evacuations::Changes &changes);
+
+    // Returns whether a request may not be sent to the target any more.
+    [[nodiscard]] bool isClosed(const Target &target) const
+    {
+        return evacuations_.isClosed(target.record_.dataCentre_, now());
+    }
+
     // Refuses from now on what the schedule does not admit.
     void beginShutdown(const ShutdownSchedule &schedule) { shutdown_ = schedule; }
 
@@ -218,6 +230,7 @@
     GatewayOptions options_;
     std::shared_ptr<const ServingConfig> config_;
     std::optional<ShutdownSchedule> shutdown_;
+    placement::Evacuations evacuations_;
     TargetRegistry targets_;
     ConnectionPool pool_;
     quota::QuotaParts quotas_;
--- a/packages/gateway/node_settings.cpp
+++ b/packages/gateway/node_settings.cpp
@@ -61,6 +61,8 @@
         object.integer("stop_grace_s", {.min_ = 0, .max_ = kMaxStopGraceSeconds}, 8));
     settings.drainNotice_ = std::chrono::milliseconds(object.integer(
         "drain_notice_ms", {.min_ = kMinDrainNoticeMs, .max_ = kMaxDrainNoticeMs}, 2000));
+    settings.evacuationNotice_ = std::chrono::milliseconds(
+        object.integer("evacuation_notice_ms", {.min_ = 0, .max_ = kMaxDrainNoticeMs}, 0));
     settings.storeSilenceLimit_ = std::chrono::milliseconds(object.integer(
         "store_silence_limit_ms", {.min_ = kMinSilenceLimitMs, .max_ = kMaxSilenceLimitMs}, 3000));
     settings.quotaTolerance_ = object.integer("quota_tolerance", {.min_ = 0}, 0);
--- a/packages/gateway/node_settings.h
+++ b/packages/gateway/node_settings.h
@@ -30,6 +30,9 @@
     Duration stopGrace_ = std::chrono::seconds(8); // from SIGTERM to SIGKILL
     // Time from the store's record that a target drains to the last request that may reach it.
     Duration drainNotice_ = std::chrono::milliseconds(2000);
+    // Time from the store's record that a data centre is evacuated to the last request that may
+    // reach one of its targets; zero: requests leave it at once.
+    Duration evacuationNotice_{};
     // Time after a disturbance of the store or its connections within which the entry has to follow
     // the store again.
     Duration storeSilenceLimit_ = std::chrono::milliseconds(3000);
--- a/packages/gateway/outdated_copies.cpp
+++ b/packages/gateway/outdated_copies.cpp
@@ -22,7 +22,7 @@
 
 bool OutdatedCopies::isOutdated(const std::string &name, const AdapterHost &host) const
 {
-    return host.isUsable() && host.isAgentConnected_ && !host.isSuperseded_
+    return host.isUsable() && host.isAgentConnected_ && !host.isSuperseded_ && !host.isEvacuated_
         && *host.version_ < versions_.newest(name);
 }
 
--- a/packages/gateway/outdated_copies.h
+++ b/packages/gateway/outdated_copies.h
@@ -69,7 +69,8 @@
     // What is known of an adapter.
     struct Adapter
     {
-        std::set<Copy> outdated_; // that may be replaced: neither loading nor out of reach
+        std::set<Copy>
+            outdated_; // that may be replaced: not loading, not out of reach, not evacuated
         int loads_ = 0; // in progress
     };
     struct Due
--- a/packages/gateway/placement.cpp
+++ b/packages/gateway/placement.cpp
@@ -54,7 +54,11 @@
 {
     if (isExcluded(target, request))
         return PassedOver::AlreadyTried;
-    if (request.isEngine_ && !hasAdapter) {
+    const bool needsLoad = request.isEngine_ && !hasAdapter;
+    if (request.closedDataCentres_.contains(target.record_.dataCentre_)
+        || (needsLoad && target.isEvacuated_))
+        return PassedOver::Evacuated;
+    if (needsLoad) {
         if (!target.isAgentConnected_)
             return PassedOver::NoAgent;
         if (!target.hostsModel(request.model_) && !target.report_.models_.empty())
@@ -72,6 +76,8 @@
         return "";
     case PassedOver::AlreadyTried:
         return "already tried for this request";
+    case PassedOver::Evacuated:
+        return "data centre evacuated";
     case PassedOver::NoAgent:
         return "adapter not loaded and no agent connected to load it";
     case PassedOver::OtherModel:
@@ -289,8 +295,8 @@
 {
     const auto requested = target.requestedLoads_.find(adapterName);
     return requested != target.requestedLoads_.end() && now - requested->second.at_ <= loadTimeout()
-        && target.isInService() && now < target.usableUntil_ && target.isAgentConnected_
-        && !target.isSuspect(now) && !target.backoff_.isClosed(now)
+        && target.isInService() && !target.isEvacuated_ && now < target.usableUntil_
+        && target.isAgentConnected_ && !target.isSuspect(now) && !target.backoff_.isClosed(now)
         && !target.backoff_.isAvoided(now);
 }
 
--- a/packages/gateway/placement.h
+++ b/packages/gateway/placement.h
@@ -16,6 +16,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +24,7 @@
 #include "base/clock.h"
 #include "gateway/cached_prefixes.h"
 #include "gateway/target_registry.h"
+#include "placement/evacuations.h"
 
 namespace foxtailturn::gateway {
 
@@ -36,12 +38,15 @@
     std::vector<PromptPart> prefix_;
     std::string dataCentre_; // of the entry
     std::vector<std::string> excluded_; // instances that the request was already sent to
+    placement::MoveKey moveKey_;
+    std::set<std::string> closedDataCentres_; // evacuated ones, or not for this request yet
 };
 
 // Why a target was not eligible, or came after others.
 enum class PassedOver {
     No,
     AlreadyTried,
+    Evacuated,
     NoAgent, // to load the missing adapter
     OtherModel,
     Closed, // wants no requests yet
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/hash.h"
 #include "gateway/gateway.h"
 
 namespace foxtailturn::gateway {
@@ -63,6 +64,11 @@
     placement.promptTokens_ = request_.caller_.promptTokens_;
     placement.prefix_ = request_.caller_.prefix_;
     placement.excluded_ = tried_;
+    // Requests for an adapter move between data centres together, so that it is loaded once.
+    placement.moveKey_ = {request_.priority_,
+                          hash64(placement.adapter_.empty()
+                                     ? request_.caller_.id_
+                                     : adapterName(placement.model_, placement.adapter_))};
     return placement;
 }
 
@@ -244,6 +250,11 @@
         cancel();
         return std::nullopt;
     }
+    if (const Target *target = use_.target(); target != nullptr && gateway_.isClosed(*target)) {
+        withdraw();
+        retryAttempt("the target's data centre was evacuated before the request was sent");
+        return std::nullopt;
+    }
     TargetCall call;
     call.timeLeft_ = request_.deadline_ - now;
     call.instance_ = use_.instance();
@@ -257,6 +268,14 @@
     return text;
 }
 
+// Ends an attempt of which nothing was sent, as if it had not been made.
+void Relay::withdraw()
+{
+    releaseTarget();
+    tried_.pop_back();
+    --sends_;
+}
+
 void Relay::releaseTarget()
 {
     if (use_.instance().empty())
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -104,6 +104,7 @@
     void reviewWait();
     void send(Target &target);
     [[nodiscard]] std::optional<std::string> requestText();
+    void withdraw();
     void releaseTarget();
     void abandonAttempt();
     void armTimer();
--- a/packages/gateway/store_client.cpp
+++ b/packages/gateway/store_client.cpp
@@ -13,6 +13,7 @@
 constexpr Duration kFollowTimeoutMargin = milliseconds(500); // added to the long-poll timeout
 constexpr Duration kBackoffBase = milliseconds(100); // base of the exponential backoff
 constexpr Duration kMaxBackoff = milliseconds(600); // bounds the time to detect a recovery
+constexpr Duration kMaxCallDelay = milliseconds(300); // of a call after the pause
 constexpr int kMaxDoublings = 3;
 constexpr int kHttpOk = 200;
 constexpr int kHttpGone = 410;
@@ -98,6 +99,7 @@
                                     settings_.longPollTimeout_);
     const Duration timeout =
         reader_.isReading() ? kReadTimeout : settings_.longPollTimeout_ + kFollowTimeoutMargin;
+    calledAt_ = store_.now();
     store_.call(call, timeout,
                 [this, weak = std::weak_ptr<int>(lifetimeToken_)](const StoreAnswer &answer) {
                     if (!weak.expired())
@@ -151,6 +153,8 @@
                    {{"table", settings_.table_},
                     {"version", position.version_},
                     {"rows", news.rows_.size()}});
+    isFresh_ = news.content_ == TableContent::Changes && failures_ == 0
+        && calledAt_ - lastConfirmedAt_ <= settings_.pause_ + kMaxCallDelay;
     failures_ = 0;
     isLoaded_ = true;
     lastConfirmedAt_ = store_.now();
--- a/packages/gateway/store_client.h
+++ b/packages/gateway/store_client.h
@@ -109,6 +109,10 @@
     // Returns when the store last confirmed that the rows are current.
     [[nodiscard]] TimePoint lastConfirmedAt() const { return lastConfirmedAt_; }
 
+    // Returns whether rows that are being handed on were written after the answer before, which was
+    // received just before they were asked for.
+    [[nodiscard]] bool isFresh() const { return isFresh_; }
+
 private:
     void readNext();
     void onAnswer(const StoreAnswer &answer);
@@ -128,6 +132,8 @@
     bool isLoaded_ = false;
     bool isStopped_ = false;
     TimePoint lastConfirmedAt_{};
+    TimePoint calledAt_{}; // the last call
+    bool isFresh_ = false;
 };
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/target.h
+++ b/packages/gateway/target.h
@@ -44,6 +44,7 @@
     // A newer incarnation was seen at its address. This one's record stays in the store for some
     // seconds.
     bool isSuperseded_ = false;
+    bool isEvacuated_ = false; // its data centre is, see placement/evacuations.h
 
     EngineReport report_;
     TimePoint reportedAt_{}; // zero: no report yet
--- a/packages/gateway/target_registry.cpp
+++ b/packages/gateway/target_registry.cpp
@@ -71,6 +71,7 @@
     byAddress_.remove(target.record_.address_, target);
     byService_.remove(target.record_.service_, target);
     target.record_ = record;
+    target.isEvacuated_ = evacuated_.contains(record.dataCentre_);
     byAddress_.add(record.address_, target);
     byService_.add(record.service_, target);
 }
@@ -126,6 +127,17 @@
     return target != nullptr && !std::exchange(target->isLeaving_, true);
 }
 
+void TargetRegistry::setEvacuated(std::set<std::string> dataCentres)
+{
+    evacuated_ = std::move(dataCentres);
+    for (const auto &[instance, target] : targets_) {
+        ++visits_;
+        const bool isEvacuated = evacuated_.contains(target->record_.dataCentre_);
+        if (std::exchange(target->isEvacuated_, isEvacuated) != isEvacuated)
+            hosts_.update(*target);
+    }
+}
+
 void TargetRegistry::markUnlisted(const std::string &instance, TimePoint now)
 {
     unlist(instance, now, unlistedGrace_);
--- a/packages/gateway/target_registry.h
+++ b/packages/gateway/target_registry.h
@@ -66,6 +66,9 @@
     // again, whatever its record says. Returns whether it is news.
     bool markLeaving(const std::string &instance);
 
+    // Sets the data centres whose targets get nothing new.
+    void setEvacuated(std::set<std::string> dataCentres);
+
     // Records that the store has no record of the target any more.
     void markUnlisted(const std::string &instance, TimePoint now);
 
@@ -141,6 +144,7 @@
     TargetSet unlisted_; // those whose record was removed
     AdapterHosts hosts_;
     std::set<std::string> changedAddresses_;
+    std::set<std::string> evacuated_; // data centres
     std::uint64_t visits_ = 0;
 };
 
