--- a/packages/gateway/agent_messages.cpp
+++ b/packages/gateway/agent_messages.cpp
@@ -32,6 +32,12 @@
     return it != json.end() && it->is_number_integer() ? boundedCount(*it) : 0;
 }
 
+double numberOf(const Json &json, const char *name)
+{
+    const auto it = json.find(name);
+    return it != json.end() && it->is_number() ? it->get<double>() : 0.0;
+}
+
 bool boolOf(const Json &json, const char *name)
 {
     const auto it = json.find(name);
@@ -153,6 +159,28 @@
     return true;
 }
 
+bool readPermitRequest(Json &line, Json &, AgentMessage &message)
+{
+    message.permitRequest_ =
+        PermitRequest{integerOf(line, "permit_ask"), textOf(line, "instance"),
+                      integerOf(line, "born"), countOf(line, "priority"), numberOf(line, "rate")};
+    return true;
+}
+
+bool readPermitAnswer(Json &line, Json &, AgentMessage &message)
+{
+    message.permitAnswer_ = PermitAnswer{integerOf(line, "permit"), boolOf(line, "granted"),
+                                         Duration(countOf(line, "retry_after_us"))};
+    return true;
+}
+
+bool readEngineState(Json &line, Json &, AgentMessage &message)
+{
+    message.engineState_ = EngineState{boolOf(line, "engine_up"), integerOf(line, "born"),
+                                       std::chrono::milliseconds(countOf(line, "up_ms"))};
+    return true;
+}
+
 struct MessageKind
 {
     const char *name_; // of the field that only this kind has
@@ -171,6 +199,9 @@
     {"grant", readGrantAnswer},
     {"suspects_held", readSuspectOffer},
     {"suspects_wanted", readSuspectRequest},
+    {"permit_ask", readPermitRequest},
+    {"permit", readPermitAnswer},
+    {"engine_up", readEngineState},
 };
 
 } // namespace
@@ -240,6 +271,38 @@
     return encodeDigests("suspects_wanted", request.digests_);
 }
 
+std::string encode(const PermitRequest &request)
+{
+    return encodeLine({{"permit_ask", request.number_},
+                       {"instance", request.instance_},
+                       {"born", request.startTimeMs_},
+                       {"priority", request.priority_},
+                       {"rate", request.rate_}});
+}
+
+std::string encode(const PermitAnswer &answer)
+{
+    return encodeLine({{"permit", answer.number_},
+                       {"granted", answer.isGranted_},
+                       {"retry_after_us", answer.retryAfter_.count()}});
+}
+
+std::string encode(const EngineState &state)
+{
+    const auto upFor = std::chrono::duration_cast<std::chrono::milliseconds>(state.upFor_);
+    return encodeLine({{"engine_up", state.isReachable_},
+                       {"born", state.startTimeMs_},
+                       {"up_ms", upFor.count()}});
+}
+
+bool isUrgent(std::string_view line)
+{
+    constexpr std::size_t kMaxBytes = 160; // longer lines are reports
+    return line.size() <= kMaxBytes
+        && (line.find(R"("permit":)") != std::string_view::npos
+            || line.find(R"("engine_up":)") != std::string_view::npos);
+}
+
 AgentMessage decodeAgentMessage(std::string_view line)
 {
     AgentMessage message;
--- a/packages/gateway/agent_messages.h
+++ b/packages/gateway/agent_messages.h
@@ -7,9 +7,10 @@
 //
 // A sidecar reports its engine's load to each connected entry, first in full and then as updates,
 // and accepts requests to load adapters. It passes records of suspect requests on from each entry
-// to the others. An entry requests a charge from an entry that owns a part of the workspace's
-// quota. The receiver ignores a line that it can't decode, so that processes of different versions
-// can run together.
+// to the others. It tells when its engine is unreachable or back, and grants permits to send
+// requests to it while it is cold. An entry requests a charge from an entry that owns a part of the
+// workspace's quota. The receiver ignores a line that it can't decode, so that processes of
+// different versions can run together.
 
 #include <cstdint>
 #include <optional>
@@ -19,6 +20,7 @@
 
 #include "gateway/codec.h"
 #include "gateway/report_update.h"
+#include "placement/permit.h"
 #include "retry/suspect_record.h"
 
 namespace foxtailturn::gateway {
@@ -99,6 +101,10 @@
     bool operator==(const SuspectRequest &) const = default;
 };
 
+using placement::EngineState;
+using placement::PermitAnswer;
+using placement::PermitRequest;
+
 // A decoded line; at most one member is set.
 struct AgentMessage
 {
@@ -112,6 +118,9 @@
     std::optional<SuspectNotice> suspects_;
     std::optional<SuspectOffer> suspectOffer_;
     std::optional<SuspectRequest> suspectRequest_;
+    std::optional<PermitRequest> permitRequest_;
+    std::optional<PermitAnswer> permitAnswer_;
+    std::optional<EngineState> engineState_;
 };
 
 // Each returns one line, including its line feed; a long message about suspects is split into
@@ -126,6 +135,13 @@
 [[nodiscard]] std::string encode(const SuspectNotice &notice); // no line without records
 [[nodiscard]] std::string encode(const SuspectOffer &offer);
 [[nodiscard]] std::string encode(const SuspectRequest &request);
+[[nodiscard]] std::string encode(const PermitRequest &request);
+[[nodiscard]] std::string encode(const PermitAnswer &answer);
+[[nodiscard]] std::string encode(const EngineState &state);
+
+// Returns whether the line may be a message that an entry handles before the reports that wait.
+// Thread-safe.
+[[nodiscard]] bool isUrgent(std::string_view line);
 
 // Decodes a line; no member is set for a line that is not a known message. Thread-safe.
 [[nodiscard]] AgentMessage decodeAgentMessage(std::string_view line);
--- a/packages/gateway/codec.h
+++ b/packages/gateway/codec.h
@@ -123,6 +123,7 @@
     TargetPhase phase_ = TargetPhase::Ready;
     std::int64_t startTimeMs_ = 0; // start time, Unix milliseconds of the wall clock
     std::vector<HostedModel> models_;
+    Duration coldFor_ = Duration::zero(); // how much longer it is cold
 
     bool operator==(const TargetRecord &) const = default;
 };
--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -106,6 +106,11 @@
             if (link != sidecarLinks_.end())
                 link->second->send(encode(UseNotice{name, isBegin}));
         });
+    gateway_.permits().setSender([this](const std::string &engine, const PermitRequest &request) {
+        const auto link = sidecarLinks_.find(engine);
+        if (link != sidecarLinks_.end())
+            link->second->send(encode(request));
+    });
     gateway_.setGrantRequestHandler([this](const std::string &workspace, std::int64_t charge,
                                            const GrantRequester::GrantHandler &handler) {
         quotaPeers_.requestGrant(workspace, charge, handler);
@@ -300,7 +305,12 @@
     };
     handlers.onLines_ = [this, engine](std::vector<std::string> lines) {
         const LoopMeter::Scope scope(&meter_, WorkKind::Reports);
-        sidecarReports_.add(engine, std::move(lines), meter_.readySince());
+        handleUrgentLines(engine, lines);
+        const auto link = sidecarLinks_.find(engine);
+        if (lines.empty() && link != sidecarLinks_.end())
+            link->second->resume();
+        else
+            sidecarReports_.add(engine, std::move(lines), meter_.readySince());
     };
     const auto link =
         std::make_shared<AgentLink>(context_, sidecarAddress(engine), std::move(handlers));
@@ -336,6 +346,22 @@
             }};
 }
 
+// Handles answers that callers wait for, and news of the engine's run, before the reports that
+// wait, and removes their lines.
+void EntryNode::handleUrgentLines(const std::string &engine, std::vector<std::string> &lines)
+{
+    std::erase_if(lines, [this, &engine](const std::string &line) {
+        if (!isUrgent(line))
+            return false;
+        const AgentMessage message = decodeAgentMessage(line);
+        if (message.permitAnswer_)
+            gateway_.permits().onAnswer(*message.permitAnswer_);
+        if (message.engineState_)
+            gateway_.onEngineState(engine, *message.engineState_);
+        return message.permitAnswer_ || message.engineState_;
+    });
+}
+
 void EntryNode::onSidecarMessage(const std::string &engine, const AgentMessage &message)
 {
     suspects_.receive(engine, message);
@@ -357,6 +383,7 @@
         suspectsPrunedAt_ = clock_.now();
     }
     gateway_.requestLoads();
+    gateway_.reviewCold();
     writeMetrics();
     writeLog();
     const TimePoint expectedAt = clock_.now() + kTickInterval;
--- a/packages/gateway/entry_node.h
+++ b/packages/gateway/entry_node.h
@@ -56,6 +56,7 @@
     void updateSidecarLink(const std::string &engine);
     void ensureSidecarLink(const Target &target);
     [[nodiscard]] ReportQueue::Handlers reportHandlers();
+    void handleUrgentLines(const std::string &engine, std::vector<std::string> &lines);
     void onSidecarMessage(const std::string &engine, const AgentMessage &message);
     void tick();
     void writeMetrics();
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -73,6 +73,7 @@
     , outdatedCopies_(targets_.hosts(), versions_)
     , randomState_(hash64(randomId()))
     , serving_(parts.metrics_)
+    , permits_(parts.context_, parts.clock_, parts.metrics_)
 { }
 
 bool Gateway::configure(ServingConfig config)
@@ -84,8 +85,13 @@
     for (const Workspace &workspace : config_->workspaces_)
         quotas[workspace.name_] = workspace.quota_;
     quotas_.configure(quotas);
-    for (const auto &[name, service] : config_->services_)
+    std::map<std::string, Duration> coldTimes;
+    for (const auto &[name, service] : config_->services_) {
         placements_.try_emplace(name);
+        if (service.needsPermits())
+            coldTimes[name] = service.coldTime_;
+    }
+    targets_.setColdTimes(std::move(coldTimes));
     parts_.log_.write(LogDetail::Full, "configuration_in_force",
                       {{"revision", config_->revision_},
                        {"store_era", config_->storeEra_},
@@ -217,6 +223,8 @@
 PlacementChoice Gateway::choose(const std::string &service, PlacementRequest request)
 {
     request.dataCentre_ = options_.dataCentre_;
+    if (const auto known = config_->services_.find(service); known != config_->services_.end())
+        request.needsPermits_ = known->second.needsPermits();
     request.minVersion_ =
         versions_.minVersion(adapterName(request.model_, request.adapter_), now());
     return placements_[service].choose(targets_.availableTargets(service, now()), request, now());
@@ -372,10 +380,59 @@
 
 void Gateway::onAgentState(const std::string &address, const std::string &service, bool isConnected)
 {
+    if (!isConnected) {
+        permits_.onLinkLost(address);
+        for (Target *target : targets_.atAddress(address)) {
+            if (!target->cold_.isUnreachable())
+                continue;
+            targets_.markReachable(*target); // nobody tells when it is back
+            targets_.presumeCold(*target, now(), placement::ColdReason::LinkLost);
+        }
+    }
     targets_.setAgentConnected(address, isConnected);
     retryWaiting(isConnected ? waiting_.forService(service) : waiting_.forTarget(address));
 }
 
+void Gateway::onEngineState(const std::string &address, const EngineState &state)
+{
+    for (Target *target : targets_.atAddress(address)) {
+        if (state.isReachable_) {
+            targets_.markReachable(*target);
+            targets_.presumeCold(*target, now(), placement::ColdReason::Returned, state.upFor_);
+        } else {
+            targets_.markUnreachable(*target);
+        }
+    }
+    retryWaiting(waiting_.forTarget(address));
+}
+
+void Gateway::requestPermit(const Target &target, const AdmittedRequest &request,
+                            placement::PermitDesk::Handler handler)
+{
+    const auto service = config_->services_.find(target.record_.service_);
+    placement::PermitRequest wanted;
+    wanted.priority_ = request.priority_;
+    wanted.rate_ = service == config_->services_.end() ? 0 : service->second.coldRate_;
+    permits_.request(target, std::move(wanted), std::move(handler));
+}
+
+void Gateway::reviewCold()
+{
+    const auto onCold = [this](const Target &target) {
+        const Duration left = target.cold_.coldUntil() - now();
+        parts_.log_.write(LogDetail::Full, "target_cold",
+                          {{"target", target.record_.instance_},
+                           {"reason", placement::coldReasonName(target.cold_.reason())},
+                           {"for_us", left.count()}});
+    };
+    const auto onWarm = [this](const Target &target) {
+        parts_.log_.write(LogDetail::Full, "target_warm", {{"target", target.record_.instance_}});
+    };
+    const std::size_t count = targets_.reviewCold(now(), onCold, onWarm);
+    parts_.metrics_.gauge("foxtailturn_cold_targets", "targets that this entry holds for cold")
+        .set(static_cast<std::int64_t>(count));
+}
+
 bool Gateway::isLoadUnderWay(const std::string &instance, const std::string &name)
 {
     const Target *target = targets_.find(instance);
@@ -422,6 +479,8 @@
 
 void Gateway::recordUnreachable(const std::string &instance)
 {
+    if (Target *target = targets_.find(instance))
+        targets_.presumeCold(*target, now(), placement::ColdReason::Unreachable);
     const std::optional<Crash> crash = crashes_.recordUnreachable(instance, now());
     if (!crash)
         return;
@@ -491,6 +550,9 @@
                            {"superseded", target->isSuperseded_},
                            {"suspect", target->isSuspect(now())},
                            {"agent", target->isAgentConnected_},
+                           {"cold", target->cold_.isCold(now())},
+                           {"cold_reason", placement::coldReasonName(target->cold_.reason())},
+                           {"unreachable", target->cold_.isUnreachable()},
                            {"in_flight", target->inFlight_},
                            {"running", target->report_.running_},
                            {"queued", target->report_.queued_}});
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "gateway/codec.h"
 #include "gateway/grant_requester.h"
 #include "gateway/outdated_copies.h"
+#include "gateway/permit_client.h"
 #include "gateway/placement.h"
 #include "gateway/relay.h"
 #include "gateway/serving_metrics.h"
@@ -145,6 +146,17 @@
     // Records whether the sidecar of the engine at the address is connected.
     void onAgentState(const std::string &address, const std::string &service, bool isConnected);
 
+    // Records what a sidecar says of its engine's run.
+    void onEngineState(const std::string &address, const EngineState &state);
+
+    // Requests a permit for a cold target from its sidecar. The handler runs later.
+    void requestPermit(const Target &target, const AdmittedRequest &request,
+                       placement::PermitDesk::Handler handler);
+    PermitClient &permits() { return permits_; }
+
+    // Logs which targets have become cold or warm since the last call.
+    void reviewCold();
+
     // Returns whether a target, whose load of an adapter was requested, may still carry it out.
     [[nodiscard]] bool isLoadUnderWay(const std::string &instance, const std::string &adapterName);
 
@@ -234,6 +246,7 @@
     GrantRequestHandler grantRequestHandler_;
     std::uint64_t randomState_;
     ServingMetrics serving_;
+    PermitClient permits_;
 };
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/placement.cpp
+++ b/packages/gateway/placement.cpp
@@ -31,6 +31,7 @@
 constexpr milliseconds kMinLoadTime(50);
 constexpr milliseconds kMaxLoadTime(2000);
 constexpr milliseconds kOtherDataCentrePenalty(2);
+constexpr milliseconds kColdPenalty(150); // a cold engine is slow, and the permit takes time
 constexpr milliseconds kMemoryPenalty(400); // expected cost of a preemption or a wait for KV memory
 constexpr double kMemoryLimit = 0.92; // of the KV capacity
 constexpr milliseconds
@@ -48,6 +49,11 @@
     return version && *version >= request.minVersion_;
 }
 
+bool isCold(const Target &target, const PlacementRequest &request, TimePoint now)
+{
+    return request.needsPermits_ && target.cold_.isCold(now);
+}
+
 // Returns why the target is not eligible; No if it is.
 PassedOver ineligibilityOf(const Target &target, const PlacementRequest &request, bool hasAdapter,
                            TimePoint now)
@@ -60,7 +66,23 @@
         if (!target.hostsModel(request.model_) && !target.report_.models_.empty())
             return PassedOver::OtherModel;
     }
-    return target.backoff_.isClosed(now) ? PassedOver::Closed : PassedOver::No;
+    if (target.backoff_.isClosed(now))
+        return PassedOver::Closed;
+    if (request.needsPermits_ && target.cold_.isUnreachable())
+        return PassedOver::Unreachable;
+    const bool canAsk =
+        target.isAgentConnected_ && request.mayAskPermit_ && !target.cold_.isClosed(now);
+    return isCold(target, request, now) && !canAsk ? PassedOver::Cold : PassedOver::No;
+}
+
+// Returns when a target that is passed over opens again; nullopt if it is not known.
+std::optional<TimePoint> opensAt(const Target &target, PassedOver reason)
+{
+    if (reason == PassedOver::Closed)
+        return target.backoff_.closedUntil();
+    if (reason == PassedOver::Cold)
+        return target.cold_.opensAt(target.isAgentConnected_);
+    return std::nullopt;
 }
 
 } // namespace
@@ -78,6 +100,10 @@
         return "hosts another model";
     case PassedOver::Closed:
         return "wants no requests yet";
+    case PassedOver::Unreachable:
+        return "unreachable";
+    case PassedOver::Cold:
+        return "cold";
     case PassedOver::Suspect:
         return "suspect";
     case PassedOver::Avoided:
@@ -209,9 +235,8 @@
         const bool hasAdapter = request.isEngine_ && hasRequiredVersion(*target, request);
         PlacementCandidate candidate{target, Duration::zero(),
                                      ineligibilityOf(*target, request, hasAdapter, query.now_)};
-        if (candidate.passedOver_ == PassedOver::Closed) {
-            const TimePoint opensAt = target->backoff_.closedUntil();
-            choice.opensAt_ = std::min(choice.opensAt_.value_or(opensAt), opensAt);
+        if (const auto opening = opensAt(*target, candidate.passedOver_)) {
+            choice.opensAt_ = std::min(choice.opensAt_.value_or(*opening), *opening);
             choice.isHostPassedOver_ = choice.isHostPassedOver_ || hasAdapter;
         }
         if (candidate.passedOver_ == PassedOver::No) {
@@ -220,6 +245,8 @@
                 : kPlainRequestTime * target->inFlight_ / std::max(1, target->record_.slots_);
             if (target->record_.dataCentre_ != request.dataCentre_)
                 candidate.expected_ += kOtherDataCentrePenalty;
+            if (isCold(*target, request, query.now_))
+                candidate.expected_ += kColdPenalty;
             options.push_back({target, choice.candidates_.size(), candidate.expected_,
                                request.isEngine_ && !hasAdapter,
                                target->backoff_.isAvoided(query.now_)
@@ -263,6 +290,7 @@
     if (best != nullptr) {
         choice.target_ = best->target_;
         choice.needsLoad_ = best->needsLoad_;
+        choice.needsPermit_ = isCold(*best->target_, request, now);
         choice.expected_ = best->expected_;
     }
     return choice;
@@ -290,7 +318,7 @@
     const auto requested = target.requestedLoads_.find(adapterName);
     return requested != target.requestedLoads_.end() && now - requested->second.at_ <= loadTimeout()
         && target.isInService() && now < target.usableUntil_ && target.isAgentConnected_
-        && !target.isSuspect(now) && !target.backoff_.isClosed(now)
+        && !target.isSuspect(now) && !target.cold_.isUnreachable() && !target.backoff_.isClosed(now)
         && !target.backoff_.isAvoided(now);
 }
 
--- a/packages/gateway/placement.h
+++ b/packages/gateway/placement.h
@@ -35,6 +35,8 @@
     std::int64_t promptTokens_ = 0;
     std::vector<PromptPart> prefix_;
     std::string dataCentre_; // of the entry
+    bool needsPermits_ = false; // to send a request to a cold target
+    bool mayAskPermit_ = true; // another permit may be requested for it
     std::vector<std::string> excluded_; // instances that the request was already sent to
 };
 
@@ -45,6 +47,8 @@
     NoAgent, // to load the missing adapter
     OtherModel,
     Closed, // wants no requests yet
+    Unreachable,
+    Cold, // grants no permit now
     Suspect,
     Avoided,
 };
@@ -68,6 +72,7 @@
     // When the first of the targets that want no requests now wants some again, if there are any.
     std::optional<TimePoint> opensAt_;
     bool needsLoad_ = false; // the target must load the adapter first
+    bool needsPermit_ = false; // the target is cold
     // Another target has the adapter, but was closed, suspect, avoided or busy.
     bool isHostPassedOver_ = false;
     Duration expected_{};
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -29,6 +29,8 @@
 constexpr Duration kMaxReportAge = milliseconds(800);
 constexpr Duration kBaseRetryAfter = milliseconds(250);
 constexpr Duration kMinRetryAfter = milliseconds(50);
+// A request that so many cold targets have turned down takes a warm one, or is refused.
+constexpr int kMaxPermitRequests = 4;
 constexpr Duration kMaxWaitForTarget = milliseconds(250); // that wants no requests now
 
 } // namespace
@@ -63,6 +65,7 @@
     placement.promptTokens_ = request_.caller_.promptTokens_;
     placement.prefix_ = request_.caller_.prefix_;
     placement.excluded_ = tried_;
+    placement.mayAskPermit_ = permitRequests_ < kMaxPermitRequests;
     return placement;
 }
 
@@ -134,7 +137,12 @@
         failRequest(ErrorCode::Overloaded);
         return;
     }
+    if (choice.needsPermit_) {
+        askPermit(*choice.target_);
+        return;
+    }
     log_.sent(choice, sends_ + 1, now);
+    permitUntil_ = TimePoint::max();
     send(*choice.target_);
 }
 
@@ -159,6 +167,65 @@
     waitFor({.service_ = request_.service_, .adapter_ = {}, .address_ = {}});
 }
 
+void Relay::askPermit(Target &target)
+{
+    ++permitRequests_;
+    isAskingPermit_ = true;
+    armTimer();
+    gateway_.requestPermit(target, request_,
+                           [weak = weak_from_this(), instance = target.record_.instance_](
+                               const placement::PermitOutcome &outcome) {
+                               const std::shared_ptr<Relay> self = weak.lock();
+                               if (self && !self->isEnded_ && self->isAskingPermit_)
+                                   self->onPermit(instance, outcome);
+                           });
+}
+
+void Relay::onPermit(const std::string &instance, const placement::PermitOutcome &outcome)
+{
+    const std::shared_ptr<Relay> self = shared_from_this();
+    isAskingPermit_ = false;
+    log_.permit(instance, outcome);
+    Target *target = gateway_.targets().find(instance);
+    if (target != nullptr && !outcome.validUntil_)
+        target->cold_.close(outcome.retryAt_);
+    const TimePoint now = gateway_.now();
+    const bool isUsable = target != nullptr && outcome.validUntil_ && target->isInService()
+        && now < target->usableUntil_ && !target->cold_.isUnreachable();
+    if (!isUsable || now >= request_.deadline_ || answer_.hasCallerLeft()
+        || gateway_.isQuarantined(request_.suspects_)) {
+        place();
+        return;
+    }
+    PlacementChoice choice;
+    choice.target_ = target;
+    log_.sent(choice, sends_ + 1, now);
+    permitUntil_ = *outcome.validUntil_;
+    send(*target);
+}
+
+// Returns whether the target of the attempt is not cold or unreachable, or the permit still holds.
+bool Relay::maySendNow() const
+{
+    const TimePoint now = gateway_.now();
+    if (permitUntil_ != TimePoint::max())
+        return now < permitUntil_;
+    const Target *target = use_.target();
+    return target == nullptr || (!target->cold_.isCold(now) && !target->cold_.isUnreachable());
+}
+
+// Places a request whose attempt ends before anything was sent.
+void Relay::placeAgain()
+{
+    if (permitUntil_ != TimePoint::max())
+        gateway_.permits().recordExpired();
+    releaseTarget();
+    tried_.pop_back();
+    --sends_;
+    placeAt_ = gateway_.now();
+    waitFor({.service_ = request_.service_, .adapter_ = {}, .address_ = {}});
+}
+
 void Relay::waitForLoad(const PlacementChoice &choice)
 {
     const TimePoint now = gateway_.now();
@@ -244,6 +311,10 @@
         cancel();
         return std::nullopt;
     }
+    if (!maySendNow()) {
+        placeAgain();
+        return std::nullopt;
+    }
     TargetCall call;
     call.timeLeft_ = request_.deadline_ - now;
     call.instance_ = use_.instance();
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -98,6 +98,10 @@
     void onGrant(const Result<void> &granted);
     void place();
     void waitForTarget(TimePoint opensAt);
+    void askPermit(Target &target);
+    void onPermit(const std::string &instance, const placement::PermitOutcome &outcome);
+    [[nodiscard]] bool maySendNow() const;
+    void placeAgain();
     void waitForLoad(const PlacementChoice &choice);
     void waitFor(const WaitCondition &condition);
     void endWait();
@@ -157,6 +161,9 @@
     TimePoint placeAt_ = TimePoint::max(); // when a waiting request is placed again at the latest
     TimePoint reviewAt_ = TimePoint::max(); // when a wait for a load is looked at again
     std::string loadingInstance_; // that the request waits for
+    int permitRequests_ = 0; // for cold targets
+    bool isAskingPermit_ = false;
+    TimePoint permitUntil_ = TimePoint::max(); // of the attempt under way; max without a permit
 
     ReplyHandling replyHandling_ = ReplyHandling::None;
     TargetReply reply_;
--- a/packages/gateway/request_log.cpp
+++ b/packages/gateway/request_log.cpp
@@ -45,6 +45,15 @@
                 {"passed_over", std::move(ineligible)}});
 }
 
+void RequestLog::permit(const std::string &target, const placement::PermitOutcome &outcome)
+{
+    if (log_.admits(LogDetail::Sampled, "permit"))
+        log_.write(LogDetail::Sampled, "permit",
+                   {{"request", request_.caller_.id_},
+                    {"target", target},
+                    {"granted", outcome.validUntil_.has_value()}});
+}
+
 void RequestLog::attemptFailed(const std::string &target, const Error &error)
 {
     write("attempt_failed",
--- a/packages/gateway/request_log.h
+++ b/packages/gateway/request_log.h
@@ -39,6 +39,9 @@
     // The request is sent to the chosen target. attempt counts from 1.
     void sent(const PlacementChoice &choice, int attempt, TimePoint now);
 
+    // A sidecar has granted or refused to send the request to its cold engine.
+    void permit(const std::string &target, const placement::PermitOutcome &outcome);
+
     void attemptFailed(const std::string &target, const Error &error);
 
     // A target's answer has ended with its connection, without a length or chunks.
--- a/packages/gateway/serving_config.h
+++ b/packages/gateway/serving_config.h
@@ -77,6 +77,11 @@
     std::string healthPath_;
     int maxConnections_ = 0; // per target, from all callers; 0 is unlimited
     std::optional<EngineProfile> engine_; // absent for plain services
+    Duration coldTime_ = Duration::zero(); // how long a target is cold after a start
+    double coldRate_ = 0; // requests per second that a cold target bears; 0: no bound
+
+    // Returns whether requests to cold targets need permits of the targets' sidecars.
+    [[nodiscard]] bool needsPermits() const { return engine_.has_value() && coldRate_ > 0; }
 
     bool operator==(const Service &) const = default;
 };
--- a/packages/gateway/target.h
+++ b/packages/gateway/target.h
@@ -13,6 +13,7 @@
 #include "base/clock.h"
 #include "gateway/codec.h"
 #include "gateway/target_backoff.h"
+#include "placement/cold_state.h"
 
 namespace foxtailturn::gateway {
 
@@ -59,6 +60,7 @@
     int consecutiveFailures_ = 0;
     TimePoint suspectUntil_{};
     TargetBackoff backoff_; // after rejections
+    placement::ColdState cold_; // of a service that bounds the requests to cold targets
 
     // Returns what the target hosts: as it has reported, or as its record says.
     [[nodiscard]] const std::vector<HostedModel> &hostedModels() const
--- a/packages/gateway/target_registry.cpp
+++ b/packages/gateway/target_registry.cpp
@@ -48,11 +48,18 @@
     if (isRestarted)
         discardIncarnation(target, now);
     const TargetRecord previous = target.record_;
+    const bool isBack = !isNew && target.usableUntil_ != TimePoint::max();
     const bool isChanged = isRestarted || previous.phase_ != record.phase_
         || previous.address_ != record.address_ || previous.service_ != record.service_
         || target.usableUntil_ != TimePoint::max();
     setRecord(target, record);
     setListed(target);
+    if (isRestarted || isBack || (isNew && hasSnapshot_))
+        presumeCold(target, now, placement::ColdReason::Started);
+    if (record.coldFor_ > Duration::zero())
+        presumeColdUntil(target, now + record.coldFor_, placement::ColdReason::Record);
+    if (isRestarted)
+        markReachable(target);
     if (isChanged) {
         if (!isNew)
             changedAddresses_.insert(previous.address_);
@@ -158,6 +165,7 @@
 
 void TargetRegistry::retainOnly(const std::vector<std::string> &instances, TimePoint now)
 {
+    hasSnapshot_ = true;
     unlistAllExcept(instances, now, unlistedGrace_);
 }
 
@@ -259,6 +267,50 @@
     target.suspectUntil_ = now + std::min(kInitialSuspectTime * (1 << doublings), kMaxSuspectTime);
 }
 
+void TargetRegistry::presumeCold(Target &target, TimePoint now, placement::ColdReason reason,
+                                 Duration upFor)
+{
+    const auto coldTime = coldTimes_.find(target.record_.service_);
+    if (coldTime != coldTimes_.end() && upFor < coldTime->second)
+        presumeColdUntil(target, now + coldTime->second - upFor, reason);
+}
+
+void TargetRegistry::presumeColdUntil(Target &target, TimePoint until, placement::ColdReason reason)
+{
+    if (!coldTimes_.contains(target.record_.service_))
+        return;
+    target.cold_.presumeCold(until, reason);
+    if (!cold_.contains(&target))
+        newlyCold_.insert(&target);
+}
+
+void TargetRegistry::markUnreachable(Target &target)
+{
+    if (coldTimes_.contains(target.record_.service_))
+        target.cold_.setUnreachable(true);
+}
+
+std::size_t TargetRegistry::reviewCold(TimePoint now,
+                                       const std::function<void(const Target &)> &onCold,
+                                       const std::function<void(const Target &)> &onWarm)
+{
+    for (Target *target : visit(newlyCold_)) {
+        if (cold_.insert(target).second)
+            onCold(*target);
+    }
+    newlyCold_.clear();
+    std::vector<Target *> warm;
+    for (Target *target : visit(cold_)) {
+        if (!target->cold_.isCold(now))
+            warm.push_back(target);
+    }
+    for (Target *target : warm) {
+        onWarm(*target);
+        cold_.erase(target);
+    }
+    return cold_.size();
+}
+
 std::vector<Target *> TargetRegistry::availableTargets(const std::string &service, TimePoint now)
 {
     std::vector<Target *> list;
@@ -307,6 +359,8 @@
         byAddress_.remove(target->record_.address_, *target);
         byService_.remove(target->record_.service_, *target);
         unlisted_.erase(target);
+        newlyCold_.erase(target);
+        cold_.erase(target);
         targets_.erase(targets_.find(target->record_.instance_));
     }
 }
--- a/packages/gateway/target_registry.h
+++ b/packages/gateway/target_registry.h
@@ -8,10 +8,12 @@
 //     registry.report(address, engineReport, now);      // from the sidecar
 //     for (Target *target : registry.availableTargets("models", now)) { ... }
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -103,6 +105,27 @@
     void succeeded(Target &target);
     void failed(Target &target, TimePoint now);
 
+    // Sets how long targets are cold after a start, by service. Targets of other services are never
+    // held for cold.
+    void setColdTimes(std::map<std::string, Duration> coldTimes)
+    {
+        coldTimes_ = std::move(coldTimes);
+    }
+
+    // Records a sign that the target may be cold: from now on, or since it has been up for upFor.
+    void presumeCold(Target &target, TimePoint now, placement::ColdReason reason,
+                     Duration upFor = Duration::zero());
+
+    // Records that no connection to the target could be opened, or that its sidecar reports it
+    // unreachable; and that it is back.
+    void markUnreachable(Target &target);
+    void markReachable(Target &target) { target.cold_.setUnreachable(false); }
+
+    // Calls onCold for each target that is held for cold since the last call, and onWarm for each
+    // that isn't any more. Returns how many are.
+    std::size_t reviewCold(TimePoint now, const std::function<void(const Target &)> &onCold,
+                           const std::function<void(const Target &)> &onWarm);
+
     // Returns the targets of a service that may get new requests, including suspect ones.
     [[nodiscard]] std::vector<Target *> availableTargets(const std::string &service, TimePoint now);
 
@@ -128,6 +151,7 @@
 private:
     void setRecord(Target &target, const TargetRecord &record);
     void setListed(Target &target);
+    void presumeColdUntil(Target &target, TimePoint until, placement::ColdReason reason);
     void discardIncarnation(Target &target, TimePoint now);
     void markOlderSuperseded(const std::string &service, const std::string &address);
     void unlist(const std::string &instance, TimePoint now, Duration grace);
@@ -138,6 +162,10 @@
     std::map<std::string, std::unique_ptr<Target>> targets_; // by instance
     TargetIndex byAddress_;
     TargetIndex byService_;
+    std::map<std::string, Duration> coldTimes_; // by service
+    TargetSet newlyCold_;
+    TargetSet cold_;
+    bool hasSnapshot_ = false; // all targets that were listed at the start are known
     TargetSet unlisted_; // those whose record was removed
     AdapterHosts hosts_;
     std::set<std::string> changedAddresses_;
--- a/packages/sidecar/sidecar_node.cpp
+++ b/packages/sidecar/sidecar_node.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/sidecar_node.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "gateway/target_registry.h"
 
@@ -17,6 +18,10 @@
 constexpr Duration kPollInterval = milliseconds(120);
 constexpr Duration kLoadingPollInterval =
     milliseconds(20); // while a load is pending or in progress
+constexpr Duration kUnreachablePollInterval = milliseconds(40); // to see the engine's return soon
+// Permit requests that arrive within this time are decided together, the most urgent first.
+constexpr Duration kPermitDelay = milliseconds(4);
+constexpr std::size_t kMaxPermitRequests = 10'000; // decided together
 constexpr Duration kUnconnectedPollInterval = milliseconds(400); // while no entry is connected
 // Load requests that arrive within this time are reported to the entries together.
 constexpr Duration kLoadRequestDelay = milliseconds(5);
@@ -61,6 +66,8 @@
     , suspects_(wallClock_)
     , schedule_(kPollInterval)
     , publishTimer_(context)
+    , allowance_(clock_.now())
+    , permitTimer_(context)
 {
     entries_.onLines(
         [this](int entry, const std::vector<std::string> &lines) { onEntryLines(entry, lines); });
@@ -68,6 +75,9 @@
     entries_.onDisconnected([this](int entry) {
         adapterManager_.removeEntry(entry, clock_.now());
         suspectOffers_.remove(entry);
+        std::erase_if(permitRequests_, [entry](const placement::PendingPermit &pending) {
+            return pending.source_ == entry;
+        });
     });
 }
 
@@ -81,6 +91,8 @@
             {"name", settings_.name_},
             {"engine", engineState_},
             {"entries", entries_.peers()},
+            {"engine_up_ms", upMillis()},
+            {"cold_permits", allowance_.recentGrants(clock_.now())},
             {"report",
              nlohmann::json::parse(encode(adapterManager_.reportForEntries(clock_.now())))}};
         return AdminAnswer{200, state.dump(2) + "\n", "application/json"};
@@ -112,6 +124,8 @@
     entries_.send(entry, encode(SuspectOffer{digests}));
     if (hasReport_)
         entries_.send(entry, encode(schedule_.sent())); // the next update is relative to it
+    if (watch_.isKnown())
+        entries_.send(entry, encode(watch_.state(clock_.now())));
 }
 
 void SidecarNode::sendToSilentEntries()
@@ -134,6 +148,8 @@
             adapterManager_.requestLoad(*message.load_, now);
             hasLoadRequest = true;
         }
+        if (message.permitRequest_ && permitRequests_.size() < kMaxPermitRequests)
+            permitRequests_.push_back({entry, *message.permitRequest_});
         if (message.suspectRequest_) {
             const auto &wanted = message.suspectRequest_->digests_;
             entries_.send(entry, encode(SuspectNotice{suspects_.recordsOf(wanted)}));
@@ -144,12 +160,59 @@
                 entries_.sendOthers(entry, encode(SuspectNotice{changed}));
         }
     }
+    if (!permitRequests_.empty())
+        decidePermitsSoon();
     if (hasLoadRequest)
         publishSoon(); // so that other entries do not request the same adapter from another engine
     if (hasLoadRequest && !isCallInFlight_)
         poll();
 }
 
+void SidecarNode::decidePermitsSoon()
+{
+    if (isDecisionPending_)
+        return;
+    isDecisionPending_ = true;
+    permitTimer_.expires_after(kPermitDelay);
+    permitTimer_.async_wait([this](const asio::error_code &error) {
+        isDecisionPending_ = false;
+        if (!error)
+            decidePermits();
+    });
+}
+
+void SidecarNode::decidePermits()
+{
+    const TimePoint now = clock_.now();
+    std::map<int, std::string> answers; // by entry
+    for (const auto &[entry, answer] :
+         allowance_.decide(std::exchange(permitRequests_, {}), watch_.state(now), now)) {
+        answers[entry] += encode(answer);
+        metrics_
+            .counter("foxtailturn_cold_permits_total", "permits that entries requested",
+                     {{"outcome", answer.isGranted_ ? "granted" : "refused"}})
+            .add();
+    }
+    for (const auto &[entry, lines] : answers)
+        entries_.send(entry, lines);
+}
+
+void SidecarNode::sendEngineState()
+{
+    entries_.sendAll(encode(watch_.state(clock_.now())));
+}
+
+// Returns for how long the engine has run by its own account.
+Duration SidecarNode::ageOf(const EngineReport &report) const
+{
+    return milliseconds(wallMillis(wallClock_) - report.startTimeMs_);
+}
+
+std::int64_t SidecarNode::upMillis() const
+{
+    return std::chrono::duration_cast<milliseconds>(watch_.state(clock_.now()).upFor_).count();
+}
+
 void SidecarNode::poll()
 {
     sendToSilentEntries();
@@ -172,6 +235,8 @@
         log_.write(LogDetail::Full, "engine_" + state, {{"status", answer.status_}});
     engineState_ = state;
     if (state != "reachable") {
+        if (watch_.onFailure(clock_.now()))
+            sendEngineState();
         schedulePoll();
         return;
     }
@@ -179,6 +244,8 @@
     report_ = *report;
     hasReport_ = true;
     const TimePoint now = clock_.now();
+    if (watch_.onReport(report_.startTimeMs_, ageOf(report_), now))
+        sendEngineState();
     updateMetrics();
     adapterManager_.onReport(report_, now);
     if (!isPublishPending_)
@@ -261,6 +328,7 @@
 {
     const Duration wait = adapterManager_.hasPendingLoads() ? kLoadingPollInterval
         : entries_.peers() == 0                             ? kUnconnectedPollInterval
+        : watch_.isKnown() && !watch_.isReachable()         ? kUnreachablePollInterval
                                                             : kPollInterval;
     pollTimer_.expires_after(wait);
     pollTimer_.async_wait([this](const asio::error_code &error) {
--- a/packages/sidecar/sidecar_node.h
+++ b/packages/sidecar/sidecar_node.h
@@ -18,6 +18,8 @@
 #include "gateway/http_caller.h"
 #include "gateway/line_server.h"
 #include "gateway/node_settings.h"
+#include "placement/cold_allowance.h"
+#include "placement/engine_watch.h"
 #include "retry/suspect_relay.h"
 #include "sidecar/adapter_manager.h"
 #include "sidecar/report_schedule.h"
@@ -43,6 +45,11 @@
     void onEntryConnected(int entry);
     void sendToSilentEntries();
     void onEntryLines(int entry, const std::vector<std::string> &lines);
+    void decidePermitsSoon();
+    void decidePermits();
+    void sendEngineState();
+    [[nodiscard]] Duration ageOf(const EngineReport &report) const;
+    [[nodiscard]] std::int64_t upMillis() const;
     void poll();
     void onReport(const HttpAnswer &answer);
     void sendNextOrder();
@@ -74,6 +81,11 @@
     bool isPublishPending_ = false;
     TimePoint nextFlushAt_{};
     std::string engineState_ = "unknown";
+    placement::EngineWatch watch_;
+    placement::ColdAllowance allowance_;
+    std::vector<placement::PendingPermit> permitRequests_; // to be decided together
+    asio::steady_timer permitTimer_;
+    bool isDecisionPending_ = false;
 };
 
 } // namespace foxtailturn::gateway
