--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -26,6 +26,7 @@
 #include "gateway/target_connection.h"
 #include "gateway/target_use.h"
 #include "gateway/waiting_requests.h"
+#include "placement/permit_desk.h"
 
 namespace foxtailturn::gateway {
 
--- a/packages/gateway/request_log.h
+++ b/packages/gateway/request_log.h
@@ -16,6 +16,7 @@
 #include "gateway/admitted_request.h"
 #include "gateway/answer_state.h"
 #include "gateway/placement.h"
+#include "placement/permit_desk.h"
 
 namespace foxtailturn::gateway {
 
