--- a/packages/gateway/agent_messages_test.cpp
+++ b/packages/gateway/agent_messages_test.cpp
@@ -20,12 +20,28 @@
     CHECK(decodeAgentMessage(encode(SuspectOffer{})).suspectOffer_ == SuspectOffer{});
     const SuspectRequest suspectRequest{{7}};
     CHECK(decodeAgentMessage(encode(suspectRequest)).suspectRequest_ == suspectRequest);
+    const PermitRequest permitRequest{7, "i-1", 1'767'000'000'123, 2, 6.5};
+    CHECK(decodeAgentMessage(encode(permitRequest)).permitRequest_ == permitRequest);
+    const PermitAnswer permitAnswer{7, true, std::chrono::milliseconds(40)};
+    CHECK(decodeAgentMessage(encode(permitAnswer)).permitAnswer_ == permitAnswer);
+    const EngineState state{true, 1'767'000'000'123, std::chrono::milliseconds(1500)};
+    CHECK(decodeAgentMessage(encode(state)).engineState_ == state);
     SidecarReport report;
     report.engine_ = EngineReport{5, 7, true, true, 1, 2, 3, 4, 9, {{"m", {{"a1", 2}}}}, {"m/a2"}};
     report.evictionCost_ = 1.5;
     CHECK(decodeAgentMessage(encode(report)).report_ == report);
 }
 
+// Guards against a caller that waits for a permit behind the reports of many engines.
+TEST_CASE("answers about permits and the engine's run are urgent")
+{
+    CHECK(isUrgent(encode(PermitAnswer{INT64_MAX, true, std::chrono::hours(1)})));
+    CHECK(isUrgent(encode(EngineState{false, INT64_MAX, std::chrono::hours(1)})));
+    CHECK_FALSE(isUrgent(encode(PermitRequest{7, "i-1", 5, 2, 6.5})));
+    CHECK_FALSE(isUrgent(encode(SidecarReport())));
+    CHECK_FALSE(isUrgent(encode(UseNotice{"m/a1", true})));
+}
+
 // Guards against an entry whose view of the load or of the adapters differs from what the sidecar
 // reported.
 TEST_CASE("applying each update results in the sender's report")
--- a/packages/gateway/placement_test.cpp
+++ b/packages/gateway/placement_test.cpp
@@ -1,5 +1,7 @@
 #include "gateway/placement.h"
 
+#include <functional>
+
 #include <doctest/doctest.h>
 
 namespace foxtailturn::gateway {
@@ -209,4 +211,61 @@
           == registry.find("a"));
 }
 
+// Guards against a cold engine that gets requests without a permit, and against one that no request
+// can use.
+TEST_CASE("a cold engine is chosen with a permit in view, after the others")
+{
+    const auto makeCold = [](Target &target) {
+        target.cold_.presumeCold(kStart + milliseconds(3000), placement::ColdReason::Returned);
+    };
+    struct Case
+    {
+        const char *name_;
+        std::function<void(Target &target, PlacementRequest &request)> change_;
+        PassedOver passedOver_;
+        std::optional<TimePoint> opensAt_;
+    };
+    const Case cases[] = {
+        {"grants permits", [](Target &, PlacementRequest &) {}, PassedOver::No, std::nullopt},
+        {"has refused one",
+         [](Target &target, PlacementRequest &) { target.cold_.close(kStart + milliseconds(90)); },
+         PassedOver::Cold, kStart + milliseconds(90)},
+        {"has no connected sidecar",
+         [](Target &target, PlacementRequest &) { target.isAgentConnected_ = false; },
+         PassedOver::Cold, kStart + milliseconds(3000)},
+        {"others have refused many",
+         [](Target &, PlacementRequest &request) { request.mayAskPermit_ = false; },
+         PassedOver::Cold, TimePoint{}},
+        {"is unreachable",
+         [](Target &target, PlacementRequest &) { target.cold_.setUnreachable(true); },
+         PassedOver::Unreachable, std::nullopt},
+    };
+    for (const Case &c : cases) {
+        CAPTURE(c.name_);
+        Engines engines(1);
+        engines.setAdapters(0, {{"a1", 1}});
+        makeCold(engines.at(0));
+        PlacementRequest request = requestFor("a1");
+        c.change_(engines.at(0), request);
+        request.needsPermits_ = true;
+        const Placement placement;
+        const PlacementChoice choice = placement.choose(engines.list(), request, kStart);
+        REQUIRE(choice.candidates_.size() == 1);
+        CHECK(choice.candidates_[0].passedOver_ == c.passedOver_);
+        CHECK(choice.opensAt_ == c.opensAt_);
+        CHECK((choice.target_ != nullptr) == (c.passedOver_ == PassedOver::No));
+        CHECK(choice.needsPermit_ == (c.passedOver_ == PassedOver::No));
+        request.needsPermits_ = false; // the service does not bound requests to cold targets
+        CHECK(placement.choose(engines.list(), request, kStart).needsPermit_ == false);
+    }
+    Engines engines(2);
+    makeCold(engines.at(0));
+    engines.setAdapters(0, {{"a1", 1}});
+    engines.setAdapters(1, {{"a1", 1}});
+    engines.at(1).inFlight_ = 20;
+    PlacementRequest request = requestFor("a1");
+    request.needsPermits_ = true;
+    CHECK(Placement().choose(engines.list(), request, kStart).target_ == &engines.at(1));
+}
+
 } // namespace foxtailturn::gateway
--- a/packages/gateway/target_registry_test.cpp
+++ b/packages/gateway/target_registry_test.cpp
@@ -1,5 +1,6 @@
 #include "gateway/target_registry.h"
 
+#include <functional>
 #include <optional>
 
 #include <doctest/doctest.h>
@@ -355,4 +356,90 @@
           == TargetTimes{milliseconds(1'600), milliseconds(2'150)});
 }
 
+// Guards against a target that is taken for warm although it has just started.
+TEST_CASE("a target that may have started lately is held for cold")
+{
+    constexpr Duration kColdTime = milliseconds(3000);
+    const TimePoint later = kStart + std::chrono::seconds(60);
+    struct Case
+    {
+        const char *name_;
+        std::function<void(TargetRegistry &registry)> change_;
+        Duration coldFor_;
+    };
+    const auto listCold = [&](TargetRegistry &registry, Duration coldFor) {
+        TargetRecord target = record("i");
+        target.coldFor_ = coldFor;
+        registry.list(target, later);
+    };
+    const Case cases[] = {
+        {"listed at the start", [](TargetRegistry &) {}, Duration::zero()},
+        {"its heartbeat", [&](TargetRegistry &r) { r.list(record("i"), later); }, Duration::zero()},
+        {"started again", [&](TargetRegistry &r) { r.list(record("i", 2), later); }, kColdTime},
+        {"its record is back",
+         [&](TargetRegistry &r) {
+             r.markUnlisted("i", later);
+             r.list(record("i"), later);
+         },
+         kColdTime},
+        {"its record says so", [&](TargetRegistry &r) { listCold(r, milliseconds(700)); },
+         milliseconds(700)},
+        {"its record was late",
+         [&](TargetRegistry &r) {
+             r.list(record("i", 2), later);
+             listCold(r, milliseconds(700));
+         },
+         kColdTime},
+        {"it has been up for a while",
+         [&](TargetRegistry &r) {
+             r.presumeCold(*r.find("i"), later, placement::ColdReason::Returned,
+                           milliseconds(2000));
+         },
+         milliseconds(1000)},
+        {"it has been up for long",
+         [&](TargetRegistry &r) {
+             r.presumeCold(*r.find("i"), later, placement::ColdReason::Returned, kColdTime);
+         },
+         Duration::zero()},
+    };
+    for (const Case &c : cases) {
+        CAPTURE(c.name_);
+        for (const bool isBounded : {true, false}) {
+            TargetRegistry registry(kUnlistedGrace);
+            if (isBounded)
+                registry.setColdTimes({{"s", kColdTime}});
+            registry.list(record("i"), kStart);
+            registry.retainOnly({"i"}, kStart);
+            c.change_(registry);
+            const bool isCold = isBounded && c.coldFor_ > Duration::zero();
+            CHECK(registry.find("i")->cold_.isCold(later) == isCold);
+            CHECK_FALSE(registry.find("i")->cold_.isCold(later + c.coldFor_));
+            registry.markUnreachable(*registry.find("i"));
+            CHECK(registry.find("i")->cold_.isUnreachable() == isBounded);
+        }
+    }
+}
+
+TEST_CASE("a target that comes after the first read of the store is held for cold until it is warm")
+{
+    TargetRegistry registry(kUnlistedGrace);
+    registry.setColdTimes({{"s", milliseconds(3000)}});
+    registry.list(record("first"), kStart);
+    registry.retainOnly({"first"}, kStart);
+    registry.list(record("second", 2), kStart);
+    std::vector<std::string> news;
+    const auto review = [&](TimePoint now) {
+        news.clear();
+        return registry.reviewCold(
+            now, [&](const Target &target) { news.push_back("cold " + target.record_.instance_); },
+            [&](const Target &target) { news.push_back("warm " + target.record_.instance_); });
+    };
+    CHECK(review(kStart) == 1);
+    CHECK(news == std::vector<std::string>{"cold second"});
+    CHECK(review(kStart + milliseconds(2999)) == 1);
+    CHECK(news.empty());
+    CHECK(review(kStart + milliseconds(3000)) == 0);
+    CHECK(news == std::vector<std::string>{"warm second"});
+}
+
 } // namespace foxtailturn::gateway
