gateway: a request that cold targets have turned down is refused at once

Cause: a cold target that has refused nothing itself, but may not be asked any more, opened in the past, so the request was placed again without a pause until its deadline. Seen in review; the placement test covers the time.

--- a/packages/gateway/placement.cpp
+++ b/packages/gateway/placement.cpp
@@ -31,6 +31,7 @@
 constexpr milliseconds kMinLoadTime(50);
 constexpr milliseconds kMaxLoadTime(2000);
 constexpr milliseconds kOtherDataCentrePenalty(2);
+constexpr milliseconds kMinColdWait(50); // for a permit of a target that may not be asked now
 constexpr milliseconds kColdPenalty(150); // a cold engine is slow, and the permit takes time
 constexpr milliseconds kMemoryPenalty(400); // expected cost of a preemption or a wait for KV memory
 constexpr double kMemoryLimit = 0.92; // of the KV capacity
@@ -76,12 +77,12 @@
 }
 
 // Returns when a target that is passed over opens again; nullopt if it is not known.
-std::optional<TimePoint> opensAt(const Target &target, PassedOver reason)
+std::optional<TimePoint> opensAt(const Target &target, PassedOver reason, TimePoint now)
 {
     if (reason == PassedOver::Closed)
         return target.backoff_.closedUntil();
     if (reason == PassedOver::Cold)
-        return target.cold_.opensAt(target.isAgentConnected_);
+        return std::max(target.cold_.opensAt(target.isAgentConnected_), now + kMinColdWait);
     return std::nullopt;
 }
 
@@ -235,7 +236,7 @@
         const bool hasAdapter = request.isEngine_ && hasRequiredVersion(*target, request);
         PlacementCandidate candidate{target, Duration::zero(),
                                      ineligibilityOf(*target, request, hasAdapter, query.now_)};
-        if (const auto opening = opensAt(*target, candidate.passedOver_)) {
+        if (const auto opening = opensAt(*target, candidate.passedOver_, query.now_)) {
             choice.opensAt_ = std::min(choice.opensAt_.value_or(*opening), *opening);
             choice.isHostPassedOver_ = choice.isHostPassedOver_ || hasAdapter;
         }
--- a/packages/gateway/placement_test.cpp
+++ b/packages/gateway/placement_test.cpp
@@ -235,7 +235,7 @@
          PassedOver::Cold, kStart + milliseconds(3000)},
         {"others have refused many",
          [](Target &, PlacementRequest &request) { request.mayAskPermit_ = false; },
-         PassedOver::Cold, TimePoint{}},
+         PassedOver::Cold, kStart + milliseconds(50)},
         {"is unreachable",
          [](Target &target, PlacementRequest &) { target.cold_.setUnreachable(true); },
          PassedOver::Unreachable, std::nullopt},
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -152,7 +152,8 @@
 {
     const TimePoint now = gateway_.now();
     const Duration wait = opensAt - now;
-    const bool isShort = wait <= std::min(request_.route_->objective_ / 2, kMaxWaitForTarget);
+    const bool isShort = permitRequests_ < kMaxPermitRequests
+        && wait <= std::min(request_.route_->objective_ / 2, kMaxWaitForTarget);
     if (!isShort || opensAt >= request_.deadline_) {
         if (runs_ > 0) {
             failRequest(ErrorCode::Overloaded);
