--- a/packages/placement/cold_fleet_test.cpp
+++ b/packages/placement/cold_fleet_test.cpp
@@ -169,6 +169,7 @@
         fleet.restartEngine(kStart + milliseconds(5000 + 41 * seed));
         fleet.run(std::chrono::seconds(10));
         CHECK(static_cast<double>(fleet.mostInOneSecond()) <= kBound);
+        CHECK(fleet.mostInOneSecond() <= static_cast<std::ptrdiff_t>(permitsPerWindow(kRate)));
         CHECK(fleet.sends() > 20); // the engine is used
     }
 }
