memory, gateway: one account of the bytes held for callers bounds what they can take

Cause: an entry read every body whole, with no bound over all connections, reserved announced lengths, let the system's receive buffers grow, and accepted callers, peers and readers of metrics without a bound. A field of a head took 64 bytes and more whatever its size. Chunks of one byte have no cost of their own in the parser: 75 bodies of 2 MB are the 149 MB. Now packages/memory counts what is held (MemoryAccount) and chooses who gives way (chooseToShed); bounds follow from memory_mb and max_fds. Large bodies wait first, then the largest are refused with 503 (not run, Retry-After), then unread answers are reset. A large body is no longer copied when it is sent to its target.

--- a/packages/gateway/admin_port.cpp
+++ b/packages/gateway/admin_port.cpp
@@ -1,5 +1,7 @@
 #include "gateway/admin_port.h"
 
+#include <algorithm>
+
 #include "gateway/byte_stream.h"
 #include "gateway/target_connection.h"
 #include "http1/message_parser.h"
@@ -10,6 +12,8 @@
 
 constexpr std::size_t kMaxHeaderBytes = 8192;
 constexpr Duration kIdleTimeout = std::chrono::seconds(30);
+constexpr std::size_t kMaxConnections = 64; // the one that was last used longest ago is closed
+constexpr std::size_t kMaxUnsentBytes = 262'144; // for a client that does not read
 
 } // namespace
 
@@ -31,9 +35,19 @@
         armTimer();
     }
 
+    void close()
+    {
+        timer_.cancel();
+        stream_->close();
+    }
+
+    [[nodiscard]] bool isOpen() const { return stream_->isOpen(); }
+    [[nodiscard]] std::uint64_t lastUse() const { return lastUse_; }
+
 private:
     void armTimer()
     {
+        lastUse_ = ++port_.uses_;
         timer_.expires_after(kIdleTimeout);
         timer_.async_wait([self = shared_from_this()](const asio::error_code &error) {
             if (!error)
@@ -53,6 +67,8 @@
             if (parser_.isComplete()) {
                 parser_.next();
                 answer();
+                if (stream_->queuedBytes() > kMaxUnsentBytes)
+                    close();
             }
         }
     }
@@ -86,6 +102,7 @@
     MessageParser parser_;
     asio::steady_timer timer_;
     MessageHead head_;
+    std::uint64_t lastUse_ = 0; // by its place in the order of all uses
 };
 
 AdminPort::AdminPort(asio::io_context &context)
@@ -112,10 +129,29 @@
         [this, acceptor](const asio::error_code &error, asio::ip::tcp::socket socket) {
             if (!acceptor->is_open())
                 return;
-            if (!error)
-                std::make_shared<Connection>(*this, std::move(socket))->start();
+            if (!error) {
+                makeRoom();
+                auto connection = std::make_shared<Connection>(*this, std::move(socket));
+                connections_.push_back(connection);
+                connection->start();
+            }
             accept(acceptor);
         });
 }
 
+void AdminPort::makeRoom()
+{
+    std::erase_if(connections_, [](const std::weak_ptr<Connection> &weak) {
+        const std::shared_ptr<Connection> connection = weak.lock();
+        return !connection || !connection->isOpen();
+    });
+    if (connections_.size() < kMaxConnections)
+        return;
+    const auto oldest = std::min_element(
+        connections_.begin(), connections_.end(),
+        [](const auto &a, const auto &b) { return a.lock()->lastUse() < b.lock()->lastUse(); });
+    oldest->lock()->close();
+    connections_.erase(oldest);
+}
+
 } // namespace foxtailturn::gateway
--- a/packages/gateway/admin_port.h
+++ b/packages/gateway/admin_port.h
@@ -6,9 +6,12 @@
 //     admin.serve("/state", [] { return AdminAnswer{200, "{}"}; });
 //     admin.listen("10.0.0.5:8090");
 
+#include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
+#include <vector>
 
 #include <asio.hpp>
 
@@ -44,8 +47,12 @@
 
     void accept(const std::shared_ptr<asio::ip::tcp::acceptor> &acceptor);
 
+    void makeRoom();
+
     asio::io_context &context_;
     std::map<std::string, Handler, std::less<>> handlers_;
+    std::vector<std::weak_ptr<Connection>> connections_;
+    std::uint64_t uses_ = 0; // connections accepted and requests answered
 };
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/answer_state.cpp
+++ b/packages/gateway/answer_state.cpp
@@ -130,7 +130,7 @@
     return isChunked ? chunkText(data) : std::string(data);
 }
 
-AnswerStep AnswerState::onBody(std::string_view data)
+AnswerStep AnswerState::onBody(std::string_view data, std::size_t maxBufferedBytes)
 {
     bytes_ += data.size();
     if (isStream_)
@@ -141,7 +141,7 @@
         return step;
     }
     buffer_ += data;
-    if (buffer_.size() > read_limits::kMaxBufferedBytes) {
+    if (buffer_.size() > maxBufferedBytes) {
         step.head_ = tellHead(Body::Plain);
         step.body_ = framed(std::exchange(buffer_, {}));
     }
--- a/packages/gateway/answer_state.h
+++ b/packages/gateway/answer_state.h
@@ -25,6 +25,7 @@
 
 #include "base/error.h"
 #include "gateway/event_splitter.h"
+#include "gateway/read_limits.h"
 #include "gateway/stream_position.h"
 #include "http1/message.h"
 
@@ -84,7 +85,9 @@
     // Read the parts of a target's own answer. onEnd() is called where its framing or the close of
     // its connection ends it; after a failed attempt nothing is read until the next one begins.
     [[nodiscard]] AnswerStep onHead(const MessageHead &head);
-    [[nodiscard]] AnswerStep onBody(std::string_view data);
+    // A plain body is kept up to maxBufferedBytes; a longer one is passed on as it comes.
+    [[nodiscard]] AnswerStep onBody(std::string_view data,
+                                    std::size_t maxBufferedBytes = read_limits::kMaxBufferedBytes);
     [[nodiscard]] AnswerStep onEnd();
 
     // Returns why the answer of the attempt under way would be broken off if its connection ended
@@ -119,6 +122,12 @@
     // Status that the caller is told, or is to be told once a buffered answer is whole; 0 before.
     [[nodiscard]] int status() const { return head_.status_; }
 
+    // Bytes that are kept of the attempt under way: of a buffered answer, or since the last event.
+    [[nodiscard]] std::size_t heldBytes() const
+    {
+        return buffer_.size() + (isStream_ ? bytesSinceEvent_ : 0);
+    }
+
     bool operator==(const AnswerState &) const = default;
 
 private:
--- a/packages/gateway/byte_stream.cpp
+++ b/packages/gateway/byte_stream.cpp
@@ -95,18 +95,49 @@
 
 void ByteStream::send(std::string data)
 {
-    if (!isOpen() || data.empty() || isFinishing_)
+    enqueue({std::move(data), nullptr});
+}
+
+void ByteStream::send(std::shared_ptr<const std::string> data)
+{
+    enqueue({{}, std::move(data)});
+}
+
+void ByteStream::enqueue(Outgoing data)
+{
+    if (!isOpen() || data.text().empty() || isFinishing_)
         return;
-    queuedBytes_ += data.size();
+    queuedBytes_ += data.text().size();
     queue_.push_back(std::move(data));
     if (!isWriting_)
         write();
+    setQueuedBytes(queuedBytes_);
+}
+
+void ByteStream::setQueuedBytes(std::size_t bytes)
+{
+    queuedBytes_ = bytes;
+    if (hold_)
+        hold_->set(bytes);
+}
+
+void ByteStream::setReceiveBuffer(int bytes)
+{
+    asio::error_code ignored; // the system's own size bounds it, too
+    socket_.set_option(asio::socket_base::receive_buffer_size(bytes), ignored);
+}
+
+std::string ByteStream::peerAddress() const
+{
+    asio::error_code error;
+    const asio::ip::tcp::endpoint peer = socket_.remote_endpoint(error);
+    return error ? std::string() : peer.address().to_string();
 }
 
 void ByteStream::write()
 {
     while (!queue_.empty() && isOpen()) {
-        const std::string &front = queue_.front();
+        const std::string &front = queue_.front().text();
         asio::error_code error;
         const std::size_t size = socket_.write_some(
             asio::buffer(front.data() + frontOffset_, front.size() - frontOffset_), error);
@@ -133,6 +164,7 @@
                                    return;
                                }
                                self->write();
+                               self->setQueuedBytes(self->queuedBytes_);
                                if (self->queue_.empty() && self->onDrain_ && !self->isFinishing_)
                                    self->onDrain_();
                            });
@@ -228,7 +260,7 @@
     asio::error_code ignored; // nothing can be done about a failed close
     socket_.close(ignored);
     queue_.clear();
-    queuedBytes_ = 0;
+    setQueuedBytes(0);
     // Handlers may be running now, so they are destroyed later.
     asio::post(socket_.get_executor(), [self = shared_from_this()] {
         self->onData_ = nullptr;
--- a/packages/gateway/byte_stream.h
+++ b/packages/gateway/byte_stream.h
@@ -20,6 +20,7 @@
 #include <asio.hpp>
 
 #include "base/clock.h"
+#include "memory/memory_account.h"
 
 namespace foxtailturn::gateway {
 
@@ -50,6 +51,21 @@
     // Queues bytes, and writes as many as the socket accepts without blocking.
     void send(std::string data);
 
+    // The same without a copy, for data that its owner keeps anyway.
+    void send(std::shared_ptr<const std::string> data);
+
+    // Sets the size of the socket's receive buffer, which the system adapts otherwise.
+    void setReceiveBuffer(int bytes);
+
+    // Counts the queue of unsent bytes in the account.
+    void account(memory::MemoryAccount &account, memory::MemoryKind kind)
+    {
+        hold_.emplace(account, kind);
+    }
+
+    // Returns the address of the peer without its port; empty if it is not known any more.
+    [[nodiscard]] std::string peerAddress() const;
+
     // Closes after all queued bytes are written. Bytes that still arrive are discarded for a while
     // before that, as unread ones would reset the connection and so take the last bytes from the
     // peer. No handler is called afterwards.
@@ -96,6 +112,16 @@
 private:
     explicit ByteStream(asio::ip::tcp::socket socket);
 
+    struct Outgoing
+    {
+        std::string own_;
+        std::shared_ptr<const std::string> shared_; // in place of own_ unless null
+
+        [[nodiscard]] const std::string &text() const { return shared_ ? *shared_ : own_; }
+    };
+
+    void enqueue(Outgoing data);
+    void setQueuedBytes(std::size_t bytes);
     [[nodiscard]] asio::error_code peek();
     void recordLastSegmentAge();
     void waitReadable();
@@ -110,9 +136,10 @@
     DataHandler onData_;
     CloseHandler onClose_;
     DrainHandler onDrain_;
-    std::deque<std::string> queue_;
+    std::deque<Outgoing> queue_;
     std::size_t frontOffset_ = 0; // bytes written of the first queue element
     std::size_t queuedBytes_ = 0;
+    std::optional<memory::MemoryHold> hold_;
     bool isPaused_ = false;
     bool isReading_ = false;
     bool isWriting_ = false;
--- a/packages/gateway/caller_connection.cpp
+++ b/packages/gateway/caller_connection.cpp
@@ -10,6 +10,7 @@
 
 constexpr std::size_t kMaxHeaderBytes = 81'920; // upper bound, whatever the configuration says
 constexpr std::size_t kMaxUnparsedBytes = 65'536; // bytes buffered while an answer is in progress
+constexpr std::size_t kMaxIdleBuffer = 4096; // a larger one is given back
 constexpr Duration kDiscardTime = milliseconds(1000); // time for the caller to read a final refusal
 constexpr Duration kAcceptRetryDelay =
     milliseconds(50); // after a failed accept, for example when file descriptors run out
@@ -29,10 +30,14 @@
     , parser_(MessageKind::Request, std::min(kMaxHeaderBytes, limitsOf(gateway).maxHeaderBytes_),
               *this)
     , timer_(gateway.context())
-{ }
+    , unfinished_(gateway.memory(), memory::MemoryKind::UnfinishedRequest)
+{
+    stream_->account(gateway.memory(), memory::MemoryKind::UnsentAnswer);
+}
 
 void CallerConnection::start()
 {
+    progressAt_ = gateway_.now();
     stream_->onDrain([weak = weak_from_this()] {
         const auto self = weak.lock();
         if (self && self->relay_)
@@ -58,7 +63,9 @@
         if (error || !self || self->relay_)
             return;
         const LoopMeter::Scope scope(&self->listener_.meter_, WorkKind::Callers);
-        if (isForHeader && !self->isDiscarding_)
+        if (self->pausedAt_)
+            self->refuseForMemory();
+        else if (isForHeader && !self->isDiscarding_)
             self->refuseAndClose(408, ErrorCode::DeadlineExceeded);
         else
             self->close();
@@ -72,12 +79,16 @@
     const LoopMeter::Scope scope(&listener_.meter_, WorkKind::Callers);
     unparsed_ += data;
     if (relay_) {
-        if (unparsed_.size() > kMaxUnparsedBytes)
+        unfinished_.set(unparsed_.size());
+        const memory::MemoryAccount &memory = gateway_.memory();
+        if (unparsed_.size() > kMaxUnparsedBytes || memory.total() > memory.bounds().pauseAt_)
             stream_->pause();
+        listener_.makeMemoryLater();
         return;
     }
     // The caller's time runs while its bytes wait for the loop.
-    readRequests(listener_.meter_.readySince());
+    progressAt_ = listener_.meter_.readySince();
+    readRequests(progressAt_);
 }
 
 void CallerConnection::readRequests(TimePoint receivedAt)
@@ -107,11 +118,18 @@
         }
     }
     isReading_ = false;
+    if (isDiscarding_)
+        parser_.discard();
+    if (isDiscarding_ || (unparsed_.empty() && unparsed_.capacity() > kMaxIdleBuffer))
+        unparsed_ = std::string();
+    updateHold();
 }
 
 void CallerConnection::onHead(MessageHead head)
 {
     hasHead_ = true;
+    headBytes_ = heldBytes(head);
+    owner_.clear();
     keepsAlive_ = head.keepsAlive_;
     head_ = std::move(head);
     body_.clear();
@@ -120,8 +138,6 @@
         refuseAndClose(413, ErrorCode::PayloadTooLarge);
         return;
     }
-    if (head_.contentLength_)
-        body_.reserve(*head_.contentLength_);
     const std::string *expect = head_.find("Expect");
     if (expect != nullptr && equalsIgnoringCase(*expect, "100-continue"))
         stream_->send("HTTP/1.1 100 Continue\r\n\r\n");
@@ -135,7 +151,7 @@
         refuseAndClose(413, ErrorCode::PayloadTooLarge);
         return;
     }
-    body_ += data;
+    body_.append(data);
 }
 
 void CallerConnection::onMessageEnd() { }
@@ -148,8 +164,14 @@
         refuseAndClose(400, ErrorCode::BadRequest);
         return;
     }
-    auto admission = gateway_.admit(head_, std::move(body_), receivedAt_);
-    body_ = std::string();
+    unfinished_.set(0);
+    std::string body = body_.take();
+    const memory::MemoryAccount &memory = gateway_.memory();
+    if (memory.total() > 0 && memory.total() + headBytes_ + body.size() > memory.bounds().max_) {
+        refuseForMemory();
+        return;
+    }
+    auto admission = gateway_.admit(head_, std::move(body), receivedAt_);
     if (Refusal *refusal = std::get_if<Refusal>(&admission)) {
         refuse(std::move(*refusal));
         return;
@@ -174,17 +196,31 @@
     gateway_.countAnswer(nullptr, status, errorName(code));
     gateway_.log().write(LogDetail::Full, "refused",
                          {{"request", ""}, {"status", status}, {"code", errorName(code)}});
-    isDiscarding_ = true;
-    // Closing a socket with unread input resets the connection before the caller can read the
-    // refusal, so input is read and discarded for a while.
+    beginDiscard();
     stream_->send(
         gateway_.codec().refusal({status, "", std::string(errorName(code)), std::nullopt, true}));
+}
+
+// Gives back what was read. Closing a socket with unread input resets the connection before the
+// caller can read a refusal, so input is read and discarded for a while.
+void CallerConnection::beginDiscard()
+{
+    isDiscarding_ = true;
+    body_.clear();
+    unfinished_.set(0);
+    if (!isReading_) { // otherwise readRequests() still uses them
+        unparsed_ = std::string();
+        parser_.discard();
+    }
+    pausedAt_.reset();
+    stream_->resume();
     armTimer(kDiscardTime, false);
 }
 
 void CallerConnection::sendAnswer(std::string bytes)
 {
     stream_->send(std::move(bytes));
+    listener_.makeMemoryLater();
 }
 
 void CallerConnection::endAnswer()
@@ -196,6 +232,7 @@
         listener_.connections_.erase(shared_from_this());
         timer_.cancel();
         stream_->finish();
+        listener_.addFlushing(stream_);
         return;
     }
     stream_->resume();
@@ -215,6 +252,7 @@
     isDiscarding_ = true;
     listener_.connections_.erase(shared_from_this());
     timer_.cancel();
+    unfinished_.set(0);
     // A reset would also take from the caller what it has not read yet.
     if (how == AnswerBreak::Reset)
         stream_->reset();
@@ -265,6 +303,8 @@
 {
     const auto self = shared_from_this();
     timer_.cancel();
+    unfinished_.set(0);
+    pausedAt_.reset();
     if (relay_) {
         const std::shared_ptr<Relay> relay = relay_;
         relay_.reset();
@@ -277,6 +317,7 @@
 CallerListener::CallerListener(Gateway &gateway, LoopMeter &meter)
     : gateway_(gateway)
     , meter_(meter)
+    , pauseTimer_(gateway.context())
     , acceptor_(gateway.context())
     , acceptTimer_(gateway.context())
 { }
@@ -303,9 +344,14 @@
             });
             return;
         }
-        auto connection = std::make_shared<CallerConnection>(*this, gateway_, std::move(socket));
-        connections_.insert(connection);
-        connection->start();
+        if (makeRoom()) {
+            auto connection =
+                std::make_shared<CallerConnection>(*this, gateway_, std::move(socket));
+            connections_.insert(connection);
+            connection->start();
+        } else {
+            recordShed("connections", {});
+        }
         accept();
     });
 }
--- a/packages/gateway/caller_connection.h
+++ b/packages/gateway/caller_connection.h
@@ -7,12 +7,18 @@
 //     listener.listen("10.0.0.5:8080");
 //     listener.drain();     // graceful shutdown: answers carry "Connection: close"
 
+#include <deque>
+#include <limits>
 #include <memory>
 #include <set>
+#include <vector>
 
 #include "gateway/gateway.h"
 #include "gateway/loop_meter.h"
 #include "http1/message_parser.h"
+#include "memory/body_buffer.h"
+#include "memory/memory_account.h"
+#include "memory/shedding.h"
 
 namespace foxtailturn::gateway {
 
@@ -41,6 +47,34 @@
 
     [[nodiscard]] bool isIdle() const { return !relay_ && !hasHead_; }
 
+    // Continues to read a body that waits for memory.
+    void resumeReading();
+
+    // Refuses the request that is being read, or breaks the answer off that the caller does not
+    // read, to give its memory back.
+    void shed();
+
+    // Returns what shed() would give back; no bytes if nothing.
+    [[nodiscard]] memory::Holder holder();
+
+    // When reading was paused for want of memory; nothing if it is not.
+    [[nodiscard]] std::optional<TimePoint> pausedAt() const { return pausedAt_; }
+
+    // When the caller last sent bytes, or the connection was accepted.
+    [[nodiscard]] TimePoint progressAt() const { return progressAt_; }
+
+    // In the order in which connections are closed for new ones. Served ones are not.
+    enum class Use {
+        Idle,
+        Unfinished, // a request is being read
+        Unread, // the caller does not take its answer
+        Served,
+    };
+    [[nodiscard]] Use use() const;
+
+    // Closes the connection to make room for others.
+    void closeForAnother();
+
 private:
     void onData(std::string_view data);
     void onClosed();
@@ -49,6 +83,11 @@
     void beginRequest();
     void refuse(Refusal refusal);
     void refuseAndClose(int status, ErrorCode code);
+    void refuseForMemory();
+    void beginDiscard();
+    // Counts what is held of the request that is being read, and makes room if that is too much.
+    void updateHold();
+    [[nodiscard]] const std::string &owner();
     void armTimer(Duration wait, bool isForHeader);
 
     void onHead(MessageHead head) override;
@@ -70,12 +109,18 @@
     asio::steady_timer timer_;
     std::string unparsed_; // received bytes that are not parsed yet, such as pipelined requests
     MessageHead head_;
-    std::string body_;
+    memory::BodyBuffer body_;
+    memory::MemoryHold unfinished_; // unparsed bytes, head and body
+    std::size_t headBytes_ = 0;
+    std::string owner_; // of the request that is being read; empty until it is looked up
+    std::optional<TimePoint> pausedAt_;
+    bool hasReceiveBuffer_ = false; // of a bounded size
     bool hasHead_ = false;
     bool keepsAlive_ = true;
     bool isDiscarding_ = false; // after the last answer: further input is discarded
     bool isReading_ = false; // in readRequests(), which must not be re-entered
     TimePoint receivedAt_{};
+    TimePoint progressAt_{};
     std::shared_ptr<Relay> relay_;
 };
 
@@ -89,6 +134,10 @@
     // Error: InvalidSettings when the address can't be used.
     [[nodiscard]] Result<void> listen(const std::string &address);
 
+    // Accepts no more than this many connections at a time. Others are closed for new ones, in the
+    // order of their use.
+    void limitConnections(std::size_t max) { maxConnections_ = max; }
+
     // Begins the graceful shutdown; connections close after their next answer.
     void drain();
     [[nodiscard]] bool isDraining() const { return isDraining_; }
@@ -107,14 +156,42 @@
 private:
     friend class CallerConnection;
 
+    enum class SheddingScope {
+        Unfinished, // requests that are being read
+        All, // and answers that are not read
+    };
+
     void accept();
 
+    // In caller_shedding.cpp.
+
+    // Returns whether there is room for another connection.
+    [[nodiscard]] bool makeRoom();
+    // Sheds callers if too much is held.
+    void makeMemory();
+    // The same from the loop, for callers that a relay is about to send to.
+    void makeMemoryLater();
+    // Reads on, or sheds, a connection that waits for memory.
+    void addPaused(CallerConnection &connection);
+    void reviewPaused();
+    void reviewPausedLater();
+    // The stream is closed if its unsent bytes are needed.
+    void addFlushing(const std::shared_ptr<ByteStream> &stream);
+    // Sheds callers until no more than this many bytes are held, or nobody is left to give way.
+    void shedTo(std::size_t bytes, SheddingScope scope);
+    void recordShed(std::string_view reason, const memory::Holder &holder);
+
     Gateway &gateway_;
     LoopMeter &meter_;
+    std::size_t maxConnections_ = std::numeric_limits<std::size_t>::max();
+    std::deque<std::weak_ptr<CallerConnection>> paused_; // the first has waited longest
+    std::vector<std::weak_ptr<ByteStream>> flushing_; // last answers that callers still read
+    asio::steady_timer pauseTimer_;
     asio::ip::tcp::acceptor acceptor_;
     asio::steady_timer acceptTimer_;
     std::set<std::shared_ptr<CallerConnection>> connections_;
     bool isDraining_ = false;
+    bool isMakingMemory_ = false; // a call of makeMemory() waits in the loop
 };
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -43,7 +43,8 @@
                 .retryPercent_ = settings.retryPercent_,
                 .unlistedGrace_ = targetTimesFor(settings.drainNotice_).unlistedGrace_,
                 .quotaTolerance_ = settings.quotaTolerance_,
-                .milliCores_ = settings.milliCores_})
+                .milliCores_ = settings.milliCores_,
+                .memoryMb_ = settings.memoryMb_})
     , callers_(gateway_, meter_)
     , admin_(context)
     , deferredWork_(clock_, &meter_)
@@ -84,6 +85,9 @@
     , tickTimer_(context)
     , stopTimer_(context)
 {
+    const auto descriptors = static_cast<std::size_t>(settings.maxDescriptors_);
+    callers_.limitConnections(memory::maxCallerConnections(descriptors));
+    quotaPeers_.limitPeers(memory::maxPeerConnections(descriptors));
     gateway_.pool().setMeter(meter_, WorkKind::Targets);
     store_.setMeter(meter_);
     quotaPeers_.setMeter(meter_);
@@ -376,6 +380,11 @@
         .set(static_cast<std::int64_t>(callers_.connections()));
     metrics_.gauge("foxtailturn_log_lines_dropped", "log lines dropped for a slow reader")
         .set(static_cast<std::int64_t>(log_.dropped()));
+    for (const memory::MemoryKind kind : memory::kMemoryKinds)
+        metrics_
+            .gauge("foxtailturn_held_bytes", "bytes held for callers and targets",
+                   {{"kind", std::string(memory::memoryKindName(kind))}})
+            .set(static_cast<std::int64_t>(gateway_.memory().held(kind)));
     gateway_.serving().connections(gateway_.pool().opened(), gateway_.pool().reused());
     const Duration age = clock_.now() - operatorWatch_.lastConfirmedAt();
     metrics_
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -59,11 +59,15 @@
     return suspects;
 }
 
+constexpr std::size_t kMegabyte = 1'000'000;
+
 } // namespace
 
 Gateway::Gateway(const GatewayDependencies &parts, const GatewayOptions &identity)
     : parts_(parts)
     , options_(identity)
+    , memory_(memory::MemoryAccount::create(memory::MemoryBounds::forMachine(
+          static_cast<std::size_t>(identity.memoryMb_) * kMegabyte)))
     , targets_(identity.unlistedGrace_)
     , pool_(parts.context_, parts.codec_, parts.clock_)
     , quotas_({identity.name_, identity.milliCores_}, parts.clock_, identity.quotaTolerance_)
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -21,6 +21,7 @@
 #include "gateway/adapter_versions.h"
 #include "gateway/codec.h"
 #include "gateway/grant_requester.h"
+#include "gateway/node_settings.h"
 #include "gateway/outdated_copies.h"
 #include "gateway/placement.h"
 #include "gateway/relay.h"
@@ -29,6 +30,7 @@
 #include "gateway/target_connection.h"
 #include "gateway/target_registry.h"
 #include "gateway/waiting_requests.h"
+#include "memory/memory_account.h"
 #include "quota/quota_parts.h"
 #include "retry/crash_detector.h"
 #include "retry/quarantine.h"
@@ -46,6 +48,7 @@
     Duration unlistedGrace_{}; // see TargetTimes
     std::int64_t quotaTolerance_ = 0; // tokens; see QuotaParts
     std::int64_t milliCores_ = 0; // processor share of the VM
+    std::int64_t memoryMb_ = NodeSettings().memoryMb_;
 };
 
 // Objects that the gateway uses. They must outlive it.
@@ -193,6 +196,7 @@
     quota::QuotaParts &quotas() { return quotas_; }
     [[nodiscard]] const quota::QuotaParts &quotas() const { return quotas_; }
     Quarantine &quarantine() { return quarantine_; }
+    memory::MemoryAccount &memory() { return *memory_; }
     Placement &placement(const std::string &service) { return placements_[service]; }
     EventLog &log() { return parts_.log_; }
     [[nodiscard]] const PlatformCodec &codec() const { return parts_.codec_; }
@@ -216,6 +220,7 @@
 
     GatewayDependencies parts_;
     GatewayOptions options_;
+    std::shared_ptr<memory::MemoryAccount> memory_;
     std::shared_ptr<const ServingConfig> config_;
     std::optional<ShutdownSchedule> shutdown_;
     TargetRegistry targets_;
--- a/packages/gateway/line_server.cpp
+++ b/packages/gateway/line_server.cpp
@@ -1,5 +1,7 @@
 #include "gateway/line_server.h"
 
+#include <algorithm>
+
 #include "gateway/agent_messages.h"
 #include "gateway/target_connection.h"
 
@@ -9,6 +11,7 @@
 
 constexpr std::size_t kMaxUnsentBytes = 65'536; // bytes queued for a peer that does not read
 constexpr std::size_t kMaxBufferedBytes = 65'536; // bytes received without a line end
+constexpr std::size_t kMaxTotalBuffered = 2'097'152; // the same of all peers
 
 } // namespace
 
@@ -29,7 +32,7 @@
     acceptor_.async_accept([this](const asio::error_code &error, asio::ip::tcp::socket socket) {
         if (!acceptor_.is_open())
             return;
-        if (!error) {
+        if (!error && makeRoom()) {
             const int id = nextPeerId_++;
             auto peer = std::make_shared<Peer>();
             peer->stream_ = ByteStream::create(std::move(socket));
@@ -49,14 +52,41 @@
     if (it == peers_.end())
         return;
     const std::shared_ptr<Peer> current = it->second;
+    const std::size_t before = current->buffer_.size();
     current->buffer_ += data;
     const std::vector<std::string> lines = extractLines(current->buffer_);
+    current->hasSentLine_ = current->hasSentLine_ || !lines.empty();
+    bufferedBytes_ = bufferedBytes_ - before + current->buffer_.size();
     if (current->isDropPending_ || current->buffer_.size() > kMaxBufferedBytes) {
         drop(peer);
         return;
     }
     if (!lines.empty() && onLines_)
         onLines_(peer, lines);
+    if (bufferedBytes_ > kMaxTotalBuffered)
+        dropLargestBuffer();
+}
+
+void LineServer::dropLargestBuffer()
+{
+    const auto largest =
+        std::max_element(peers_.begin(), peers_.end(), [](const auto &a, const auto &b) {
+            return a.second->buffer_.size() < b.second->buffer_.size();
+        });
+    if (largest != peers_.end())
+        drop(largest->first);
+}
+
+bool LineServer::makeRoom()
+{
+    if (peers_.size() < maxPeers_)
+        return true;
+    const auto silent = std::find_if(peers_.begin(), peers_.end(),
+                                     [](const auto &peer) { return !peer.second->hasSentLine_; });
+    if (silent == peers_.end())
+        return false;
+    drop(silent->first);
+    return true;
 }
 
 void LineServer::send(int peer, const std::string &lines)
@@ -93,6 +123,7 @@
     if (it == peers_.end())
         return;
     it->second->stream_->close();
+    bufferedBytes_ -= it->second->buffer_.size();
     peers_.erase(it);
     if (onDisconnected_)
         onDisconnected_(peer);
--- a/packages/gateway/line_server.h
+++ b/packages/gateway/line_server.h
@@ -10,6 +10,7 @@
 // The server disconnects a peer that does not read or that sends an overlong line.
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -36,6 +37,10 @@
     void onConnected(PeerHandler handler) { onConnected_ = std::move(handler); }
     void onDisconnected(PeerHandler handler) { onDisconnected_ = std::move(handler); }
 
+    // Accepts no more than this many peers at a time. A peer that has sent no line yet is dropped
+    // for a new one.
+    void limitPeers(std::size_t max) { maxPeers_ = max; }
+
     // Error: InvalidSettings when the address can't be used.
     [[nodiscard]] Result<void> listen(const std::string &address);
 
@@ -54,9 +59,13 @@
         std::shared_ptr<ByteStream> stream_;
         std::string buffer_;
         bool isDropPending_ = false;
+        bool hasSentLine_ = false;
     };
 
     void accept();
+    // Returns whether there is room for another peer.
+    [[nodiscard]] bool makeRoom();
+    void dropLargestBuffer();
     void onData(int peer, std::string_view data);
     void drop(int peer);
 
@@ -66,6 +75,8 @@
     PeerHandler onDisconnected_;
     std::map<int, std::shared_ptr<Peer>> peers_;
     int nextPeerId_ = 1;
+    std::size_t maxPeers_ = std::numeric_limits<std::size_t>::max();
+    std::size_t bufferedBytes_ = 0; // of all peers, received without a line end
 };
 
 } // namespace foxtailturn::gateway
--- a/packages/gateway/line_server_test.cpp
+++ b/packages/gateway/line_server_test.cpp
@@ -133,4 +133,35 @@
     CHECK(first.available() == 0);
 }
 
+TEST_CASE("a silent peer gives way to a new one, and one that speaks does not")
+{
+    Fixture f;
+    f.server_.limitPeers(2);
+    REQUIRE(f.server_.listen(f.address()));
+    tcp::socket speaking = f.connect();
+    asio::write(speaking, asio::buffer("line\n", 5));
+    REQUIRE(f.runUntil([&] { return !f.lines_.empty(); }));
+    const tcp::socket silent = f.connect();
+    REQUIRE(f.runUntil([&] { return f.connects_ == 2; }));
+    const tcp::socket next = f.connect();
+    REQUIRE(f.runUntil([&] { return f.connects_ == 3; }));
+    CHECK(f.disconnects_ == 1);
+    CHECK(f.server_.peers() == 2);
+    asio::write(speaking, asio::buffer("line\n", 5));
+    CHECK(f.runUntil([&] { return f.lines_.size() == 2; }));
+}
+
+TEST_CASE("lines without end of many peers are bounded in all")
+{
+    constexpr int kPeers = 40; // of 60 kB each
+    Fixture f;
+    REQUIRE(f.server_.listen(f.address()));
+    std::vector<tcp::socket> sockets;
+    for (int i = 0; i < kPeers; ++i) {
+        sockets.push_back(f.connect());
+        asio::write(sockets.back(), asio::buffer(std::string(60'000, 'x')));
+    }
+    CHECK(f.runUntil([&] { return f.disconnects_ > 0; }));
+}
+
 } // namespace foxtailturn::gateway
--- a/packages/gateway/node_settings.cpp
+++ b/packages/gateway/node_settings.cpp
@@ -14,6 +14,10 @@
 constexpr std::int64_t kMaxSilenceLimitMs = 60'000; // milliseconds
 constexpr double kMaxCores = 1024;
 constexpr double kMilliCoresPerCore = 1000;
+constexpr std::int64_t kMinMemoryMb = 16;
+constexpr std::int64_t kMaxMemoryMb = 1'048'576;
+constexpr std::int64_t kMinDescriptors = 256;
+constexpr std::int64_t kMaxDescriptors = 1'048'576;
 constexpr std::int64_t kMaxStopGraceSeconds = 3600;
 constexpr std::int64_t kMinDrainNoticeMs =
     300; // milliseconds; each quarter costs one call to the store
@@ -69,6 +73,10 @@
         settings.milliCores_ = static_cast<std::int64_t>(share.get<double>() * kMilliCoresPerCore);
     else if (!share.is_null())
         object.fail("processor_share", "must be a number of cores above 0");
+    settings.memoryMb_ = object.integer("memory_mb", {.min_ = kMinMemoryMb, .max_ = kMaxMemoryMb},
+                                        settings.memoryMb_);
+    settings.maxDescriptors_ = static_cast<int>(object.integer(
+        "max_fds", {.min_ = kMinDescriptors, .max_ = kMaxDescriptors}, settings.maxDescriptors_));
     constexpr int kMaxPercent = 100;
     settings.retryPercent_ =
         static_cast<int>(object.integer("retry_percent", {.min_ = 0, .max_ = kMaxPercent}, 15));
--- a/packages/gateway/node_settings.h
+++ b/packages/gateway/node_settings.h
@@ -35,6 +35,8 @@
     Duration storeSilenceLimit_ = std::chrono::milliseconds(3000);
     std::int64_t quotaTolerance_ = 0; // tokens by which a workspace may exceed its quota
     std::int64_t milliCores_ = 1000; // processor share of the VM, in thousandths of a core
+    std::int64_t memoryMb_ = 1024; // memory of the VM, in megabytes
+    int maxDescriptors_ = 65'536; // descriptors that the process may have
     int retryPercent_ = 15; // attempts beyond the first per 100 requests of a service
 
     // Reads a settings file. Unknown fields are ignored, since a platform may add some. Error:
--- a/packages/gateway/node_settings_test.cpp
+++ b/packages/gateway/node_settings_test.cpp
@@ -26,10 +26,13 @@
     CHECK(settings->milliCores_ == 1000);
     const Result<NodeSettings> small = NodeSettings::parse(
         R"({"name":"a","role":"entry","ip":"1","peer_port":1,"caller_address":"b",)"
-        R"("store_address":"c","processor_share":0.09,"store_silence_limit_ms":5000})",
+        R"("store_address":"c","processor_share":0.09,"store_silence_limit_ms":5000,)"
+        R"("memory_mb":120,"max_fds":3075})",
         "f");
     REQUIRE(small);
     CHECK(small->milliCores_ == 90);
+    CHECK(small->memoryMb_ == 120);
+    CHECK(small->maxDescriptors_ == 3075);
     CHECK(small->storeSilenceLimit_ == std::chrono::seconds(5));
 }
 
@@ -54,6 +57,8 @@
          "processor_share"},
         {R"({"name":"a","role":"x","ip":"1","peer_port":1,"processor_share":"1"})",
          "processor_share"},
+        {R"({"name":"a","role":"x","ip":"1","peer_port":1,"memory_mb":0})", "memory_mb"},
+        {R"({"name":"a","role":"x","ip":"1","peer_port":1,"max_fds":100})", "max_fds"},
         {R"({"name":"a","role":"x","ip":"1","peer_port":1,"store_silence_limit_ms":9})",
          "store_silence_limit_ms"},
     };
--- a/packages/gateway/quota_peers.h
+++ b/packages/gateway/quota_peers.h
@@ -42,6 +42,9 @@
     // time, and when it answers that it owns no part of the quota any more.
     void onOwnerLost(std::function<void()> handler) { onOwnerLost_ = std::move(handler); }
 
+    // See LineServer.
+    void limitPeers(std::size_t max) { server_.limitPeers(max); }
+
     // Counts what is done with the messages of other entries. The meter must outlive this object.
     void setMeter(LoopMeter &meter) { meter_ = &meter; }
 
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -36,6 +36,9 @@
 Relay::Relay(Gateway &gateway, AdmittedRequest request, AnswerSink &answer)
     : gateway_(gateway)
     , request_(std::move(request))
+    , requestHold_(gateway.memory(), memory::MemoryKind::Request,
+                   heldBytes(request_.head_) + request_.body_.size())
+    , answerHold_(gateway.memory(), memory::MemoryKind::TargetAnswer)
     , answer_(answer)
     , timer_(gateway.context())
     , use_(gateway, request_)
@@ -232,7 +235,7 @@
 
 // Returns the request with the time that is left now, or ends it if its time is over or its caller
 // has left while it waited for the connection.
-std::optional<std::string> Relay::requestText()
+std::optional<RequestBytes> Relay::requestText()
 {
     const std::shared_ptr<Relay> self = shared_from_this();
     const TimePoint now = gateway_.now();
@@ -251,10 +254,13 @@
     call.lastEventId_ = state_.resumeId();
     call.priority_ = std::min(request_.priority_, 9);
     std::string text = gateway_.codec().targetHead(request_.head_, call, request_.body_.size());
-    text += request_.body_;
     progressAt_ = now;
     armTimer();
-    return text;
+    if (request_.body_.size() > memory::MemoryBounds::kSmallBody)
+        return RequestBytes(std::move(text),
+                            std::shared_ptr<const std::string>(self, &request_.body_));
+    text += request_.body_;
+    return RequestBytes(std::move(text));
 }
 
 void Relay::releaseTarget()
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -103,7 +103,7 @@
     void endWait();
     void reviewWait();
     void send(Target &target);
-    [[nodiscard]] std::optional<std::string> requestText();
+    [[nodiscard]] std::optional<RequestBytes> requestText();
     void releaseTarget();
     void abandonAttempt();
     void armTimer();
@@ -143,6 +143,8 @@
 
     Gateway &gateway_;
     AdmittedRequest request_;
+    memory::MemoryHold requestHold_;
+    memory::MemoryHold answerHold_; // what state_ keeps of the answer
     AnswerSink &answer_;
     asio::steady_timer timer_;
 
--- a/packages/gateway/relay_reply.cpp
+++ b/packages/gateway/relay_reply.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-constexpr std::size_t kPauseThreshold =
-    262'144; // unsent bytes above which reading from the target pauses
 constexpr int kFirstServerErrorStatus = 500;
 constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
@@ -72,7 +70,8 @@
     recordEvents(step);
     if (!step.body_.empty()) {
         answer_.sendAnswer(std::move(step.body_));
-        if (answer_.unsentBytes() > kPauseThreshold && connection_)
+        const memory::MemoryAccount &memory = gateway_.memory();
+        if (connection_ && answer_.unsentBytes() > memory.bounds().answerPauseAt(memory.total()))
             connection_->pause();
     }
     if (step.verdict_ == AnswerVerdict::Failed)
@@ -163,7 +162,11 @@
     if (!state_.isStream())
         progressAt_ = gateway_.now();
     use_.recordFirstBytes(state_.isStream());
-    passOn(state_.onBody(data));
+    const memory::MemoryAccount &memory = gateway_.memory();
+    const bool isShort = memory.total() > memory.bounds().pauseAt_;
+    AnswerStep step = state_.onBody(data, isShort ? 0 : read_limits::kMaxBufferedBytes);
+    answerHold_.set(state_.heldBytes());
+    passOn(std::move(step));
 }
 
 void Relay::onReplyEnd()
@@ -263,6 +266,7 @@
 {
     isCheckingEnd_ = false;
     AnswerStep step = state_.onEnd();
+    answerHold_.set(0);
     const AnswerVerdict verdict = step.verdict_;
     if (verdict == AnswerVerdict::Failed) {
         failAttempt(*step.error_);
--- a/packages/gateway/target_connection.cpp
+++ b/packages/gateway/target_connection.cpp
@@ -124,8 +124,9 @@
 void TargetConnection::exchange(std::string text, std::string requestId, bool expectsNoBody,
                                 ExchangeSink &sink)
 {
-    exchange([text = std::move(text)]() mutable { return std::optional(std::move(text)); },
-             std::move(requestId), expectsNoBody, sink);
+    exchange(
+        [text = std::move(text)]() mutable { return std::optional<RequestBytes>(std::move(text)); },
+        std::move(requestId), expectsNoBody, sink);
 }
 
 void TargetConnection::exchange(RequestWriter writer, std::string requestId, bool expectsNoBody,
@@ -148,13 +149,15 @@
 {
     if (!stream_ || sink_ == nullptr || !writer_)
         return;
-    std::optional<std::string> text = std::exchange(writer_, nullptr)();
-    if (!text)
+    std::optional<RequestBytes> request = std::exchange(writer_, nullptr)();
+    if (!request)
         return;
     isSent_ = true;
     if (expectsNoBody_)
         parser_->expectNoBody();
-    stream_->send(std::move(*text));
+    stream_->send(std::move(request->text_));
+    if (request->body_)
+        stream_->send(std::move(request->body_));
 }
 
 void TargetConnection::pause()
--- a/packages/gateway/target_connection.h
+++ b/packages/gateway/target_connection.h
@@ -43,9 +43,21 @@
     virtual void onExchangeFailure(const Error &error) = 0;
 };
 
-// Returns the text of a request that is about to be written, or nothing if it must not be sent any
-// more. In the latter case the writer has called abandon().
-using RequestWriter = std::function<std::optional<std::string>()>;
+// The bytes of a request. Not copied: the body, if it is given apart.
+struct RequestBytes
+{
+    RequestBytes(std::string text, std::shared_ptr<const std::string> body = nullptr)
+        : text_(std::move(text))
+        , body_(std::move(body))
+    { }
+
+    std::string text_;
+    std::shared_ptr<const std::string> body_; // follows the text; kept by its owner
+};
+
+// Returns a request that is about to be written, or nothing if it must not be sent any more. In the
+// latter case the writer has called abandon().
+using RequestWriter = std::function<std::optional<RequestBytes>()>;
 
 // Whether a target accepts connections.
 enum class Reachability {
--- a/packages/http1/message.cpp
+++ b/packages/http1/message.cpp
@@ -124,6 +124,14 @@
                        [name](std::string_view hop) { return equalsIgnoringCase(hop, name); });
 }
 
+std::size_t heldBytes(const MessageHead &head)
+{
+    std::size_t bytes = head.target_.size() + head.fields_.capacity() * sizeof(HeaderField);
+    for (const HeaderField &field : head.fields_)
+        bytes += field.name_.size() + field.value_.size();
+    return bytes;
+}
+
 std::vector<HeaderField> forwardableFields(const MessageHead &head)
 {
     const std::string *connection = head.find("Connection");
--- a/packages/http1/message.h
+++ b/packages/http1/message.h
@@ -66,6 +66,9 @@
 // Connection are not known here. Thread-safe.
 [[nodiscard]] bool isHopByHop(std::string_view name);
 
+// Returns about how much memory a head takes. Thread-safe.
+[[nodiscard]] std::size_t heldBytes(const MessageHead &head);
+
 // Returns the fields of a head that may be forwarded: without hop-by-hop fields, Content-Length and
 // those that Connection names. Thread-safe.
 [[nodiscard]] std::vector<HeaderField> forwardableFields(const MessageHead &head);
--- a/packages/http1/message_parser.cpp
+++ b/packages/http1/message_parser.cpp
@@ -227,11 +227,24 @@
     state_->hasNoBody_ = true;
 }
 
+void MessageParser::discard()
+{
+    state_->head_ = MessageHead();
+    state_->headerBytes_ = 0;
+}
+
 bool MessageParser::isComplete() const
 {
     return state_->isComplete_;
 }
 
+std::size_t MessageParser::heldBytes() const
+{
+    if (state_->isInTrailer_)
+        return 0;
+    return state_->headerBytes_ + state_->head_.fields_.capacity() * sizeof(HeaderField);
+}
+
 bool MessageParser::isInMessage() const
 {
     return state_->isInMessage_;
--- a/packages/http1/message_parser.h
+++ b/packages/http1/message_parser.h
@@ -62,12 +62,18 @@
     // Says that the next response has no body, whatever its fields say (an answer to HEAD).
     void expectNoBody();
 
+    // Gives back what is kept of the message under way. Nothing may be fed afterwards.
+    void discard();
+
     // Returns whether the message under way has ended.
     [[nodiscard]] bool isComplete() const;
 
     // Returns whether a message has begun and not ended.
     [[nodiscard]] bool isInMessage() const;
 
+    // Returns how many bytes the parser keeps of a head that has not ended.
+    [[nodiscard]] std::size_t heldBytes() const;
+
     // Returns why the bytes are no message: BadRequest or PayloadTooLarge (header too long).
     [[nodiscard]] const std::optional<Error> &error() const;
 
--- a/packages/http1/message_parser_test.cpp
+++ b/packages/http1/message_parser_test.cpp
@@ -292,4 +292,20 @@
     CHECK(forwardableFields(head) == std::vector<HeaderField>{{"X-Kept", "2"}});
 }
 
+// Guards against many short fields, which take far more memory than their bytes.
+TEST_CASE("what a parser keeps of a head is told, with the cost of each field")
+{
+    Recorder recorder;
+    MessageParser parser(MessageKind::Request, 10'000, recorder);
+    CHECK(parser.heldBytes() == 0);
+    std::string text = "GET / HTTP/1.1\r\n";
+    for (int i = 0; i < 1000; ++i)
+        text += "a:\r\n";
+    parser.feed(text);
+    CHECK(parser.heldBytes() >= 1000 * sizeof(HeaderField));
+    parser.feed("\r\n");
+    CHECK(parser.heldBytes() == 0);
+    CHECK(heldBytes(recorder.head_) >= 1000 * sizeof(HeaderField));
+}
+
 } // namespace foxtailturn
--- a/packages/sidecar/sidecar_node.cpp
+++ b/packages/sidecar/sidecar_node.cpp
@@ -62,6 +62,8 @@
     , schedule_(kPollInterval)
     , publishTimer_(context)
 {
+    entries_.limitPeers(
+        memory::maxPeerConnections(static_cast<std::size_t>(settings.maxDescriptors_)));
     entries_.onLines(
         [this](int entry, const std::vector<std::string> &lines) { onEntryLines(entry, lines); });
     entries_.onConnected([this](int entry) { onEntryConnected(entry); });
