--- a/packages/gateway/caller_shedding.cpp
+++ b/packages/gateway/caller_shedding.cpp
@@ -15,6 +15,9 @@
 // A body that has waited for memory for this long makes another one, or itself, give way.
 constexpr Duration kMaxPause = milliseconds(1000);
 constexpr Duration kMemoryRetry = milliseconds(1000); // Retry-After, plus up to as much again
+// Receive buffer of a socket from which a large body is read, which the system doubles. It bounds
+// what the system holds of a body whose reading is paused.
+constexpr int kReceiveBuffer = 32'768;
 constexpr std::size_t kShedDivisor = 8; // part of a bound that is made free at once
 
 } // namespace
@@ -27,8 +30,10 @@
         unparsed_.size() + parser_.heldBytes() + (hasHead_ ? headBytes_ : 0) + body_.size();
     unfinished_.set(held);
     const bool isReadingBody = hasHead_ && !relay_ && !isDiscarding_;
-    if (isReadingBody && !hasReceiveBuffer_ && body_.size() > memory::MemoryBounds::kSmallBody) {
-        stream_->setReceiveBuffer(memory::MemoryBounds::kReceiveBuffer);
+    const bool mayBeLarge = head_.contentLength_.value_or(memory::MemoryBounds::kSmallBody + 1)
+        > memory::MemoryBounds::kSmallBody;
+    if (isReadingBody && mayBeLarge && !hasReceiveBuffer_) {
+        stream_->setReceiveBuffer(kReceiveBuffer);
         hasReceiveBuffer_ = true;
     }
     const memory::MemoryAccount &memory = gateway_.memory();
--- a/packages/gateway/caller_shedding_test.cpp
+++ b/packages/gateway/caller_shedding_test.cpp
@@ -15,7 +15,7 @@
 constexpr std::size_t kMaxConnections = 4;
 const std::string kHead = "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: ";
 
-// A listener with 1 MB of memory, so that 250 kB may be held, before no target. Time stands still.
+// A listener with 1 MB of memory, so that 200 kB may be held, before no target. Time stands still.
 struct Fixture
 {
     asio::io_context context_;
@@ -124,7 +124,7 @@
 TEST_CASE("the largest unfinished request is refused when the bound is exceeded")
 {
     Fixture f;
-    auto large = f.sendBody(kBodyLimit, 180'000);
+    auto large = f.sendBody(kBodyLimit, 140'000);
     auto small = f.sendBody(60'000, 40'000);
     CHECK(f.read(large).empty());
     auto last = f.sendBody(60'000, 50'000);
--- a/packages/memory/body_buffer.cpp
+++ b/packages/memory/body_buffer.cpp
@@ -9,12 +9,13 @@
 {
     while (!data.empty()) {
         const std::size_t size = std::min(data.size(), kBlockBytes - last_.size());
+        if (!last_.empty())
+            last_.reserve(kBlockBytes);
         last_ += data.substr(0, size);
         data.remove_prefix(size);
         if (last_.size() == kBlockBytes) {
             full_.push_back(std::move(last_));
             last_ = std::string();
-            last_.reserve(kBlockBytes);
         }
     }
 }
--- a/packages/memory/body_buffer.h
+++ b/packages/memory/body_buffer.h
@@ -18,7 +18,7 @@
 class BodyBuffer
 {
 public:
-    static constexpr std::size_t kBlockBytes = 65'536;
+    static constexpr std::size_t kBlockBytes = 16'384;
 
     void append(std::string_view data);
 
--- a/packages/memory/memory_bounds.cpp
+++ b/packages/memory/memory_bounds.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t kHeldDivisor = 4; // of the machine's memory
+constexpr std::size_t kHeldDivisor = 5; // of the machine's memory
 constexpr std::size_t kMaxAnswerPause = 262'144;
 constexpr std::size_t kMinAnswerPause = 16'384;
 constexpr std::size_t kReservedDescriptors = 200; // files
--- a/packages/memory/memory_bounds.h
+++ b/packages/memory/memory_bounds.h
@@ -16,9 +16,6 @@
 {
     // Bodies up to this size are read on while larger ones wait.
     static constexpr std::size_t kSmallBody = 65'536;
-    // Receive buffer of a socket from which a larger body is read. It bounds what the system holds
-    // of a body whose reading is paused.
-    static constexpr int kReceiveBuffer = 65'536;
 
     std::size_t pauseAt_ = 0; // held bytes above which larger bodies are not read on
     std::size_t max_ = 0; // held bytes above which unfinished bodies are refused
--- a/packages/memory/memory_bounds_test.cpp
+++ b/packages/memory/memory_bounds_test.cpp
@@ -10,7 +10,7 @@
 TEST_CASE("the bounds follow from the memory of the VM")
 {
     const MemoryBounds bounds = MemoryBounds::forMachine(120 * kMegabyte);
-    CHECK(bounds == MemoryBounds{.pauseAt_ = 22'500'000, .max_ = 30'000'000});
+    CHECK(bounds == MemoryBounds{.pauseAt_ = 18'000'000, .max_ = 24'000'000});
     CHECK(bounds.answerPauseAt(0) == 262'144U);
     CHECK(bounds.answerPauseAt(bounds.pauseAt_ / 2) == 16'384U);
 }
