--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -108,7 +108,7 @@
     void endWait();
     void reviewWait();
     void send(Target &target);
-    [[nodiscard]] std::optional<std::string> requestText();
+    [[nodiscard]] std::optional<RequestBytes> requestText();
     void withdraw();
     void releaseTarget();
     void abandonAttempt();
@@ -149,6 +149,8 @@
 
     Gateway &gateway_;
     AdmittedRequest request_;
+    memory::MemoryHold requestHold_;
+    memory::MemoryHold answerHold_; // what state_ keeps of the answer
     AnswerSink &answer_;
     asio::steady_timer timer_;
 
