--- a/packages/gateway/agent_messages.cpp
+++ b/packages/gateway/agent_messages.cpp
@@ -78,7 +78,8 @@
 
 bool readUse(Json &line, Json &, AgentMessage &message)
 {
-    message.use_ = UseNotice{textOf(line, "use"), boolOf(line, "begin")};
+    message.use_ =
+        UseNotice{textOf(line, "use"), boolOf(line, "begin"), Duration(countOf(line, "read_us"))};
     return true;
 }
 
@@ -185,7 +186,10 @@
 
 std::string encode(const UseNotice &notice)
 {
-    return encodeLine({{"use", notice.name_}, {"begin", notice.isBegin_}});
+    Json fields = {{"use", notice.name_}, {"begin", notice.isBegin_}};
+    if (notice.readTime_ > Duration::zero())
+        fields["read_us"] = notice.readTime_.count();
+    return encodeLine(fields);
 }
 
 std::string encode(const LoadRefusal &refusal)
--- a/packages/gateway/placement.cpp
+++ b/packages/gateway/placement.cpp
@@ -142,15 +142,26 @@
     return query;
 }
 
-Duration Placement::engineTime(const Target &target, const Query &query, bool hasAdapter) const
+// Returns the time until the engine has read the prompts that it has.
+Duration Placement::queueTime(const Target &target, const PlacementRequest &request,
+                              TimePoint now) const
 {
-    const PlacementRequest &request = query.request_;
+    if (target.knowsPromptWork(now))
+        return std::max(*target.promptsReadAt_ - now, Duration::zero())
+            + prefillTime(target.sentSinceReport_);
     const EngineReport &report = target.report_;
-    Duration time = prefillTime(target.pendingPrompt_);
     // Prompts that other entries sent are assumed to be as long as this one, and half processed.
     const int others = std::max(0, report.prefilling_ + report.queued_ - target.pendingCount_);
-    time += prefillTime(others * std::max<std::int64_t>(request.promptTokens_, 500) / 2);
-    time += kCostPerQueued * report.queued_ / 2;
+    return prefillTime(target.pendingPrompt_)
+        + prefillTime(others * std::max<std::int64_t>(request.promptTokens_, 500) / 2)
+        + kCostPerQueued * report.queued_ / 2;
+}
+
+Duration Placement::engineTime(const Target &target, const Query &query, bool hasAdapter) const
+{
+    const PlacementRequest &request = query.request_;
+    const EngineReport &report = target.report_;
+    Duration time = queueTime(target, request, query.now_);
     time += kCostPerRunning * std::max(report.running_, target.inFlight_);
     time += prefillTime(request.promptTokens_ - query.cachedTokensAt(target));
     if (report.kvTotal_ > 0
--- a/packages/gateway/report_update.cpp
+++ b/packages/gateway/report_update.cpp
@@ -103,6 +103,13 @@
         updateLoading(report.engine_.loading_, value);
     else if (name == "eviction_cost" && value.is_number())
         report.evictionCost_ = value.get<double>();
+    else if (name == "read_ms" && value.is_number_integer())
+        report.promptWork_ = std::chrono::milliseconds(boundedCount(value));
+}
+
+std::int64_t millisOf(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
 double roundedCost(double cost)
@@ -181,6 +188,8 @@
         json[field.name_] = report.*field.member_;
     for (const auto &field : kFlagFields)
         json[field.name_] = report.*field.member_;
+    if (sidecar.promptWork_)
+        json["read_ms"] = millisOf(*sidecar.promptWork_);
     return json;
 }
 
@@ -202,6 +211,9 @@
     const double cost = roundedCost(after.evictionCost_);
     if (cost != roundedCost(before.evictionCost_))
         changes["eviction_cost"] = cost;
+    if (after.promptWork_
+        && (!before.promptWork_ || millisOf(*before.promptWork_) != millisOf(*after.promptWork_)))
+        changes["read_ms"] = millisOf(*after.promptWork_);
     return changes;
 }
 
