--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "admission/send_delay.h"
 #include "gateway/gateway.h"
 
 namespace foxtailturn::gateway {
@@ -397,8 +398,26 @@
 
 void Relay::retryPlacement()
 {
-    if (isWaiting())
+    if (!isWaiting())
+        return;
+    const CallerRequest &caller = request_.caller_;
+    const Target *target = gateway_.targets().find(loadingInstance_);
+    if (caller.adapter_.empty() || target == nullptr
+        || !target->versionOf(caller.model_, caller.adapter_)) {
+        place();
+        return;
+    }
+    const Duration delay = admission::sendDelay(
+        request_.priority_,
+        gateway_.placement(request_.service_).prefillTime(caller.promptTokens_));
+    if (delay == Duration::zero()) {
         place();
+        return;
+    }
+    loadingInstance_.clear(); // loaded: held back only once
+    reviewAt_ = TimePoint::max();
+    placeAt_ = std::min(placeAt_, gateway_.now() + delay);
+    armTimer();
 }
 
 void Relay::onAnswerDrained()
--- a/packages/gateway/report_update.cpp
+++ b/packages/gateway/report_update.cpp
@@ -105,6 +105,8 @@
         report.evictionCost_ = value.get<double>();
     else if (name == "read_ms" && value.is_number_integer())
         report.promptWork_ = std::chrono::milliseconds(boundedCount(value));
+    else if (name == "read_ms" && value.is_null())
+        report.promptWork_.reset();
 }
 
 std::int64_t millisOf(Duration duration)
@@ -214,6 +216,8 @@
     if (after.promptWork_
         && (!before.promptWork_ || millisOf(*before.promptWork_) != millisOf(*after.promptWork_)))
         changes["read_ms"] = millisOf(*after.promptWork_);
+    if (before.promptWork_ && !after.promptWork_)
+        changes["read_ms"] = nullptr;
     return changes;
 }
 
--- a/packages/sidecar/sidecar_node.cpp
+++ b/packages/sidecar/sidecar_node.cpp
@@ -202,6 +202,8 @@
         .set(report_.running_);
     metrics_.gauge("foxtailturn_engine_queued", "requests that wait in the engine")
         .set(report_.queued_);
+    metrics_.gauge("foxtailturn_engine_prompt_work_ms", "expected time to read the prompts it has")
+        .set(std::chrono::duration_cast<milliseconds>(promptWork_.left(clock_.now())).count());
     metrics_.gauge("foxtailturn_entries_connected", "entries that listen to this process")
         .set(static_cast<std::int64_t>(entries_.peers()));
     const TimePoint now = clock_.now();
