--- a/packages/gateway/placement.cpp
+++ b/packages/gateway/placement.cpp
@@ -103,6 +103,7 @@
     std::vector<std::pair<std::uint64_t, std::int64_t>> cachedParts_;
     const CachedPrefixes &cachedPrefixes_;
     TimePoint now_{};
+    bool isHosted_ = false; // a target has the adapter
 
     // Returns the target's rank for the adapter in rendezvous hashing, from 0 (preferred) to 1.
     [[nodiscard]] double rankOf(const Target &target) const
@@ -187,7 +188,9 @@
         std::chrono::duration_cast<Duration>(kLoadRankSpread * query.rankOf(target));
     const auto eviction = std::chrono::duration_cast<Duration>(
         kEvictionPenalty * std::min(target.evictionCost_, 2.0));
-    return loadTime_ + spread + eviction;
+    // A second copy delays the loads of adapters that no target has.
+    const Duration secondCopy = query.isHosted_ ? loadTime_ : Duration::zero();
+    return loadTime_ + spread + eviction + secondCopy;
 }
 
 // A target that can take the request.
@@ -246,7 +249,11 @@
                                   const PlacementRequest &request, TimePoint now) const
 {
     PlacementChoice choice;
-    std::vector<Option> options = optionsOf(targets, queryOf(request, now), choice);
+    Query query = queryOf(request, now);
+    query.isHosted_ = std::any_of(targets.begin(), targets.end(), [&](const Target *target) {
+        return target->knowsPromptWork(now) && hasRequiredVersion(*target, request);
+    });
+    std::vector<Option> options = optionsOf(targets, query, choice);
     // If more than half are avoided, the ones whose avoidance ends first are not.
     std::vector<Option *> avoided;
     for (Option &option : options) {
