--- a/packages/ctl/explain.cpp
+++ b/packages/ctl/explain.cpp
@@ -148,17 +148,6 @@
                   textOf(admitted->fields_, "store_era"), " of the store");
 }
 
-// What the log says of the prompts ahead of the request at its last target, for the end of a
-// sentence.
-std::string noteOfQueue(const std::vector<StoryLine> &lines)
-{
-    const StoryLine *sent = lastOf(lines, "sent");
-    if (sent == nullptr || integerOf(sent->fields_, "ahead_us") <= 0)
-        return "";
-    return concat("; it was sent behind prompts that took the target about ",
-                  millisText(sent->fields_, "ahead_us"));
-}
-
 std::string causeOf(const std::vector<StoryLine> &lines)
 {
     if (const StoryLine *broken = lastOf(lines, "broken_off")) {
@@ -171,8 +160,7 @@
         return causeOfRefusal(lines, refused->fields_);
     if (const StoryLine *answered = lastOf(lines, "answered"))
         return concat("answered with ", textOf(answered->fields_, "status"), " after ",
-                      millisText(answered->fields_, "elapsed_us"), noteOfEnd(lines),
-                      noteOfQueue(lines));
+                      millisText(answered->fields_, "elapsed_us"), noteOfEnd(lines));
     return "the logs hold no end of this request";
 }
 
--- a/packages/ctl/explain_test.cpp
+++ b/packages/ctl/explain_test.cpp
@@ -49,11 +49,6 @@
              + R"({"kind":"answered","request":"r","status":200,"elapsed_us":5000,"time_us":9})"
                "\n",
          "answered with 200 after 5 ms"},
-        {R"({"kind":"sent","request":"r","target":"t1","ahead_us":240000,"time_us":5})"
-         "\n"
-         R"({"kind":"answered","request":"r","status":200,"elapsed_us":5000,"time_us":9})"
-         "\n",
-         "after 5 ms; it was sent behind prompts that took the target about 240 ms"},
         {sent
              + R"({"kind":"end_not_stated","request":"r","target":"t1","end":"close",)"
                R"("told":"close","time_us":8})"
--- a/packages/gateway/agent_messages.cpp
+++ b/packages/gateway/agent_messages.cpp
@@ -78,8 +78,7 @@
 
 bool readUse(Json &line, Json &, AgentMessage &message)
 {
-    message.use_ =
-        UseNotice{textOf(line, "use"), boolOf(line, "begin"), Duration(countOf(line, "read_us"))};
+    message.use_ = UseNotice{textOf(line, "use"), boolOf(line, "begin")};
     return true;
 }
 
@@ -186,10 +185,7 @@
 
 std::string encode(const UseNotice &notice)
 {
-    Json fields = {{"use", notice.name_}, {"begin", notice.isBegin_}};
-    if (notice.readTime_ > Duration::zero())
-        fields["read_us"] = notice.readTime_.count();
-    return encodeLine(fields);
+    return encodeLine({{"use", notice.name_}, {"begin", notice.isBegin_}});
 }
 
 std::string encode(const LoadRefusal &refusal)
--- a/packages/gateway/agent_messages.h
+++ b/packages/gateway/agent_messages.h
@@ -39,7 +39,6 @@
 {
     std::string name_;
     bool isBegin_ = true;
-    Duration readTime_{}; // expected, of the prompt that is sent; zero at the end
 
     bool operator==(const UseNotice &) const = default;
 };
--- a/packages/gateway/agent_messages_test.cpp
+++ b/packages/gateway/agent_messages_test.cpp
@@ -10,8 +10,6 @@
     CHECK(decodeAgentMessage(encode(load)).load_ == load);
     const UseNotice use{"m/a1", false};
     CHECK(decodeAgentMessage(encode(use)).use_ == use);
-    const UseNotice begin{"m/a1", true, std::chrono::milliseconds(240)};
-    CHECK(decodeAgentMessage(encode(begin)).use_ == begin);
     CHECK(decodeAgentMessage(encode(LoadRefusal{"m"})).refusal_ == LoadRefusal{"m"});
     const GrantRequest grantRequest{7, "w", 2'000};
     CHECK(decodeAgentMessage(encode(grantRequest)).grantRequest_ == grantRequest);
@@ -25,7 +23,6 @@
     SidecarReport report;
     report.engine_ = EngineReport{5, 7, true, true, 1, 2, 3, 4, 9, {{"m", {{"a1", 2}}}}, {"m/a2"}};
     report.evictionCost_ = 1.5;
-    report.promptWork_ = std::chrono::milliseconds(240);
     CHECK(decodeAgentMessage(encode(report)).report_ == report);
 }
 
@@ -37,7 +34,6 @@
     first.engine_ = {5, 7, true, true, 1, 2, 3, 4, 9, {{"m", {{"a1", 2}, {"a3", 1}}}}, {"m/a2"}};
     SidecarReport load = first;
     load.engine_.running_ = 40;
-    load.promptWork_ = std::chrono::milliseconds(240);
     SidecarReport adapters = load;
     adapters.engine_.models_ = {{"m", {{"a1", 3}, {"a2", 1}}}};
     adapters.engine_.loading_ = {};
--- a/packages/gateway/codec.h
+++ b/packages/gateway/codec.h
@@ -160,8 +160,6 @@
 {
     EngineReport engine_; // loading_ includes adapters whose load order is about to be sent
     double evictionCost_ = 0; // expected uses of the adapter that the next load would evict
-    // Expected time until the engine has read the prompts that it has; nullopt: not reported.
-    std::optional<Duration> promptWork_ = {};
 
     bool operator==(const SidecarReport &) const = default;
 };
--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -100,11 +100,12 @@
         link->second->send(encode(
             LoadRequest{adapterName(model, adapter), version, target.record_.instance_, slots}));
     });
-    gateway_.setAdapterUseHandler([this](const Target &target, const UseNotice &notice) {
-        const auto link = sidecarLinks_.find(target.record_.address_);
-        if (link != sidecarLinks_.end())
-            link->second->send(encode(notice));
-    });
+    gateway_.setAdapterUseHandler(
+        [this](const Target &target, const std::string &name, bool isBegin) {
+            const auto link = sidecarLinks_.find(target.record_.address_);
+            if (link != sidecarLinks_.end())
+                link->second->send(encode(UseNotice{name, isBegin}));
+        });
     gateway_.setGrantRequestHandler([this](const std::string &workspace, std::int64_t charge,
                                            const GrantRequester::GrantHandler &handler) {
         quotaPeers_.requestGrant(workspace, charge, handler);
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -263,10 +263,10 @@
     retryWaiting(waiting_.forLoad(address, name));
 }
 
-void Gateway::reportAdapterUse(const Target &target, const UseNotice &notice)
+void Gateway::reportAdapterUse(const Target &target, const std::string &name, bool isBegin)
 {
-    if (adapterUseHandler_ && !notice.name_.empty())
-        adapterUseHandler_(target, notice);
+    if (adapterUseHandler_ && !name.empty())
+        adapterUseHandler_(target, name, isBegin);
 }
 
 void Gateway::onReport(const std::string &address, const SidecarReport &report, TimePoint arrivedAt)
@@ -276,10 +276,6 @@
     if (target == nullptr)
         return;
     target->evictionCost_ = report.evictionCost_;
-    target->promptsReadAt_.reset();
-    if (report.promptWork_)
-        target->promptsReadAt_ = arrivedAt + *report.promptWork_;
-    target->sentSinceReport_ = 0;
     if (report.engine_.isDraining_)
         recordLeaving(target->record_.instance_);
     if (changes.names_.empty())
--- a/packages/gateway/gateway.h
+++ b/packages/gateway/gateway.h
@@ -19,7 +19,6 @@
 #include "base/event_log.h"
 #include "base/metrics.h"
 #include "gateway/adapter_versions.h"
-#include "gateway/agent_messages.h"
 #include "gateway/codec.h"
 #include "gateway/grant_requester.h"
 #include "gateway/outdated_copies.h"
@@ -71,7 +70,8 @@
     using LoadRequestHandler =
         std::function<void(const Target &target, const std::string &model,
                            const std::string &adapter, std::int64_t version)>;
-    using AdapterUseHandler = std::function<void(const Target &target, const UseNotice &notice)>;
+    using AdapterUseHandler =
+        std::function<void(const Target &target, const std::string &adapterName, bool isBegin)>;
 
     Gateway(const GatewayDependencies &parts, const GatewayOptions &identity);
 
@@ -119,7 +119,7 @@
         loadRequestHandler_ = std::move(request);
     }
     void setAdapterUseHandler(AdapterUseHandler notice) { adapterUseHandler_ = std::move(notice); }
-    void reportAdapterUse(const Target &target, const UseNotice &notice);
+    void reportAdapterUse(const Target &target, const std::string &adapterName, bool isBegin);
 
     // Handles a report of the sidecar of the engine at the address, which has arrived at or after
     // arrivedAt.
--- a/packages/gateway/placement.cpp
+++ b/packages/gateway/placement.cpp
@@ -103,7 +103,6 @@
     std::vector<std::pair<std::uint64_t, std::int64_t>> cachedParts_;
     const CachedPrefixes &cachedPrefixes_;
     TimePoint now_{};
-    bool isHosted_ = false; // a target has the adapter
 
     // Returns the target's rank for the adapter in rendezvous hashing, from 0 (preferred) to 1.
     [[nodiscard]] double rankOf(const Target &target) const
@@ -143,26 +142,15 @@
     return query;
 }
 
-// Returns the time until the engine has read the prompts that it has.
-Duration Placement::queueTime(const Target &target, const PlacementRequest &request,
-                              TimePoint now) const
-{
-    if (target.knowsPromptWork(now))
-        return std::max(*target.promptsReadAt_ - now, Duration::zero())
-            + prefillTime(target.sentSinceReport_);
-    const EngineReport &report = target.report_;
-    // Prompts that other entries sent are assumed to be as long as this one, and half processed.
-    const int others = std::max(0, report.prefilling_ + report.queued_ - target.pendingCount_);
-    return prefillTime(target.pendingPrompt_)
-        + prefillTime(others * std::max<std::int64_t>(request.promptTokens_, 500) / 2)
-        + kCostPerQueued * report.queued_ / 2;
-}
-
 Duration Placement::engineTime(const Target &target, const Query &query, bool hasAdapter) const
 {
     const PlacementRequest &request = query.request_;
     const EngineReport &report = target.report_;
-    Duration time = queueTime(target, request, query.now_);
+    Duration time = prefillTime(target.pendingPrompt_);
+    // Prompts that other entries sent are assumed to be as long as this one, and half processed.
+    const int others = std::max(0, report.prefilling_ + report.queued_ - target.pendingCount_);
+    time += prefillTime(others * std::max<std::int64_t>(request.promptTokens_, 500) / 2);
+    time += kCostPerQueued * report.queued_ / 2;
     time += kCostPerRunning * std::max(report.running_, target.inFlight_);
     time += prefillTime(request.promptTokens_ - query.cachedTokensAt(target));
     if (report.kvTotal_ > 0
@@ -188,9 +176,7 @@
         std::chrono::duration_cast<Duration>(kLoadRankSpread * query.rankOf(target));
     const auto eviction = std::chrono::duration_cast<Duration>(
         kEvictionPenalty * std::min(target.evictionCost_, 2.0));
-    // A second copy delays the loads of adapters that no target has.
-    const Duration secondCopy = query.isHosted_ ? loadTime_ : Duration::zero();
-    return loadTime_ + spread + eviction + secondCopy;
+    return loadTime_ + spread + eviction;
 }
 
 // A target that can take the request.
@@ -249,11 +235,7 @@
                                   const PlacementRequest &request, TimePoint now) const
 {
     PlacementChoice choice;
-    Query query = queryOf(request, now);
-    query.isHosted_ = std::any_of(targets.begin(), targets.end(), [&](const Target *target) {
-        return target->knowsPromptWork(now) && hasRequiredVersion(*target, request);
-    });
-    std::vector<Option> options = optionsOf(targets, query, choice);
+    std::vector<Option> options = optionsOf(targets, queryOf(request, now), choice);
     // If more than half are avoided, the ones whose avoidance ends first are not.
     std::vector<Option *> avoided;
     for (Option &option : options) {
--- a/packages/gateway/placement.h
+++ b/packages/gateway/placement.h
@@ -7,13 +7,12 @@
 //     const std::vector<Target *> targets = registry.availableTargets("models", now);
 //     PlacementChoice choice = placement.choose(targets, request, now);
 //
-// For an engine, the estimate is the sum of the prefill time of earlier prompts, which its sidecar
-// reports as soon as any entry sends it a long one, the prefill time of the request's own prompt
-// less its prefix that is probably in the engine's KV cache, and the load time of an adapter that
-// is missing. For a plain service, it grows with the share of busy slots. Targets that have failed
-// lately come last, and those that have rejected a request lately after the others, but half of a
-// service's targets at most: if all reject, the ones whose rejection is longest ago get the next
-// requests.
+// For an engine, the estimate is the sum of the prefill time of earlier prompts, the prefill time
+// of the request's own prompt less its prefix that is probably in the engine's KV cache, and the
+// load time of an adapter that is missing. For a plain service, it grows with the share of busy
+// slots. Targets that have failed lately come last, and those that have rejected a request lately
+// after the others, but half of a service's targets at most: if all reject, the ones whose
+// rejection is longest ago get the next requests.
 
 #include <cstdint>
 #include <optional>
@@ -111,9 +110,6 @@
 
     [[nodiscard]] double tokensPerMs() const { return tokensPerMs_; }
 
-    // Returns the time in which an engine of the service reads the tokens of a prompt.
-    [[nodiscard]] Duration prefillTime(std::int64_t tokens) const;
-
     // Returns how many targets the choices so far have looked at.
     [[nodiscard]] std::uint64_t visits() const { return visits_; }
 
@@ -126,8 +122,7 @@
     [[nodiscard]] Query queryOf(const PlacementRequest &request, TimePoint now) const;
     [[nodiscard]] Duration engineTime(const Target &target, const Query &query,
                                       bool hasAdapter) const;
-    [[nodiscard]] Duration queueTime(const Target &target, const PlacementRequest &request,
-                                     TimePoint now) const;
+    [[nodiscard]] Duration prefillTime(std::int64_t tokens) const;
     [[nodiscard]] Duration loadTime(const Target &target, const Query &query) const;
 
     double tokensPerMs_ = 30; // prefill rate, a moving average
--- a/packages/gateway/placement_test.cpp
+++ b/packages/gateway/placement_test.cpp
@@ -70,43 +70,6 @@
     CHECK(choice.needsLoad_);
 }
 
-// Guards against short prompts behind long ones that other entries have sent.
-TEST_CASE("reported time of reading prompts decides between engines with the adapter")
-{
-    struct Case
-    {
-        std::string load_;
-        int workMs_ = 0; // at the first engine
-        std::int64_t sentTokens_ = 0; // to the second one since its report
-        int ageMs_ = 0; // of the reports
-        int chosen_ = 0;
-    };
-    const Case cases[] = {
-        {"a long prompt of another entry at the first engine", 240, 0, 0, 1},
-        {"it is read by now", 240, 0, 400, 0},
-        {"a longer one of this entry at the second engine", 240, 20'000, 0, 0},
-        {"work that is told no more counts as unknown", 5000, 0, 1000, 0},
-    };
-    for (const Case &c : cases) {
-        CAPTURE(c.load_);
-        Engines engines(2);
-        const bool isFirstPreferred = [&engines] {
-            engines.setAdapters(0, {{"a1", 1}});
-            engines.setAdapters(1, {{"a1", 1}});
-            return Placement().choose(engines.list(), requestFor("a1"), kStart).target_
-                == &engines.at(0);
-        }();
-        Target &first = engines.at(isFirstPreferred ? 0 : 1);
-        Target &second = engines.at(isFirstPreferred ? 1 : 0);
-        first.promptsReadAt_ = kStart + milliseconds(c.workMs_);
-        second.promptsReadAt_ = kStart;
-        second.sentSinceReport_ = c.sentTokens_;
-        const PlacementChoice choice =
-            Placement().choose(engines.list(), requestFor("a1"), kStart + milliseconds(c.ageMs_));
-        CHECK(choice.target_ == (c.chosen_ == 0 ? &first : &second));
-    }
-}
-
 // Guards against serving an older version once the newer one is required.
 TEST_CASE("an engine with an older version has to load the new one")
 {
--- a/packages/gateway/relay.cpp
+++ b/packages/gateway/relay.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "admission/send_delay.h"
 #include "gateway/gateway.h"
 
 namespace foxtailturn::gateway {
@@ -398,26 +397,8 @@
 
 void Relay::retryPlacement()
 {
-    if (!isWaiting())
-        return;
-    const CallerRequest &caller = request_.caller_;
-    const Target *target = gateway_.targets().find(loadingInstance_);
-    if (caller.adapter_.empty() || target == nullptr
-        || !target->versionOf(caller.model_, caller.adapter_)) {
-        place();
-        return;
-    }
-    const Duration delay = admission::sendDelay(
-        request_.priority_,
-        gateway_.placement(request_.service_).prefillTime(caller.promptTokens_));
-    if (delay == Duration::zero()) {
+    if (isWaiting())
         place();
-        return;
-    }
-    loadingInstance_.clear(); // loaded: held back only once
-    reviewAt_ = TimePoint::max();
-    placeAt_ = std::min(placeAt_, gateway_.now() + delay);
-    armTimer();
 }
 
 void Relay::onAnswerDrained()
--- a/packages/gateway/report_update.cpp
+++ b/packages/gateway/report_update.cpp
@@ -103,15 +103,6 @@
         updateLoading(report.engine_.loading_, value);
     else if (name == "eviction_cost" && value.is_number())
         report.evictionCost_ = value.get<double>();
-    else if (name == "read_ms" && value.is_number_integer())
-        report.promptWork_ = std::chrono::milliseconds(boundedCount(value));
-    else if (name == "read_ms" && value.is_null())
-        report.promptWork_.reset();
-}
-
-std::int64_t millisOf(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
 double roundedCost(double cost)
@@ -190,8 +181,6 @@
         json[field.name_] = report.*field.member_;
     for (const auto &field : kFlagFields)
         json[field.name_] = report.*field.member_;
-    if (sidecar.promptWork_)
-        json["read_ms"] = millisOf(*sidecar.promptWork_);
     return json;
 }
 
@@ -213,11 +202,6 @@
     const double cost = roundedCost(after.evictionCost_);
     if (cost != roundedCost(before.evictionCost_))
         changes["eviction_cost"] = cost;
-    if (after.promptWork_
-        && (!before.promptWork_ || millisOf(*before.promptWork_) != millisOf(*after.promptWork_)))
-        changes["read_ms"] = millisOf(*after.promptWork_);
-    if (before.promptWork_ && !after.promptWork_)
-        changes["read_ms"] = nullptr;
     return changes;
 }
 
--- a/packages/gateway/request_log.cpp
+++ b/packages/gateway/request_log.cpp
@@ -32,19 +32,17 @@
                 passedOverName(candidate.passedOver_);
     }
     const Target &target = *choice.target_;
-    log_.write(
-        LogDetail::Sampled, "sent",
-        {{"request", request_.caller_.id_},
-         {"target", target.record_.instance_},
-         {"adapter", adapterName(request_.caller_.model_, request_.caller_.adapter_)},
-         {"attempt", attempt},
-         {"expected_us", choice.expected_.count()},
-         {"considered", choice.candidates_.size()},
-         {"running", target.report_.running_},
-         {"queued", target.report_.queued_},
-         {"ahead_us", target.knowsPromptWork(now) ? (*target.promptsReadAt_ - now).count() : -1},
-         {"report_age_us", target.hasReport() ? (now - target.reportedAt_).count() : -1},
-         {"passed_over", std::move(ineligible)}});
+    log_.write(LogDetail::Sampled, "sent",
+               {{"request", request_.caller_.id_},
+                {"target", target.record_.instance_},
+                {"adapter", adapterName(request_.caller_.model_, request_.caller_.adapter_)},
+                {"attempt", attempt},
+                {"expected_us", choice.expected_.count()},
+                {"considered", choice.candidates_.size()},
+                {"running", target.report_.running_},
+                {"queued", target.report_.queued_},
+                {"report_age_us", target.hasReport() ? (now - target.reportedAt_).count() : -1},
+                {"passed_over", std::move(ineligible)}});
 }
 
 void RequestLog::attemptFailed(const std::string &target, const Error &error)
--- a/packages/gateway/target.h
+++ b/packages/gateway/target.h
@@ -49,9 +49,6 @@
     TimePoint reportedAt_{}; // zero: no report yet
     bool isAgentConnected_ = false; // its sidecar is connected and accepts load requests
     double evictionCost_ = 0; // expected uses of the adapter that the next load would evict
-    // When the engine has read the prompts that it had at its last report; nullopt: not reported.
-    std::optional<TimePoint> promptsReadAt_;
-    std::int64_t sentSinceReport_ = 0; // uncached prompt tokens that this entry has sent since then
 
     int inFlight_ = 0; // requests of this entry
     std::int64_t pendingPrompt_ =
@@ -80,14 +77,6 @@
         return record_.phase_ == TargetPhase::Ready && !isLeaving_ && !isSuperseded_;
     }
 
-    // Returns whether the reported time of reading prompts still tells what other entries have
-    // sent.
-    [[nodiscard]] bool knowsPromptWork(TimePoint now) const
-    {
-        constexpr Duration kMaxAge = std::chrono::milliseconds(800);
-        return promptsReadAt_ && isAgentConnected_ && now - reportedAt_ <= kMaxAge;
-    }
-
     // Returns whether the base model is loaded.
     [[nodiscard]] bool hostsModel(const std::string &model) const;
 
--- a/packages/gateway/target_use.cpp
+++ b/packages/gateway/target_use.cpp
@@ -36,11 +36,8 @@
     ++target.inFlight_;
     ++target.pendingCount_;
     target.pendingPrompt_ += uncachedTokens_;
-    target.sentSinceReport_ += uncachedTokens_;
     if (!request_.caller_.adapter_.empty())
-        gateway_.reportAdapterUse(
-            target,
-            {adapter(), true, gateway_.placement(request_.service_).prefillTime(uncachedTokens_)});
+        gateway_.reportAdapterUse(target, adapter(), true);
 }
 
 void TargetUse::recordFirstBytes(bool isStream)
@@ -71,7 +68,7 @@
         if (!hasFirstBytes_)
             endPending(*used);
         if (!request_.caller_.adapter_.empty())
-            gateway_.reportAdapterUse(*used, {adapter(), false});
+            gateway_.reportAdapterUse(*used, adapter(), false);
     }
     instance_.clear();
 }
--- a/packages/sidecar/report_schedule.cpp
+++ b/packages/sidecar/report_schedule.cpp
@@ -46,25 +46,13 @@
         return true;
     if (now + pollInterval_ > sentAt_ + kMaxAge)
         return true;
-    const Duration unknownWork = unknownPromptWork(report, now);
-    if (unknownWork > kPromptTolerance && now >= sentAt_ + minPromptInterval(entries))
-        return true;
     if (now < sentAt_ + minInterval(entries))
         return false;
-    if (unknownWork < -kPromptTolerance)
-        return true;
     return timeError(sent_, report) > tolerance(sent_, report)
         || std::abs(sent_.engine_.kvUsed_ - report.engine_.kvUsed_)
         > memoryTolerance(sent_.engine_);
 }
 
-// Returns how much longer the engine reads prompts than the entries expect after the last report.
-Duration ReportSchedule::unknownPromptWork(const SidecarReport &report, TimePoint now) const
-{
-    const Duration known = sent_.promptWork_.value_or(Duration::zero()) - (now - sentAt_);
-    return report.promptWork_.value_or(Duration::zero()) - std::max(known, Duration::zero());
-}
-
 void ReportSchedule::recordSent(const SidecarReport &report, TimePoint now)
 {
     sent_ = report;
@@ -78,12 +66,6 @@
     return std::clamp(forAll, kMinInterval, kMaxAge);
 }
 
-Duration ReportSchedule::minPromptInterval(std::size_t entries)
-{
-    constexpr Duration kSecond = std::chrono::seconds(1);
-    return kSecond * static_cast<Duration::rep>(entries) / kMaxPromptLinesPerSecond;
-}
-
 Duration ReportSchedule::timeError(const SidecarReport &a, const SidecarReport &b)
 {
     const EngineReport &x = a.engine_;
--- a/packages/sidecar/report_schedule.h
+++ b/packages/sidecar/report_schedule.h
@@ -10,9 +10,8 @@
 //
 // Changes of models, adapters, loads, the incarnation and draining are due at once. Load figures
 // are due when they change the expected time at the engine, as Placement estimates it, by more than
-// tolerance(), but not more often than minInterval() allows. Prompts that an entry has sent are due
-// sooner, as other entries would send theirs to the same engine. Without such changes a report is
-// due before kMaxAge, as entries take an engine without recent reports for unreachable.
+// tolerance(), but not more often than minInterval() allows. Without such changes a report is due
+// before kMaxAge, as entries take an engine without recent reports for unreachable.
 
 #include <cstddef>
 
@@ -33,10 +32,6 @@
     // Reports of load figures that a sidecar sends to all its entries together. With so many
     // entries that kMaxAge requires more, they are sent at that rate.
     static constexpr int kMaxLinesPerSecond = 500;
-    // Lines for prompts that entries don't know of, beyond which a second's reports wait.
-    static constexpr int kMaxPromptLinesPerSecond = 1000;
-    // Error of the time of reading prompts beyond which entries would choose another engine.
-    static constexpr Duration kPromptTolerance = std::chrono::milliseconds(40);
     // Smallest error of the expected time that is reported.
     static constexpr Duration kMinTolerance = std::chrono::milliseconds(25);
     // Prompt for which errors are estimated. They are proportional to it for longer prompts.
@@ -58,10 +53,6 @@
     // Returns the shortest interval between two reports of load figures. Thread-safe.
     [[nodiscard]] static Duration minInterval(std::size_t entries);
 
-    // Returns the shortest interval before a report of prompts that entries don't know of.
-    // Thread-safe.
-    [[nodiscard]] static Duration minPromptInterval(std::size_t entries);
-
     // Returns the largest difference of the expected times by two reports, for any request with a
     // nominal prompt. Leaves KV memory out. Thread-safe.
     [[nodiscard]] static Duration timeError(const SidecarReport &a, const SidecarReport &b);
@@ -74,8 +65,6 @@
     [[nodiscard]] static std::int64_t memoryTolerance(const EngineReport &report);
 
 private:
-    [[nodiscard]] Duration unknownPromptWork(const SidecarReport &report, TimePoint now) const;
-
     Duration pollInterval_;
     SidecarReport sent_;
     TimePoint sentAt_{}; // zero: no report yet
--- a/packages/sidecar/report_schedule_test.cpp
+++ b/packages/sidecar/report_schedule_test.cpp
@@ -184,38 +184,6 @@
           <= 100 * maxAgeRate + 1);
 }
 
-// Guards against two entries that send long prompts to the same engine between two reports, and
-// against a load on entries that grows with the number of prompts.
-TEST_CASE("prompts that entries don't know of are due at once, within the rate of lines")
-{
-    struct Case
-    {
-        std::string load_;
-        int sentMs_; // reading time in the last report
-        int workMs_; // now
-        int afterMs_; // the last report
-        std::size_t entries_;
-        bool isDue_;
-    };
-    const Case cases[] = {
-        {"a long prompt", 0, 240, 30, 28, true},
-        {"a long prompt and many entries", 0, 240, 30, 300, false},
-        {"a short prompt", 0, 22, 30, 28, false},
-        {"the work falls as entries expect", 240, 140, 100, 28, false},
-        {"the engine is faster than expected", 480, 0, 100, 28, false},
-        {"the engine is faster than expected, later", 480, 0, 210, 28, true},
-    };
-    for (const Case &c : cases) {
-        CAPTURE(c.load_);
-        ReportSchedule schedule(kPoll);
-        SidecarReport report = idleEngine();
-        report.promptWork_ = milliseconds(c.sentMs_);
-        schedule.recordSent(report, kStart);
-        report.promptWork_ = milliseconds(c.workMs_);
-        CHECK(schedule.isDue(report, c.entries_, kStart + milliseconds(c.afterMs_)) == c.isDue_);
-    }
-}
-
 // Guards against entries that load an adapter twice or send requests to an engine without it.
 TEST_CASE("changes of the engine's state are due at once")
 {
--- a/packages/sidecar/sidecar_node.cpp
+++ b/packages/sidecar/sidecar_node.cpp
@@ -81,7 +81,8 @@
             {"name", settings_.name_},
             {"engine", engineState_},
             {"entries", entries_.peers()},
-            {"report", nlohmann::json::parse(encode(reportForEntries(clock_.now())))}};
+            {"report",
+             nlohmann::json::parse(encode(adapterManager_.reportForEntries(clock_.now())))}};
         return AdminAnswer{200, state.dump(2) + "\n", "application/json"};
     });
     admin_.serve("/metrics", [this] { return AdminAnswer{200, metrics_.text()}; });
@@ -129,10 +130,6 @@
             entries_.send(entry, encode(SuspectNotice{suspects_.records()}));
         if (message.use_)
             adapterManager_.onUseNotice(entry, *message.use_, now);
-        if (message.use_ && message.use_->readTime_ > Duration::zero()) {
-            promptWork_.add(message.use_->readTime_, now);
-            publishSoon(); // so that other entries do not send theirs here as well
-        }
         if (message.load_) {
             adapterManager_.requestLoad(*message.load_, now);
             hasLoadRequest = true;
@@ -179,12 +176,9 @@
         return;
     }
     report->isDraining_ = report->isDraining_ || answer.isLeaving_;
-    const TimePoint now = clock_.now();
-    if (hasReport_ && report->startTimeMs_ != report_.startTimeMs_)
-        promptWork_.clear();
     report_ = *report;
     hasReport_ = true;
-    promptWork_.onEngineReport(report_.prefilling_ + report_.queued_, now);
+    const TimePoint now = clock_.now();
     updateMetrics();
     adapterManager_.onReport(report_, now);
     if (!isPublishPending_)
@@ -202,8 +196,6 @@
         .set(report_.running_);
     metrics_.gauge("foxtailturn_engine_queued", "requests that wait in the engine")
         .set(report_.queued_);
-    metrics_.gauge("foxtailturn_engine_prompt_work_ms", "expected time to read the prompts it has")
-        .set(std::chrono::duration_cast<milliseconds>(promptWork_.left(clock_.now())).count());
     metrics_.gauge("foxtailturn_entries_connected", "entries that listen to this process")
         .set(static_cast<std::int64_t>(entries_.peers()));
     const TimePoint now = clock_.now();
@@ -290,17 +282,10 @@
     });
 }
 
-SidecarReport SidecarNode::reportForEntries(TimePoint now) const
-{
-    SidecarReport report = adapterManager_.reportForEntries(now);
-    report.promptWork_ = promptWork_.left(now);
-    return report;
-}
-
 void SidecarNode::publishIfDue()
 {
     const TimePoint now = clock_.now();
-    const SidecarReport report = reportForEntries(now);
+    const SidecarReport report = adapterManager_.reportForEntries(now);
     if (!hasReport_ || !schedule_.isDue(report, entries_.peers(), now))
         return;
     if (entries_.peers() > 0)
--- a/packages/sidecar/sidecar_node.h
+++ b/packages/sidecar/sidecar_node.h
@@ -18,7 +18,6 @@
 #include "gateway/http_caller.h"
 #include "gateway/line_server.h"
 #include "gateway/node_settings.h"
-#include "placement/prompt_work.h"
 #include "retry/suspect_relay.h"
 #include "sidecar/adapter_manager.h"
 #include "sidecar/report_schedule.h"
@@ -50,7 +49,6 @@
     void onOrderAnswer(int status);
     void schedulePoll();
     void publishSoon();
-    [[nodiscard]] SidecarReport reportForEntries(TimePoint now) const;
     void publishIfDue();
     void updateMetrics();
 
@@ -65,7 +63,6 @@
     LineServer entries_;
     asio::steady_timer pollTimer_;
     AdapterManager adapterManager_;
-    placement::PromptWork promptWork_;
     SuspectRelay suspects_;
     SuspectOffers suspectOffers_;
     EngineReport report_;
