--- a/packages/placement/cold_allowance_test.cpp
+++ b/packages/placement/cold_allowance_test.cpp
@@ -21,6 +21,7 @@
 std::vector<PendingPermit> requestsOf(int count)
 {
     std::vector<PendingPermit> requests;
+    requests.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         requests.push_back(requestOf(i, 1));
     return requests;
