--- a/packages/gateway/caller_shedding_test.cpp
+++ b/packages/gateway/caller_shedding_test.cpp
@@ -15,6 +15,15 @@
 constexpr std::size_t kMaxConnections = 4;
 const std::string kHead = "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: ";
 
+class StatusCodec final : public PlainCodec
+{
+public:
+    std::string refusal(const Refusal &refusal) const override
+    {
+        return "HTTP/1.1 " + std::to_string(refusal.status_) + " x\r\nContent-Length: 0\r\n\r\n";
+    }
+};
+
 // A listener with 1 MB of memory, so that 200 kB may be held, before no target. Time stands still.
 struct Fixture
 {
@@ -24,7 +33,7 @@
     EventLog log_{"entry", wallClock_, [](std::string_view bytes) { return bytes.size(); }};
     MetricRegistry metrics_;
     LoopMeter meter_{clock_, metrics_};
-    PlainCodec codec_;
+    StatusCodec codec_;
     Gateway gateway_{{context_, codec_, clock_, wallClock_, log_, metrics_},
                      {.name_ = "entry", .dataCentre_ = "", .memoryMb_ = 1}};
     CallerListener listener_{gateway_, meter_};
