--- a/packages/gateway/caller_shedding.cpp
+++ b/packages/gateway/caller_shedding.cpp
@@ -243,7 +243,7 @@
                          [&](const auto &a, const auto &b) { return rank(a) < rank(b); });
     if (least == connections_.end() || (*least)->use() == CallerConnection::Use::Served)
         return false;
-    const std::shared_ptr<CallerConnection> connection = *least;
+    const std::shared_ptr<CallerConnection> &connection = *least;
     recordShed("connections", connection->holder());
     connection->closeForAnother();
     return true;
