--- a/packages/gateway/codec.h
+++ b/packages/gateway/codec.h
@@ -20,6 +20,8 @@
 #include "base/store_rows.h"
 #include "gateway/serving_config.h"
 #include "http1/message.h"
+#include "placement/speed_meter.h"
+#include "placement/target_speed.h"
 
 namespace foxtailturn::gateway {
 
@@ -151,6 +153,7 @@
     std::int64_t kvTotal_ = 0;
     std::vector<HostedModel> models_;
     std::vector<std::string> loading_; // MODEL/ADAPTER
+    std::vector<placement::EngineRun> runs_ = {}; // not sent to the entries
 
     bool operator==(const EngineReport &) const = default;
 };
@@ -160,6 +163,7 @@
 {
     EngineReport engine_; // loading_ includes adapters whose load order is about to be sent
     double evictionCost_ = 0; // expected uses of the adapter that the next load would evict
+    placement::TargetSpeed speed_ = {};
 
     bool operator==(const SidecarReport &) const = default;
 };
--- a/packages/gateway/gateway.cpp
+++ b/packages/gateway/gateway.cpp
@@ -276,6 +276,7 @@
     if (target == nullptr)
         return;
     target->evictionCost_ = report.evictionCost_;
+    target->speed_ = report.speed_;
     if (report.engine_.isDraining_)
         recordLeaving(target->record_.instance_);
     if (changes.names_.empty())
--- a/packages/gateway/placement.cpp
+++ b/packages/gateway/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <tuple>
+#include <utility>
 
 #include "base/hash.h"
 
@@ -63,6 +64,15 @@
     return target.backoff_.isClosed(now) ? PassedOver::Closed : PassedOver::No;
 }
 
+placement::SpeedScale speedScaleOf(const std::vector<Target *> &targets)
+{
+    std::vector<Duration> stepTimes;
+    stepTimes.reserve(targets.size());
+    for (const Target *target : targets)
+        stepTimes.push_back(target->speed_.stepTime_);
+    return placement::SpeedScale(std::move(stepTimes));
+}
+
 } // namespace
 
 std::string_view passedOverName(PassedOver reason)
@@ -103,6 +113,7 @@
     std::vector<std::pair<std::uint64_t, std::int64_t>> cachedParts_;
     const CachedPrefixes &cachedPrefixes_;
     TimePoint now_{};
+    placement::SpeedScale speeds_ = placement::SpeedScale({});
 
     // Returns the target's rank for the adapter in rendezvous hashing, from 0 (preferred) to 1.
     [[nodiscard]] double rankOf(const Target &target) const
@@ -157,6 +168,7 @@
         && static_cast<double>(report.kvUsed_ + request.promptTokens_)
             > kMemoryLimit * static_cast<double>(report.kvTotal_))
         time += kMemoryPenalty;
+    time = query.speeds_.timeAt(target.speed_, time);
     if (!hasAdapter)
         return time + loadTime(target, query);
     return time + std::chrono::duration_cast<Duration>(kRankSpread * query.rankOf(target));
@@ -235,7 +247,10 @@
                                   const PlacementRequest &request, TimePoint now) const
 {
     PlacementChoice choice;
-    std::vector<Option> options = optionsOf(targets, queryOf(request, now), choice);
+    Query query = queryOf(request, now);
+    if (request.isEngine_)
+        query.speeds_ = speedScaleOf(targets);
+    std::vector<Option> options = optionsOf(targets, query, choice);
     // If more than half are avoided, the ones whose avoidance ends first are not.
     std::vector<Option *> avoided;
     for (Option &option : options) {
--- a/packages/gateway/report_update.cpp
+++ b/packages/gateway/report_update.cpp
@@ -103,6 +103,10 @@
         updateLoading(report.engine_.loading_, value);
     else if (name == "eviction_cost" && value.is_number())
         report.evictionCost_ = value.get<double>();
+    else if (name == "step_us" && value.is_number_integer())
+        report.speed_.stepTime_ = Duration(boundedCount(value));
+    else if (name == "stalled" && value.is_boolean())
+        report.speed_.isStalled_ = value.get<bool>();
 }
 
 double roundedCost(double cost)
@@ -174,7 +178,9 @@
         models[model.name_] = model.adapters_;
     Json json = {{"models", std::move(models)},
                  {"loading", report.loading_},
-                 {"eviction_cost", roundedCost(sidecar.evictionCost_)}};
+                 {"eviction_cost", roundedCost(sidecar.evictionCost_)},
+                 {"step_us", sidecar.speed_.stepTime_.count()},
+                 {"stalled", sidecar.speed_.isStalled_}};
     for (const auto &field : kIntegerFields)
         json[field.name_] = report.*field.member_;
     for (const auto &field : kCountFields)
@@ -202,6 +208,10 @@
     const double cost = roundedCost(after.evictionCost_);
     if (cost != roundedCost(before.evictionCost_))
         changes["eviction_cost"] = cost;
+    if (before.speed_.stepTime_ != after.speed_.stepTime_)
+        changes["step_us"] = after.speed_.stepTime_.count();
+    if (before.speed_.isStalled_ != after.speed_.isStalled_)
+        changes["stalled"] = after.speed_.isStalled_;
     return changes;
 }
 
--- a/packages/gateway/target.h
+++ b/packages/gateway/target.h
@@ -48,6 +48,7 @@
     EngineReport report_;
     TimePoint reportedAt_{}; // zero: no report yet
     bool isAgentConnected_ = false; // its sidecar is connected and accepts load requests
+    placement::TargetSpeed speed_;
     double evictionCost_ = 0; // expected uses of the adapter that the next load would evict
 
     int inFlight_ = 0; // requests of this entry
--- a/packages/sidecar/report_schedule.cpp
+++ b/packages/sidecar/report_schedule.cpp
@@ -48,7 +48,7 @@
         return true;
     if (now < sentAt_ + minInterval(entries))
         return false;
-    return timeError(sent_, report) > tolerance(sent_, report)
+    return sent_.speed_ != report.speed_ || timeError(sent_, report) > tolerance(sent_, report)
         || std::abs(sent_.engine_.kvUsed_ - report.engine_.kvUsed_)
         > memoryTolerance(sent_.engine_);
 }
--- a/packages/sidecar/sidecar_node.cpp
+++ b/packages/sidecar/sidecar_node.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/sidecar_node.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "gateway/target_registry.h"
 
@@ -81,8 +82,7 @@
             {"name", settings_.name_},
             {"engine", engineState_},
             {"entries", entries_.peers()},
-            {"report",
-             nlohmann::json::parse(encode(adapterManager_.reportForEntries(clock_.now())))}};
+            {"report", nlohmann::json::parse(encode(reportForEntries(clock_.now())))}};
         return AdminAnswer{200, state.dump(2) + "\n", "application/json"};
     });
     admin_.serve("/metrics", [this] { return AdminAnswer{200, metrics_.text()}; });
@@ -179,6 +179,7 @@
     report_ = *report;
     hasReport_ = true;
     const TimePoint now = clock_.now();
+    speedMeter_.record(report_.startTimeMs_, std::exchange(report_.runs_, {}), now);
     updateMetrics();
     adapterManager_.onReport(report_, now);
     if (!isPublishPending_)
@@ -196,6 +197,10 @@
         .set(report_.running_);
     metrics_.gauge("foxtailturn_engine_queued", "requests that wait in the engine")
         .set(report_.queued_);
+    metrics_.gauge("foxtailturn_engine_step_microseconds", "decode time per token; 0: unknown")
+        .set(speedMeter_.stepTime().count());
+    metrics_.gauge("foxtailturn_engine_stalled", "1 while the engine decodes far slower than usual")
+        .set(speedMeter_.isStalled(clock_.now()) ? 1 : 0);
     metrics_.gauge("foxtailturn_entries_connected", "entries that listen to this process")
         .set(static_cast<std::int64_t>(entries_.peers()));
     const TimePoint now = clock_.now();
@@ -269,6 +274,13 @@
     });
 }
 
+SidecarReport SidecarNode::reportForEntries(TimePoint now) const
+{
+    SidecarReport report = adapterManager_.reportForEntries(now);
+    report.speed_ = {speedMeter_.stepTime(), speedMeter_.isStalled(now)};
+    return report;
+}
+
 void SidecarNode::publishSoon()
 {
     if (isPublishPending_)
@@ -285,7 +297,7 @@
 void SidecarNode::publishIfDue()
 {
     const TimePoint now = clock_.now();
-    const SidecarReport report = adapterManager_.reportForEntries(now);
+    const SidecarReport report = reportForEntries(now);
     if (!hasReport_ || !schedule_.isDue(report, entries_.peers(), now))
         return;
     if (entries_.peers() > 0)
--- a/packages/sidecar/sidecar_node.h
+++ b/packages/sidecar/sidecar_node.h
@@ -50,6 +50,7 @@
     void schedulePoll();
     void publishSoon();
     void publishIfDue();
+    [[nodiscard]] SidecarReport reportForEntries(TimePoint now) const;
     void updateMetrics();
 
     const PlatformCodec &codec_;
@@ -66,6 +67,7 @@
     SuspectRelay suspects_;
     SuspectOffers suspectOffers_;
     EngineReport report_;
+    placement::SpeedMeter speedMeter_;
     std::map<std::string, TimePoint> loadStartTimes_; // times of accepted loads in progress
     bool hasReport_ = false;
     bool isCallInFlight_ = false;
