placement, platform: prompts that an engine reads are counted, and speeds are averaged

An engine lists a request among its runs from its first event on, so the number of prompts that it reads is that of the running requests that aren't listed. It was always 0 before.

--- a/packages/placement/speed_meter.cpp
+++ b/packages/placement/speed_meter.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace foxtailturn::placement {
 
@@ -13,9 +14,9 @@
 // A shorter interval holds too few tokens.
 constexpr Duration kMinInterval = milliseconds(100);
 constexpr Duration kMaxInterval = milliseconds(400);
-constexpr Duration kMaxSampleAge = seconds(10);
+constexpr Duration kMaxSampleAge = seconds(60);
 constexpr std::size_t kMaxSamples = 25;
-constexpr std::size_t kMinSamples = 4;
+constexpr std::size_t kMinSamples = 3;
 // How much longer a step takes for each running request and each of their tokens in memory,
 // relative to an empty batch.
 constexpr double kCostPerRun = 0.0044;
@@ -24,12 +25,6 @@
 constexpr double kStallFactor = 1.7;
 constexpr Duration kMaxStallAge = milliseconds(400); // of the sample that shows it
 
-bool isReadingPrompt(const std::vector<EngineRun> &runs)
-{
-    return std::any_of(runs.begin(), runs.end(),
-                       [](const EngineRun &run) { return run.events_ == 0; });
-}
-
 double loadFactor(const std::vector<EngineRun> &runs)
 {
     double factor = 1;
@@ -55,15 +50,16 @@
     beganAt_ = now;
 }
 
-void SpeedMeter::record(std::int64_t startTimeMs, const std::vector<EngineRun> &runs, TimePoint now)
+void SpeedMeter::record(const EngineProgress &progress, TimePoint now)
 {
-    if (startTimeMs != startTimeMs_) {
+    const std::vector<EngineRun> &runs = progress.runs_;
+    if (progress.startTimeMs_ != startTimeMs_) {
         *this = SpeedMeter();
-        startTimeMs_ = startTimeMs;
+        startTimeMs_ = progress.startTimeMs_;
     }
     while (!samples_.empty() && samples_.front().at_ + kMaxSampleAge <= now)
         samples_.pop_front();
-    if (runs.empty() || isReadingPrompt(runs)) {
+    if (runs.empty() || progress.prompts_ > 0) {
         begin_.clear();
         return;
     }
@@ -73,7 +69,7 @@
         const auto before = begin_.find(run.id_);
         isSameBatch = isSameBatch && before != begin_.end();
         if (before != begin_.end())
-            tokens = std::max(tokens, run.tokens_ - before->second);
+            tokens += run.tokens_ - before->second;
     }
     const Duration elapsed = now - beganAt_;
     // A run that wasn't there before has had its prompt read since.
@@ -81,16 +77,18 @@
         beginInterval(runs, now);
         return;
     }
-    if (elapsed < kMinInterval || tokens == 0)
+    if (elapsed < kMinInterval || tokens <= 0)
         return;
-    const double perToken = static_cast<double>(elapsed.count()) / static_cast<double>(tokens);
+    // The runs advance together, but a report counts their tokens by whole events.
+    const double perToken = static_cast<double>(elapsed.count()) * static_cast<double>(runs.size())
+        / static_cast<double>(tokens);
     samples_.push_back({now, Duration(std::llround(perToken / loadFactor(runs)))});
     if (samples_.size() > kMaxSamples)
         samples_.pop_front();
     beginInterval(runs, now);
 }
 
-Duration SpeedMeter::median() const
+Duration SpeedMeter::usual() const
 {
     if (samples_.size() < kMinSamples)
         return Duration::zero();
@@ -98,22 +96,24 @@
     times.reserve(samples_.size());
     for (const Sample &sample : samples_)
         times.push_back(sample.stepTime_);
-    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
-    std::nth_element(times.begin(), middle, times.end());
-    return *middle;
+    std::sort(times.begin(), times.end());
+    const auto outside = static_cast<std::ptrdiff_t>(times.size() / 4);
+    const Duration sum =
+        std::accumulate(times.begin() + outside, times.end() - outside, Duration::zero());
+    return sum / (static_cast<Duration::rep>(times.size()) - 2 * outside);
 }
 
 Duration SpeedMeter::stepTime() const
 {
-    const Duration time = median();
+    const Duration time = usual();
     return time > Duration::zero() ? rounded(time) : Duration::zero();
 }
 
 bool SpeedMeter::isStalled(TimePoint now) const
 {
-    const Duration usual = median();
-    return usual > Duration::zero() && now < samples_.back().at_ + kMaxStallAge
-        && samples_.back().stepTime_ > kStallFactor * usual;
+    const Duration typical = usual();
+    return typical > Duration::zero() && now < samples_.back().at_ + kMaxStallAge
+        && samples_.back().stepTime_ > kStallFactor * typical;
 }
 
 } // namespace foxtailturn::placement
--- a/packages/placement/speed_meter.h
+++ b/packages/placement/speed_meter.h
@@ -3,13 +3,13 @@
 // Measures how fast an engine decodes, from its reports.
 //
 //     SpeedMeter meter;
-//     meter.record({startTimeMs, runs}, now);   // each report of the engine
+//     meter.record({startTimeMs, prompts, runs}, now);   // each report of the engine
 //     if (meter.stepTime() > Duration::zero()) { ... }
 //
 // A sample is the time per token of the runs that decode between two reports, while no prompt is
 // read. It is scaled to an empty batch, so that a loaded engine isn't taken for a slow one. The
-// speed that lasts is the median of recent samples; the engine is stalled while the last sample is
-// far above it.
+// speed that lasts is the interquartile mean of recent samples; the engine is stalled while the
+// last sample is far above it.
 
 #include <cstdint>
 #include <deque>
@@ -26,18 +26,25 @@
 {
     std::string id_;
     std::int64_t tokens_ = 0; // in memory
-    std::int64_t events_ = 0; // made so far; 0: its prompt is being read
+    std::int64_t events_ = 0; // made so far
 
     bool operator==(const EngineRun &) const = default;
 };
 
+// What the meter reads of an engine's report.
+struct EngineProgress
+{
+    std::int64_t startTimeMs_ = 0; // of the incarnation
+    int prompts_ = 0; // that are being read
+    const std::vector<EngineRun> &runs_;
+};
+
 // Not thread-safe.
 class SpeedMeter
 {
 public:
-    // Records the runs of an engine whose incarnation has started at startTimeMs. Another
-    // incarnation is measured anew.
-    void record(std::int64_t startTimeMs, const std::vector<EngineRun> &runs, TimePoint now);
+    // Records a report. Another incarnation is measured anew.
+    void record(const EngineProgress &progress, TimePoint now);
 
     // Returns the time per token with an empty batch, rounded to steps of about 6 %; zero while it
     // is not known.
@@ -56,7 +63,7 @@
     using Tokens = std::map<std::string, std::int64_t>; // in memory, by run
 
     void beginInterval(const std::vector<EngineRun> &runs, TimePoint now);
-    [[nodiscard]] Duration median() const;
+    [[nodiscard]] Duration usual() const;
 
     std::int64_t startTimeMs_ = 0;
     Tokens begin_; // of the report that began the interval; empty: none is under way
--- a/packages/placement/target_speed.h
+++ b/packages/placement/target_speed.h
@@ -28,7 +28,7 @@
 class SpeedScale
 {
 public:
-    static constexpr double kDeadBand = 1.25;
+    static constexpr double kDeadBand = 1.4;
     static constexpr double kMaxSlowness = 4;
     // How much of a stall is still to come on average, and how much slower the target is in it.
     static constexpr Duration kStallLeft = std::chrono::milliseconds(300);
--- a/packages/sidecar/sidecar_node.cpp
+++ b/packages/sidecar/sidecar_node.cpp
@@ -1,7 +1,6 @@
 #include "sidecar/sidecar_node.h"
 
 #include <algorithm>
-#include <utility>
 
 #include "gateway/target_registry.h"
 
@@ -179,7 +178,8 @@
     report_ = *report;
     hasReport_ = true;
     const TimePoint now = clock_.now();
-    speedMeter_.record(report_.startTimeMs_, std::exchange(report_.runs_, {}), now);
+    speedMeter_.record({report_.startTimeMs_, report_.prefilling_, report_.runs_}, now);
+    report_.runs_.clear();
     updateMetrics();
     adapterManager_.onReport(report_, now);
     if (!isPublishPending_)
