--- a/packages/ctl/explain.cpp
+++ b/packages/ctl/explain.cpp
@@ -106,6 +106,9 @@
 {
     const Json &json = line.fields_;
     const std::string target = concat("target ", textOf(json, "target"), ": ");
+    if (line.kind_ == "sent" && json.contains("stalled") && json["stalled"] == true)
+        return concat(target, "stalled when the request was sent, last reported ",
+                      textOf(json, "report_age_us"), " us before");
     if (line.kind_ == "attempt_failed")
         return concat(target, "framed by \"", textOf(json, "framing"), "\", broke off ",
                       textOf(json, "ended"), " after ", textOf(json, "bytes"), " bytes and ",
--- a/packages/ctl/explain_test.cpp
+++ b/packages/ctl/explain_test.cpp
@@ -75,6 +75,9 @@
     LogReader reader;
     reader.read(
         "f",
+        R"({"kind":"sent","request":"r","target":"t1","stalled":true,"report_age_us":9,)"
+        R"("time_us":0})"
+        "\n"
         R"({"kind":"attempt_failed","request":"r","target":"t1","framing":"last_chunk",)"
         R"("ended":"inside_event","bytes":70,"attempt_events":2,"what":"lost","time_us":1})"
         "\n"
@@ -88,6 +91,7 @@
         R"("not_resumed":"event_without_id","time_us":4})"
         "\n");
     const std::vector<std::string> expected = {
+        "target t1: stalled when the request was sent, last reported 9 us before",
         "target t1: framed by \"last_chunk\", broke off inside_event after 70 bytes and 2 events: "
         "lost",
         "goes on behind event 2; the caller was told \"last_chunk\" and got 2 events",
--- a/packages/gateway/request_log.cpp
+++ b/packages/gateway/request_log.cpp
@@ -41,6 +41,8 @@
                 {"considered", choice.candidates_.size()},
                 {"running", target.report_.running_},
                 {"queued", target.report_.queued_},
+                {"step_us", target.speed_.stepTime_.count()},
+                {"stalled", target.speed_.isStalled_},
                 {"report_age_us", target.hasReport() ? (now - target.reportedAt_).count() : -1},
                 {"passed_over", std::move(ineligible)}});
 }
