--- a/packages/gateway/agent_messages_test.cpp
+++ b/packages/gateway/agent_messages_test.cpp
@@ -23,6 +23,7 @@
     SidecarReport report;
     report.engine_ = EngineReport{5, 7, true, true, 1, 2, 3, 4, 9, {{"m", {{"a1", 2}}}}, {"m/a2"}};
     report.evictionCost_ = 1.5;
+    report.speed_ = {Duration(2435), true};
     CHECK(decodeAgentMessage(encode(report)).report_ == report);
 }
 
@@ -34,6 +35,7 @@
     first.engine_ = {5, 7, true, true, 1, 2, 3, 4, 9, {{"m", {{"a1", 2}, {"a3", 1}}}}, {"m/a2"}};
     SidecarReport load = first;
     load.engine_.running_ = 40;
+    load.speed_ = {Duration(2435), true};
     SidecarReport adapters = load;
     adapters.engine_.models_ = {{"m", {{"a1", 3}, {"a2", 1}}}};
     adapters.engine_.loading_ = {};
@@ -41,6 +43,7 @@
     other.engine_.models_ = {{"n", {}}};
     other.engine_.isDraining_ = false;
     other.evictionCost_ = 0.25;
+    other.speed_.isStalled_ = false;
     const SidecarReport reports[] = {SidecarReport(), first, load,           load,
                                      adapters,        other, SidecarReport()};
     SidecarReport known;
--- a/packages/sidecar/report_schedule_test.cpp
+++ b/packages/sidecar/report_schedule_test.cpp
@@ -226,4 +226,17 @@
     }
 }
 
+// Guards against entries that send prompts to a stalled engine until its load has changed.
+TEST_CASE("a change of the speed is due as soon as the rate of reports allows")
+{
+    SidecarReport report = idleEngine();
+    ReportSchedule schedule(milliseconds(120));
+    schedule.recordSent(report, kStart);
+    const TimePoint next = kStart + ReportSchedule::kMinInterval;
+    CHECK_FALSE(schedule.isDue(report, 28, next));
+    report.speed_.isStalled_ = true;
+    CHECK_FALSE(schedule.isDue(report, 28, next - milliseconds(1)));
+    CHECK(schedule.isDue(report, 28, next));
+}
+
 } // namespace foxtailturn::gateway
