--- a/packages/gateway/report_update.cpp
+++ b/packages/gateway/report_update.cpp
@@ -103,10 +103,10 @@
         updateLoading(report.engine_.loading_, value);
     else if (name == "eviction_cost" && value.is_number())
         report.evictionCost_ = value.get<double>();
-    else if (name == "step_us" && value.is_number_integer())
-        report.speed_.stepTime_ = Duration(boundedCount(value));
-    else if (name == "stalled" && value.is_boolean())
-        report.speed_.isStalled_ = value.get<bool>();
+    else if (name == "step_us")
+        report.speed_.stepTime_ = Duration(value.is_number_integer() ? boundedCount(value) : 0);
+    else if (name == "stalled")
+        report.speed_.isStalled_ = value.is_boolean() && value.get<bool>();
 }
 
 double roundedCost(double cost)
@@ -162,6 +162,15 @@
         changes[field.name_] = after.*field.member_;
 }
 
+// Adds the fields of a speed; those of an unknown one are left out.
+void addSpeed(Json &json, const placement::TargetSpeed &speed)
+{
+    if (speed.stepTime_ > Duration::zero())
+        json["step_us"] = speed.stepTime_.count();
+    if (speed.isStalled_)
+        json["stalled"] = true;
+}
+
 } // namespace
 
 int boundedCount(const Json &number)
@@ -178,9 +187,8 @@
         models[model.name_] = model.adapters_;
     Json json = {{"models", std::move(models)},
                  {"loading", report.loading_},
-                 {"eviction_cost", roundedCost(sidecar.evictionCost_)},
-                 {"step_us", sidecar.speed_.stepTime_.count()},
-                 {"stalled", sidecar.speed_.isStalled_}};
+                 {"eviction_cost", roundedCost(sidecar.evictionCost_)}};
+    addSpeed(json, sidecar.speed_);
     for (const auto &field : kIntegerFields)
         json[field.name_] = report.*field.member_;
     for (const auto &field : kCountFields)
@@ -208,10 +216,11 @@
     const double cost = roundedCost(after.evictionCost_);
     if (cost != roundedCost(before.evictionCost_))
         changes["eviction_cost"] = cost;
-    if (before.speed_.stepTime_ != after.speed_.stepTime_)
-        changes["step_us"] = after.speed_.stepTime_.count();
-    if (before.speed_.isStalled_ != after.speed_.isStalled_)
-        changes["stalled"] = after.speed_.isStalled_;
+    if (before.speed_ != after.speed_) {
+        changes["step_us"] = nullptr;
+        changes["stalled"] = nullptr;
+        addSpeed(changes, after.speed_);
+    }
     return changes;
 }
 
--- a/packages/sidecar/sidecar_node.cpp
+++ b/packages/sidecar/sidecar_node.cpp
@@ -178,7 +178,10 @@
     report_ = *report;
     hasReport_ = true;
     const TimePoint now = clock_.now();
-    speedMeter_.record({report_.startTimeMs_, report_.prefilling_, report_.runs_}, now);
+    // An engine may list a request among its runs from its first event on only.
+    const int listed = static_cast<int>(report_.runs_.size());
+    const int prompts = std::max(report_.prefilling_, report_.running_ - listed);
+    speedMeter_.record({report_.startTimeMs_, prompts, report_.runs_}, now);
     report_.runs_.clear();
     updateMetrics();
     adapterManager_.onReport(report_, now);
