--- a/packages/gateway/placement.h
+++ b/packages/gateway/placement.h
@@ -9,10 +9,11 @@
 //
 // For an engine, the estimate is the sum of the prefill time of earlier prompts, the prefill time
 // of the request's own prompt less its prefix that is probably in the engine's KV cache, and the
-// load time of an adapter that is missing. For a plain service, it grows with the share of busy
-// slots. Targets that have failed lately come last, and those that have rejected a request lately
-// after the others, but half of a service's targets at most: if all reject, the ones whose
-// rejection is longest ago get the next requests.
+// load time of an adapter that is missing. All but the load is scaled by the engine's measured
+// speed. For a plain service, it grows with the share of busy slots. Targets that have failed
+// lately come last, and those that have rejected a request lately after the others, but half of a
+// service's targets at most: if all reject, the ones whose rejection is longest ago get the next
+// requests.
 
 #include <cstdint>
 #include <optional>
