--- a/packages/gateway/target_speed_fleet_test.cpp
+++ b/packages/gateway/target_speed_fleet_test.cpp
@@ -14,7 +14,6 @@
 
 using placement::EngineRun;
 using placement::SpeedMeter;
-using placement::TargetSpeed;
 using std::chrono::milliseconds;
 
 constexpr double kStepMs = 4.43; // at speed 1
