--- a/packages/placement/target_speed.cpp
+++ b/packages/placement/target_speed.cpp
@@ -19,7 +19,7 @@
     if (typical_ == Duration::zero() || speed.stepTime_ == Duration::zero())
         return 1;
     const double ratio = std::chrono::duration<double>(speed.stepTime_) / typical_;
-    if (ratio < 1.7 && ratio * 1.7 > 1)
+    if (ratio < kDeadBand && ratio * kDeadBand > 1)
         return 1;
     return std::clamp(ratio, 1 / kMaxSlowness, kMaxSlowness);
 }
