--- a/packages/sidecar/sidecar_node.cpp
+++ b/packages/sidecar/sidecar_node.cpp
@@ -280,7 +280,7 @@
 SidecarReport SidecarNode::reportForEntries(TimePoint now) const
 {
     SidecarReport report = adapterManager_.reportForEntries(now);
-    report.speed_.stepTime_ = speedMeter_.stepTime();
+    report.speed_ = {speedMeter_.stepTime(), speedMeter_.isStalled(now)};
     return report;
 }
 
