--- a/packages/gateway/report_update.cpp
+++ b/packages/gateway/report_update.cpp
@@ -103,6 +103,10 @@
         updateLoading(report.engine_.loading_, value);
     else if (name == "eviction_cost" && value.is_number())
         report.evictionCost_ = value.get<double>();
+    else if (name == "step_us")
+        report.speed_.stepTime_ = Duration(value.is_number_integer() ? boundedCount(value) : 0);
+    else if (name == "stalled")
+        report.speed_.isStalled_ = value.is_boolean() && value.get<bool>();
 }
 
 double roundedCost(double cost)
@@ -158,6 +162,15 @@
         changes[field.name_] = after.*field.member_;
 }
 
+// Adds the fields of a speed; those of an unknown one are left out.
+void addSpeed(Json &json, const placement::TargetSpeed &speed)
+{
+    if (speed.stepTime_ > Duration::zero())
+        json["step_us"] = speed.stepTime_.count();
+    if (speed.isStalled_)
+        json["stalled"] = true;
+}
+
 } // namespace
 
 int boundedCount(const Json &number)
@@ -175,6 +188,7 @@
     Json json = {{"models", std::move(models)},
                  {"loading", report.loading_},
                  {"eviction_cost", roundedCost(sidecar.evictionCost_)}};
+    addSpeed(json, sidecar.speed_);
     for (const auto &field : kIntegerFields)
         json[field.name_] = report.*field.member_;
     for (const auto &field : kCountFields)
@@ -202,6 +216,11 @@
     const double cost = roundedCost(after.evictionCost_);
     if (cost != roundedCost(before.evictionCost_))
         changes["eviction_cost"] = cost;
+    if (before.speed_ != after.speed_) {
+        changes["step_us"] = nullptr;
+        changes["stalled"] = nullptr;
+        addSpeed(changes, after.speed_);
+    }
     return changes;
 }
 
