--- a/packages/sidecar/sidecar_node.cpp
+++ b/packages/sidecar/sidecar_node.cpp
@@ -95,8 +95,7 @@
             {"entries", entries_.peers()},
             {"engine_up_ms", upMillis()},
             {"cold_permits", allowance_.recentGrants(clock_.now())},
-            {"report",
-             nlohmann::json::parse(encode(adapterManager_.reportForEntries(clock_.now())))}};
+            {"report", nlohmann::json::parse(encode(reportForEntries(clock_.now())))}};
         return AdminAnswer{200, state.dump(2) + "\n", "application/json"};
     });
     admin_.serve("/metrics", [this] { return AdminAnswer{200, metrics_.text()}; });
@@ -248,6 +247,11 @@
     const TimePoint now = clock_.now();
     if (watch_.onReport(report_.startTimeMs_, ageOf(report_), now))
         sendEngineState();
+    // An engine may list a request among its runs from its first event on only.
+    const int listed = static_cast<int>(report_.runs_.size());
+    const int prompts = std::max(report_.prefilling_, report_.running_ - listed);
+    speedMeter_.record({report_.startTimeMs_, prompts, report_.runs_}, now);
+    report_.runs_.clear();
     updateMetrics();
     adapterManager_.onReport(report_, now);
     if (!isPublishPending_)
@@ -265,6 +269,10 @@
         .set(report_.running_);
     metrics_.gauge("foxtailturn_engine_queued", "requests that wait in the engine")
         .set(report_.queued_);
+    metrics_.gauge("foxtailturn_engine_step_microseconds", "decode time per token; 0: unknown")
+        .set(speedMeter_.stepTime().count());
+    metrics_.gauge("foxtailturn_engine_stalled", "1 while the engine decodes far slower than usual")
+        .set(speedMeter_.isStalled(clock_.now()) ? 1 : 0);
     metrics_.gauge("foxtailturn_entries_connected", "entries that listen to this process")
         .set(static_cast<std::int64_t>(entries_.peers()));
     const TimePoint now = clock_.now();
@@ -339,6 +347,13 @@
     });
 }
 
+SidecarReport SidecarNode::reportForEntries(TimePoint now) const
+{
+    SidecarReport report = adapterManager_.reportForEntries(now);
+    report.speed_ = {speedMeter_.stepTime(), speedMeter_.isStalled(now)};
+    return report;
+}
+
 void SidecarNode::publishSoon()
 {
     if (isPublishPending_)
@@ -355,7 +370,7 @@
 void SidecarNode::publishIfDue()
 {
     const TimePoint now = clock_.now();
-    const SidecarReport report = adapterManager_.reportForEntries(now);
+    const SidecarReport report = reportForEntries(now);
     if (!hasReport_ || !schedule_.isDue(report, entries_.peers(), now))
         return;
     if (entries_.peers() > 0)
