--- a/packages/ctl/explain_test.cpp
+++ b/packages/ctl/explain_test.cpp
@@ -92,12 +92,12 @@
         "\n");
     const std::vector<std::string> expected = {
         "target t1: stalled when the request was sent, last reported 9 us before",
-        "target t1: framed by \"last_chunk\", broke off inside_event after 70 bytes and 2 events: "
-        "lost",
+        ("target t1: framed by \"last_chunk\", broke off inside_event after 70 bytes and 2 events: "
+         "lost"),
         "goes on behind event 2; the caller was told \"last_chunk\" and got 2 events",
         "target t2: framed by \"close\", ended with its connection after 30 bytes and 1 events",
-        "broken off; the caller was told \"last_chunk\" and got 3 events; not resumed: "
-        "event_without_id",
+        ("broken off; the caller was told \"last_chunk\" and got 3 events; not resumed: "
+         "event_without_id"),
     };
     CHECK(reader.explain("r").answers_ == expected);
 }
--- a/packages/gateway/target_speed_fleet_test.cpp
+++ b/packages/gateway/target_speed_fleet_test.cpp
@@ -77,7 +77,8 @@
     SpeedMeter meter_;
 };
 
-enum class Knowledge { None, Learned, True }; // of the lasting speeds
+// What placement knows of the engines. Speeds: the lasting ones. All: stalls, too.
+enum class Knowledge { None, Learned, Speeds, All };
 
 struct Result
 {
@@ -87,7 +88,8 @@
 };
 
 // Plays 30 s of load on engines with the given speeds.
-Result play(const std::vector<double> &speeds, double stalledShare, Knowledge knowledge)
+Result play(const std::vector<double> &speeds, double stalledShare, Knowledge knowledge,
+            double requestsPerMs)
 {
     std::mt19937 random(7);
     const auto share = [&random] { return static_cast<double>(random()) / 4294967296.0; };
@@ -130,11 +132,14 @@
             target.report_.prefilling_ = prompts;
             if (knowledge == Knowledge::Learned)
                 target.speed_ = {engine.meter_.stepTime(), engine.meter_.isStalled(now)};
-            if (knowledge == Knowledge::True)
-                target.speed_ = {std::chrono::duration_cast<Duration>(
-                    std::chrono::duration<double, std::milli>(kStepMs) / engine.speed_)};
+            const auto step = std::chrono::duration_cast<Duration>(
+                std::chrono::duration<double, std::milli>(kStepMs) / engine.speed_);
+            if (knowledge == Knowledge::Speeds)
+                target.speed_ = {step};
+            if (knowledge == Knowledge::All)
+                target.speed_ = {step, engine.isStalled_};
         }
-        if (share() > 0.06)
+        if (share() > requestsPerMs)
             continue;
         const bool isLong = share() < 0.5;
         PlacementRequest request;
@@ -160,18 +165,26 @@
 
 } // namespace
 
+namespace {
+
+constexpr double kStalledShare = 0.15;
+constexpr double kSlow = 1 / 1.2;
+constexpr double kFast = 1 / 0.55;
+
+const std::vector<std::vector<double>> kSpeeds = {
+    {0.55, 1.2, 1.2, 1.2, 0.55, 1.2, 1.2, 1.2, 0.55, 1.2, 1.2, 1.2},
+    {kFast, kSlow, kSlow, kSlow, kFast, kSlow, kSlow, kSlow, kFast, kSlow, kSlow, kSlow},
+};
+
+} // namespace
+
 TEST_CASE("learned speeds serve callers about as well as known ones")
 {
-    const double slow = 1 / 1.2;
-    const double fast = 1 / 0.55;
-    const std::vector<std::vector<double>> cases = {
-        {0.55, 1.2, 1.2, 1.2, 0.55, 1.2, 1.2, 1.2, 0.55, 1.2, 1.2, 1.2},
-        {fast, slow, slow, slow, fast, slow, slow, slow, fast, slow, slow, slow},
-    };
-    for (const std::vector<double> &speeds : cases) {
-        const Result none = play(speeds, 0.15, Knowledge::None);
-        const Result learned = play(speeds, 0.15, Knowledge::Learned);
-        const Result known = play(speeds, 0.15, Knowledge::True);
+    constexpr double kLoad = 0.06; // requests for each ms
+    for (const std::vector<double> &speeds : kSpeeds) {
+        const Result none = play(speeds, kStalledShare, Knowledge::None, kLoad);
+        const Result learned = play(speeds, kStalledShare, Knowledge::Learned, kLoad);
+        const Result known = play(speeds, kStalledShare, Knowledge::Speeds, kLoad);
         CAPTURE(none.late_);
         CAPTURE(learned.late_);
         CAPTURE(known.late_);
@@ -180,11 +193,26 @@
     }
 }
 
+// In KNOWN-RED.txt: a stall is over before it shows in the runs of an engine.
+TEST_CASE("learned speeds and stalls serve callers as well as known ones" * doctest::may_fail())
+{
+    for (const double load : {0.06, 0.12}) {
+        for (const std::vector<double> &speeds : kSpeeds) {
+            const Result learned = play(speeds, kStalledShare, Knowledge::Learned, load);
+            const Result known = play(speeds, kStalledShare, Knowledge::All, load);
+            CAPTURE(load);
+            CAPTURE(learned.late_);
+            CAPTURE(known.late_);
+            CHECK(learned.late_ * 10 <= known.late_ * 11);
+        }
+    }
+}
+
 TEST_CASE("targets of one speed are chosen as without measurements")
 {
     const std::vector<double> speeds(12, 1.0);
-    CHECK(play(speeds, 0, Knowledge::Learned).choices_
-          == play(speeds, 0, Knowledge::None).choices_);
+    CHECK(play(speeds, 0, Knowledge::Learned, 0.06).choices_
+          == play(speeds, 0, Knowledge::None, 0.06).choices_);
 }
 
 } // namespace foxtailturn::gateway
