--- a/packages/http1/message_parser_test.cpp
+++ b/packages/http1/message_parser_test.cpp
@@ -237,7 +237,6 @@
     REQUIRE(parser.error());
 }
 
-// Guards against a wait for a body that a status or method rules out, whatever the fields say.
 // Guards against an answer with an invalid status, or one that is taken for an interim answer.
 TEST_CASE("a status outside 100 to 599 is an error")
 {
@@ -258,6 +257,7 @@
     }
 }
 
+// Guards against a wait for a body that a status or method rules out, whatever the fields say.
 TEST_CASE("a response without a body ends with its head")
 {
     for (const std::string status : {"204 No", "304 No", "100 Go"}) {
