--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -629,7 +629,8 @@
 def route(name, prefix, service, kind, timeout_ms, slo_ms, **more):
     return {"name": name, "host": "a.example", "prefix": prefix, "route_type": kind,
             "timeout_ms": timeout_ms, "slo_ms": slo_ms, "priority": 2, "service": service,
-            "max_attempts": 2 if kind == "safe" else 1, "public": False, "resumable": False, **more}
+            "max_attempts": 2 if kind == "safe" else 1, "public": False, "resumable": False,
+            **more}
 
 
 LIMITS = {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000,
