net, callers: event loop and callers' connections in packages of their own

Connections of callers move from packages/gateway to packages/callers and ask a CallerService for what the Gateway told them before; GatewayCallers is that service of a gateway. The event loop and its streams move to packages/net.

--- a/packages/gateway/caller_connection.cpp
+++ b/packages/callers/caller_connection.cpp
@@ -1,8 +1,10 @@
-#include "gateway/caller_connection.h"
+#include "callers/caller_connection.h"
 
 #include <algorithm>
 
-namespace foxtailturn::gateway {
+#include "net/endpoint.h"
+
+namespace foxtailturn::callers {
 
 namespace {
 
@@ -15,33 +17,28 @@
 constexpr Duration kAcceptRetryDelay =
     milliseconds(50); // after a failed accept, for example when file descriptors run out
 
-CallerLimits limitsOf(const Gateway &gateway)
-{
-    return gateway.config() ? gateway.config()->limits_ : CallerLimits();
-}
-
 } // namespace
 
-CallerConnection::CallerConnection(CallerListener &listener, Gateway &gateway,
+CallerConnection::CallerConnection(CallerListener &listener, CallerService &service,
                                    asio::ip::tcp::socket socket)
     : listener_(listener)
-    , gateway_(gateway)
+    , service_(service)
     , stream_(ByteStream::create(std::move(socket)))
-    , parser_(MessageKind::Request, std::min(kMaxHeaderBytes, limitsOf(gateway).maxHeaderBytes_),
+    , parser_(MessageKind::Request, std::min(kMaxHeaderBytes, service.limits().maxHeaderBytes_),
               *this)
-    , timer_(gateway.context())
-    , unfinished_(gateway.memory(), memory::MemoryKind::UnfinishedRequest)
+    , timer_(service.context())
+    , unfinished_(service.memory(), memory::MemoryKind::UnfinishedRequest)
 {
-    stream_->account(gateway.memory(), memory::MemoryKind::UnsentAnswer);
+    stream_->account(service.memory(), memory::MemoryKind::UnsentAnswer);
 }
 
 void CallerConnection::start()
 {
-    progressAt_ = gateway_.now();
+    progressAt_ = service_.now();
     stream_->onDrain([weak = weak_from_this()] {
         const auto self = weak.lock();
-        if (self && self->relay_)
-            self->relay_->onAnswerDrained();
+        if (self && self->exchange_)
+            self->exchange_->onAnswerDrained();
     });
     stream_->start(
         [weak = weak_from_this()](std::string_view data) {
@@ -52,7 +49,7 @@
             if (const auto self = weak.lock())
                 self->onClosed();
         });
-    armTimer(limitsOf(gateway_).idleTimeout_, false);
+    armTimer(service_.limits().idleTimeout_, false);
 }
 
 void CallerConnection::armTimer(Duration wait, bool isForHeader)
@@ -60,7 +57,7 @@
     timer_.expires_after(wait);
     timer_.async_wait([weak = weak_from_this(), isForHeader](const asio::error_code &error) {
         const auto self = weak.lock();
-        if (error || !self || self->relay_)
+        if (error || !self || self->exchange_)
             return;
         const LoopMeter::Scope scope(&self->listener_.meter_, WorkKind::Callers);
         if (self->pausedAt_)
@@ -78,9 +75,9 @@
         return;
     const LoopMeter::Scope scope(&listener_.meter_, WorkKind::Callers);
     unparsed_ += data;
-    if (relay_) {
+    if (exchange_) {
         unfinished_.set(unparsed_.size());
-        const memory::MemoryAccount &memory = gateway_.memory();
+        const memory::MemoryAccount &memory = service_.memory();
         if (unparsed_.size() > kMaxUnparsedBytes || memory.total() > memory.bounds().pauseAt_)
             stream_->pause();
         listener_.makeMemoryLater();
@@ -97,11 +94,11 @@
     if (isReading_)
         return; // called from within the loop below, which goes on by itself
     isReading_ = true;
-    while (!unparsed_.empty() && !relay_ && !isDiscarding_ && stream_->isOpen()) {
+    while (!unparsed_.empty() && !exchange_ && !isDiscarding_ && stream_->isOpen()) {
         const bool isNew = !parser_.isInMessage();
         if (isNew) {
             receivedAt_ = receivedAt;
-            armTimer(limitsOf(gateway_).headerTimeout_, true);
+            armTimer(service_.limits().headerTimeout_, true);
         }
         const std::size_t used = parser_.feed(unparsed_);
         unparsed_.erase(0, used);
@@ -133,7 +130,7 @@
     keepsAlive_ = head.keepsAlive_;
     head_ = std::move(head);
     body_.clear();
-    const std::size_t limit = limitsOf(gateway_).maxBodyBytes_;
+    const std::size_t limit = service_.limits().maxBodyBytes_;
     if (head_.contentLength_.value_or(0) > limit) {
         refuseAndClose(413, ErrorCode::PayloadTooLarge);
         return;
@@ -147,7 +144,7 @@
 {
     if (isDiscarding_)
         return;
-    if (body_.size() + data.size() > limitsOf(gateway_).maxBodyBytes_) {
+    if (body_.size() + data.size() > service_.limits().maxBodyBytes_) {
         refuseAndClose(413, ErrorCode::PayloadTooLarge);
         return;
     }
@@ -166,39 +163,42 @@
     }
     unfinished_.set(0);
     std::string body = body_.take();
-    const memory::MemoryAccount &memory = gateway_.memory();
+    const memory::MemoryAccount &memory = service_.memory();
     if (memory.total() > 0 && memory.total() + headBytes_ + body.size() > memory.bounds().max_) {
         refuseForMemory();
         return;
     }
-    auto admission = gateway_.admit(head_, std::move(body), receivedAt_);
+    Admission admission =
+        service_.admit(head_, std::move(body), receivedAt_, static_cast<AnswerSink &>(*this));
     if (Refusal *refusal = std::get_if<Refusal>(&admission)) {
         refuse(std::move(*refusal));
         return;
     }
-    relay_ = std::make_shared<Relay>(gateway_, std::move(std::get<AdmittedRequest>(admission)),
-                                     static_cast<AnswerSink &>(*this));
-    // start() may answer synchronously and reset relay_, so keep the relay alive until it returns.
-    const std::shared_ptr<Relay> relay = relay_;
-    relay->start();
+    exchange_ = std::get<std::shared_ptr<Exchange>>(std::move(admission));
+    // start() may answer synchronously and reset exchange_, so keep it alive until it returns.
+    const std::shared_ptr<Exchange> exchange = exchange_;
+    exchange->start();
 }
 
 void CallerConnection::refuse(Refusal refusal)
 {
-    gateway_.countAnswer(nullptr, refusal.status_, refusal.code_);
+    service_.countRefusal(refusal);
     refusal.closesConnection_ = closesAfterAnswer();
-    stream_->send(gateway_.codec().refusal(refusal));
+    stream_->send(service_.refusalText(refusal));
     endAnswer();
 }
 
 void CallerConnection::refuseAndClose(int status, ErrorCode code)
 {
-    gateway_.countAnswer(nullptr, status, errorName(code));
-    gateway_.log().write(LogDetail::Full, "refused",
-                         {{"request", ""}, {"status", status}, {"code", errorName(code)}});
+    refuseUnread({status, "", std::string(errorName(code)), std::nullopt, true});
+}
+
+void CallerConnection::refuseUnread(const Refusal &refusal)
+{
+    service_.countRefusal(refusal);
+    service_.logUnreadRequest(refusal);
     beginDiscard();
-    stream_->send(
-        gateway_.codec().refusal({status, "", std::string(errorName(code)), std::nullopt, true}));
+    stream_->send(service_.refusalText(refusal));
 }
 
 // Gives back what was read. Closing a socket with unread input resets the connection before the
@@ -226,7 +226,7 @@
 void CallerConnection::endAnswer()
 {
     const auto self = shared_from_this(); // the listener's may be the last reference
-    relay_.reset();
+    exchange_.reset();
     if (closesAfterAnswer()) {
         isDiscarding_ = true;
         listener_.connections_.erase(shared_from_this());
@@ -236,19 +236,19 @@
         return;
     }
     stream_->resume();
-    armTimer(limitsOf(gateway_).idleTimeout_, false);
+    armTimer(service_.limits().idleTimeout_, false);
     if (!unparsed_.empty())
-        asio::post(gateway_.context(), [weak = weak_from_this()] {
+        asio::post(service_.context(), [weak = weak_from_this()] {
             const auto self = weak.lock();
-            if (self && !self->relay_)
-                self->readRequests(self->gateway_.now());
+            if (self && !self->exchange_)
+                self->readRequests(self->service_.now());
         });
 }
 
 void CallerConnection::abortAnswer(AnswerBreak how)
 {
     const auto self = shared_from_this();
-    relay_.reset();
+    exchange_.reset();
     isDiscarding_ = true;
     listener_.connections_.erase(shared_from_this());
     timer_.cancel();
@@ -295,8 +295,8 @@
 
 void CallerConnection::shutDown()
 {
-    if (const std::shared_ptr<Relay> relay = relay_)
-        relay->shutDown();
+    if (const std::shared_ptr<Exchange> exchange = exchange_)
+        exchange->shutDown();
 }
 
 void CallerConnection::close()
@@ -305,21 +305,21 @@
     timer_.cancel();
     unfinished_.set(0);
     pausedAt_.reset();
-    if (relay_) {
-        const std::shared_ptr<Relay> relay = relay_;
-        relay_.reset();
-        relay->cancel();
+    if (exchange_) {
+        const std::shared_ptr<Exchange> exchange = exchange_;
+        exchange_.reset();
+        exchange->cancel();
     }
     stream_->close();
     listener_.connections_.erase(self);
 }
 
-CallerListener::CallerListener(Gateway &gateway, LoopMeter &meter)
-    : gateway_(gateway)
+CallerListener::CallerListener(CallerService &service, LoopMeter &meter)
+    : service_(service)
     , meter_(meter)
-    , pauseTimer_(gateway.context())
-    , acceptor_(gateway.context())
-    , acceptTimer_(gateway.context())
+    , pauseTimer_(service.context())
+    , acceptor_(service.context())
+    , acceptTimer_(service.context())
 { }
 
 Result<void> CallerListener::listen(const std::string &address)
@@ -336,7 +336,7 @@
         if (!acceptor_.is_open())
             return;
         if (error) {
-            gateway_.log().write(LogDetail::Full, "accept_failed", {{"what", error.message()}});
+            service_.recordAcceptFailure(error.message());
             acceptTimer_.expires_after(kAcceptRetryDelay);
             acceptTimer_.async_wait([this](const asio::error_code &stopped) {
                 if (!stopped)
@@ -346,11 +346,11 @@
         }
         if (makeRoom()) {
             auto connection =
-                std::make_shared<CallerConnection>(*this, gateway_, std::move(socket));
+                std::make_shared<CallerConnection>(*this, service_, std::move(socket));
             connections_.insert(connection);
             connection->start();
         } else {
-            recordShed("connections", {});
+            service_.recordShed("connections", {}, connections_.size());
         }
         accept();
     });
@@ -375,10 +375,20 @@
         connection->shutDown();
 }
 
+bool CallerListener::hasUnsentAnswers() const
+{
+    return std::any_of(connections_.begin(), connections_.end(),
+                       [](const auto &connection) { return connection->hasUnsentAnswer(); })
+        || std::any_of(flushing_.begin(), flushing_.end(), [](const auto &weak) {
+               const std::shared_ptr<ByteStream> stream = weak.lock();
+               return stream && stream->queuedBytes() > 0;
+           });
+}
+
 void CallerListener::stopAccepting()
 {
     asio::error_code ignored; // closed anyway
     acceptor_.close(ignored);
 }
 
-} // namespace foxtailturn::gateway
+} // namespace foxtailturn::callers
--- a/packages/gateway/caller_connection.h
+++ b/packages/callers/caller_connection.h
@@ -1,9 +1,9 @@
 #pragma once
 
-// A caller's connection: reads requests one after the other, starts a Relay for each and writes the
-// answers.
+// A caller's connection: reads requests one after the other, starts an Exchange for each and writes
+// the answers.
 //
-//     CallerListener listener(gateway, meter);
+//     CallerListener listener(service, meter);
 //     listener.listen("10.0.0.5:8080");
 //     listener.drain();     // graceful shutdown: answers carry "Connection: close"
 
@@ -13,14 +13,13 @@
 #include <set>
 #include <vector>
 
-#include "gateway/gateway.h"
-#include "gateway/loop_meter.h"
+#include "callers/caller_service.h"
 #include "http1/message_parser.h"
 #include "memory/body_buffer.h"
-#include "memory/memory_account.h"
-#include "memory/shedding.h"
+#include "net/byte_stream.h"
+#include "net/loop_meter.h"
 
-namespace foxtailturn::gateway {
+namespace foxtailturn::callers {
 
 class CallerListener;
 
@@ -30,8 +29,9 @@
                                AnswerSink
 {
 public:
-    // listener and gateway must outlive the connection.
-    CallerConnection(CallerListener &listener, Gateway &gateway, asio::ip::tcp::socket socket);
+    // listener and service must outlive the connection.
+    CallerConnection(CallerListener &listener, CallerService &service,
+                     asio::ip::tcp::socket socket);
 
     void start();
 
@@ -45,7 +45,9 @@
     // Closes the connection and cancels its request.
     void close();
 
-    [[nodiscard]] bool isIdle() const { return !relay_ && !hasHead_; }
+    [[nodiscard]] bool hasUnsentAnswer() const { return stream_->queuedBytes() > 0; }
+
+    [[nodiscard]] bool isIdle() const { return !exchange_ && !hasHead_; }
 
     // Continues to read a body that waits for memory.
     void resumeReading();
@@ -83,6 +85,8 @@
     void beginRequest();
     void refuse(Refusal refusal);
     void refuseAndClose(int status, ErrorCode code);
+    // Refuses a request that was not read to its end, and closes the connection.
+    void refuseUnread(const Refusal &refusal);
     void refuseForMemory();
     void beginDiscard();
     // Counts what is held of the request that is being read, and makes room if that is too much.
@@ -103,7 +107,7 @@
     [[nodiscard]] bool hasCallerLeft() override;
 
     CallerListener &listener_;
-    Gateway &gateway_;
+    CallerService &service_;
     std::shared_ptr<ByteStream> stream_;
     MessageParser parser_;
     asio::steady_timer timer_;
@@ -121,15 +125,15 @@
     bool isReading_ = false; // in readRequests(), which must not be re-entered
     TimePoint receivedAt_{};
     TimePoint progressAt_{};
-    std::shared_ptr<Relay> relay_;
+    std::shared_ptr<Exchange> exchange_;
 };
 
 // Accepts callers. Not thread-safe.
 class CallerListener
 {
 public:
-    // The gateway and the meter must outlive the listener.
-    CallerListener(Gateway &gateway, LoopMeter &meter);
+    // The service and the meter must outlive the listener.
+    CallerListener(CallerService &service, LoopMeter &meter);
 
     // Error: InvalidSettings when the address can't be used.
     [[nodiscard]] Result<void> listen(const std::string &address);
@@ -153,6 +157,9 @@
 
     [[nodiscard]] std::size_t connections() const { return connections_.size(); }
 
+    // Returns whether callers have yet to take bytes of their answers.
+    [[nodiscard]] bool hasUnsentAnswers() const;
+
 private:
     friend class CallerConnection;
 
@@ -169,7 +176,7 @@
     [[nodiscard]] bool makeRoom();
     // Sheds callers if too much is held.
     void makeMemory();
-    // The same from the loop, for callers that a relay is about to send to.
+    // The same from the loop, for callers that a exchange is about to send to.
     void makeMemoryLater();
     // Reads on, or sheds, a connection that waits for memory.
     void addPaused(CallerConnection &connection);
@@ -179,9 +186,8 @@
     void addFlushing(const std::shared_ptr<ByteStream> &stream);
     // Sheds callers until no more than this many bytes are held, or nobody is left to give way.
     void shedTo(std::size_t bytes, SheddingScope scope);
-    void recordShed(std::string_view reason, const memory::Holder &holder);
 
-    Gateway &gateway_;
+    CallerService &service_;
     LoopMeter &meter_;
     std::size_t maxConnections_ = std::numeric_limits<std::size_t>::max();
     std::deque<std::weak_ptr<CallerConnection>> paused_; // the first has waited longest
@@ -194,4 +200,4 @@
     bool isMakingMemory_ = false; // a call of makeMemory() waits in the loop
 };
 
-} // namespace foxtailturn::gateway
+} // namespace foxtailturn::callers
--- a/packages/gateway/caller_shedding.cpp
+++ b/packages/callers/caller_shedding.cpp
@@ -3,9 +3,9 @@
 #include <algorithm>
 #include <tuple>
 
-#include "gateway/caller_connection.h"
+#include "callers/caller_connection.h"
 
-namespace foxtailturn::gateway {
+namespace foxtailturn::callers {
 
 namespace {
 
@@ -29,14 +29,14 @@
     const std::size_t held =
         unparsed_.size() + parser_.heldBytes() + (hasHead_ ? headBytes_ : 0) + body_.size();
     unfinished_.set(held);
-    const bool isReadingBody = hasHead_ && !relay_ && !isDiscarding_;
+    const bool isReadingBody = hasHead_ && !exchange_ && !isDiscarding_;
     const bool mayBeLarge = head_.contentLength_.value_or(memory::MemoryBounds::kSmallBody + 1)
         > memory::MemoryBounds::kSmallBody;
     if (isReadingBody && mayBeLarge && !hasReceiveBuffer_) {
         stream_->setReceiveBuffer(kReceiveBuffer);
         hasReceiveBuffer_ = true;
     }
-    const memory::MemoryAccount &memory = gateway_.memory();
+    const memory::MemoryAccount &memory = service_.memory();
     // A single request is read whatever the VM's size.
     if (memory.total() <= memory.bounds().pauseAt_ || memory.total() == unfinished_.bytes())
         return;
@@ -44,7 +44,7 @@
     const bool isLarge = unfinished_.bytes() > memory::MemoryBounds::kSmallBody;
     if (isLarge && isReadingBody && !isDiscarding_ && stream_->isOpen()
         && memory.total() > memory.bounds().pauseAt_) {
-        pausedAt_ = gateway_.now();
+        pausedAt_ = service_.now();
         stream_->pause();
         listener_.addPaused(*this);
     }
@@ -53,18 +53,16 @@
 void CallerConnection::resumeReading()
 {
     pausedAt_.reset();
-    progressAt_ = gateway_.now();
+    progressAt_ = service_.now();
     stream_->resume();
 }
 
 const std::string &CallerConnection::owner()
 {
-    if (owner_.empty() && hasHead_ && gateway_.config()) {
-        const Result<CallerRequest> request = gateway_.codec().decodeRequest(head_);
-        const Workspace *workspace =
-            request ? gateway_.config()->findWorkspace(request->key_) : nullptr;
-        if (workspace != nullptr)
-            owner_ = "workspace " + workspace->name_;
+    if (owner_.empty() && hasHead_) {
+        const std::string workspace = service_.workspaceOf(head_);
+        if (!workspace.empty())
+            owner_ = "workspace " + workspace;
     }
     if (owner_.empty())
         owner_ = "address " + stream_->peerAddress();
@@ -73,9 +71,9 @@
 
 memory::Holder CallerConnection::holder()
 {
-    if (!relay_ && !isDiscarding_ && unfinished_.bytes() > 0)
+    if (!exchange_ && !isDiscarding_ && unfinished_.bytes() > 0)
         // A caller that waits for memory is not the one that stalls.
-        return {owner(), unfinished_.bytes(), pausedAt_ ? gateway_.now() : progressAt_, receivedAt_,
+        return {owner(), unfinished_.bytes(), pausedAt_ ? service_.now() : progressAt_, receivedAt_,
                 true};
     const std::size_t bytes = stream_->queuedBytes() + unfinished_.bytes();
     if (bytes > 0)
@@ -87,14 +85,14 @@
 {
     if (stream_->queuedBytes() > 0)
         return Use::Unread;
-    if (relay_)
+    if (exchange_)
         return Use::Served;
     return isIdle() && !parser_.isInMessage() && unparsed_.empty() ? Use::Idle : Use::Unfinished;
 }
 
 void CallerConnection::shed()
 {
-    if (!relay_ && !isDiscarding_ && hasHead_)
+    if (!exchange_ && !isDiscarding_ && hasHead_)
         refuseForMemory();
     else
         closeForAnother();
@@ -109,30 +107,24 @@
 
 void CallerConnection::refuseForMemory()
 {
-    const Result<CallerRequest> request = gateway_.codec().decodeRequest(head_);
-    const Duration spread = std::chrono::duration_cast<Duration>(kMemoryRetry * gateway_.jitter());
-    const std::string code(errorName(ErrorCode::Overloaded));
-    const std::string id = request ? request->id_ : std::string();
-    gateway_.countAnswer(nullptr, 503, code);
-    gateway_.log().write(LogDetail::Full, "refused",
-                         {{"request", id}, {"status", 503}, {"code", code}});
-    beginDiscard();
-    stream_->send(gateway_.codec().refusal({503, id, code, kMemoryRetry + spread, true}));
+    const Duration spread = std::chrono::duration_cast<Duration>(kMemoryRetry * service_.jitter());
+    refuseUnread({503, service_.requestIdOf(head_), std::string(errorName(ErrorCode::Overloaded)),
+                  kMemoryRetry + spread, true});
 }
 
 void CallerListener::makeMemory()
 {
-    const memory::MemoryBounds &bounds = gateway_.memory().bounds();
-    if (gateway_.memory().total() > bounds.max_)
+    const memory::MemoryBounds &bounds = service_.memory().bounds();
+    if (service_.memory().total() > bounds.max_)
         shedTo(bounds.max_ - bounds.max_ / kShedDivisor, SheddingScope::All);
 }
 
 void CallerListener::makeMemoryLater()
 {
-    if (gateway_.memory().total() <= gateway_.memory().bounds().max_ || isMakingMemory_)
+    if (service_.memory().total() <= service_.memory().bounds().max_ || isMakingMemory_)
         return;
     isMakingMemory_ = true;
-    asio::post(gateway_.context(), [this] {
+    asio::post(service_.context(), [this] {
         const LoopMeter::Scope scope(&meter_, WorkKind::Callers);
         isMakingMemory_ = false;
         makeMemory();
@@ -144,7 +136,7 @@
     std::vector<std::shared_ptr<CallerConnection>> connections(connections_.begin(),
                                                                connections_.end());
     std::erase_if(flushing_, [](const auto &stream) { return stream.expired(); });
-    while (gateway_.memory().total() > bytes) {
+    while (service_.memory().total() > bytes) {
         std::vector<memory::Holder> holders;
         holders.reserve(connections.size() + flushing_.size());
         for (const auto &connection : connections)
@@ -154,11 +146,12 @@
             holders.push_back(
                 {.bytes_ = stream ? stream->queuedBytes() : 0, .isUnfinished_ = false});
         }
-        const std::optional<std::size_t> index = memory::chooseToShed(holders, gateway_.now());
+        const std::optional<std::size_t> index = memory::chooseToShed(holders, service_.now());
         if (!index || (scope == SheddingScope::Unfinished && !holders[*index].isUnfinished_))
             return;
         const memory::Holder &holder = holders[*index];
-        recordShed(holder.isUnfinished_ ? "unfinished_request" : "unread_answer", holder);
+        service_.recordShed(holder.isUnfinished_ ? "unfinished_request" : "unread_answer", holder,
+                            connections_.size());
         if (*index < connections.size())
             connections[*index]->shed();
         else if (const auto stream = flushing_[*index - connections.size()].lock())
@@ -166,21 +159,6 @@
     }
 }
 
-void CallerListener::recordShed(std::string_view reason, const memory::Holder &holder)
-{
-    gateway_.metrics()
-        .counter("foxtailturn_shed_callers_total", "callers refused or closed for want of room",
-                 {{"reason", std::string(reason)}})
-        .add();
-    if (gateway_.log().admits(LogDetail::Full, "caller_shed"))
-        gateway_.log().write(LogDetail::Full, "caller_shed",
-                             {{"reason", reason},
-                              {"owner", holder.owner_},
-                              {"bytes", holder.bytes_},
-                              {"held_bytes", gateway_.memory().total()},
-                              {"connections", connections_.size()}});
-}
-
 void CallerListener::addPaused(CallerConnection &connection)
 {
     paused_.push_back(connection.weak_from_this());
@@ -208,14 +186,14 @@
 void CallerListener::reviewPaused()
 {
     const LoopMeter::Scope scope(&meter_, WorkKind::Callers);
-    const memory::MemoryAccount &memory = gateway_.memory();
+    const memory::MemoryAccount &memory = service_.memory();
     const std::size_t pauseAt = memory.bounds().pauseAt_;
     std::erase_if(paused_, [](const std::weak_ptr<CallerConnection> &weak) {
         const std::shared_ptr<CallerConnection> connection = weak.lock();
         return !connection || !connection->pausedAt();
     });
     const auto first = paused_.empty() ? nullptr : paused_.front().lock();
-    if (first && memory.total() > pauseAt && gateway_.now() - *first->pausedAt() >= kMaxPause)
+    if (first && memory.total() > pauseAt && service_.now() - *first->pausedAt() >= kMaxPause)
         shedTo(pauseAt - pauseAt / kShedDivisor, SheddingScope::Unfinished);
     // Each reads up to a small body before it is paused again.
     std::size_t room = pauseAt - std::min(pauseAt, memory.total());
@@ -244,9 +222,9 @@
     if (least == connections_.end() || (*least)->use() == CallerConnection::Use::Served)
         return false;
     const std::shared_ptr<CallerConnection> &connection = *least;
-    recordShed("connections", connection->holder());
+    service_.recordShed("connections", connection->holder(), connections_.size());
     connection->closeForAnother();
     return true;
 }
 
-} // namespace foxtailturn::gateway
+} // namespace foxtailturn::callers
--- a/packages/gateway/admin_port.cpp
+++ b/packages/gateway/admin_port.cpp
@@ -2,9 +2,10 @@
 
 #include <algorithm>
 
-#include "gateway/byte_stream.h"
 #include "gateway/target_connection.h"
 #include "http1/message_parser.h"
+#include "net/byte_stream.h"
+#include "net/endpoint.h"
 
 namespace foxtailturn::gateway {
 
--- a/packages/gateway/agent_link.h
+++ b/packages/gateway/agent_link.h
@@ -17,7 +17,7 @@
 
 #include "base/clock.h"
 #include "gateway/agent_messages.h"
-#include "gateway/byte_stream.h"
+#include "net/byte_stream.h"
 #include "gateway/reconnect_backoff.h"
 
 namespace foxtailturn::gateway {
--- a/packages/gateway/answer_state.h
+++ b/packages/gateway/answer_state.h
@@ -24,6 +24,7 @@
 #include <string_view>
 
 #include "base/error.h"
+#include "callers/caller_service.h"
 #include "gateway/event_splitter.h"
 #include "gateway/read_limits.h"
 #include "gateway/stream_position.h"
@@ -31,6 +32,8 @@
 
 namespace foxtailturn::gateway {
 
+using callers::AnswerBreak;
+
 // What the caller has asked for.
 struct AnswerRequest
 {
@@ -60,13 +63,6 @@
     int seenEvents_ = 0; // the same, and those that the caller had before
 };
 
-// How an answer that can't be completed ends.
-enum class AnswerBreak {
-    Refuse, // nothing was sent: with an answer of our own
-    Close, // the framing shows that the answer is incomplete
-    Reset, // only a reset shows it
-};
-
 // How far the answer of an attempt has come.
 enum class AnswerPlace { BeforeHead, BehindHead, InsideBody, BetweenEvents, InsideEvent };
 
--- a/packages/gateway/caller_pipelining_test.cpp
+++ b/packages/gateway/caller_pipelining_test.cpp
@@ -4,8 +4,9 @@
 
 #include <doctest/doctest.h>
 
-#include "gateway/caller_connection.h"
+#include "callers/caller_connection.h"
 #include "gateway/codec_testing.h"
+#include "gateway/gateway_callers.h"
 
 namespace foxtailturn::gateway {
 
@@ -41,9 +42,10 @@
     LoopMeter meter_{clock_, metrics_};
     PlainCodec codec_;
     Gateway gateway_{{context_, codec_, clock_, wallClock_, log_, metrics_}, GatewayOptions()};
-    CallerListener listener_{gateway_, meter_};
+    GatewayCallers service_{gateway_};
+    callers::CallerListener listener_{service_, meter_};
     asio::ip::tcp::socket caller_{context_};
-    std::shared_ptr<CallerConnection> connection_;
+    std::shared_ptr<callers::CallerConnection> connection_;
 
     Fixture()
     {
@@ -51,7 +53,8 @@
         asio::ip::tcp::acceptor acceptor(
             context_, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
         caller_.connect(acceptor.local_endpoint());
-        connection_ = std::make_shared<CallerConnection>(listener_, gateway_, acceptor.accept());
+        connection_ =
+            std::make_shared<callers::CallerConnection>(listener_, service_, acceptor.accept());
         connection_->start();
     }
 
--- a/packages/gateway/caller_shedding_test.cpp
+++ b/packages/gateway/caller_shedding_test.cpp
@@ -2,8 +2,9 @@
 
 #include <doctest/doctest.h>
 
-#include "gateway/caller_connection.h"
+#include "callers/caller_connection.h"
 #include "gateway/codec_testing.h"
+#include "gateway/gateway_callers.h"
 
 namespace foxtailturn::gateway {
 
@@ -36,7 +37,8 @@
     StatusCodec codec_;
     Gateway gateway_{{context_, codec_, clock_, wallClock_, log_, metrics_},
                      {.name_ = "entry", .dataCentre_ = "", .memoryMb_ = 1}};
-    CallerListener listener_{gateway_, meter_};
+    GatewayCallers service_{gateway_};
+    callers::CallerListener listener_{service_, meter_};
     std::string address_;
 
     Fixture()
--- a/packages/gateway/codec.h
+++ b/packages/gateway/codec.h
@@ -18,6 +18,7 @@
 
 #include "base/error.h"
 #include "base/store_rows.h"
+#include "callers/caller_service.h"
 #include "gateway/serving_config.h"
 #include "http1/message.h"
 #include "placement/speed_meter.h"
@@ -80,17 +81,7 @@
     bool operator==(const TargetReply &) const = default;
 };
 
-// An answer by which the gateway itself ends a request.
-struct Refusal
-{
-    int status_ = 503;
-    std::string requestId_;
-    std::string code_; // name of the ErrorCode; informational
-    std::optional<Duration> retryAfter_; // earliest time at which a retry may succeed, from now
-    bool closesConnection_ = false; // the connection closes after this answer
-
-    bool operator==(const Refusal &) const = default;
-};
+using callers::Refusal;
 
 // An HTTP call of the gateway's own, to the store or to a target.
 struct HttpCall
--- a/packages/gateway/entry_node.cpp
+++ b/packages/gateway/entry_node.cpp
@@ -4,7 +4,7 @@
 #include <set>
 #include <utility>
 
-#include "gateway/event_loop.h"
+#include "net/event_loop.h"
 
 namespace foxtailturn::gateway {
 
@@ -46,7 +46,8 @@
                 .milliCores_ = settings.milliCores_,
                 .evacuationNotice_ = settings.evacuationNotice_,
                 .memoryMb_ = settings.memoryMb_})
-    , callers_(gateway_, meter_)
+    , callerService_(gateway_)
+    , callers_(callerService_, meter_)
     , admin_(context)
     , deferredWork_(clock_, &meter_)
     , versionRows_(
--- a/packages/gateway/entry_node.h
+++ b/packages/gateway/entry_node.h
@@ -12,10 +12,11 @@
 #include <memory>
 #include <optional>
 
+#include "callers/caller_connection.h"
 #include "gateway/admin_port.h"
 #include "gateway/agent_link.h"
-#include "gateway/caller_connection.h"
 #include "gateway/gateway.h"
+#include "gateway/gateway_callers.h"
 #include "gateway/ledger_sync.h"
 #include "gateway/node_settings.h"
 #include "gateway/quota_peers.h"
@@ -76,7 +77,8 @@
     LoopMeter meter_;
     StoreClient store_;
     Gateway gateway_;
-    CallerListener callers_;
+    GatewayCallers callerService_;
+    callers::CallerListener callers_;
     AdminPort admin_;
     DeferredWork deferredWork_;
     RowQueue versionRows_; // rows of the operator's table that are to be looked at for versions
--- a/packages/gateway/line_server.cpp
+++ b/packages/gateway/line_server.cpp
@@ -4,6 +4,7 @@
 
 #include "gateway/agent_messages.h"
 #include "gateway/target_connection.h"
+#include "net/endpoint.h"
 
 namespace foxtailturn::gateway {
 
--- a/packages/gateway/line_server.h
+++ b/packages/gateway/line_server.h
@@ -17,7 +17,7 @@
 #include <vector>
 
 #include "base/error.h"
-#include "gateway/byte_stream.h"
+#include "net/byte_stream.h"
 
 namespace foxtailturn::gateway {
 
--- a/packages/gateway/quota_peers.h
+++ b/packages/gateway/quota_peers.h
@@ -21,7 +21,7 @@
 #include "gateway/grant_requester.h"
 #include "gateway/grant_search.h"
 #include "gateway/line_server.h"
-#include "gateway/loop_meter.h"
+#include "net/loop_meter.h"
 #include "quota/quota_parts.h"
 
 namespace foxtailturn::gateway {
--- a/packages/gateway/relay.h
+++ b/packages/gateway/relay.h
@@ -19,6 +19,7 @@
 
 #include <asio.hpp>
 
+#include "callers/caller_service.h"
 #include "gateway/admitted_request.h"
 #include "gateway/answer_state.h"
 #include "gateway/placement.h"
@@ -31,36 +32,13 @@
 namespace foxtailturn::gateway {
 
 class Gateway;
-
-// Receives the answer to one request.
-class AnswerSink
-{
-public:
-    virtual ~AnswerSink() = default;
-
-    virtual void sendAnswer(std::string bytes) = 0;
-
-    // Called once the answer is complete.
-    virtual void endAnswer() = 0;
-
-    // Called if a forwarded answer can't be completed: ends the connection by Close or Reset.
-    virtual void abortAnswer(AnswerBreak how) = 0;
-
-    // Called before the head of an answer that only the connection's close ends (RFC 9112, section
-    // 6.3). closesAfterAnswer() returns true from then on.
-    virtual void endWithConnection() = 0;
-
-    // Returns whether the connection closes after this answer.
-    [[nodiscard]] virtual bool closesAfterAnswer() const = 0;
-
-    [[nodiscard]] virtual std::size_t unsentBytes() const = 0;
-
-    // Returns whether the caller has closed its connection by now.
-    [[nodiscard]] virtual bool hasCallerLeft() = 0;
-};
+using callers::AnswerSink;
 
 // Not thread-safe. Owned by the caller's connection until the answer has ended.
-class Relay final : public std::enable_shared_from_this<Relay>, public WaitingRequest, ExchangeSink
+class Relay final : public std::enable_shared_from_this<Relay>,
+                    public callers::Exchange,
+                    public WaitingRequest,
+                    ExchangeSink
 {
 public:
     // gateway and answer must outlive the relay unless cancel() is called first.
@@ -69,20 +47,20 @@
     Relay(const Relay &) = delete;
     Relay &operator=(const Relay &) = delete;
 
-    void start();
+    void start() override;
 
     // Cancels the request because the caller has closed its connection. The target connection is
     // reset, so that the target drops its work.
-    void cancel();
+    void cancel() override;
 
     // Ends the request because the process is about to stop: with an answer, or by breaking it off
     // if a forwarded answer has begun. The target drops its work.
-    void shutDown();
+    void shutDown() override;
 
     void retryPlacement() override;
 
     // Called when all bytes of the answer so far were sent. Resumes reading from the target.
-    void onAnswerDrained();
+    void onAnswerDrained() override;
 
     [[nodiscard]] const AdmittedRequest &request() const { return request_; }
     [[nodiscard]] bool isWaiting() const { return isWaiting_ && !isEnded_; }
--- a/packages/gateway/report_queue.h
+++ b/packages/gateway/report_queue.h
@@ -19,7 +19,7 @@
 #include <vector>
 
 #include "gateway/agent_messages.h"
-#include "gateway/deferred_work.h"
+#include "net/deferred_work.h"
 
 namespace foxtailturn::gateway {
 
--- a/packages/gateway/row_queue.h
+++ b/packages/gateway/row_queue.h
@@ -13,7 +13,7 @@
 
 #include "base/clock.h"
 #include "base/store_rows.h"
-#include "gateway/deferred_work.h"
+#include "net/deferred_work.h"
 
 namespace foxtailturn::gateway {
 
--- a/packages/gateway/row_queue_test.cpp
+++ b/packages/gateway/row_queue_test.cpp
@@ -8,7 +8,7 @@
 #include <asio/post.hpp>
 #include <doctest/doctest.h>
 
-#include "gateway/event_loop.h"
+#include "net/event_loop.h"
 
 namespace foxtailturn::gateway {
 
--- a/packages/gateway/serving_config.h
+++ b/packages/gateway/serving_config.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "callers/caller_service.h"
 #include "quota/token_quota.h"
 
 namespace foxtailturn::gateway {
@@ -97,16 +98,7 @@
     bool operator==(const Workspace &) const = default;
 };
 
-// Bounds on what a caller may send and how long it may take.
-struct CallerLimits
-{
-    std::size_t maxHeaderBytes_ = 16'384;
-    std::size_t maxBodyBytes_ = 4'194'304;
-    Duration headerTimeout_ = std::chrono::seconds(3);
-    Duration idleTimeout_ = std::chrono::seconds(15);
-
-    bool operator==(const CallerLimits &) const = default;
-};
+using callers::CallerLimits;
 
 struct ServingConfig
 {
--- a/packages/gateway/target_connection.cpp
+++ b/packages/gateway/target_connection.cpp
@@ -20,25 +20,6 @@
 
 } // namespace
 
-Result<void> listenOn(asio::ip::tcp::acceptor &acceptor, const std::string &address)
-{
-    const Result<asio::ip::tcp::endpoint> endpoint = endpointOf(address);
-    if (!endpoint)
-        return tl::unexpected(endpoint.error());
-    asio::error_code error;
-    acceptor.open(endpoint->protocol(), error);
-    if (!error)
-        acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    if (!error)
-        acceptor.bind(*endpoint, error);
-    if (!error)
-        acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error)
-        return notRun(ErrorCode::InvalidSettings,
-                      "cannot listen on " + address + ": " + error.message());
-    return {};
-}
-
 TargetConnection::TargetConnection(ConnectionPool &pool, std::string address,
                                    TimePoint connectDeadline)
     : pool_(pool)
--- a/packages/gateway/target_connection.h
+++ b/packages/gateway/target_connection.h
@@ -21,11 +21,11 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "gateway/byte_stream.h"
 #include "gateway/codec.h"
-#include "gateway/endpoint.h"
-#include "gateway/loop_meter.h"
 #include "http1/message_parser.h"
+#include "net/byte_stream.h"
+#include "net/endpoint.h"
+#include "net/loop_meter.h"
 
 namespace foxtailturn::gateway {
 
@@ -208,7 +208,4 @@
     std::uint64_t reused_ = 0;
 };
 
-// Opens, binds and listens. Error: InvalidSettings when the address can't be used.
-[[nodiscard]] Result<void> listenOn(asio::ip::tcp::acceptor &acceptor, const std::string &address);
-
 } // namespace foxtailturn::gateway
--- a/packages/gateway/byte_stream.cpp
+++ b/packages/net/byte_stream.cpp
@@ -1,11 +1,11 @@
-#include "gateway/byte_stream.h"
+#include "net/byte_stream.h"
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <array>
 
-namespace foxtailturn::gateway {
+namespace foxtailturn {
 
 namespace {
 
@@ -300,4 +300,4 @@
         onClose(error);
 }
 
-} // namespace foxtailturn::gateway
+} // namespace foxtailturn
--- a/packages/gateway/byte_stream.h
+++ b/packages/net/byte_stream.h
@@ -22,7 +22,7 @@
 #include "base/clock.h"
 #include "memory/memory_account.h"
 
-namespace foxtailturn::gateway {
+namespace foxtailturn {
 
 // Not thread-safe: all calls come from the loop's thread. Handlers run on the loop, never within
 // send().
@@ -151,4 +151,4 @@
     std::optional<Duration> lastSegmentAge_;
 };
 
-} // namespace foxtailturn::gateway
+} // namespace foxtailturn
--- a/packages/gateway/byte_stream_test.cpp
+++ b/packages/net/byte_stream_test.cpp
@@ -1,11 +1,11 @@
-#include "gateway/byte_stream.h"
+#include "net/byte_stream.h"
 
 #include <doctest/doctest.h>
 
 #include <thread>
 #include <vector>
 
-namespace foxtailturn::gateway {
+namespace foxtailturn {
 
 namespace {
 
@@ -142,4 +142,4 @@
     CHECK_FALSE(f.stream_->hasUnreadBytes());
 }
 
-} // namespace foxtailturn::gateway
+} // namespace foxtailturn
--- a/packages/gateway/deferred_work.cpp
+++ b/packages/net/deferred_work.cpp
@@ -1,8 +1,8 @@
-#include "gateway/deferred_work.h"
+#include "net/deferred_work.h"
 
 #include <algorithm>
 
-namespace foxtailturn::gateway {
+namespace foxtailturn {
 
 DeferredWork::DeferredWork(const Clock &clock, LoopMeter *meter)
     : clock_(clock)
@@ -61,4 +61,4 @@
     }
 }
 
-} // namespace foxtailturn::gateway
+} // namespace foxtailturn
--- a/packages/gateway/deferred_work.h
+++ b/packages/net/deferred_work.h
@@ -12,9 +12,9 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "gateway/loop_meter.h"
+#include "net/loop_meter.h"
 
-namespace foxtailturn::gateway {
+namespace foxtailturn {
 
 // A queue of work. Not thread-safe.
 class WorkSource
@@ -68,4 +68,4 @@
     std::optional<TimePoint> heldUpSince_; // without a slice, though work waits
 };
 
-} // namespace foxtailturn::gateway
+} // namespace foxtailturn
--- a/packages/gateway/deferred_work_test.cpp
+++ b/packages/net/deferred_work_test.cpp
@@ -1,8 +1,8 @@
-#include "gateway/deferred_work.h"
+#include "net/deferred_work.h"
 
 #include <doctest/doctest.h>
 
-namespace foxtailturn::gateway {
+namespace foxtailturn {
 
 namespace {
 
@@ -124,4 +124,4 @@
     CHECK(steps.done_ == 0);
 }
 
-} // namespace foxtailturn::gateway
+} // namespace foxtailturn
--- a/packages/gateway/endpoint.cpp
+++ b/packages/net/endpoint.cpp
@@ -1,9 +1,9 @@
-#include "gateway/endpoint.h"
+#include "net/endpoint.h"
 
 #include <algorithm>
 #include <charconv>
 
-namespace foxtailturn::gateway {
+namespace foxtailturn {
 
 Result<asio::ip::tcp::endpoint> endpointOf(const std::string &address)
 {
@@ -22,4 +22,23 @@
     return asio::ip::tcp::endpoint(ip, port);
 }
 
-} // namespace foxtailturn::gateway
+Result<void> listenOn(asio::ip::tcp::acceptor &acceptor, const std::string &address)
+{
+    const Result<asio::ip::tcp::endpoint> endpoint = endpointOf(address);
+    if (!endpoint)
+        return tl::unexpected(endpoint.error());
+    asio::error_code error;
+    acceptor.open(endpoint->protocol(), error);
+    if (!error)
+        acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error)
+        acceptor.bind(*endpoint, error);
+    if (!error)
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return notRun(ErrorCode::InvalidSettings,
+                      "cannot listen on " + address + ": " + error.message());
+    return {};
+}
+
+} // namespace foxtailturn
--- a/packages/gateway/endpoint.h
+++ b/packages/net/endpoint.h
@@ -1,6 +1,6 @@
 #pragma once
 
-// Addresses as text.
+// Addresses as text, and listening on them.
 //
 //     if (const Result<asio::ip::tcp::endpoint> endpoint = endpointOf("10.0.0.7:8080"))
 //         socket.connect(*endpoint);
@@ -11,9 +11,12 @@
 
 #include "base/error.h"
 
-namespace foxtailturn::gateway {
+namespace foxtailturn {
 
 // Returns the endpoint of IP:port text. Error: InvalidSettings. Thread-safe.
 [[nodiscard]] Result<asio::ip::tcp::endpoint> endpointOf(const std::string &address);
 
-} // namespace foxtailturn::gateway
+// Opens, binds and listens. Error: InvalidSettings when the address can't be used. Not thread-safe.
+[[nodiscard]] Result<void> listenOn(asio::ip::tcp::acceptor &acceptor, const std::string &address);
+
+} // namespace foxtailturn
--- a/packages/gateway/event_loop.cpp
+++ b/packages/net/event_loop.cpp
@@ -1,6 +1,6 @@
-#include "gateway/event_loop.h"
+#include "net/event_loop.h"
 
-namespace foxtailturn::gateway {
+namespace foxtailturn {
 
 namespace {
 
@@ -38,4 +38,4 @@
     }
 }
 
-} // namespace foxtailturn::gateway
+} // namespace foxtailturn
--- a/packages/gateway/event_loop.h
+++ b/packages/net/event_loop.h
@@ -10,12 +10,12 @@
 
 #include <asio/io_context.hpp>
 
-#include "gateway/deferred_work.h"
-#include "gateway/loop_meter.h"
+#include "net/deferred_work.h"
+#include "net/loop_meter.h"
 
-namespace foxtailturn::gateway {
+namespace foxtailturn {
 
 // Returns when the context is stopped or has no handlers left. Not thread-safe.
 void runLoop(asio::io_context &context, DeferredWork &work, LoopMeter &meter);
 
-} // namespace foxtailturn::gateway
+} // namespace foxtailturn
--- a/packages/gateway/event_loop_test.cpp
+++ b/packages/net/event_loop_test.cpp
@@ -1,4 +1,4 @@
-#include "gateway/event_loop.h"
+#include "net/event_loop.h"
 
 #include <string>
 
@@ -6,7 +6,7 @@
 #include <asio/steady_timer.hpp>
 #include <doctest/doctest.h>
 
-namespace foxtailturn::gateway {
+namespace foxtailturn {
 
 namespace {
 
@@ -140,4 +140,4 @@
     CHECK(meter.readySince() <= ready);
 }
 
-} // namespace foxtailturn::gateway
+} // namespace foxtailturn
--- a/packages/gateway/loop_lag.cpp
+++ b/packages/net/loop_lag.cpp
@@ -1,6 +1,6 @@
-#include "gateway/loop_lag.h"
+#include "net/loop_lag.h"
 
-namespace foxtailturn::gateway {
+namespace foxtailturn {
 
 void LoopLag::beginTurn(TimePoint now)
 {
@@ -16,4 +16,4 @@
     return idleAt_;
 }
 
-} // namespace foxtailturn::gateway
+} // namespace foxtailturn
--- a/packages/gateway/loop_lag.h
+++ b/packages/net/loop_lag.h
@@ -16,7 +16,7 @@
 
 #include "base/clock.h"
 
-namespace foxtailturn::gateway {
+namespace foxtailturn {
 
 // Not thread-safe.
 class LoopLag
@@ -61,4 +61,4 @@
     bool isWaiting_ = false;
 };
 
-} // namespace foxtailturn::gateway
+} // namespace foxtailturn
--- a/packages/gateway/loop_lag_test.cpp
+++ b/packages/net/loop_lag_test.cpp
@@ -1,8 +1,8 @@
-#include "gateway/loop_lag.h"
+#include "net/loop_lag.h"
 
 #include <doctest/doctest.h>
 
-namespace foxtailturn::gateway {
+namespace foxtailturn {
 
 namespace {
 
@@ -143,4 +143,4 @@
     CHECK(loop.handle(milliseconds(0)) == milliseconds(1));
 }
 
-} // namespace foxtailturn::gateway
+} // namespace foxtailturn
--- a/packages/gateway/loop_meter.cpp
+++ b/packages/net/loop_meter.cpp
@@ -1,10 +1,10 @@
-#include "gateway/loop_meter.h"
+#include "net/loop_meter.h"
 
 #include <algorithm>
 #include <string>
 #include <utility>
 
-namespace foxtailturn::gateway {
+namespace foxtailturn {
 
 std::string_view workKindName(WorkKind kind)
 {
@@ -93,4 +93,4 @@
     return behind;
 }
 
-} // namespace foxtailturn::gateway
+} // namespace foxtailturn
--- a/packages/gateway/loop_meter.h
+++ b/packages/net/loop_meter.h
@@ -15,9 +15,9 @@
 
 #include "base/clock.h"
 #include "base/metrics.h"
-#include "gateway/loop_lag.h"
+#include "net/loop_lag.h"
 
-namespace foxtailturn::gateway {
+namespace foxtailturn {
 
 enum class WorkKind { Callers, Targets, Reports, Records, Peers, Store, Log, Upkeep };
 
@@ -114,4 +114,4 @@
     TimePoint intervalBegan_;
 };
 
-} // namespace foxtailturn::gateway
+} // namespace foxtailturn
--- a/packages/gateway/loop_meter_test.cpp
+++ b/packages/net/loop_meter_test.cpp
@@ -1,10 +1,10 @@
-#include "gateway/loop_meter.h"
+#include "net/loop_meter.h"
 
 #include <string>
 
 #include <doctest/doctest.h>
 
-namespace foxtailturn::gateway {
+namespace foxtailturn {
 
 namespace {
 
@@ -121,4 +121,4 @@
     CHECK_FALSE(f.meter_.takeBehind());
 }
 
-} // namespace foxtailturn::gateway
+} // namespace foxtailturn
