--- a/testing/fleet.py
+++ b/testing/fleet.py
@@ -83,7 +83,7 @@
 
     def __init__(self, build, entries=2, engines=2, services=1, engine_flags=(), lease_ms=3000,
                  drain_grace_ms=300, slots=8, log_level="info", target_settings=None,
-                 relay_agents=False, tls=False):
+                 relay_agents=False, tls=False, daemon_settings=None, entry_settings=None):
         self.build = build
         self.folder = tempfile.TemporaryDirectory(prefix="foxtailturn-")
         self.engine_flags = list(engine_flags)
@@ -92,6 +92,8 @@
         self.slots = slots
         self.log_level = log_level
         self.target_settings = target_settings or {}
+        self.daemon_settings = daemon_settings or {}  # of entries and agents
+        self.entry_settings = entry_settings or {}
         self.relay_agents = relay_agents
         self.tls = make_certificates(self.folder.name) if tls else None
         self.processes = {}
@@ -157,7 +159,7 @@
             "platform": f"127.0.0.1:{self.ports['platform']}",
             **({"tls": self.tls} if self.tls else {"insecure": True}),
             "lease_ms": self.lease_ms, "drain_grace_ms": self.drain_grace_ms,
-            "log_level": self.log_level,
+            "log_level": self.log_level, **self.daemon_settings,
         }
 
     def start_daemon(self, settings):
@@ -202,6 +204,7 @@
     def start_entry(self, name, index):
         settings = self.common_settings(name, index)
         settings["role"] = "entry"
+        settings.update(self.entry_settings)
         settings["listen"] = f"127.0.0.1:{self.ports.setdefault(name, free_port())}"
         self.start_daemon(settings)
 
