--- a/packages/net/byte_stream.cpp
+++ b/packages/net/byte_stream.cpp
@@ -18,8 +18,9 @@
 
 std::array<char, kReadBytes> &readBuffer()
 {
-    thread_local std::array<char, kReadBytes> buffer;
-    return buffer;
+    // On the heap, as each thread of a process has its thread-local objects, used or not.
+    thread_local const auto buffer = std::make_unique<std::array<char, kReadBytes>>();
+    return *buffer;
 }
 
 } // namespace
