callers: the idle timeout does not cut an answer that is still read

An answer that its caller reads more slowly than the idle timeout allows was cut: the timer is set when the last byte is queued, not when it is sent. The timer now waits again as long as the queue becomes shorter within its time; a caller that takes nothing for that long is closed as before.

--- a/packages/callers/caller_connection.cpp
+++ b/packages/callers/caller_connection.cpp
@@ -55,10 +55,16 @@
 void CallerConnection::armTimer(Duration wait, bool isForHeader)
 {
     timer_.expires_after(wait);
-    timer_.async_wait([weak = weak_from_this(), isForHeader](const asio::error_code &error) {
+    timer_.async_wait([weak = weak_from_this(), wait, isForHeader,
+                       queued = stream_->queuedBytes()](const asio::error_code &error) {
         const auto self = weak.lock();
         if (error || !self || self->exchange_)
             return;
+        // A caller that still reads its last answer is not idle.
+        if (!isForHeader && !self->isDiscarding_ && self->stream_->queuedBytes() < queued) {
+            self->armTimer(wait, false);
+            return;
+        }
         const LoopMeter::Scope scope(&self->listener_.meter_, WorkKind::Callers);
         if (self->pausedAt_)
             self->refuseForMemory();
--- a/packages/callers/caller_service.h
+++ b/packages/callers/caller_service.h
@@ -43,7 +43,8 @@
     int status_ = 503;
     std::string requestId_;
     std::string code_; // name of the ErrorCode; informational
-    std::optional<Duration> retryAfter_; // earliest time at which a retry may succeed, from now
+    // From now to the earliest time at which a retry may succeed.
+    std::optional<Duration> retryAfter_ = std::nullopt;
     bool closesConnection_ = false; // the connection closes after this answer
 
     bool operator==(const Refusal &) const = default;
