entry: callers of the gRPC deployment are read on an event loop, within a bound

What callers saw: a few connections of a client that keeps no limits took all memory of the entry; one that sends chunks without end was enough, and with as many stalled connections as threads nobody else was read. Cause: the HTTP library checks only an announced length, collects heads and bodies without a bound, and holds a thread and an accepted connection for each caller; requests in progress were not counted at all.

Callers are now served by packages/callers, as on the users' platform: one loop reads requests, pauses and sheds by the account of packages/memory, and refuses what is too long (413, 431), too late (408) or too much (503 with Retry-After; not_run). A thread works on each request that was read whole; AnswerChannel brings its answer to the loop and makes it wait for a caller that does not read. A request counts four times its body while it is worked on. The body sent to an agent is given back once it is sent, and answers over 64 KB are passed on as they come. New settings: memory_mb (default: the machine's) and max_body_bytes (default: 4 MiB, as before).

Ruled out: a reader inside the library (bounds one body, not heads and not the sum); fewer threads.

--- a/packages/daemon/entry_role.cpp
+++ b/packages/daemon/entry_role.cpp
@@ -28,6 +28,8 @@
     server.host_ = settings.listen_.host_;
     server.port_ = settings.listen_.port_;
     server.maxConnections_ = static_cast<std::size_t>(settings.maxConnections_);
+    server.maxBodyBytes_ = static_cast<std::size_t>(settings.maxBodyBytes_);
+    server.memoryBytes_ = settings.memoryBytes();
     return server;
 }
 
--- a/packages/daemon/settings.cpp
+++ b/packages/daemon/settings.cpp
@@ -5,6 +5,7 @@
 #include <sstream>
 
 #include <asio/ip/address.hpp>
+#include <unistd.h>
 
 #include "base/json.h"
 
@@ -16,6 +17,9 @@
 constexpr std::int64_t kMaxTimeoutMs = 3'600'000;
 constexpr std::int64_t kMaxCount = 100'000;
 constexpr std::size_t kMinTokenBytes = 8;
+constexpr std::int64_t kMaxMemoryMb = 1'048'576;
+constexpr std::int64_t kMaxBodyBytes = 16'777'216; // a message to an agent holds twice as much
+constexpr std::size_t kMegabyte = 1'048'576;
 
 Result<std::string> readFile(const std::string &path)
 {
@@ -50,6 +54,7 @@
         settings.drainGraceMs_ = milliseconds("drain_grace_ms", settings.drainGraceMs_);
         settings.stopTimeoutMs_ = milliseconds("stop_timeout_ms", settings.stopTimeoutMs_);
         settings.leaseMs_ = object_.integer("lease_ms", {1'000, 120'000}, settings.leaseMs_);
+        settings.memoryMb_ = object_.integer("memory_mb", {0, kMaxMemoryMb}, settings.memoryMb_);
         readLog(settings);
         readSecurity(settings);
         if (settings.role_ == Role::Entry)
@@ -151,6 +156,8 @@
         settings.listen_ = endpoint(object_, "listen");
         settings.maxConnections_ =
             object_.integer("max_connections", {1, 10'000}, settings.maxConnections_);
+        settings.maxBodyBytes_ =
+            object_.integer("max_body_bytes", {1, kMaxBodyBytes}, settings.maxBodyBytes_);
     }
 
     void readTarget(Settings &settings)
@@ -200,6 +207,14 @@
     return endpoint;
 }
 
+std::size_t Settings::memoryBytes() const
+{
+    if (memoryMb_ > 0)
+        return static_cast<std::size_t>(memoryMb_) * kMegabyte;
+    return static_cast<std::size_t>(sysconf(_SC_PHYS_PAGES))
+        * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
 Result<Settings> Settings::parse(const std::string &text, const std::string &source)
 {
     const Result<Json> json = parseJson(text, source);
--- a/packages/daemon/settings.h
+++ b/packages/daemon/settings.h
@@ -57,6 +57,8 @@
     std::string adminToken_;
     Endpoint platform_;
     std::int64_t maxConnections_ = 600; // entries only
+    std::int64_t maxBodyBytes_ = 4'194'304; // of a request; entries only
+    std::int64_t memoryMb_ = 0; // memory of the VM in MB of 1,048,576 bytes; 0: as the system says
     std::int64_t drainGraceMs_ = 2'000; // time for the balancer to see that an entry is not ready
     std::int64_t stopTimeoutMs_ = 60'000; // longest wait for running requests
     // Lease length. A dead entry's shares are idle for it, so shorter is better for its workspaces;
@@ -69,6 +71,9 @@
 
     bool operator==(const Settings &) const = default;
 
+    // Returns the memory of the VM. Thread-safe.
+    [[nodiscard]] std::size_t memoryBytes() const;
+
     // Parses and checks settings; source names the text in errors. Error: InvalidSettings, naming
     // the field.
     [[nodiscard]] static Result<Settings> parse(const std::string &text, const std::string &source);
--- a/packages/entry/caller_http.cpp
+++ b/packages/entry/caller_http.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <string_view>
 #include <utility>
 
 #include "base/hash.h"
@@ -11,94 +12,98 @@
 
 namespace {
 
-constexpr auto kReadTimeout = std::chrono::seconds(10);
-constexpr auto kWriteTimeout = std::chrono::seconds(10);
-constexpr auto kIdleTimeout = std::chrono::seconds(5);
-constexpr std::size_t kMaxRequestsPerConnection = 1'000;
-constexpr int kListenBacklog = 1'024;
-constexpr const char *kAnyPath = ".*";
-constexpr int kPayloadTooLarge = 413;
-
-HeaderMap toHeaders(const httplib::Headers &headers)
+HeaderMap toHeaders(const MessageHead &head)
 {
     HeaderMap map;
-    for (const auto &[name, value] : headers) {
-        std::string lower = name;
+    for (const HeaderField &field : head.fields_) {
+        std::string lower = field.name_;
         std::transform(lower.begin(), lower.end(), lower.begin(),
                        [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-        map.emplace(std::move(lower), value);
+        map.emplace(std::move(lower), field.value_);
     }
     return map;
 }
 
-} // namespace
-
-void CallerHttpServer::configure(const EntryServerSettings &settings)
+std::string_view messageOf(const callers::Refusal &refusal, ErrorCode code)
 {
-    const std::size_t threads = settings.maxConnections_;
-    new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
-    set_tcp_nodelay(true);
-    set_read_timeout(kReadTimeout);
-    set_write_timeout(kWriteTimeout);
-    set_keep_alive_timeout(kIdleTimeout.count());
-    set_keep_alive_max_count(kMaxRequestsPerConnection);
-    set_payload_max_length(settings.maxBodyBytes_);
+    if (refusal.status_ == 431)
+        return "header is too large";
+    switch (code) {
+    case ErrorCode::PayloadTooLarge:
+        return "body is too large";
+    case ErrorCode::DeadlineExceeded:
+        return "request was not sent in time";
+    case ErrorCode::Overloaded:
+        return "entry holds too many requests";
+    default:
+        return "request can not be read";
+    }
 }
 
-bool CallerHttpServer::bind(const std::string &host, int port)
+OwnAnswer ownAnswer(int status, std::string body, const std::string &requestId)
 {
-    set_socket_options([](socket_t fd) {
-        const int enabled = 1;
-        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
-    });
-    return bind_to_port(host, port) && ::listen(svr_sock_, kListenBacklog) == 0;
+    OwnAnswer answer{answerHead(status, kJsonContentType, requestId), std::move(body)};
+    answer.head_.add("Content-Length", std::to_string(answer.body_.size()));
+    return answer;
 }
 
-void CallerHttpServer::handleAll(const Handler &handler)
+OwnAnswer httpErrorAnswer(const HttpError &error, int status, const std::string &requestId)
 {
-    Get(kAnyPath, handler);
-    Post(kAnyPath, handler);
-    Put(kAnyPath, handler);
-    Delete(kAnyPath, handler);
-    Patch(kAnyPath, handler);
-    Options(kAnyPath, handler);
+    OwnAnswer answer = ownAnswer(status, error.body_, requestId);
+    if (error.retryAfterSeconds_)
+        answer.head_.add("Retry-After", std::to_string(*error.retryAfterSeconds_));
+    return answer;
 }
 
-CallerRequest toCallerRequest(const httplib::Request &request)
+} // namespace
+
+CallerRequest toCallerRequest(const MessageHead &head, std::string body)
 {
     CallerRequest caller;
     caller.id_ = randomId();
-    caller.method_ = request.method;
-    const std::size_t query = request.target.find('?');
-    caller.path_ = request.target.substr(0, query);
+    caller.method_ = head.method_;
+    const std::size_t query = head.target_.find('?');
+    caller.path_ = head.target_.substr(0, query);
     if (query != std::string::npos)
-        caller.query_ = request.target.substr(query + 1);
-    caller.headers_ = toHeaders(request.headers);
-    caller.body_ = request.body;
+        caller.query_ = head.target_.substr(query + 1);
+    caller.headers_ = toHeaders(head);
+    caller.body_ = std::move(body);
     return caller;
 }
 
-void writeError(const Error &error, const std::string &requestId, TimePoint now,
-                httplib::Response &response)
+MessageHead answerHead(int status, const std::string &contentType, const std::string &requestId)
+{
+    MessageHead head;
+    head.status_ = status;
+    head.add("X-Request-Id", requestId);
+    if (!contentType.empty())
+        head.add("Content-Type", contentType);
+    return head;
+}
+
+OwnAnswer jsonAnswer(std::string body, const std::string &requestId)
+{
+    constexpr int kOk = 200;
+    return ownAnswer(kOk, std::move(body), requestId);
+}
+
+OwnAnswer errorAnswer(const Error &error, const std::string &requestId, TimePoint now)
 {
     const HttpError http = toHttpError(error, requestId, now);
-    response.status = http.status_;
-    response.set_content(http.body_, kJsonContentType);
-    if (http.retryAfterSeconds_)
-        response.set_header("Retry-After", std::to_string(*http.retryAfterSeconds_));
+    return httpErrorAnswer(http, http.status_, requestId);
 }
 
-void rewriteServerError(httplib::Response &response, TimePoint now)
+OwnAnswer refusalAnswer(const callers::Refusal &refusal, TimePoint now)
 {
-    if (!response.body.empty())
-        return;
-    const int status = response.status;
-    const bool isTooLarge = status == kPayloadTooLarge;
-    const Error error{isTooLarge ? ErrorCode::PayloadTooLarge : ErrorCode::BadRequest,
-                      Execution::NotRun,
-                      isTooLarge ? "body is too large" : "request can not be read"};
-    writeError(error, randomId(), now, response);
-    response.status = status;
+    const ErrorCode code = errorCodeOf(refusal.code_).value_or(ErrorCode::BadRequest);
+    Error error{code, Execution::NotRun, std::string(messageOf(refusal, code))};
+    if (refusal.retryAfter_)
+        error.retryAt_ = now + *refusal.retryAfter_;
+    const std::string id = refusal.requestId_.empty() ? randomId() : refusal.requestId_;
+    OwnAnswer answer = httpErrorAnswer(toHttpError(error, id, now), refusal.status_, id);
+    if (refusal.closesConnection_)
+        answer.head_.add("Connection", "close");
+    return answer;
 }
 
 } // namespace foxtailturn
--- a/packages/entry/caller_http.h
+++ b/packages/entry/caller_http.h
@@ -1,48 +1,42 @@
 #pragma once
 
-// The parts of the HTTP server that depend on httplib. Only for source files of this package.
+// Converts between HTTP messages of callers and the types of this package. Only for source files of
+// this package.
 //
-//     CallerHttpServer server;
-//     server.configure(settings);
-//     if (!server.bind("10.0.0.7", 8080)) ...
+//     const CallerRequest request = toCallerRequest(head, std::move(body));
+//     const std::string answer = errorAnswer(error, request.id_, clock.now(), false);
 
 #include <string>
 
-#include <httplib.h>
-
 #include "base/error.h"
-#include "entry/entry_server.h"
+#include "callers/caller_service.h"
 #include "entry/request_context.h"
+#include "http1/message.h"
 
 namespace foxtailturn {
 
 constexpr const char *kJsonContentType = "application/json";
 
-// httplib's server, configured for hundreds of slow callers. httplib's defaults are unsuitable: a
-// listen backlog of 5 drops bursts of connections, SO_REUSEPORT lets two processes share a port
-// unnoticed, and there are only as many threads as cores, each of which serves one connection.
-class CallerHttpServer final : public httplib::Server
-{
-public:
-    // Sets thread count and limits. Precondition: before bind().
-    void configure(const EntryServerSettings &settings);
+// Converts the request for the filter chain and assigns a new id to it. Thread-safe.
+[[nodiscard]] CallerRequest toCallerRequest(const MessageHead &head, std::string body);
 
-    // Binds the address and listens on it; returns whether both succeeded.
-    [[nodiscard]] bool bind(const std::string &host, int port);
+// Returns the head of an answer, without its framing. Thread-safe.
+[[nodiscard]] MessageHead answerHead(int status, const std::string &contentType,
+                                     const std::string &requestId);
 
-    // Registers the handler for all paths and all methods that a route can have.
-    void handleAll(const Handler &handler);
+// An answer of the entry's own.
+struct OwnAnswer
+{
+    MessageHead head_; // with the length of the body
+    std::string body_;
 };
 
-// Converts the request for the filter chain and assigns a new id to it. Thread-safe.
-[[nodiscard]] CallerRequest toCallerRequest(const httplib::Request &request);
-
-// Writes the status, body and Retry-After header of an error response. Thread-safe.
-void writeError(const Error &error, const std::string &requestId, TimePoint now,
-                httplib::Response &response);
+// Thread-safe.
+[[nodiscard]] OwnAnswer jsonAnswer(std::string body, const std::string &requestId);
+[[nodiscard]] OwnAnswer errorAnswer(const Error &error, const std::string &requestId,
+                                    TimePoint now);
 
-// Rewrites an error response of httplib itself, which has no body, to the JSON format of all other
-// errors. Thread-safe.
-void rewriteServerError(httplib::Response &response, TimePoint now);
+// Returns the answer to a request that was refused before it was read whole. Thread-safe.
+[[nodiscard]] OwnAnswer refusalAnswer(const callers::Refusal &refusal, TimePoint now);
 
 } // namespace foxtailturn
--- a/packages/entry/entry_server.cpp
+++ b/packages/entry/entry_server.cpp
@@ -4,11 +4,15 @@
 #include <thread>
 #include <utility>
 
-#include "base/json.h"
+#include <asio/post.hpp>
+#include <asio/thread_pool.hpp>
+
+#include "base/hash.h"
 #include "base/log.h"
+#include "callers/caller_loop.h"
+#include "entry/answer_channel.h"
 #include "entry/caller_http.h"
-#include "entry/error_response.h"
-#include "entry/live_request.h"
+#include "entry/request_handler.h"
 
 namespace foxtailturn {
 
@@ -17,11 +21,23 @@
 const Logger kLog("entry");
 
 constexpr auto kStopPollInterval = std::chrono::milliseconds(20);
-constexpr std::string_view kModelsPath = "/v1/models";
+constexpr std::size_t kMaxHeaderBytes = 65'536;
+constexpr auto kRequestTimeout = std::chrono::seconds(30); // for a caller to send a whole request
+constexpr auto kIdleTimeout = std::chrono::seconds(5);
+constexpr auto kOverloadRetry = std::chrono::seconds(1);
+// Of a body while its request is worked on: as it is read, changed, digested and sent.
+constexpr std::size_t kBodyCopies = 4;
+
+std::string textOf(const OwnAnswer &answer)
+{
+    return responseText(answer.head_) + answer.body_;
+}
 
 } // namespace
 
-class EntryServer::Impl
+// The event loop reads requests and writes answers; each request is worked on by a thread of its
+// own. The methods of CallerService are called by the loop.
+class EntryServer::Impl final : callers::CallerService
 {
 public:
     Impl(EntryServerSettings settings, const Clock &clock, const FilterChain &chain,
@@ -29,203 +45,148 @@
          std::function<std::shared_ptr<const Configuration>()> configuration)
         : settings_(std::move(settings))
         , clock_(&clock)
-        , chain_(&chain)
-        , forwarder_(&forwarder)
-        , observer_(&observer)
-        , retryGuard_(&retryGuard)
-        , configuration_(std::move(configuration))
-    {
-        server_.configure(settings_);
-        server_.handleAll([this](const httplib::Request &request, httplib::Response &response) {
-            handle(request, response);
-        });
-        server_.set_error_handler([this](const httplib::Request &, httplib::Response &response) {
-            rewriteServerError(response, clock_->now());
-        });
-    }
+        , configuration_(configuration)
+        , handler_({clock, chain, forwarder, retryGuard, observer, std::move(configuration)})
+        , loop_(clock, memory::MemoryBounds::forMachine(settings_.memoryBytes_))
+        , pool_(settings_.maxConnections_)
+    { }
 
-    ~Impl() { stop(clock_->now()); }
+    ~Impl() override { stop(clock_->now()); }
 
     Result<void> start()
     {
-        if (!server_.bind(settings_.host_, settings_.port_))
-            return notRun(ErrorCode::InvalidSettings,
-                          concat("can not listen on ", settings_.host_, ":", settings_.port_));
-        listener_ = std::thread([this] { server_.listen_after_bind(); });
-        while (!server_.is_running())
-            std::this_thread::sleep_for(std::chrono::milliseconds(1));
-        kLog.info(concat("listening on ", settings_.host_, ":", settings_.port_));
+        const std::string address = concat(settings_.host_, ":", settings_.port_);
+        Result<void> started = loop_.start(*this, address, settings_.maxConnections_);
+        if (!started)
+            return started;
+        isStarted_ = true;
+        kLog.info(concat("listening on ", address));
         return {};
     }
 
-    void drain() { draining_ = true; }
+    void drain() { handler_.drain(); }
 
     void stop(TimePoint deadline)
     {
         drain();
-        while (open_ > 0 && clock_->now() < deadline)
+        if (!std::exchange(isStarted_, false))
+            return;
+        loop_.drain();
+        while ((active_ > 0 || loop_.hasUnsentAnswers()) && clock_->now() < deadline)
             std::this_thread::sleep_for(kStopPollInterval);
-        server_.stop();
-        if (listener_.joinable())
-            listener_.join();
+        loop_.stop();
+        pool_.join();
     }
 
-    [[nodiscard]] EntryCounts counts() const { return {requests_, refused_, failed_, open_}; }
+    [[nodiscard]] EntryCounts counts() const { return handler_.counts(); }
 
 private:
-    using LiveRequestPtr = std::shared_ptr<LiveRequest>;
-
-    void handle(const httplib::Request &request, httplib::Response &response)
+    // A request as the loop has read it.
+    struct ReadRequest
     {
-        ++requests_;
-        auto live =
-            std::make_shared<LiveRequest>(*clock_, *observer_, *retryGuard_, configuration_, open_);
-        RequestContext &context = live->context();
-        context.request_ = toCallerRequest(request);
-        context.configuration_ = configuration_();
-        response.set_header("X-Request-Id", context.request_.id_);
-        const Result<void> admitted = admit(context);
-        if (!admitted)
-            return sendError(live, admitted.error(), response);
-        if (context.request_.path_ == kModelsPath && context.request_.method_ == "GET")
-            return listModels(live, response);
-        const Result<void> passed = chain_->apply(context);
-        if (!passed)
-            return sendError(live, passed.error(), response);
-        if (context.streaming_)
-            startStream(live, response);
-        else
-            sendCompleteAnswer(live, response);
-    }
+        MessageHead head_;
+        std::string body_;
+    };
 
-    Result<void> admit(const RequestContext &context) const
+    asio::io_context &context() override { return loop_.context(); }
+    memory::MemoryAccount &memory() override { return loop_.memory(); }
+    [[nodiscard]] TimePoint now() const override { return clock_->now(); }
+    [[nodiscard]] double jitter() override { return loop_.jitter(); }
+
+    [[nodiscard]] callers::CallerLimits limits() const override
     {
-        if (draining_)
-            return notRun(ErrorCode::ShuttingDown, "entry is shutting down");
-        if (!context.configuration_)
-            return notRun(ErrorCode::StaleConfiguration, "entry has no configuration yet");
-        return {};
+        return {.maxHeaderBytes_ = kMaxHeaderBytes,
+                .maxBodyBytes_ = settings_.maxBodyBytes_,
+                .headerTimeout_ = kRequestTimeout,
+                .idleTimeout_ = kIdleTimeout};
     }
 
-    void sendError(const LiveRequestPtr &live, const Error &error, httplib::Response &response)
+    [[nodiscard]] callers::Admission admit(const MessageHead &head, std::string body, TimePoint,
+                                           callers::AnswerSink &answer) override
     {
-        ++(error.execution_ == Execution::NotRun ? refused_ : failed_);
-        if (error.code_ == ErrorCode::ShuttingDown)
-            response.set_header("Connection", "close");
-        writeError(error, live->context().request_.id_, clock_->now(), response);
-        live->fail(error);
+        const std::size_t bytes = heldBytes(head) + kBodyCopies * body.size();
+        if (!hasRoomFor(bytes)) {
+            kLog.warn(concat("request is refused, in_progress=", active_.load(),
+                             " held_bytes=", memory().total()));
+            return callers::Refusal{
+                503, {}, std::string(errorName(ErrorCode::Overloaded)), Duration(kOverloadRetry)};
+        }
+        ++active_;
+        auto request = std::make_shared<ReadRequest>(ReadRequest{head, std::move(body)});
+        auto channel = std::make_shared<AnswerChannel>(
+            AnswerLoop{context(), memory()}, answer, bytes,
+            [this, request](const std::shared_ptr<AnswerChannel> &started) {
+                asio::post(pool_, [this, request, started] { work(*request, *started); });
+            });
+        const Error stopped{ErrorCode::ShuttingDown, Execution::OutcomeUnknown,
+                            "entry has stopped"};
+        channel->setShutDownAnswer(textOf(errorAnswer(stopped, randomId(), now())));
+        return channel;
     }
 
-    void listModels(const LiveRequestPtr &live, httplib::Response &response)
+    // A single request is served whatever the VM's size.
+    [[nodiscard]] bool hasRoomFor(std::size_t bytes)
     {
-        const RequestContext &context = live->context();
-        const Result<KeyMatch> match =
-            context.configuration_->findKey(extractCallerKey(context.request_.headers_).secret_);
-        if (!match)
-            return sendError(live, match.error(), response);
-        Json data = Json::array();
-        for (const AdapterVersion *adapter :
-             context.configuration_->modelsOf(match->workspace_->id_))
-            data.push_back({{"id", concat(adapter->adapter_, "@", adapter->version_)},
-                            {"object", "model"},
-                            {"root", adapter->baseModel_}});
-        response.set_content(Json{{"object", "list"}, {"data", data}}.dump(), kJsonContentType);
-        live->complete(0);
+        const std::size_t held = memory().total();
+        return (held == 0 || held + bytes <= memory().bounds().max_)
+            && active_ < settings_.maxConnections_;
     }
 
-    void sendCompleteAnswer(const LiveRequestPtr &live, httplib::Response &response)
+    // In a thread of the pool.
+    void work(ReadRequest &request, AnswerChannel &channel)
     {
-        const Result<CompleteAnswer> answer =
-            forwarder_->fetch(live->context(), [&live] { return live->check(); });
-        if (!answer)
-            return sendError(live, answer.error(), response);
-        live->recordFirstByte();
-        response.status = answer->head_.status_;
-        setAnswerHeaders(answer->head_, response);
-        response.set_content(answer->body_, answer->head_.contentType_);
-        live->complete(answer->usedTokens_);
+        handler_.run(request.head_, std::move(request.body_), channel);
+        channel.done();
+        --active_;
     }
 
-    void startStream(const LiveRequestPtr &live, httplib::Response &response)
+    // Ids of requests are the entry's own.
+    [[nodiscard]] std::string requestIdOf(const MessageHead &) const override { return {}; }
+
+    [[nodiscard]] std::string workspaceOf(const MessageHead &head) const override
     {
-        Result<AnswerStream> opened =
-            forwarder_->open(live->context(), [&live] { return live->check(); });
-        if (!opened)
-            return sendError(live, opened.error(), response);
-        auto answer = std::make_shared<AnswerStream>(*std::move(opened));
-        response.status = answer->head_.status_;
-        setAnswerHeaders(answer->head_, response);
-        response.set_chunked_content_provider(
-            answer->head_.contentType_,
-            [this, live, answer](std::size_t, httplib::DataSink &sink) {
-                return forwardEvent(live, *answer, sink);
-            },
-            // Called when the response is over. Ends the request if the caller disconnected; has no
-            // effect on a request that has ended already.
-            [live](bool) { live->fail(LiveRequest::callerDisconnected()); });
+        const std::shared_ptr<const Configuration> configuration = configuration_();
+        if (!configuration)
+            return {};
+        const CallerKey key = extractCallerKey(toCallerRequest(head, {}).headers_);
+        const Result<KeyMatch> match = configuration->findKey(key.secret_);
+        return match ? match->workspace_->id_ : std::string();
     }
 
-    // Forwards one event to the caller. Returns false to close the connection without the final
-    // chunk, so that a truncated answer never looks complete.
-    bool forwardEvent(const LiveRequestPtr &live, AnswerStream &answer, httplib::DataSink &sink)
+    [[nodiscard]] std::string refusalText(const callers::Refusal &refusal) const override
     {
-        const StreamEvent event = answer.stream_->next();
-        if (event.kind_ == StreamEvent::Kind::End) {
-            live->complete(event.usedTokens_);
-            sink.done();
-            return true;
-        }
-        if (event.kind_ == StreamEvent::Kind::Failure)
-            return failStream(live, answer, *event.failure_, sink);
-        const Result<void> allowed = live->check();
-        if (!allowed)
-            return abortStream(live, allowed.error(), sink);
-        if (event.kind_ == StreamEvent::Kind::Data) {
-            live->recordFirstByte();
-            return sink.write(event.data_.data(), event.data_.size());
-        }
-        return sink.is_writable();
+        return textOf(refusalAnswer(refusal, now()));
     }
 
-    bool failStream(const LiveRequestPtr &live, const AnswerStream &answer, const Error &error,
-                    httplib::DataSink &sink)
+    void countRefusal(const callers::Refusal &) override { handler_.countRefusal(); }
+
+    void logUnreadRequest(const callers::Refusal &refusal) override
     {
-        forwarder_->reportFailure(live->context(), answer.placement_->target().name_, error);
-        return abortStream(live, error, sink);
+        kLog.warn(concat("request is refused before its end, status=", refusal.status_,
+                         " code=", refusal.code_));
     }
 
-    bool abortStream(const LiveRequestPtr &live, const Error &error, httplib::DataSink &sink)
+    void recordShed(std::string_view reason, const memory::Holder &holder,
+                    std::size_t connections) override
     {
-        ++failed_;
-        const HttpError http = toHttpError(error, live->context().request_.id_, clock_->now());
-        const std::string event = concat("event: error\ndata: ", http.body_, "\n\n");
-        sink.write(event.data(), event.size());
-        live->fail(error);
-        return false;
+        kLog.warn(concat("caller gives way, reason=", reason, " owner=", holder.owner_,
+                         " bytes=", holder.bytes_, " held_bytes=", memory().total(),
+                         " connections=", connections));
     }
 
-    static void setAnswerHeaders(const StreamHead &head, httplib::Response &response)
+    void recordAcceptFailure(const std::string &what) override
     {
-        if (!head.servedBy_.empty())
-            response.set_header("X-Served-By", head.servedBy_);
-        if (head.replayed_)
-            response.set_header("X-Idempotent-Replay", "true");
+        kLog.warn(concat("connection can not be accepted: ", what));
     }
 
     EntryServerSettings settings_;
     const Clock *clock_;
-    const FilterChain *chain_;
-    Forwarder *forwarder_;
-    RequestObserver *observer_;
-    RetryGuard *retryGuard_;
     std::function<std::shared_ptr<const Configuration>()> configuration_;
-    CallerHttpServer server_;
-    std::thread listener_;
-    std::atomic<bool> draining_ = false;
-    std::atomic<std::uint64_t> requests_ = 0;
-    std::atomic<std::uint64_t> refused_ = 0;
-    std::atomic<std::uint64_t> failed_ = 0;
-    std::atomic<std::uint64_t> open_ = 0;
+    RequestHandler handler_;
+    callers::CallerLoop loop_;
+    bool isStarted_ = false;
+    std::atomic<std::size_t> active_ = 0; // requests that threads work on or that wait for one
+    asio::thread_pool pool_; // last, so that its threads end before what they use
 };
 
 EntryServer::EntryServer(EntryServerSettings settings, const Clock &clock, const FilterChain &chain,
--- a/packages/entry/entry_server.h
+++ b/packages/entry/entry_server.h
@@ -23,8 +23,9 @@
 {
     std::string host_; // IP address
     int port_ = 0;
-    std::size_t maxConnections_ = 600; // each open connection holds a thread
+    std::size_t maxConnections_ = 600; // also the number of requests in progress, and of threads
     std::size_t maxBodyBytes_ = std::size_t{4} * 1024 * 1024;
+    std::size_t memoryBytes_ = std::size_t{1024} * 1024 * 1024; // of the VM; see MemoryBounds
 
     bool operator==(const EntryServerSettings &) const = default;
 };
--- a/packages/entry/forwarder.cpp
+++ b/packages/entry/forwarder.cpp
@@ -67,18 +67,18 @@
     return openWithRetries(context, history, checkRequest);
 }
 
-Result<CompleteAnswer> Forwarder::fetch(RequestContext &context, const RequestCheck &checkRequest)
+Result<FetchedAnswer> Forwarder::fetch(RequestContext &context, const RequestCheck &checkRequest)
 {
     AttemptHistory history;
     for (;;) {
         Result<AnswerStream> answer = openWithRetries(context, history, checkRequest);
         if (!answer)
             return tl::unexpected(answer.error());
-        Result<CompleteAnswer> completeAnswer = readCompleteAnswer(*answer, checkRequest);
-        if (completeAnswer)
-            return completeAnswer;
         history.target_ = answer->placement_->target().name_;
-        const Result<void> prepared = prepareRetry(context, history, completeAnswer.error());
+        Result<FetchedAnswer> fetched = collect(*std::move(answer), checkRequest);
+        if (fetched)
+            return fetched;
+        const Result<void> prepared = prepareRetry(context, history, fetched.error());
         if (!prepared)
             return tl::unexpected(prepared.error());
     }
@@ -159,25 +159,26 @@
     return answer;
 }
 
-Result<CompleteAnswer> Forwarder::readCompleteAnswer(AnswerStream &answer,
-                                                     const RequestCheck &checkRequest)
+Result<FetchedAnswer> Forwarder::collect(AnswerStream answer, const RequestCheck &checkRequest)
 {
-    CompleteAnswer completeAnswer;
-    completeAnswer.head_ = answer.head_;
-    for (;;) {
+    FetchedAnswer fetched;
+    fetched.head_ = answer.head_;
+    while (fetched.body_.size() <= kMaxCollectedBytes) {
         StreamEvent event = answer.stream_->next();
         if (event.kind_ == StreamEvent::Kind::Data)
-            completeAnswer.body_.append(event.data_);
+            fetched.body_.append(event.data_);
         if (event.kind_ == StreamEvent::Kind::Failure)
             return tl::unexpected(*event.failure_);
         if (event.kind_ == StreamEvent::Kind::End) {
-            completeAnswer.usedTokens_ = event.usedTokens_;
-            return completeAnswer;
+            fetched.usedTokens_ = event.usedTokens_;
+            return fetched;
         }
         const Result<void> allowed = checkRequest();
         if (!allowed)
             return tl::unexpected(allowed.error());
     }
+    fetched.rest_.emplace(std::move(answer));
+    return fetched;
 }
 
 void Forwarder::reportFailure(const RequestContext &context, const std::string &target,
--- a/packages/entry/forwarder.h
+++ b/packages/entry/forwarder.h
@@ -34,13 +34,13 @@
     StreamHead head_;
 };
 
-struct CompleteAnswer
+// An answer to be sent with its length, or the start of one that is too long to be collected.
+struct FetchedAnswer
 {
     StreamHead head_;
     std::string body_;
     std::uint64_t usedTokens_ = 0;
-
-    bool operator==(const CompleteAnswer &) const = default;
+    std::optional<AnswerStream> rest_ = std::nullopt; // behind body_
 };
 
 // Thread-safe.
@@ -57,14 +57,16 @@
     [[nodiscard]] Result<AnswerStream> open(RequestContext &context,
                                             const RequestCheck &checkRequest);
 
-    // Returns a complete answer. Errors: as open(). Thread-safe.
-    [[nodiscard]] Result<CompleteAnswer> fetch(RequestContext &context,
-                                               const RequestCheck &checkRequest);
+    // Returns an answer, complete up to kMaxCollectedBytes. Errors: as open(). Thread-safe.
+    [[nodiscard]] Result<FetchedAnswer> fetch(RequestContext &context,
+                                              const RequestCheck &checkRequest);
 
     // Reports a failed attempt to the target directory and the retry guard. Thread-safe.
     void reportFailure(const RequestContext &context, const std::string &target,
                        const Error &error);
 
+    static constexpr std::size_t kMaxCollectedBytes = 65'536;
+
 private:
     struct AttemptHistory
     {
@@ -81,8 +83,8 @@
     [[nodiscard]] Result<AnswerStream> openWithRetries(RequestContext &context,
                                                        AttemptHistory &history,
                                                        const RequestCheck &checkRequest);
-    [[nodiscard]] Result<CompleteAnswer> readCompleteAnswer(AnswerStream &answer,
-                                                            const RequestCheck &checkRequest);
+    [[nodiscard]] Result<FetchedAnswer> collect(AnswerStream answer,
+                                                const RequestCheck &checkRequest);
     // Handles a failed attempt: blocks until the next one may start, or returns the error for the
     // caller.
     [[nodiscard]] Result<void> prepareRetry(RequestContext &context, AttemptHistory &history,
--- a/packages/entry/frame_stream.cpp
+++ b/packages/entry/frame_stream.cpp
@@ -74,7 +74,8 @@
         executeSent_ = true;
         request_.set_remaining_micros(remainingMicros(deadline_, clock_->now()));
         reader_ = stub->Execute(context_.get(), request_);
-        request_.clear_body();
+        // Clearing the field would keep its memory.
+        delete request_.release_body();
         return;
     }
     ++resumeCount_;
