base, entry, agent: JSON bodies are read without a tree of their values

A legal body of many small values took up to 37 times its bytes at the entry (a tree with 112 bytes for each "{},"), again in the search for keys, and at the agent, which looks for "stream". JsonMembers reads and changes named members while the text is parsed and copies the others as they stand; the search for keys looks at strings only. A body is held once by its context. Members that the entry checks or sets (model, max_tokens, max_completion_tokens, n, best_of, stream) are sent once each, whatever a caller repeats; other members keep their order and their numbers' text.

--- a/packages/agent/executor.cpp
+++ b/packages/agent/executor.cpp
@@ -6,7 +6,7 @@
 #include "agent/http_engine_orders.h"
 #include "agent/model_answer.h"
 #include "base/hash.h"
-#include "base/json.h"
+#include "base/json_members.h"
 #include "base/log.h"
 
 namespace foxtailturn {
@@ -53,8 +53,10 @@
 
 bool isStreaming(const std::string &body)
 {
-    const Json json = parseUntrustedJson(body);
-    return json.is_object() && json.value("stream", false);
+    JsonMembers members({"stream"}, JsonMembers::Others::Drop);
+    const bool isObject = members.read(body);
+    const Json *stream = members.find("stream");
+    return isObject && stream != nullptr && *stream == true;
 }
 
 // Digest of all that must be equal in requests with the same idempotency key.
--- a/packages/entry/caller_key.cpp
+++ b/packages/entry/caller_key.cpp
@@ -56,6 +56,48 @@
     return std::find(kKeyParameters.begin(), kKeyParameters.end(), name) != kKeyParameters.end();
 }
 
+// Looks into the keys and strings of JSON, whose escapes the parser resolves. Holds no values.
+class SecretFinder final : public nlohmann::json_sax<Json>
+{
+public:
+    explicit SecretFinder(std::string_view secret)
+        : secret_(secret)
+    { }
+
+    [[nodiscard]] bool isFound() const { return isFound_; }
+
+    bool null() override { return true; }
+    bool boolean(bool) override { return true; }
+    bool number_integer(number_integer_t) override { return true; }
+    bool number_unsigned(number_unsigned_t) override { return true; }
+    bool number_float(number_float_t, const string_t &) override { return true; }
+    bool string(string_t &value) override { return look(value); }
+    bool key(string_t &name) override { return look(name); }
+    bool binary(binary_t &) override { return true; }
+    bool start_object(std::size_t) override { return true; }
+    bool end_object() override { return true; }
+    bool start_array(std::size_t) override { return true; }
+    bool end_array() override { return true; }
+
+    bool parse_error(std::size_t, const std::string &, const Json::exception &error) override
+    {
+        constexpr int kNumberOutOfRange = 406;
+        // The text may be JSON for others, and the rest of it can't be checked.
+        isFound_ = isFound_ || error.id == kNumberOutOfRange;
+        return false;
+    }
+
+private:
+    bool look(const std::string &text)
+    {
+        isFound_ = isFound_ || containsSecret(text, secret_);
+        return !isFound_;
+    }
+
+    std::string_view secret_;
+    bool isFound_ = false;
+};
+
 } // namespace
 
 CallerKey extractCallerKey(const HeaderMap &headers)
@@ -92,20 +134,9 @@
         return true;
     if (secret.empty() || body.find('\\') == std::string_view::npos)
         return false;
-    // The parser resolves the escapes of each key and string. The callback discards values, but
-    // keeps containers, as the parser does not report the content of discarded ones.
-    bool isFound = false;
-    const auto checkStrings = [&](int, Json::parse_event_t event, const Json &value) {
-        isFound = isFound
-            || (value.is_string() && containsSecret(value.get_ref<const std::string &>(), secret));
-        return event != Json::parse_event_t::value;
-    };
-    try {
-        [[maybe_unused]] const Json containers = Json::parse(body, checkStrings, false);
-    } catch (const Json::exception &) {
-        return true; // a number out of range aborts the parse, so the rest can't be checked
-    }
-    return isFound;
+    SecretFinder finder(secret);
+    (void)Json::sax_parse(body, &finder); // a body need not be JSON
+    return finder.isFound();
 }
 
 bool containsSecret(std::string_view text, std::string_view secret)
--- a/packages/entry/filters.cpp
+++ b/packages/entry/filters.cpp
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "base/hash.h"
-#include "base/json.h"
+#include "base/json_members.h"
 #include "base/log.h"
 
 namespace foxtailturn {
@@ -16,9 +16,6 @@
 constexpr std::int64_t kMaxChoices = 16;
 constexpr const char *kMaxTokensField = "max_tokens";
 constexpr const char *kMaxCompletionTokensField = "max_completion_tokens";
-// Bounds the recursion of Json::dump(), which recurses once per nesting level. Real request bodies
-// are far below this depth.
-constexpr int kMaxBodyDepth = 100;
 // Requests to plain services use no model tokens; charging one token each limits their rate.
 constexpr std::uint64_t kTokensPerServiceRequest = 1;
 
@@ -34,35 +31,22 @@
                             context.targetBody_));
 }
 
-// Returns the parsed body, or a discarded value if it is not valid JSON or nested too deep.
-Json parseBody(const std::string &text)
-{
-    bool tooDeep = false;
-    const auto checkDepth = [&tooDeep](int depth, Json::parse_event_t, const Json &) {
-        tooDeep = tooDeep || depth > kMaxBodyDepth;
-        return !tooDeep;
-    };
-    Json body = parseUntrustedJson(text, checkDepth);
-    if (tooDeep)
-        return Json(Json::value_t::discarded);
-    return body;
-}
-
 // Reads an optional integer from 1 to max; returns fallback if the field is missing or null.
-Result<std::int64_t> readCount(const Json &body, const char *name, std::int64_t fallback,
+Result<std::int64_t> readCount(const JsonMembers &body, const char *name, std::int64_t fallback,
                                std::int64_t max)
 {
-    const auto it = body.find(name);
-    if (it == body.end() || it->is_null())
+    const Json *value = body.find(name);
+    if (value == nullptr || value->is_null())
         return fallback;
-    if (!it->is_number_integer() || it->get<std::int64_t>() < 1 || it->get<std::int64_t>() > max)
+    if (!value->is_number_integer() || value->get<std::int64_t>() < 1
+        || value->get<std::int64_t>() > max)
         return notRun(ErrorCode::BadRequest, concat(name, " must be from 1 to ", max));
-    return it->get<std::int64_t>();
+    return value->get<std::int64_t>();
 }
 
 // Returns the token limit of one choice and adds max_tokens to the body if it is missing. An engine
 // may honour either field, so the larger value is used, and max_tokens is always sent.
-Result<std::int64_t> limitChoiceTokens(Json &body, const Route &route)
+Result<std::int64_t> limitChoiceTokens(JsonMembers &body, const Route &route)
 {
     std::int64_t limit = 0;
     for (const char *field : {kMaxTokensField, kMaxCompletionTokensField}) {
@@ -73,13 +57,14 @@
     }
     if (limit == 0)
         limit = route.maxTokens_;
-    if (!body.contains(kMaxTokensField) || body[kMaxTokensField].is_null())
-        body[kMaxTokensField] = limit;
+    const Json *maxTokens = body.find(kMaxTokensField);
+    if (maxTokens == nullptr || maxTokens->is_null())
+        body.set(kMaxTokensField, limit);
     return limit;
 }
 
 // Returns the token limit of all choices together and adds max_tokens to the body if it is missing.
-Result<std::uint64_t> limitAnswerTokens(Json &body, const Route &route)
+Result<std::uint64_t> limitAnswerTokens(JsonMembers &body, const Route &route)
 {
     const Result<std::int64_t> tokens = limitChoiceTokens(body, route);
     const Result<std::int64_t> choices = readCount(body, "n", 1, kMaxChoices);
@@ -135,7 +120,7 @@
         return notRun(ErrorCode::BadRequest, "API key must not stand in the path or the body");
     context.targetPath_ =
         withQuery(request.path_, queryWithoutKey(request.query_, callerKey.secret_));
-    context.targetBody_ = request.body_;
+    context.targetBody_ = std::move(context.request_.body_);
     return {};
 }
 
@@ -145,27 +130,31 @@
     if (context.route_->kind_ == RouteKind::Model) {
         if (context.workspace_ == nullptr)
             return notRun(ErrorCode::Unauthenticated, "model routes need an API key");
-        Json body = parseBody(context.request_.body_);
-        if (!body.is_object() || !body.contains("model") || !body["model"].is_string())
+        JsonMembers body({"model", kMaxTokensField, kMaxCompletionTokensField, "n", "best_of",
+                          "stream", "stream_options"});
+        const bool isObject = body.read(context.targetBody_);
+        const std::size_t bodyBytes = context.targetBody_.size();
+        const Json *model = body.find("model");
+        if (!isObject || model == nullptr || !model->is_string())
             return notRun(ErrorCode::BadRequest, "body must be JSON with a field model");
         const Result<const AdapterVersion *> adapter = context.configuration_->resolveModel(
-            context.workspace_->id_, body["model"].get<std::string>());
+            context.workspace_->id_, model->get<std::string>());
         if (!adapter)
             return tl::unexpected(adapter.error());
         context.adapter_ = *adapter;
         const Result<std::uint64_t> answerTokens = limitAnswerTokens(body, *context.route_);
         if (!answerTokens)
             return tl::unexpected(answerTokens.error());
-        const Json &stream = body.contains("stream") ? body["stream"] : Json(false);
-        if (!stream.is_boolean())
+        const Json *stream = body.find("stream");
+        if (stream != nullptr && !stream->is_boolean())
             return notRun(ErrorCode::BadRequest, "stream must be true or false");
-        context.streaming_ = stream.get<bool>();
-        body["model"] = concat((*adapter)->adapter_, "@", (*adapter)->version_);
+        context.streaming_ = stream != nullptr && stream->get<bool>();
+        body.set("model", concat((*adapter)->adapter_, "@", (*adapter)->version_));
         // The engine reports token usage at the end of a stream only on request. The reservation
         // is settled with the reported number.
         if (context.streaming_)
-            body["stream_options"] = {{"include_usage", true}};
-        context.targetBody_ = body.dump();
+            body.set("stream_options", {{"include_usage", true}});
+        context.targetBody_ = body.text();
         // Serializing resolves JSON escapes, which may have hidden the key from KeyFilter.
         if (containsSecret(context.targetBody_,
                            extractCallerKey(context.request_.headers_).secret_))
@@ -174,7 +163,7 @@
         if (start != std::string::npos)
             context.targetPath_.erase(0, start);
         // A token is at least one byte of text, so the body's size bounds the prompt's tokens.
-        context.maxTokens_ = context.request_.body_.size() + *answerTokens;
+        context.maxTokens_ = bodyBytes + *answerTokens;
     }
     context.fingerprint_ = fingerprintOf(context);
     return {};
--- a/testing/crowds_test.py
+++ b/testing/crowds_test.py
@@ -196,6 +196,18 @@
     def test_chats(self):
         self.bears_requests(chat_body(BODY_LIMIT, b'"%s"' % (b"x" * 1000)), CHAT)
 
+    # Each value of JSON has costs beyond its bytes.
+    def test_chats_of_many_lists(self):
+        self.bears_requests(chat_body(BODY_LIMIT, b"[]"), CHAT)
+
+    def test_chats_of_many_objects(self):
+        self.bears_requests(chat_body(BODY_LIMIT, b"{}"), CHAT)
+
+    # An escape makes the entry look for keys in the parsed body.
+    def test_bookings_of_many_lists(self):
+        escaped = chat_body(BODY_LIMIT - 100, b"[]").replace(b'"a"', b'"\\u0061"')
+        self.bears_requests(escaped, "/bookings")
+
 
 class Heads(_Crowded):
     def test_heads_without_end(self):
