daemon: admin ports bound what they read and whom they accept

A client at the admin port of an entry or agent took its memory by bodies or heads without end, with no token, and some hundred idle connections kept readiness from being answered: the balancer then takes the entry out. Cause: the HTTP library with eight threads, no limit on chunked bodies and heads, and an unbounded queue of accepted connections.

--- a/packages/daemon/admin_server.h
+++ b/packages/daemon/admin_server.h
@@ -2,7 +2,7 @@
 
 // The admin HTTP server of each process, on an address of its own.
 //
-//     AdminServer admin(endpoint, token, handlers);
+//     AdminServer admin(endpoint, token, clock, handlers);
 //     admin.start();
 //
 // GET /healthz and /readyz need no token; GET /metrics, GET /state, POST /drain and POST /withdraw
@@ -13,12 +13,13 @@
 #include <string>
 #include <vector>
 
+#include "base/clock.h"
 #include "base/error.h"
 #include "daemon/settings.h"
 
 namespace foxtailturn {
 
-// What the server asks the process for. All functions are thread-safe.
+// What the server asks the process for. All functions are thread-safe and don't wait.
 struct AdminHandlers
 {
     std::function<bool()> isReady_;
@@ -32,7 +33,8 @@
 class AdminServer
 {
 public:
-    AdminServer(Endpoint listen, std::string token, AdminHandlers handlers);
+    // The clock must outlive the server.
+    AdminServer(Endpoint listen, std::string token, const Clock &clock, AdminHandlers handlers);
     ~AdminServer();
 
     // Begins to accept connections. Error: InvalidSettings when the address can't be used.
--- a/packages/daemon/node.cpp
+++ b/packages/daemon/node.cpp
@@ -52,7 +52,7 @@
                        })
     , config_(table_, objects_, clock_, FollowerSettings{})
     , announcer_(incarnation_, roleName(settings.role_), clock_, peers_, announcerHooks())
-    , admin_(settings.adminListen_, settings.adminToken_, adminHandlers())
+    , admin_(settings.adminListen_, settings.adminToken_, clock_, adminHandlers())
     , loop_(kControllerThreads)
 { }
 
--- a/testing/crowds_test.py
+++ b/testing/crowds_test.py
@@ -244,6 +244,48 @@
         self.assert_bears(lambda crowd: crowd.send_all(lambda i: request, [request * 400] * 40))
 
 
+class _OtherPorts:
+    """A crowd at another port of a process."""
+
+    def test_bodies_over_the_limit(self):
+        fields, pieces = BODIES["announced over the limit"]
+        head = head_text(fields, "/withdraw")
+        self.assert_bears(lambda crowd: crowd.send_all(head, pieces))
+
+    def test_bodies_over_the_limit_in_chunks(self):
+        fields, pieces = BODIES["over the limit in chunks"]
+        head = head_text(fields, "/withdraw")
+        self.assert_bears(lambda crowd: crowd.send_all(head, pieces))
+
+    def test_heads_without_end(self):
+        self.assert_bears(lambda crowd: crowd.send_all(head_start, [b"A: bbbbbbb\r\n" * 5000] * 80))
+
+    def test_idle_connections(self):
+        self.assert_bears(lambda crowd: None, count=3 * MAX_CONNECTIONS)
+
+
+class EntryAdminPort(_OtherPorts, _Crowded):
+    def setUp(self):
+        super().setUp()
+        self.address = ("127.0.0.1", self.fleet.admin_ports["entry-1"])
+
+    def assert_answers(self, when):
+        super().assert_answers(when)
+        answer = call(self.fleet.admin_ports["entry-1"], "GET", "/readyz", timeout=60)
+        self.assertEqual(answer.status, 200)
+
+
+class AgentAdminPort(_OtherPorts, _Crowded):
+    def setUp(self):
+        super().setUp()
+        self.address = ("127.0.0.1", self.fleet.admin_ports["agent-service-1"])
+
+    def assert_answers(self, when):
+        super().assert_answers(when)
+        answer = call(self.fleet.admin_ports["agent-service-1"], "GET", "/healthz", timeout=60)
+        self.assertEqual(answer.status, 200)
+
+
 for _kind in BODIES:
     setattr(Bodies, "test_" + _kind.replace(" ", "_"),
             lambda self, kind=_kind: self.bears_bodies(kind))
