agent, memory: an agent bounds the bodies that it holds, and freed blocks leave the process

Bodies pass from entries on to agents, and an agent held each about five times, for up to 272 requests at once, whatever its VM. It now takes a share of a ByteBudget (a fifth of the VM's memory) before a request starts and refuses it otherwise, as overloaded and not_run, so that the entry may try another target; a single request is always taken. Alone that did not hold the bound: the C library kept freed blocks in an arena for each thread. configureHeap() sets few arenas and a fixed size above which blocks are mapped one by one.

--- a/packages/agent/agent_server.cpp
+++ b/packages/agent/agent_server.cpp
@@ -11,6 +11,7 @@
 #include "agent/http_engine_orders.h"
 #include "base/log.h"
 #include "foxtailturn.grpc.pb.h"
+#include "memory/byte_budget.h"
 #include "wire/convert.h"
 
 namespace foxtailturn {
@@ -19,6 +20,9 @@
 
 const Logger kLog("agent");
 
+// Of a request in progress: as received, for its thread, for its target, as sent and digested.
+constexpr std::size_t kBodyCopies = 5;
+
 void toWire(const AdapterId &id, wire::Adapter &adapter)
 {
     adapter.set_id(id.adapter_);
@@ -48,18 +52,19 @@
 {
 public:
     Impl(AgentIdentity identity, const Clock &clock, AgentScheduler &scheduler, Executor &executor,
-         AdapterObjectNames &objects, std::size_t maxExecutions,
+         AdapterObjectNames &objects, const AgentLimits &limits,
          std::function<std::uint64_t()> revision, std::function<bool()> isTargetUp)
         : identity_(std::move(identity))
         , clock_(&clock)
         , scheduler_(&scheduler)
         , executor_(&executor)
         , objects_(&objects)
-        , maxExecutions_(maxExecutions)
+        , maxExecutions_(limits.maxExecutions_)
+        , requestBytes_(limits.maxRequestBytes_)
         , revision_(std::move(revision))
         , isTargetUp_(std::move(isTargetUp))
         , executions_(clock)
-        , pool_(maxExecutions)
+        , pool_(limits.maxExecutions_)
     { }
 
     ~Impl() override { pool_.join(); }
@@ -68,13 +73,15 @@
                          grpc::ServerWriter<wire::Frame> *writer) override
     {
         const ExecutionId id{request->request_id(), request->attempt()};
-        const Result<StartedExecution> started = admit(*request, id);
+        const std::shared_ptr<memory::ByteShare> share =
+            requestBytes_.tryTake(kBodyCopies * request->body().size());
+        const Result<StartedExecution> started = admit(*request, id, share != nullptr);
         if (!started) {
             writer->Write(failureFrame(id, started.error(), clock_->now()));
             return grpc::Status::OK;
         }
         if (started->isNew_)
-            run(*request, started->answer_);
+            run(*request, started->answer_, share);
         send(*started->answer_, id, 0, false, *writer);
         return grpc::Status::OK;
     }
@@ -140,7 +147,8 @@
     }
 
 private:
-    Result<StartedExecution> admit(const wire::ExecuteRequest &request, const ExecutionId &id)
+    Result<StartedExecution> admit(const wire::ExecuteRequest &request, const ExecutionId &id,
+                                   bool hasMemory)
     {
         if (request.incarnation() != identity_.incarnation_)
             return notRun(ErrorCode::NoTarget, "request is for another incarnation of the agent");
@@ -148,16 +156,20 @@
             return notRun(ErrorCode::TargetDraining, "target is draining");
         if (executions_.runningCount() >= maxExecutions_)
             return notRun(ErrorCode::Overloaded, "agent runs too many requests");
+        if (!hasMemory)
+            return notRun(ErrorCode::Overloaded, "agent holds too many bytes of requests");
         return executions_.start(id);
     }
 
-    void run(const wire::ExecuteRequest &request, const std::shared_ptr<AnswerBuffer> &answer)
+    // The share is held until the request has run and its answer was sent, whichever is later.
+    void run(const wire::ExecuteRequest &request, const std::shared_ptr<AnswerBuffer> &answer,
+             const std::shared_ptr<memory::ByteShare> &share)
     {
         const TimePoint deadline = deadlineOf(request.remaining_micros(), clock_->now());
         if (request.has_adapter())
             objects_->set({request.adapter().id(), std::to_string(request.adapter().version())},
                           request.adapter().object());
-        asio::post(pool_, [this, request, answer, deadline] {
+        asio::post(pool_, [this, request, answer, deadline, share] {
             executor_->run(request, deadline, *answer);
         });
     }
@@ -196,6 +208,7 @@
     Executor *executor_;
     AdapterObjectNames *objects_;
     std::size_t maxExecutions_;
+    memory::ByteBudget requestBytes_;
     std::function<std::uint64_t()> revision_;
     std::function<bool()> isTargetUp_;
     ExecutionTable executions_;
@@ -206,10 +219,10 @@
 };
 
 AgentServer::AgentServer(AgentIdentity identity, const Clock &clock, AgentScheduler &scheduler,
-                         Executor &executor, AdapterObjectNames &objects, std::size_t maxExecutions,
+                         Executor &executor, AdapterObjectNames &objects, const AgentLimits &limits,
                          std::function<std::uint64_t()> revision, std::function<bool()> isTargetUp)
-    : impl_(std::make_unique<Impl>(std::move(identity), clock, scheduler, executor, objects,
-                                   maxExecutions, std::move(revision), std::move(isTargetUp)))
+    : impl_(std::make_unique<Impl>(std::move(identity), clock, scheduler, executor, objects, limits,
+                                   std::move(revision), std::move(isTargetUp)))
 { }
 
 AgentServer::~AgentServer() = default;
--- a/packages/agent/agent_server.h
+++ b/packages/agent/agent_server.h
@@ -2,7 +2,7 @@
 
 // The agent's gRPC service: executions and heartbeats.
 //
-//     AgentServer server(identity, clock, scheduler, executor, objects, 256, revision, isUp);
+//     AgentServer server(identity, clock, scheduler, executor, objects, limits, revision, isUp);
 //     builder.RegisterService(server.service());
 //     ...
 //     server.drain();   // refuses new work; running executions finish
@@ -33,15 +33,24 @@
     bool operator==(const AgentIdentity &) const = default;
 };
 
+// What an agent accepts at most.
+struct AgentLimits
+{
+    std::size_t maxExecutions_ = 0;
+    std::size_t maxRequestBytes_ = 0; // held for requests in progress, all copies together
+
+    bool operator==(const AgentLimits &) const = default;
+};
+
 // Thread-safe.
 class AgentServer
 {
 public:
-    // All references must outlive the server. maxExecutions is the size of the thread pool, in
-    // which each execution holds one thread while it waits or runs. revision returns the
+    // All references must outlive the server. limits.maxExecutions_ is the size of the thread pool,
+    // in which each execution holds one thread while it waits or runs. revision returns the
     // configuration revision in force, isTargetUp the result of the last health check.
     AgentServer(AgentIdentity identity, const Clock &clock, AgentScheduler &scheduler,
-                Executor &executor, AdapterObjectNames &objects, std::size_t maxExecutions,
+                Executor &executor, AdapterObjectNames &objects, const AgentLimits &limits,
                 std::function<std::uint64_t()> revision, std::function<bool()> isTargetUp);
     ~AgentServer();
 
--- a/packages/daemon/agent_role.cpp
+++ b/packages/daemon/agent_role.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "memory/memory_bounds.h"
 
 namespace foxtailturn {
 
@@ -65,7 +66,9 @@
     , server_(std::make_unique<AgentServer>(
           AgentIdentity{settings.target_.name_, settings.target_.group_, node_.incarnation()},
           node_.clock(), *scheduler_, *executor_, objects_,
-          static_cast<std::size_t>(settings.target_.maxRunning_ + settings.target_.maxWaiting_),
+          AgentLimits{
+              static_cast<std::size_t>(settings.target_.maxRunning_ + settings.target_.maxWaiting_),
+              memory::MemoryBounds::forMachine(settings.memoryBytes()).max_},
           [this] { return node_.revision(); }, [this] { return targetUp_.load(); }))
 {
     node_.setHooks(nodeHooks());
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -7,6 +7,7 @@
 
 #include "daemon/role.h"
 #include "daemon/settings.h"
+#include "memory/heap.h"
 
 DEFINE_string(settings, "", "path of the settings file (JSON with comments)");
 DEFINE_bool(check, false, "check the settings file and exit");
@@ -59,6 +60,7 @@
 
 int main(int argc, char **argv)
 {
+    foxtailturn::memory::configureHeap();
     gflags::SetUsageMessage("foxtailturnd --settings=FILE [--check]");
     gflags::SetVersionString("0.1.0");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
--- a/testing/crowds_test.py
+++ b/testing/crowds_test.py
@@ -209,6 +209,12 @@
         self.bears_requests(escaped, "/bookings")
 
 
+class SmallAgents(WholeBodies):
+    """Agents with less memory than what the entry passes on."""
+
+    entry_memory_mb = 20 * MEMORY_MB
+
+
 class Heads(_Crowded):
     def test_heads_without_end(self):
         self.assert_bears(lambda crowd: crowd.send_all(head_start, [b"A: bbbbbbb\r\n" * 5000] * 80))
