agent, entry: large answers that callers do not read stay within a bound

Callers who ask for large answers and read nothing made the agent keep each answer whole, up to 16 MB and 10 s behind its end, and the entry hold what gRPC reads ahead of its threads, some MB a stream. An AnswerBuffer now keeps what no reader was given and 256 KB behind it for a resume, in blocks that beyond the first are taken from a budget of the agent (a fifth of its VM's memory). A writer waits up to a second for room; then the answer fails as outcome_unknown, as does a resume from data that is no longer kept. Channels read 64 KB ahead for each stream and don't raise that by themselves.

--- a/packages/agent/agent_server.cpp
+++ b/packages/agent/agent_server.cpp
@@ -61,9 +61,10 @@
         , objects_(&objects)
         , maxExecutions_(limits.maxExecutions_)
         , requestBytes_(limits.maxRequestBytes_)
+        , answerBytes_(limits.maxAnswerBytes_)
         , revision_(std::move(revision))
         , isTargetUp_(std::move(isTargetUp))
-        , executions_(clock)
+        , executions_(clock, answerBytes_)
         , pool_(limits.maxExecutions_)
     { }
 
@@ -209,6 +210,7 @@
     AdapterObjectNames *objects_;
     std::size_t maxExecutions_;
     memory::ByteBudget requestBytes_;
+    memory::ByteBudget answerBytes_;
     std::function<std::uint64_t()> revision_;
     std::function<bool()> isTargetUp_;
     ExecutionTable executions_;
--- a/packages/agent/agent_server.h
+++ b/packages/agent/agent_server.h
@@ -38,6 +38,7 @@
 {
     std::size_t maxExecutions_ = 0;
     std::size_t maxRequestBytes_ = 0; // held for requests in progress, all copies together
+    std::size_t maxAnswerBytes_ = 0; // kept of answers, beyond the first block of each
 
     bool operator==(const AgentLimits &) const = default;
 };
--- a/packages/agent/answer_buffer.cpp
+++ b/packages/agent/answer_buffer.cpp
@@ -7,13 +7,17 @@
 
 namespace {
 
-// Bounds the memory of one execution; the longest reports stay well under 1 MiB.
+// Of one execution; the longest reports stay well under 1 MiB.
 constexpr std::size_t kMaxAnswerBytes = 16'777'216;
+// Waits for readers to make room.
+constexpr auto kRoomInterval = std::chrono::milliseconds(20);
+constexpr int kMaxRoomWaits = 50;
 
 } // namespace
 
-AnswerBuffer::AnswerBuffer(const Clock &clock)
+AnswerBuffer::AnswerBuffer(const Clock &clock, memory::ByteBudget &budget)
     : clock_(&clock)
+    , budget_(&budget)
     , lastReadAt_(clock.now())
 { }
 
@@ -26,16 +30,53 @@
 
 bool AnswerBuffer::append(std::string_view data)
 {
-    const std::lock_guard lock(mutex_);
+    std::unique_lock lock(mutex_);
     if (finished_ || failure_)
         return false;
-    if (cancelled_ || data_.size() + data.size() > kMaxAnswerBytes) {
+    if (end_ + data.size() > kMaxAnswerBytes)
         appendRejected_ = true;
-        return false;
+    while (!data.empty() && !appendRejected_) {
+        const bool isFull = blocks_.empty() || blocks_.back().data_.size() == kBlockBytes;
+        if (cancelled_ || (isFull && !addBlock(lock))) {
+            appendRejected_ = true;
+            break;
+        }
+        std::string &block = blocks_.back().data_;
+        const std::string_view part = data.substr(0, kBlockBytes - block.size());
+        block.append(part);
+        end_ += part.size();
+        data.remove_prefix(part.size());
+        changed_.notify_all();
+    }
+    return !appendRejected_;
+}
+
+bool AnswerBuffer::addBlock(std::unique_lock<std::mutex> &lock)
+{
+    if (end_ == 0) {
+        blocks_.emplace_back();
+        return true;
+    }
+    for (int waits = 0; !isOver(); ++waits) {
+        std::unique_ptr<memory::ByteShare> share = budget_->tryTake(kBlockBytes);
+        if (share) {
+            blocks_.push_back({{}, std::move(share)});
+            return true;
+        }
+        if (waits == kMaxRoomWaits)
+            return false;
+        dropReadBlocks(0);
+        changed_.wait_for(lock, kRoomInterval);
+    }
+    return false;
+}
+
+void AnswerBuffer::dropReadBlocks(std::size_t kept)
+{
+    while (blocks_.size() > 1 && begin_ + kBlockBytes + kept <= readTo_) {
+        blocks_.pop_front();
+        begin_ += kBlockBytes;
     }
-    data_.append(data);
-    changed_.notify_all();
-    return true;
 }
 
 void AnswerBuffer::finish(std::uint64_t usedTokens)
@@ -64,6 +105,7 @@
 {
     const std::lock_guard lock(mutex_);
     cancelled_ = true;
+    changed_.notify_all();
 }
 
 bool AnswerBuffer::isCancelled() const
@@ -80,7 +122,7 @@
 
 bool AnswerBuffer::hasUnread(std::uint64_t offset, bool headReceived) const
 {
-    return (head_ && !headReceived) || data_.size() > offset || finished_ || failure_;
+    return (head_ && !headReceived) || end_ > offset || finished_ || failure_;
 }
 
 AnswerChunk AnswerBuffer::next(std::uint64_t offset, bool headReceived, TimePoint until)
@@ -92,13 +134,25 @@
     lastReadAt_ = clock_->now();
     AnswerChunk chunk;
     chunk.offset_ = offset;
+    if (offset < begin_) {
+        chunk.failure_ = Error{ErrorCode::ConnectionLost, Execution::OutcomeUnknown,
+                               "the agent keeps the answer from a later byte on only"};
+        return chunk;
+    }
     if (!headReceived)
         chunk.head_ = head_;
-    if (data_.size() > offset)
-        chunk.data_ = data_.substr(offset);
-    chunk.finished_ = finished_;
-    chunk.usedTokens_ = usedTokens_;
-    chunk.failure_ = failure_;
+    if (end_ > offset) {
+        const std::uint64_t place = offset - begin_;
+        chunk.data_ = blocks_[place / kBlockBytes].data_.substr(place % kBlockBytes);
+    }
+    readTo_ = std::max(readTo_, offset);
+    const bool isLast = offset + chunk.data_.size() == end_;
+    dropReadBlocks(isLast && finished_ ? 0 : kKeptBytes);
+    if (isLast) {
+        chunk.finished_ = finished_;
+        chunk.usedTokens_ = usedTokens_;
+        chunk.failure_ = failure_;
+    }
     return chunk;
 }
 
@@ -111,7 +165,7 @@
 std::uint64_t AnswerBuffer::size() const
 {
     const std::lock_guard lock(mutex_);
-    return data_.size();
+    return end_;
 }
 
 } // namespace foxtailturn
--- a/packages/agent/answer_buffer.h
+++ b/packages/agent/answer_buffer.h
@@ -10,6 +10,8 @@
 
 #include <condition_variable>
 #include <cstdint>
+#include <deque>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -17,6 +19,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "memory/byte_budget.h"
 
 namespace foxtailturn {
 
@@ -47,15 +50,21 @@
 class AnswerBuffer
 {
 public:
-    // clock must outlive the buffer.
-    explicit AnswerBuffer(const Clock &clock);
+    // Data of an answer that no reader was given yet, and up to this much behind what the last one
+    // was given, for one that resumes.
+    static constexpr std::size_t kKeptBytes = 262'144;
+
+    // Clock and budget must outlive the buffer. The budget is of all buffers together; the first
+    // block of an answer is not taken from it, so that short answers never wait.
+    AnswerBuffer(const Clock &clock, memory::ByteBudget &budget);
 
     // Sets status, content type and the other fields of the head. Precondition: called once, before
     // append(). Thread-safe.
     void setHead(AnswerHead head);
 
-    // Appends data. Returns false if the execution was cancelled, the answer has ended or it would
-    // exceed 16 MiB; the writer must then stop. Thread-safe.
+    // Appends data; waits up to a second for readers to make room in the budget. Returns false if
+    // there is none, the execution was cancelled, the answer has ended or it would exceed 16 MiB;
+    // the writer must then stop. Thread-safe.
     [[nodiscard]] bool append(std::string_view data);
 
     // End the answer. If an append() was rejected, finish() fails the answer with Cancelled
@@ -69,9 +78,11 @@
     [[nodiscard]] bool isCancelled() const;
     [[nodiscard]] bool isEnded() const;
 
-    // Returns the data from offset on, waiting until `until` for data, the head or the end. The
-    // result is empty on timeout. headReceived: the reader has the head already, so leave it out.
-    // Precondition: offset is at most the number of bytes written. Thread-safe.
+    // Returns data from offset on, waiting until `until` for data, the head or the end; the end is
+    // told with the last data. The result is empty on timeout, and a failure (ConnectionLost,
+    // OutcomeUnknown) if the data at offset is not kept any more. headReceived: the reader has the
+    // head already, so leave it out. Precondition: offset is at most the number of bytes written.
+    // Thread-safe.
     [[nodiscard]] AnswerChunk next(std::uint64_t offset, bool headReceived, TimePoint until);
 
     // Returns the time of the last read: now while a reader waits in next(). Thread-safe.
@@ -81,13 +92,29 @@
     [[nodiscard]] std::uint64_t size() const;
 
 private:
+    static constexpr std::size_t kBlockBytes = 65'536;
+
+    struct Block
+    {
+        std::string data_; // full but in the last block
+        std::unique_ptr<memory::ByteShare> share_; // null for the first block of the answer
+    };
+
+    // All with mutex_ locked.
     [[nodiscard]] bool hasUnread(std::uint64_t offset, bool headReceived) const;
+    [[nodiscard]] bool isOver() const { return finished_ || failure_ || cancelled_; }
+    [[nodiscard]] bool addBlock(std::unique_lock<std::mutex> &lock);
+    void dropReadBlocks(std::size_t kept);
 
     const Clock *clock_;
+    memory::ByteBudget *budget_;
     mutable std::mutex mutex_;
     std::condition_variable changed_;
     std::optional<AnswerHead> head_;
-    std::string data_;
+    std::deque<Block> blocks_;
+    std::uint64_t begin_ = 0; // offset of the first block
+    std::uint64_t end_ = 0; // number of bytes written
+    std::uint64_t readTo_ = 0; // offset up to which a reader was given data
     bool finished_ = false;
     bool cancelled_ = false;
     bool appendRejected_ = false; // an append() was rejected before the end
--- a/packages/agent/execution_table.cpp
+++ b/packages/agent/execution_table.cpp
@@ -14,8 +14,9 @@
 
 } // namespace
 
-ExecutionTable::ExecutionTable(const Clock &clock)
+ExecutionTable::ExecutionTable(const Clock &clock, memory::ByteBudget &answers)
     : clock_(&clock)
+    , answers_(&answers)
 { }
 
 ExecutionTable::Shard &ExecutionTable::shardOf(const ExecutionId &id)
@@ -29,7 +30,7 @@
     const std::lock_guard lock(shard.mutex_);
     const auto it = shard.records_.find(id);
     if (it == shard.records_.end()) {
-        auto answer = std::make_shared<AnswerBuffer>(*clock_);
+        auto answer = std::make_shared<AnswerBuffer>(*clock_, *answers_);
         shard.records_[id].answer_ = answer;
         return StartedExecution{std::move(answer), true};
     }
--- a/packages/agent/execution_table.h
+++ b/packages/agent/execution_table.h
@@ -40,8 +40,8 @@
 class ExecutionTable
 {
 public:
-    // clock must outlive the table.
-    explicit ExecutionTable(const Clock &clock);
+    // Clock and budget must outlive the table. answers: of the data that all answers keep.
+    ExecutionTable(const Clock &clock, memory::ByteBudget &answers);
 
     // Adds an execution, or returns the existing one if it was started before. Error: Cancelled
     // (NotRun) if the id was cancelled before it started. Thread-safe.
@@ -79,6 +79,7 @@
     void sweepShard(Shard &shard, TimePoint now, std::vector<ExecutionId> &abandoned);
 
     const Clock *clock_;
+    memory::ByteBudget *answers_;
     std::array<Shard, kShardCount> shards_;
 };
 
--- a/packages/agent/execution_table_test.cpp
+++ b/packages/agent/execution_table_test.cpp
@@ -8,13 +8,16 @@
 namespace foxtailturn {
 namespace {
 
+constexpr std::size_t kBudget = 100'000'000;
+
 const ExecutionId kExecutionId{"r1", 1};
 
 // Guards against running a request that was reported to its caller as not run.
 TEST_CASE("an execution that was cancelled before it started is refused")
 {
     ManualClock clock;
-    ExecutionTable table(clock);
+    memory::ByteBudget budget(kBudget);
+    ExecutionTable table(clock, budget);
     CHECK(table.cancel(kExecutionId));
     CHECK(table.cancel(kExecutionId));
     CHECK(table.find(kExecutionId) == nullptr);
@@ -31,7 +34,8 @@
 TEST_CASE("a repeated start returns the same answer")
 {
     const ManualClock clock;
-    ExecutionTable table(clock);
+    memory::ByteBudget budget(kBudget);
+    ExecutionTable table(clock, budget);
     const Result<StartedExecution> first = table.start(kExecutionId);
     const Result<StartedExecution> again = table.start(kExecutionId);
     const Result<StartedExecution> other = table.start({"r1", 2});
@@ -51,7 +55,8 @@
 TEST_CASE("cancel requests that a started execution stop")
 {
     const ManualClock clock;
-    ExecutionTable table(clock);
+    memory::ByteBudget budget(kBudget);
+    ExecutionTable table(clock, budget);
     const Result<StartedExecution> started = table.start(kExecutionId);
     REQUIRE(started);
     CHECK(!table.cancel(kExecutionId));
@@ -62,7 +67,8 @@
 TEST_CASE("sweep returns an execution without readers")
 {
     ManualClock clock;
-    ExecutionTable table(clock);
+    memory::ByteBudget budget(kBudget);
+    ExecutionTable table(clock, budget);
     const Result<StartedExecution> started = table.start(kExecutionId);
     REQUIRE(started);
     clock.advance(std::chrono::seconds(9));
@@ -90,7 +96,8 @@
     for (const Case &c : cases) {
         CAPTURE(c.name_);
         ManualClock clock;
-        ExecutionTable table(clock);
+        memory::ByteBudget budget(kBudget);
+        ExecutionTable table(clock, budget);
         std::weak_ptr<AnswerBuffer> answer;
         {
             const Result<StartedExecution> started = table.start(kExecutionId);
@@ -113,7 +120,8 @@
 TEST_CASE("a cancel before the start expires after 5 minutes")
 {
     ManualClock clock;
-    ExecutionTable table(clock);
+    memory::ByteBudget budget(kBudget);
+    ExecutionTable table(clock, budget);
     CHECK(table.cancel(kExecutionId));
     clock.advance(std::chrono::minutes(5));
     CHECK(table.sweep().empty());
@@ -125,7 +133,8 @@
 TEST_CASE("of a concurrent start and cancel exactly one takes effect")
 {
     const ManualClock clock;
-    ExecutionTable table(clock);
+    memory::ByteBudget budget(kBudget);
+    ExecutionTable table(clock, budget);
     for (std::uint32_t attempt = 0; attempt < 200; ++attempt) {
         const ExecutionId id{"r", attempt};
         std::atomic<bool> go = false;
--- a/packages/agent/model_answer_test.cpp
+++ b/packages/agent/model_answer_test.cpp
@@ -4,6 +4,8 @@
 
 namespace foxtailturn {
 
+constexpr std::size_t kBudget = 100'000'000;
+
 // Guards against memory that grows with an engine's answer that can't be passed on and never ends.
 TEST_CASE("an answer that has to be held is given up at the limit")
 {
@@ -23,7 +25,8 @@
     const SystemClock clock;
     for (const Case &c : cases) {
         CAPTURE(c.first_);
-        AnswerBuffer buffer(clock);
+        memory::ByteBudget budget(kBudget);
+        AnswerBuffer buffer(clock, budget);
         ModelAnswerSink sink("a@1", c.isStreaming_, buffer);
         REQUIRE(sink.onHead(200, "text/event-stream"));
         CHECK(sink.onData(c.first_));
@@ -51,12 +54,14 @@
     for (const Case &c :
          {Case{200, true}, {400, false}, {422, false}, {404, true}, {500, true}, {503, true}}) {
         CAPTURE(c.status_);
-        AnswerBuffer buffer(clock);
+        memory::ByteBudget budget(kBudget);
+        AnswerBuffer buffer(clock, budget);
         ModelAnswerSink sink("acme-reports@3", true, buffer);
         REQUIRE(sink.onHead(c.status_, "application/json"));
         CHECK(sink.acceptsUnstatedEnd() == c.accepts_);
     }
-    AnswerBuffer buffer(clock);
+    memory::ByteBudget budget(kBudget);
+    AnswerBuffer buffer(clock, budget);
     CHECK_FALSE(ServiceAnswerSink(buffer).acceptsUnstatedEnd());
 }
 
--- a/packages/daemon/agent_role.cpp
+++ b/packages/daemon/agent_role.cpp
@@ -68,6 +68,7 @@
           node_.clock(), *scheduler_, *executor_, objects_,
           AgentLimits{
               static_cast<std::size_t>(settings.target_.maxRunning_ + settings.target_.maxWaiting_),
+              memory::MemoryBounds::forMachine(settings.memoryBytes()).max_,
               memory::MemoryBounds::forMachine(settings.memoryBytes()).max_},
           [this] { return node_.revision(); }, [this] { return targetUp_.load(); }))
 {
--- a/packages/wire/channel.cpp
+++ b/packages/wire/channel.cpp
@@ -17,6 +17,7 @@
 constexpr int kMaxReconnectBackoffMs = 500;
 constexpr int kMinReconnectBackoffMs = 100;
 constexpr int kMaxMessageBytes = 32 * 1024 * 1024;
+constexpr int kStreamWindowBytes = 65'536;
 
 } // namespace
 
@@ -36,6 +37,10 @@
     args.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
     args.SetInt("foxtailturn.generation", generation.fetch_add(1));
     args.SetMaxReceiveMessageSize(kMaxMessageBytes);
+    // The window of a stream would grow to several MB, which is held for each stream whose caller
+    // does not read.
+    args.SetInt(GRPC_ARG_HTTP2_BDP_PROBE, 0);
+    args.SetInt(GRPC_ARG_HTTP2_STREAM_LOOKAHEAD_BYTES, kStreamWindowBytes);
     if (security.isInsecure())
         return grpc::CreateCustomChannel(address, grpc::InsecureChannelCredentials(), args);
     grpc::SslCredentialsOptions options;
--- a/testing/crowds_test.py
+++ b/testing/crowds_test.py
@@ -245,6 +245,19 @@
         request = head_text(JSON + length(len(body)), CHAT)(0) + body
         self.assert_bears(lambda crowd: crowd.send_all(lambda i: request, [request * 20]))
 
+    def test_large_answers_that_nobody_reads(self):
+        call(self.fleet.ports["service-1"], "POST", "/fault", {"answer_bytes": 4 * BODY_LIMIT})
+        request = b"GET /registers/1 HTTP/1.1\r\nHost: a.example\r\n\r\n"
+        self.assert_bears(lambda crowd: (crowd.send_all(lambda i: request, []), time.sleep(5)))
+
+    # Guards against a bound that cuts an answer inside the limits.
+    def test_large_answer_in_calm(self):
+        call(self.fleet.ports["service-1"], "POST", "/fault", {"answer_bytes": 4 * BODY_LIMIT})
+        for _ in range(5):
+            answer = call(self.fleet.ports["entry-1"], "GET", "/registers/1")
+            self.assertEqual(answer.status, 200)
+            self.assertGreater(len(answer.body), 4 * BODY_LIMIT)
+
     def test_refusals_that_nobody_reads(self):
         request = head_text(length(0), "/none")(0)
         self.assert_bears(lambda crowd: crowd.send_all(lambda i: request, [request * 400] * 40))
--- a/testing/stub_lib/service_stub.cpp
+++ b/testing/stub_lib/service_stub.cpp
@@ -79,7 +79,9 @@
         const std::lock_guard lock(mutex_);
         ++lookUps_;
     }
-    answerJson(response, 200, Json{{"path", request.path}}.dump());
+    answerJson(
+        response, 200,
+        Json{{"path", request.path}, {"padding", std::string(faults.answerBytes_, 'x')}}.dump());
 }
 
 void ServiceStub::postFault(const httplib::Request &request, httplib::Response &response)
@@ -90,8 +92,10 @@
         return;
     }
     JsonObject object(*json, "fault");
-    const Faults faults{static_cast<int>(object.integer("slow_ms", {.max_ = 600'000}, 0)),
-                        object.boolean("drop_after", false), object.boolean("refuse", false)};
+    const Faults faults{
+        static_cast<int>(object.integer("slow_ms", {.max_ = 600'000}, 0)),
+        object.boolean("drop_after", false), object.boolean("refuse", false),
+        static_cast<std::size_t>(object.integer("answer_bytes", {.max_ = 16'777'216}, 0))};
     object.refuseUnknown();
     if (object.error()) {
         answerJson(response, 400, Json{{"error", object.error()->message_}}.dump());
--- a/testing/stub_lib/service_stub.h
+++ b/testing/stub_lib/service_stub.h
@@ -9,7 +9,7 @@
 //   must not send twice. GET /registers/..., /stock/...: look-ups.
 // POST /fault {slow_ms, drop_after, refuse}: sets all faults; absent ones are cleared
 //   slow_ms: wait before each execution; drop_after: execute, then close the connection without an
-//   answer; refuse: answer 503 without executing
+//   answer; refuse: answer 503 without executing; answer_bytes: padding of the answers to look-ups
 // GET /stats: executions by "path key" and by SHA-256 of the body, the largest of each, look-ups,
 //   requests that carried a caller's credentials (must stay 0)
 
@@ -35,6 +35,7 @@
         int slowMs_ = 0;
         bool dropAfter_ = false;
         bool refuse_ = false;
+        std::size_t answerBytes_ = 0;
     };
 
     Faults faults();
