testing: crowds at the gRPC ports of entries and agents

Bytes that are no HTTP/2, field blocks and pings without end, and idle connections, with and without TLS between the processes.

--- a/testing/crowds_test.py
+++ b/testing/crowds_test.py
@@ -88,9 +88,10 @@
 
 class _Crowded(unittest.TestCase):
     entry_memory_mb = MEMORY_MB
+    tls = False  # between the processes
 
     def setUp(self):
-        self.fleet = Fleet(BUILD, entries=1, engines=1, services=1,
+        self.fleet = Fleet(BUILD, entries=1, engines=1, services=1, tls=self.tls,
                            daemon_settings=settings({"memory_mb": MEMORY_MB}),
                            entry_settings=settings({"memory_mb": self.entry_memory_mb,
                                                     "max_body_bytes": BODY_LIMIT,
@@ -305,6 +306,50 @@
         self.assertEqual(answer.status, 200)
 
 
+HTTP2_START = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + b"\0\0\0\4\0\0\0\0\0"
+
+
+def frame(kind, flags, stream, payload):
+    """Returns a frame of HTTP/2 (RFC 9113, section 4.1)."""
+    return len(payload).to_bytes(3, "big") + bytes([kind, flags]) + stream.to_bytes(4, "big") \
+        + payload
+
+
+class EntryPeerPort(_Crowded):
+    port = "entry-1.peer"
+
+    def setUp(self):
+        super().setUp()
+        self.address = ("127.0.0.1", self.fleet.ports[self.port])
+
+    def test_bytes_without_end(self):
+        self.assert_bears(lambda crowd: crowd.send_all(lambda i: b"GET / ", [PIECE] * 80))
+
+    def test_field_blocks_without_end(self):
+        fields = frame(9, 0, 1, b"\0\1a\x7f\x81\x7f" + b"b" * 16000)
+        start = HTTP2_START + frame(1, 0, 1, b"\x83")
+        self.assert_bears(lambda crowd: crowd.send_all(lambda i: start, [fields * 4] * 80))
+
+    def test_settings_and_pings_without_end(self):
+        pings = frame(6, 0, 0, b"12345678") * 2000
+        self.assert_bears(lambda crowd: crowd.send_all(lambda i: HTTP2_START, [pings] * 80))
+
+    def test_idle_connections(self):
+        self.assert_bears(lambda crowd: None, count=3 * MAX_CONNECTIONS)
+
+
+class AgentPeerPort(EntryPeerPort):
+    port = "agent-service-1.peer"
+
+
+class EntryPeerPortWithTls(EntryPeerPort):
+    tls = True
+
+
+class AgentPeerPortWithTls(AgentPeerPort):
+    tls = True
+
+
 for _kind in BODIES:
     setattr(Bodies, "test_" + _kind.replace(" ", "_"),
             lambda self, kind=_kind: self.bears_bodies(kind))
