--- a/packages/gateway/agent_link.h
+++ b/packages/gateway/agent_link.h
@@ -17,8 +17,8 @@
 
 #include "base/clock.h"
 #include "gateway/agent_messages.h"
-#include "net/byte_stream.h"
 #include "gateway/reconnect_backoff.h"
+#include "net/byte_stream.h"
 
 namespace foxtailturn::gateway {
 
