--- a/packages/callers/caller_loop_test.cpp
+++ b/packages/callers/caller_loop_test.cpp
@@ -154,8 +154,10 @@
 TEST_CASE("an idle connection is closed for a new one")
 {
     Fixture f(4);
+    constexpr std::size_t kIdle = 20;
     std::vector<asio::ip::tcp::socket> idle;
-    for (int i = 0; i < 20; ++i)
+    idle.reserve(kIdle);
+    for (std::size_t i = 0; i < kIdle; ++i)
         idle.push_back(f.connect());
     CHECK(f.send(Fixture::post("Content-Length: 2\r\n", "ab")) == "HTTP/1.1 200 OK");
 }
--- a/packages/daemon/admin_server.cpp
+++ b/packages/daemon/admin_server.cpp
@@ -165,7 +165,7 @@
         };
         const std::string_view path =
             std::string_view(head.target_).substr(0, head.target_.find('?'));
-        const std::string_view method = head.method_ == "HEAD" ? "GET" : head.method_;
+        const std::string method = head.method_ == "HEAD" ? std::string("GET") : head.method_;
         for (const Operation &operation : kOperations) {
             if (operation.method_ != method || operation.path_ != path)
                 continue;
