--- a/testing/crowd.py
+++ b/testing/crowd.py
@@ -102,13 +102,16 @@
 
     def send_all(self, head, pieces):
         """Each connection sends as fast as it can; head: makes its bytes from a number."""
-        threads = [threading.Thread(target=self._send, args=(c, [head(i), *pieces]), daemon=True)
-                   for i, c in enumerate(self._connections)]
-        for thread in threads:
-            thread.start()
-        deadline = time.monotonic() + SEND_SECONDS
-        for thread in threads:
-            thread.join(max(deadline - time.monotonic(), 0))
+        self.send_each([(head, pieces)])
+
+    def send_each(self, kinds):
+        """The connections send as fast as they can, in turn one of the kinds: (head, pieces)."""
+        threads = []
+        for i, connection in enumerate(self._connections):
+            head, pieces = kinds[i % len(kinds)]
+            threads.append(threading.Thread(
+                target=self._send, args=(connection, [head(i), *pieces]), daemon=True))
+        self._run(threads)
 
     def send_in_turns(self, head, pieces):
         """The connections send one piece each in turn."""
@@ -117,6 +120,14 @@
                 connection.settimeout(0.05)
                 self._send(connection, [head(i) if piece is None else piece])
 
+    @staticmethod
+    def _run(threads):
+        for thread in threads:
+            thread.start()
+        deadline = time.monotonic() + SEND_SECONDS
+        for thread in threads:
+            thread.join(max(deadline - time.monotonic(), 0))
+
     @staticmethod
     def _send(connection, pieces):
         try:
--- a/testing/crowds_test.py
+++ b/testing/crowds_test.py
@@ -158,6 +158,11 @@
         fields, pieces = BODIES["legal size"]
         self.assert_bears(lambda crowd: crowd.send_in_turns(head_text(fields), pieces))
 
+    def test_all_kinds_together(self):
+        kinds = list(BODIES.values())
+        self.assert_bears(lambda crowd: crowd.send_each(
+            [(head_text(kind[0], *kind[2:]), kind[1]) for kind in kinds]))
+
     def test_one_caller_that_does_not_end(self):
         self.assert_bears(
             lambda crowd: crowd.send_all(head_text(CHUNKED), [chunk(PIECE)] * 3200), count=1)
