callers, http1: HTTP/1.0 without Host and offers of an upgrade are served

With callers and admin ports of the gRPC deployment on packages/callers, a health check of a balancer by HTTP/1.0 without Host would have got 400, and so would clients that offer HTTP/2 by Upgrade with each first request; the library served both. RFC 9112, section 3.2, asks for Host from HTTP/1.1 on; RFC 9110, section 7.8, lets a server ignore Upgrade. Test: caller_loop_test, two of five new rows failed before (400).

--- a/packages/callers/caller_connection.cpp
+++ b/packages/callers/caller_connection.cpp
@@ -163,7 +163,9 @@
 {
     timer_.cancel();
     hasHead_ = false;
-    if (head_.count("Host") != 1) {
+    const int hosts = head_.count("Host");
+    const bool mayLackHost = !head_.canReadChunks_; // HTTP/1.0, such as balancers' health checks
+    if (hosts > 1 || (hosts == 0 && !mayLackHost)) {
         refuseAndClose(400, ErrorCode::BadRequest);
         return;
     }
--- a/packages/callers/caller_loop_test.cpp
+++ b/packages/callers/caller_loop_test.cpp
@@ -142,6 +142,14 @@
         {Fixture::post("A: " + std::string(600, 'x') + "\r\n", ""),
          "HTTP/1.1 431 closes payload_too_large"},
         {"nonsense\r\n\r\n", "HTTP/1.1 400 closes bad_request"},
+        {"GET / HTTP/1.0\r\n\r\n", "HTTP/1.1 200 OK"},
+        {"GET / HTTP/1.1\r\n\r\n", "HTTP/1.1 400 closes bad_request"},
+        {"GET / HTTP/1.0\r\nHost: a\r\nHost: b\r\n\r\n", "HTTP/1.1 400 closes bad_request"},
+        {"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n", "HTTP/1.1 400 closes bad_request"},
+        {Fixture::post("Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+                       "Content-Length: 2\r\n",
+                       "ab"),
+         "HTTP/1.1 200 OK"},
     };
     Fixture f;
     for (const Case &each : cases) {
--- a/packages/http1/message_parser.h
+++ b/packages/http1/message_parser.h
@@ -8,8 +8,8 @@
 //     if (parser.isComplete()) { ...; parser.next(); parser.feed(rest); }
 //
 // The grammar is http-parser's, in its strict mode: a message with both a length and chunks, with
-// two lengths or with a broken chunk is an error. Transfer codings other than chunked and upgrades
-// are errors too, since what follows them can't be delimited.
+// two lengths or with a broken chunk is an error. Transfer codings other than chunked, CONNECT and
+// answers that upgrade are errors too, since what follows them can't be delimited.
 
 #include <cstddef>
 #include <memory>
