--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -8,7 +8,7 @@
 rm -rf "$build" # a compilation that fails must not leave an older object to link
 mkdir -p "$build"
 sources=(platform/fuzz/fleet_codec_fuzz.cpp platform/fields.cpp platform/fleet_rows_codec.cpp
-  platform/message_codec.cpp platform/store_codec.cpp packages/gateway/agent_messages.cpp packages/gateway/endpoint.cpp
+  platform/message_codec.cpp platform/store_codec.cpp packages/gateway/agent_messages.cpp packages/net/endpoint.cpp
   packages/gateway/report_update.cpp
   packages/gateway/serving_config.cpp packages/retry/suspect_record.cpp packages/base/hash.cpp
   packages/http1/message.cpp packages/http1/message_parser.cpp
